--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Targets: build, test, lint, bench, demo, scale. See README.md.
+STATICCHECK = go tool -modfile=tools/go.mod staticcheck
+
+.PHONY: build test lint bench demo scale
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -timeout 8m ./...
+
+lint:
+	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: the files above need formatting"; exit 1; }
+	go vet ./...
+	$(STATICCHECK) ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
+
+demo: build
+	scripts/demo
+
+scale: build
+	scripts/scale
--- /dev/null
+++ b/cmd/oleander-entry/main.go
@@ -0,0 +1,13 @@
+// Command oleander-entry is the data path: it answers callers.
+package main
+
+import (
+	"os"
+
+	"oleanderfall.example/oleanderfall/internal/transport/entry"
+	"oleanderfall.example/oleanderfall/internal/transport/process"
+)
+
+func main() {
+	os.Exit(process.Run("oleander-entry", "Entry program for callers.", entry.Module))
+}
--- /dev/null
+++ b/cmd/oleander-rollout/main.go
@@ -0,0 +1,13 @@
+// Command oleander-rollout makes samples for trainers.
+package main
+
+import (
+	"os"
+
+	"oleanderfall.example/oleanderfall/internal/transport/process"
+	"oleanderfall.example/oleanderfall/internal/transport/rollout"
+)
+
+func main() {
+	os.Exit(process.Run("oleander-rollout", "Rollout program for trainers.", rollout.Module))
+}
--- /dev/null
+++ b/cmd/oleanderctl/main.go
@@ -0,0 +1,10 @@
+// Command oleanderctl is the operators' client.
+package main
+
+import (
+	"os"
+
+	"oleanderfall.example/oleanderfall/internal/transport/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/protocol/resultcode/resultcode_test.go
@@ -0,0 +1,31 @@
+package resultcode
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestTableIsDocumented holds docs/RESULT-CODES.md to the code, line by line.
+func TestTableIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/RESULT-CODES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := Code(-1)
+	for _, i := range All() {
+		row := fmt.Sprintf("| %d | `%s` | %s | %d | %v | %s |", i.Code, i.Name, i.Outcome, i.HTTPStatus, i.Retry, i.Help)
+		if !strings.Contains(string(page), row+"\n") {
+			t.Errorf("docs/RESULT-CODES.md lacks the row:\n%s", row)
+		}
+		if i.Code <= last {
+			t.Errorf("code %d stands after %d", i.Code, last)
+		}
+		last = i.Code
+	}
+	const headerRows = 2
+	if rows := strings.Count(string(page), "\n| ") - headerRows; rows != len(All()) {
+		t.Errorf("docs/RESULT-CODES.md has %d rows, the code %d", rows, len(All()))
+	}
+}
--- /dev/null
+++ b/internal/protocol/settings/process.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"reflect"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Process is one host's own settings, shared by the programs on it. The struct tags
+// are as in package model.
+type Process struct {
+	Host     HostSettings     `section:"host"`
+	TLS      TLSSettings      `section:"tls"`
+	Platform PlatformSettings `section:"platform"`
+	Control  ControlSettings  `section:"control"`
+	Entry    EntrySettings    `section:"entry"`
+	Rollout  RolloutSettings  `section:"rollout"`
+}
+
+// HostSettings says which host this is.
+type HostSettings struct {
+	ID     model.HostID   `ini:"id" help:"The host's name, unique in the installation."`
+	Zone   model.ZoneID   `ini:"zone" help:"The availability zone the host stands in."`
+	Region model.RegionID `ini:"region" optional:"true" help:"The region the zone lies in."`
+	// DataDir is the folder for bulk data, empty on hosts without a disk.
+	DataDir  string `ini:"data_dir" optional:"true" help:"Folder for bulk data; empty for none."`
+	LogLevel string `ini:"log_level" choice:"debug,info,warn,error" default:"info" help:"Least severe log line written."`
+}
+
+// TLSSettings names the identity's files.
+type TLSSettings struct {
+	Authority   string `ini:"authority" help:"PEM file of the authority that signs every process's certificate."`
+	Certificate string `ini:"certificate" help:"PEM file of this host's certificate."`
+	Key         string `ini:"key" help:"PEM file of this host's private key."`
+}
+
+// PlatformSettings names the platform's services.
+type PlatformSettings struct {
+	ObjectAPI string        `ini:"object_api" help:"Base URL of the object API."`
+	HostList  string        `ini:"host_list" optional:"true" help:"Base URL of the host list."`
+	Timeout   time.Duration `ini:"timeout" default:"3s" range:"50ms..1m" help:"Bounds one call of the platform."`
+}
+
+// ControlSettings is oleander-control's own part.
+type ControlSettings struct {
+	Listen string `ini:"listen" kind:"address" help:"UDP address of this host's control program."`
+	// Seeds are control addresses of other hosts to join through.
+	Seeds []string `ini:"seeds" optional:"true" help:"UDP addresses of other hosts' control programs, separated by commas."`
+	Admin string   `ini:"admin" kind:"address" help:"HTTP address of metrics and health."`
+	// Heartbeat is the interval between heartbeats to a peer.
+	Heartbeat time.Duration `ini:"heartbeat" default:"1s" range:"20ms..1m" help:"Interval between heartbeats to a peer."`
+}
+
+// EntrySettings is oleander-entry's own part.
+type EntrySettings struct {
+	Listen string `ini:"listen" optional:"true" kind:"address" help:"HTTP address for callers."`
+	Mesh   string `ini:"mesh" optional:"true" kind:"address" help:"UDP address for other entry programs."`
+	Admin  string `ini:"admin" optional:"true" kind:"address" help:"HTTP address of metrics and health."`
+}
+
+// RolloutSettings is oleander-rollout's own part.
+type RolloutSettings struct {
+	Listen string `ini:"listen" optional:"true" kind:"address" help:"HTTP address for trainers."`
+	Mesh   string `ini:"mesh" optional:"true" kind:"address" help:"UDP address for other processes."`
+	Admin  string `ini:"admin" optional:"true" kind:"address" help:"HTTP address of metrics and health."`
+}
+
+// LoadProcess reads a process's own settings from a folder.
+func LoadProcess(dir string) (*Process, error) {
+	files, err := ReadFolder(dir)
+	if err != nil {
+		return nil, err
+	}
+	m := merge(files)
+	p := &Process{}
+	if problems := bind(m, reflect.ValueOf(p).Elem()); len(problems) > 0 {
+		return nil, problems
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/protocol/wire/wire_test.go
@@ -0,0 +1,31 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+)
+
+func FuzzDecodeNeverPanicsAndRoundTrips(f *testing.F) {
+	seed, err := Encode(Failure{Code: resultcode.Overloaded, Detail: "limit"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{0xbf, 0x01})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var got Failure
+		if Decode(b, &got) != nil {
+			return
+		}
+		again, err := Encode(got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Failure
+		if err := Decode(again, &back); err != nil || !reflect.DeepEqual(got, back) {
+			t.Fatalf("%+v became %+v: %v", got, back, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+)
+
+// PlainOptions sizes a plain service stand-in.
+type PlainOptions struct {
+	Name string
+	// ServiceTime is the time of one call (5 ms).
+	ServiceTime time.Duration
+	// Concurrency is the number of calls at once before they wait (16).
+	Concurrency int
+}
+
+// Plain is a plain service. Its answer is "answer to CALL BODY", so that a test
+// can tell whether a caller got the answer to its own request.
+type Plain struct {
+	*server
+	opt   PlainOptions
+	slots chan struct{}
+}
+
+// NewPlain starts a plain service on address (host:port; port 0 picks one).
+func NewPlain(address string, opt PlainOptions) (*Plain, error) {
+	setDefault(&opt.ServiceTime, 5*time.Millisecond)
+	setDefault(&opt.Concurrency, 16)
+	p := &Plain{server: newServer(opt.Name), opt: opt, slots: make(chan struct{}, opt.Concurrency)}
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/call/{call}", p.serveCall).Methods(http.MethodPost)
+	r.HandleFunc("/v1/status", p.serveStatus).Methods(http.MethodGet)
+	p.server.handler = r
+	return p, p.server.listen(address)
+}
+
+// PlainAnswer is what a plain service stand-in answers.
+func PlainAnswer(call, body string) string { return fmt.Sprintf("answer to %s %s", call, body) }
+
+func (p *Plain) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		return
+	}
+	if p.refuse(w, false) {
+		return
+	}
+	select {
+	case p.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-p.slots }()
+	call := mux.Vars(r)["call"]
+	run, ok := p.begin(r.Context(), Run{RequestID: r.Header.Get(engineapi.RequestIDHeader), Call: call, Body: string(body)})
+	if !ok {
+		return
+	}
+	// A call that has begun runs to its end, whether or not its caller is there.
+	time.Sleep(p.serviceTime())
+	p.finish(run)
+	_, _ = io.WriteString(p.writer(w), PlainAnswer(call, string(body)))
+}
+
+func (p *Plain) serviceTime() time.Duration {
+	if slow := p.faults.get().Slow; slow > 1 {
+		return time.Duration(float64(p.opt.ServiceTime) * slow)
+	}
+	return p.opt.ServiceTime
+}
+
+func (p *Plain) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if p.faults.hold(r.Context()) != nil {
+		return
+	}
+	writeJSON(w, engineapi.Status{Incarnation: p.currentIncarnation(), Leaving: p.faults.get().Leaving})
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,244 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"gopkg.in/ini.v1"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/platformapi"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// part is what the control port knows of every part.
+type part interface{ SetFaults(Faults) }
+
+// World is a set of parts in one process, described by an INI file:
+//
+//	[control]              listen
+//	[objectapi]            listen, reads_per_second, writes_per_second, latency, history
+//	[hostlist]             listen, lag
+//	[weightstore]          listen, loads_per_second
+//	[engine.NAME]          listen, slots, queue, token_interval, tokens_per_step,
+//	                       prefill_time, median_tokens, swap_time, fencing, model
+//	[plain.NAME]           listen, service_time, concurrency
+//	[scorer.NAME]          listen
+//	[trainer.NAME]         see TrainerOptions
+//
+// The control port serves:
+//
+//	PUT  /faults/PART      Faults as JSON; PART is a section's name
+//	GET  /log/PART         the part's log ([]Run, or the trainer's report)
+//	GET  /calls            the object API's counters
+//	PUT  /hosts            platformapi.HostList
+type World struct {
+	parts    map[string]part
+	store    *ObjectStore
+	hosts    *HostList
+	weights  *WeightStore
+	servers  []*http.Server
+	closers  []func()
+	Control  string
+	trainers map[string]*Trainer
+}
+
+// StartWorld starts the parts that the INI file at path describes.
+func StartWorld(path string) (*World, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	w := &World{parts: map[string]part{}, trainers: map[string]*Trainer{}}
+	for _, s := range file.Sections() {
+		if s.Name() == ini.DefaultSection {
+			continue
+		}
+		if err := w.add(s); err != nil {
+			w.Close()
+			return nil, fmt.Errorf("section %s: %w", s.Name(), err)
+		}
+	}
+	return w, nil
+}
+
+// Close ends all parts.
+func (w *World) Close() {
+	for _, c := range w.closers {
+		c()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
+
+func (w *World) add(s *ini.Section) error {
+	kind, name, _ := strings.Cut(s.Name(), ".")
+	listen := s.Key("listen").String()
+	switch kind {
+	case "control":
+		return w.addControl(listen)
+	case "objectapi":
+		w.store = NewObjectStore(ObjectStoreOptions{
+			ReadsPerSecond:  s.Key("reads_per_second").MustFloat64(0),
+			WritesPerSecond: s.Key("writes_per_second").MustFloat64(0),
+			Latency:         s.Key("latency").MustDuration(2 * time.Millisecond),
+			History:         s.Key("history").MustInt(0),
+		})
+		w.parts[s.Name()] = w.store
+		return w.serve(listen, w.store.Handler())
+	case "hostlist":
+		w.hosts = NewHostList(s.Key("lag").MustDuration(time.Second))
+		w.parts[s.Name()] = w.hosts
+		return w.serve(listen, w.hosts.Handler())
+	case "weightstore":
+		w.weights = NewWeightStore(s.Key("loads_per_second").MustFloat64(0))
+		w.parts[s.Name()] = w.weights
+		return w.serve(listen, w.weights.Handler())
+	}
+	return w.addEndpoint(kind, name, listen, s)
+}
+
+func (w *World) addEndpoint(kind, name, listen string, s *ini.Section) error {
+	switch kind {
+	case "engine":
+		e, err := NewEngine(listen, w.engineOptions(name, s))
+		if err != nil {
+			return err
+		}
+		w.keep(s.Name(), e, e.Close)
+	case "plain":
+		p, err := NewPlain(listen, PlainOptions{
+			Name:        name,
+			ServiceTime: s.Key("service_time").MustDuration(0),
+			Concurrency: s.Key("concurrency").MustInt(0),
+		})
+		if err != nil {
+			return err
+		}
+		w.keep(s.Name(), p, p.Close)
+	case "scorer":
+		c, err := NewScorer(listen, name)
+		if err != nil {
+			return err
+		}
+		w.keep(s.Name(), c, c.Close)
+	case "trainer":
+		t := StartTrainer(trainerOptions(name, s))
+		w.trainers[s.Name()] = t
+		w.keep(s.Name(), t, t.Close)
+	default:
+		return fmt.Errorf("unknown kind of part %q", kind)
+	}
+	return nil
+}
+
+func (w *World) keep(name string, p part, closer func()) {
+	w.parts[name] = p
+	w.closers = append(w.closers, closer)
+}
+
+func (w *World) engineOptions(name string, s *ini.Section) EngineOptions {
+	opt := EngineOptions{
+		Name:          name,
+		Slots:         s.Key("slots").MustInt(0),
+		Queue:         s.Key("queue").MustInt(0),
+		TokenInterval: s.Key("token_interval").MustDuration(0),
+		TokensPerStep: s.Key("tokens_per_step").MustInt(0),
+		PrefillTime:   s.Key("prefill_time").MustDuration(0),
+		MedianTokens:  s.Key("median_tokens").MustInt(0),
+		SwapTime:      s.Key("swap_time").MustDuration(0),
+		Fencing:       s.Key("fencing").MustBool(false),
+	}
+	weights, weightModel := w.weights, s.Key("model").String()
+	if weights != nil {
+		opt.Download = func(ctx context.Context, v model.WeightVersion) error {
+			return weights.Download(ctx, weightModel, v)
+		}
+	}
+	return opt
+}
+
+func (w *World) serve(listen string, h http.Handler) error {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	w.servers = append(w.servers, srv)
+	go func() { _ = srv.Serve(l) }()
+	return nil
+}
+
+func (w *World) addControl(listen string) error {
+	w.Control = listen
+	r := mux.NewRouter()
+	r.HandleFunc("/faults/{part}", w.serveFaults).Methods(http.MethodPut)
+	r.HandleFunc("/log/{part}", w.serveLog).Methods(http.MethodGet)
+	r.HandleFunc("/calls", w.serveCalls).Methods(http.MethodGet)
+	r.HandleFunc("/hosts", w.serveHosts).Methods(http.MethodPut)
+	r.HandleFunc("/parts", w.serveParts).Methods(http.MethodGet)
+	return w.serve(listen, r)
+}
+
+func (w *World) serveFaults(rw http.ResponseWriter, r *http.Request) {
+	p, ok := w.parts[mux.Vars(r)["part"]]
+	if !ok {
+		http.NotFound(rw, r)
+		return
+	}
+	var f Faults
+	dec := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+}
+
+func (w *World) serveLog(rw http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["part"]
+	if t, ok := w.trainers[name]; ok {
+		writeJSON(rw, t.Report())
+		return
+	}
+	if l, ok := w.parts[name].(interface{ Runs() []Run }); ok {
+		writeJSON(rw, l.Runs())
+		return
+	}
+	http.NotFound(rw, r)
+}
+
+func (w *World) serveCalls(rw http.ResponseWriter, r *http.Request) {
+	if w.store == nil {
+		http.NotFound(rw, r)
+		return
+	}
+	writeJSON(rw, w.store.Calls())
+}
+
+func (w *World) serveHosts(rw http.ResponseWriter, r *http.Request) {
+	var l platformapi.HostList
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&l); err != nil || w.hosts == nil {
+		http.Error(rw, "bad host list", http.StatusBadRequest)
+		return
+	}
+	w.hosts.Set(l.Hosts)
+}
+
+func (w *World) serveParts(rw http.ResponseWriter, _ *http.Request) {
+	names := make([]string, 0, len(w.parts))
+	for n := range w.parts {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	writeJSON(rw, names)
+}
--- /dev/null
+++ b/internal/transport/logging/logging.go
@@ -0,0 +1,45 @@
+// Package logging makes the loggers of the system's parts.
+//
+// Invariant: every line of a part begins with the part's fixed prefix, "PART: ".
+package logging
+
+import (
+	"context"
+	"io"
+	"log/slog"
+)
+
+// New returns the root logger of a process. level is debug, info, warn or error.
+func New(w io.Writer, level string) *slog.Logger {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		l = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
+}
+
+// Part returns a logger whose messages begin with "NAME: ".
+func Part(root *slog.Logger, name string) *slog.Logger {
+	return slog.New(prefixHandler{Handler: root.Handler(), prefix: name + ": "})
+}
+
+type prefixHandler struct {
+	slog.Handler
+	prefix string
+}
+
+// Handle implements slog.Handler.
+func (h prefixHandler) Handle(ctx context.Context, r slog.Record) error {
+	r.Message = h.prefix + r.Message
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (h prefixHandler) WithAttrs(a []slog.Attr) slog.Handler {
+	return prefixHandler{Handler: h.Handler.WithAttrs(a), prefix: h.prefix}
+}
+
+// WithGroup implements slog.Handler.
+func (h prefixHandler) WithGroup(name string) slog.Handler {
+	return prefixHandler{Handler: h.Handler.WithGroup(name), prefix: h.prefix}
+}
--- /dev/null
+++ b/internal/transport/process/process.go
@@ -0,0 +1,152 @@
+// Package process is what the daemons share: flags, settings, log, keys, metrics,
+// health and the fx application's life.
+//
+// Invariant: a daemon that cannot read its settings exits before it opens any port,
+// and a planned stop (SIGTERM) waits for the duties to finish what runs.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	// stopTimeout bounds a planned stop: the longest request plus the lifetime of
+	// an address answer.
+	stopTimeout = 15 * time.Minute
+	exitUsage   = 2
+)
+
+type flags struct {
+	Settings string `arg:"" help:"Folder of this host's INI settings." type:"existingdir"`
+}
+
+// Run runs a daemon until it is told to stop and returns its exit code.
+func Run(name, description string, options ...fx.Option) int {
+	var f flags
+	kong.Parse(&f, kong.Name(name), kong.Description(description))
+	s, err := settings.LoadProcess(f.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	root := logging.New(os.Stderr, s.Host.LogLevel)
+	app := fx.New(append(options,
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(s, root),
+		fx.Provide(newRegistry, newKeys, NewHealth),
+	)...)
+	return runApp(app, logging.Part(root, "process"))
+}
+
+func runApp(app *fx.App, log *slog.Logger) int {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		log.Error("Not started.", "err", err)
+		return 1
+	}
+	signal := <-app.Wait()
+	log.Info("Stopping.", "signal", signal.Signal)
+	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	if err := app.Stop(stopping); err != nil {
+		log.Error("Stop failed.", "err", err)
+		return 1
+	}
+	return signal.ExitCode
+}
+
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+func newKeys(s *settings.Process) (*tlsconf.Keys, error) {
+	return tlsconf.Load(tlsconf.Files{
+		Authority:   s.TLS.Authority,
+		Certificate: s.TLS.Certificate,
+		Key:         s.TLS.Key,
+	})
+}
+
+// Health collects the conditions under which a daemon is ready.
+type Health struct {
+	mu     sync.Mutex
+	checks map[string]func() error
+}
+
+// NewHealth returns a Health without conditions, which is ready.
+func NewHealth() *Health { return &Health{checks: map[string]func() error{}} }
+
+// Add registers a condition; check returns nil while it holds.
+func (h *Health) Add(name string, check func() error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.checks[name] = check
+}
+
+// Ready returns the conditions that do not hold, joined.
+func (h *Health) Ready() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var failing []error
+	for name, check := range h.checks {
+		if err := check(); err != nil {
+			failing = append(failing, fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	return errors.Join(failing...)
+}
+
+// ServeAdmin serves /metrics, /healthz and /readyz on address for the life of the app.
+// register, when not nil, adds the daemon's own pages.
+func ServeAdmin(lc fx.Lifecycle, address string, reg *prometheus.Registry, h *Health, register func(*mux.Router)) {
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := h.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	if register != nil {
+		register(r)
+	}
+	server := &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				return err
+			}
+			go func() { _ = server.Serve(l) }()
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
--- /dev/null
+++ b/internal/transport/quicmesh/mesh.go
@@ -0,0 +1,345 @@
+// Package quicmesh carries calls and datagrams between the system's processes
+// over QUIC with mutual TLS, on one UDP socket a process.
+//
+// Invariant: a call that returns ErrNotSent cannot have reached the peer's
+// handler. A reply is read whole or the call fails.
+package quicmesh
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/zeebo/errs"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("quicmesh")
+
+// ErrNotSent: no byte of the call left this process.
+var ErrNotSent = errors.New("call not sent")
+
+const (
+	idleTimeout      = 20 * time.Second
+	handshakeTimeout = 3 * time.Second
+	maxStreams       = 4096
+	headerBytes      = 2
+)
+
+// Handler answers one call. The error's result code travels to the caller.
+type Handler func(ctx context.Context, peer string, request []byte) (reply any, err error)
+
+// Options configures a mesh.
+type Options struct {
+	// Listen is the UDP address of this process.
+	Listen string
+	Server *tls.Config
+	Client *tls.Config
+	Log    *slog.Logger
+	// OnDatagram receives datagrams with the sender's address; it must not block.
+	OnDatagram func(peer string, b []byte)
+	// Cut reports whether traffic with a peer is cut; tests set it.
+	Cut func(peer string) bool
+}
+
+// Mesh is one process's end of the overlay. Its methods may be called from any goroutine.
+type Mesh struct {
+	opt       Options
+	socket    net.PacketConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	mu        sync.Mutex
+	conns     map[string]*quic.Conn
+	handlers  map[wire.Method]Handler
+	cancel    context.CancelFunc
+	ctx       context.Context
+	running   sync.WaitGroup
+}
+
+// New opens the socket. Handle registers handlers before Start.
+func New(opt Options) (*Mesh, error) {
+	socket, err := net.ListenPacket("udp", opt.Listen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Mesh{
+		opt:       opt,
+		socket:    socket,
+		transport: &quic.Transport{Conn: socket},
+		conns:     map[string]*quic.Conn{},
+		handlers:  map[wire.Method]Handler{},
+		ctx:       ctx,
+		cancel:    cancel,
+	}, nil
+}
+
+// Address returns the socket's address.
+func (m *Mesh) Address() string { return m.socket.LocalAddr().String() }
+
+// Handle registers the handler of a method; it is called before Start.
+func (m *Mesh) Handle(method wire.Method, h Handler) { m.handlers[method] = h }
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        idleTimeout,
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+		EnableDatagrams:       true,
+	}
+}
+
+// Start accepts connections until Close.
+func (m *Mesh) Start() error {
+	listener, err := m.transport.Listen(m.opt.Server, quicConfig())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	m.listener = listener
+	m.running.Add(1)
+	go m.accept()
+	return nil
+}
+
+// Close ends all connections and waits for the handlers.
+func (m *Mesh) Close() {
+	m.cancel()
+	if m.listener != nil {
+		_ = m.listener.Close()
+	}
+	m.mu.Lock()
+	for _, c := range m.conns {
+		_ = c.CloseWithError(0, "closing")
+	}
+	m.mu.Unlock()
+	m.running.Wait()
+	_ = m.transport.Close()
+	_ = m.socket.Close()
+}
+
+func (m *Mesh) accept() {
+	defer m.running.Done()
+	for {
+		conn, err := m.listener.Accept(m.ctx)
+		if err != nil {
+			return
+		}
+		m.serve(conn)
+	}
+}
+
+func (m *Mesh) serve(conn *quic.Conn) {
+	m.running.Add(2)
+	go m.serveStreams(conn)
+	go m.serveDatagrams(conn)
+}
+
+func (m *Mesh) serveStreams(conn *quic.Conn) {
+	defer m.running.Done()
+	for {
+		stream, err := conn.AcceptStream(m.ctx)
+		if err != nil {
+			_ = conn.CloseWithError(0, "closing")
+			return
+		}
+		m.running.Add(1)
+		go m.answer(conn, stream)
+	}
+}
+
+func (m *Mesh) serveDatagrams(conn *quic.Conn) {
+	defer m.running.Done()
+	peer := conn.RemoteAddr().String()
+	for {
+		b, err := conn.ReceiveDatagram(m.ctx)
+		if err != nil {
+			return
+		}
+		if m.cut(peer) || m.opt.OnDatagram == nil {
+			continue
+		}
+		m.opt.OnDatagram(peer, b)
+	}
+}
+
+func (m *Mesh) cut(peer string) bool { return m.opt.Cut != nil && m.opt.Cut(peer) }
+
+func (m *Mesh) answer(conn *quic.Conn, stream *quic.Stream) {
+	defer m.running.Done()
+	defer func() { _ = stream.Close() }()
+	peer := conn.RemoteAddr().String()
+	if m.cut(peer) {
+		stream.CancelRead(1)
+		return
+	}
+	frame, err := io.ReadAll(io.LimitReader(stream, wire.MaxMessageBytes+headerBytes))
+	if err != nil || len(frame) < headerBytes {
+		return
+	}
+	method := wire.Method(binary.BigEndian.Uint16(frame))
+	handler, ok := m.handlers[method]
+	if !ok {
+		m.reply(stream, nil, resultcode.New(resultcode.BadRequest, "unknown method %d", method))
+		return
+	}
+	reply, err := handler(stream.Context(), peer, frame[headerBytes:])
+	m.reply(stream, reply, err)
+}
+
+// A reply's first byte says if a Failure or the method's reply follows.
+const (
+	replyOK      byte = 0
+	replyFailure byte = 1
+)
+
+func (m *Mesh) reply(stream *quic.Stream, reply any, err error) {
+	kind := replyOK
+	if err != nil {
+		kind = replyFailure
+		reply = failureOf(err)
+	}
+	b, err := wire.Encode(reply)
+	if err != nil {
+		m.opt.Log.Error("Reply not encoded.", "err", err)
+		stream.CancelWrite(1)
+		return
+	}
+	_, _ = stream.Write(append([]byte{kind}, b...))
+}
+
+func failureOf(err error) wire.Failure {
+	var coded *resultcode.Error
+	if errors.As(err, &coded) {
+		return wire.Failure{Code: coded.Code, Detail: coded.Detail}
+	}
+	return wire.Failure{Code: resultcode.Internal, Detail: err.Error()}
+}
+
+// Call sends one request to the process at address and reads its reply into reply,
+// a pointer. A *resultcode.Error is the peer's word; ErrNotSent is certain.
+func (m *Mesh) Call(ctx context.Context, address string, method wire.Method, request, reply any) error {
+	b, err := wire.Encode(request)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	if m.cut(address) {
+		<-ctx.Done()
+		return Error.Wrap(errors.Join(ErrNotSent, ctx.Err()))
+	}
+	stream, err := m.open(ctx, address)
+	if err != nil {
+		return Error.Wrap(errors.Join(ErrNotSent, err))
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(1)
+		stream.CancelWrite(1)
+	})
+	defer stop()
+	frame := binary.BigEndian.AppendUint16(make([]byte, 0, headerBytes+len(b)), uint16(method))
+	if _, err := stream.Write(append(frame, b...)); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := stream.Close(); err != nil {
+		return Error.Wrap(err)
+	}
+	answer, err := io.ReadAll(io.LimitReader(stream, wire.MaxMessageBytes+1))
+	if err != nil {
+		m.forget(address, err)
+		return Error.Wrap(err)
+	}
+	return readReply(answer, reply)
+}
+
+func readReply(answer []byte, reply any) error {
+	if len(answer) == 0 {
+		return Error.New("empty reply")
+	}
+	if answer[0] == replyOK {
+		return wire.Decode(answer[1:], reply)
+	}
+	var f wire.Failure
+	if err := wire.Decode(answer[1:], &f); err != nil {
+		return err
+	}
+	return &resultcode.Error{Code: f.Code, Detail: f.Detail}
+}
+
+// Send sends a datagram to the process at address over the present connection,
+// dialling when there is none. It may be lost.
+func (m *Mesh) Send(ctx context.Context, address string, b []byte) error {
+	if m.cut(address) {
+		return nil
+	}
+	conn, err := m.connection(ctx, address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(conn.SendDatagram(b))
+}
+
+// Drop closes the connection to address, if there is one.
+func (m *Mesh) Drop(address string) {
+	m.mu.Lock()
+	conn := m.conns[address]
+	delete(m.conns, address)
+	m.mu.Unlock()
+	if conn != nil {
+		_ = conn.CloseWithError(0, "dropped")
+	}
+}
+
+func (m *Mesh) open(ctx context.Context, address string) (*quic.Stream, error) {
+	conn, err := m.connection(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn.OpenStreamSync(ctx)
+}
+
+func (m *Mesh) connection(ctx context.Context, address string) (*quic.Conn, error) {
+	m.mu.Lock()
+	conn := m.conns[address]
+	m.mu.Unlock()
+	if conn != nil && conn.Context().Err() == nil {
+		return conn, nil
+	}
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	fresh, err := m.transport.Dial(ctx, addr, m.opt.Client, quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if other := m.conns[address]; other != nil && other.Context().Err() == nil {
+		_ = fresh.CloseWithError(0, "duplicate")
+		return other, nil
+	}
+	if m.ctx.Err() != nil {
+		_ = fresh.CloseWithError(0, "closing")
+		return nil, m.ctx.Err()
+	}
+	m.conns[address] = fresh
+	m.serve(fresh)
+	return fresh, nil
+}
+
+func (m *Mesh) forget(address string, err error) {
+	var idle *quic.IdleTimeoutError
+	if errors.As(err, &idle) {
+		m.Drop(address)
+	}
+}
--- /dev/null
+++ b/internal/transport/quicmesh/mesh_test.go
@@ -0,0 +1,96 @@
+package quicmesh
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+const testMethod wire.Method = 9000
+
+func startMesh(t *testing.T, keysDir string, h Handler) *Mesh {
+	t.Helper()
+	keys, err := tlsconf.Load(tlsconf.Files{
+		Authority:   filepath.Join(keysDir, "ca.pem"),
+		Certificate: filepath.Join(keysDir, "host.pem"),
+		Key:         filepath.Join(keysDir, "host.key"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := New(Options{Listen: "127.0.0.1:0", Server: keys.Server(), Client: keys.Client(), Log: slog.Default()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Handle(testMethod, h)
+	if err := m.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	return m
+}
+
+func devKeys(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := tlsconf.WriteDevelopmentKeys(dir, "host"); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func TestCallCarriesReplyOrResultCode(t *testing.T) {
+	dir := devKeys(t)
+	server := startMesh(t, dir, func(_ context.Context, _ string, b []byte) (any, error) {
+		var word string
+		if err := wire.Decode(b, &word); err != nil {
+			return nil, err
+		}
+		if word == "refuse" {
+			return nil, resultcode.New(resultcode.NotOwner, "no")
+		}
+		return word + "!", nil
+	})
+	client := startMesh(t, dir, nil)
+	var reply string
+	if err := client.Call(t.Context(), server.Address(), testMethod, "hello", &reply); err != nil || reply != "hello!" {
+		t.Fatalf("reply %q: %v", reply, err)
+	}
+	err := client.Call(t.Context(), server.Address(), testMethod, "refuse", &reply)
+	var coded *resultcode.Error
+	if !errors.As(err, &coded) || coded.Code != resultcode.NotOwner {
+		t.Fatalf("refusal: %v", err)
+	}
+}
+
+func TestPeerOfAnotherAuthorityIsRefused(t *testing.T) {
+	called := false
+	server := startMesh(t, devKeys(t), func(context.Context, string, []byte) (any, error) {
+		called = true
+		return "", nil
+	})
+	stranger := startMesh(t, devKeys(t), nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var reply string
+	if err := stranger.Call(ctx, server.Address(), testMethod, "x", &reply); err == nil || called {
+		t.Fatalf("a stranger's call was taken (called %v, err %v)", called, err)
+	}
+}
+
+func TestCallToNobodyIsNotSent(t *testing.T) {
+	client := startMesh(t, devKeys(t), nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	var reply string
+	if err := client.Call(ctx, "127.0.0.1:9", testMethod, "x", &reply); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("call to nobody: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/transport/ring/ring_test.go
@@ -0,0 +1,51 @@
+package ring
+
+import (
+	"context"
+	"errors"
+	"testing"
+)
+
+func TestFullRingFollowsItsRule(t *testing.T) {
+	ctx := context.Background()
+	refuse := New[int](1, Refuse)
+	if err := refuse.Push(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := refuse.Push(ctx, 2); !errors.Is(err, ErrFull) {
+		t.Fatalf("push on a full ring: %v", err)
+	}
+	oldest := New[int](1, DropOldest)
+	for i := 1; i <= 3; i++ {
+		if err := oldest.Push(ctx, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, _ := oldest.TryPop(); got != 3 || oldest.Dropped() != 2 {
+		t.Fatalf("kept %d after %d drops, want 3 after 2", got, oldest.Dropped())
+	}
+	block := New[int](1, Block)
+	if err := block.Push(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	if err := block.Push(ended, 2); !errors.Is(err, context.Canceled) {
+		t.Fatalf("blocked push: %v", err)
+	}
+}
+
+func TestClosedRingGivesOutWhatItHolds(t *testing.T) {
+	ctx := context.Background()
+	r := New[int](2, Refuse)
+	if err := r.Push(ctx, 7); err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	if got, err := r.Pop(ctx); err != nil || got != 7 {
+		t.Fatalf("pop: %d, %v", got, err)
+	}
+	if _, err := r.Pop(ctx); !errors.Is(err, ErrClosed) {
+		t.Fatalf("pop of an empty closed ring: %v", err)
+	}
+}
