Add the client of the object API

Every program needs one place for budgets, deadlines, retries and lost answers.

What failed before: with the plain HTTP client a lost answer ended in ErrUnavailable although the write had taken effect.

--- /dev/null
+++ b/internal/transport/process/objectapi.go
@@ -0,0 +1,48 @@
+package process
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
+)
+
+// maxObjectAPIConns bounds the idle connections to the object API.
+const maxObjectAPIConns = 8
+
+// NewObjectAPI returns the client of the object API that the duties of a program share.
+func NewObjectAPI(lc fx.Lifecycle, s *settings.Process, root *slog.Logger, reg *prometheus.Registry) *objectapi.Client {
+	log := logging.Part(root, "objectapi")
+	transport := &http.Transport{MaxIdleConnsPerHost: maxObjectAPIConns}
+	client := objectapi.NewClient(
+		objectapi.NewHTTPClient(s.Platform.ObjectAPI, &http.Client{Transport: transport}),
+		objectapi.ClientOptions{AttemptTimeout: s.Platform.Timeout, Seed: randomSeed(), Registerer: reg},
+	)
+	client.OnOutage(func(down bool) {
+		if down {
+			log.Warn("The object API gives no answer.")
+			return
+		}
+		log.Info("The object API answers again.")
+	})
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		transport.CloseIdleConnections()
+		return nil
+	}})
+	return client
+}
+
+// randomSeed is not repeated by another process.
+func randomSeed() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
