--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -32,13 +32,16 @@
 //	[plain.NAME]           listen, service_time, concurrency
 //	[scorer.NAME]          listen
 //	[trainer.NAME]         see TrainerOptions
+//	[caller.NAME]          see CallerOptions
 //
 // The control port serves:
 //
 //	PUT  /faults/PART      Faults as JSON; PART is a section's name
-//	GET  /log/PART         the part's log ([]Run, or the trainer's report)
+//	GET  /log/PART         the part's log ([]Run, []Sent, or the trainer's report)
 //	GET  /calls            the object API's counters
 //	PUT  /hosts            platformapi.HostList
+//	GET  /parts            the names of the parts
+//	GET  /done             200 once every caller and trainer is done, 202 before
 type World struct {
 	parts    map[string]part
 	store    *ObjectStore
@@ -48,6 +51,7 @@
 	closers  []func()
 	Control  string
 	trainers map[string]*Trainer
+	callers  []*Caller
 }
 
 // StartWorld starts the parts that the INI file at path describes.
@@ -134,6 +138,10 @@
 		t := StartTrainer(trainerOptions(name, s))
 		w.trainers[s.Name()] = t
 		w.keep(s.Name(), t, t.Close)
+	case "caller":
+		c := StartCaller(callerOptions(name, s))
+		w.callers = append(w.callers, c)
+		w.keep(s.Name(), c, c.Close)
 	default:
 		return fmt.Errorf("unknown kind of part %q", kind)
 	}
@@ -185,6 +193,7 @@
 	r.HandleFunc("/calls", w.serveCalls).Methods(http.MethodGet)
 	r.HandleFunc("/hosts", w.serveHosts).Methods(http.MethodPut)
 	r.HandleFunc("/parts", w.serveParts).Methods(http.MethodGet)
+	r.HandleFunc("/done", w.serveDone).Methods(http.MethodGet)
 	return w.serve(listen, r)
 }
 
@@ -210,6 +219,10 @@
 		writeJSON(rw, t.Report())
 		return
 	}
+	if c, ok := w.parts[name].(*Caller); ok {
+		writeJSON(rw, c.Sent())
+		return
+	}
 	if l, ok := w.parts[name].(interface{ Runs() []Run }); ok {
 		writeJSON(rw, l.Runs())
 		return
@@ -242,3 +255,22 @@
 	sort.Strings(names)
 	writeJSON(rw, names)
 }
+
+// serveDone tells whether every caller and trainer has ended.
+func (w *World) serveDone(rw http.ResponseWriter, _ *http.Request) {
+	var ends []<-chan struct{}
+	for _, c := range w.callers {
+		ends = append(ends, c.Done())
+	}
+	for _, t := range w.trainers {
+		ends = append(ends, t.Done())
+	}
+	for _, end := range ends {
+		select {
+		case <-end:
+		default:
+			rw.WriteHeader(http.StatusAccepted)
+			return
+		}
+	}
+}
