Name no unused result in the client's test

The linter found a parameter that is overwritten before its first use in the test's hook. It is left unnamed now. No rule of the test changed.

--- a/internal/protocol/objectapi/client_test.go
+++ b/internal/protocol/objectapi/client_test.go
@@ -88,7 +88,7 @@
 	c := newClient(hooked, 1)
 	first := mustPut(t, c, "k", "a", 0)
 	made := uint64(0)
-	hooked.after = func(version uint64, err error) (uint64, error) {
+	hooked.after = func(version uint64, _ error) (uint64, error) {
 		made = version
 		o, err := other.Get(t.Context(), "k")
 		if err != nil {
