Give each shard to one host through epochs in the object API

A pure table decides from the fleet view and the ownership records; the sharder carries it out with one List for all shards of a duty, no renewal writes, and one conditional write a takeover.

Options gains Timing; Stale, Failed and Reached are new.

--- a/internal/transport/sharder/api.go
+++ b/internal/transport/sharder/api.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/shards"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
@@ -48,4 +49,6 @@
 	// the ownership, and the ownership ends when Acquired returns.
 	Acquired func(ctx context.Context, s Shard)
 	Log      *slog.Logger
+	// Timing holds the waits of the decisions; zero means shards.DefaultTiming.
+	Timing shards.Timing
 }
--- /dev/null
+++ b/internal/transport/sharder/sharder.go
@@ -0,0 +1,422 @@
+package sharder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/shards"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("sharder")
+
+// keyPrefix is where the ownership objects lie.
+const keyPrefix = "shards/"
+
+const (
+	tick = 100 * time.Millisecond
+	// listEvery is the interval between two reads of the records in a quiet fleet.
+	listEvery = 15 * time.Second
+	// listGap is the least time between two reads, doubled up to listGapMax while
+	// they show nothing new.
+	listGap    = 300 * time.Millisecond
+	listGapMax = 5 * time.Second
+	// listPage bounds one page of records.
+	listPage  = 500
+	callLimit = 4 * time.Second
+)
+
+// Sharder keeps this host's shards. Its methods may be called from any goroutine.
+type Sharder struct {
+	opt  Options
+	kick chan struct{}
+
+	mu       sync.Mutex
+	table    *shards.Table
+	view     *model.FleetView
+	held     map[string]*ownership
+	stopping bool
+	// stale asks for a read of the records; listed is when the last one ended.
+	stale  bool
+	listed time.Time
+	gap    time.Duration
+	ready  bool
+}
+
+// ownership is a shard held and the goroutine that serves it.
+type ownership struct {
+	shard  Shard
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a Sharder; Run starts it.
+func New(opt Options) *Sharder {
+	if opt.Timing == (shards.Timing{}) {
+		opt.Timing = shards.DefaultTiming
+	}
+	self := shards.Record{Host: opt.Host, Incarnation: opt.Incarnation, Address: opt.Address}
+	return &Sharder{
+		opt:   opt,
+		kick:  make(chan struct{}, 1),
+		table: shards.NewTable(self, opt.Timing),
+		held:  map[string]*ownership{},
+		stale: true,
+		gap:   listGap,
+	}
+}
+
+// Run follows the records and takes what is due until ctx ends. Then it ends the
+// ownerships and waits for their goroutines.
+func (s *Sharder) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		s.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-s.kick:
+		case <-ctx.Done():
+			s.endAll()
+			return
+		}
+	}
+}
+
+func (s *Sharder) round(ctx context.Context) {
+	s.readFleet()
+	if s.listDue() {
+		s.list(ctx)
+	}
+	s.mu.Lock()
+	var takes []shards.Take
+	if s.ready && !s.stopping {
+		takes = s.table.Plan(time.Now())
+	}
+	s.mu.Unlock()
+	for _, take := range takes {
+		s.take(ctx, take)
+	}
+}
+
+// readFleet hands a changed view to the table.
+func (s *Sharder) readFleet() {
+	view := s.opt.View()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if view == nil || view == s.view || view.Config == nil {
+		return
+	}
+	s.view = view
+	now := time.Now()
+	wanted := s.opt.Shards(view)
+	if len(wanted) != len(s.table.Wanted()) {
+		s.stale = true
+	}
+	s.table.SetFleet(now, wanted, candidates(s.opt.Candidates(view)))
+	for id, own := range s.held {
+		if !slices.Contains(wanted, id) {
+			own.cancel()
+		}
+	}
+}
+
+func candidates(members []model.Member) []shards.Candidate {
+	out := make([]shards.Candidate, 0, len(members))
+	for _, m := range members {
+		out = append(out, shards.Candidate{
+			Host:     m.Host,
+			Eligible: m.State == model.HostAlive || m.State == model.HostSuspect,
+			Gone:     m.State == model.HostDead,
+		})
+	}
+	return out
+}
+
+func (s *Sharder) listDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view == nil {
+		return false
+	}
+	age := time.Since(s.listed)
+	return s.stale && age >= s.gap || age >= listEvery
+}
+
+// list reads the records of all wanted shards, one List a duty.
+func (s *Sharder) list(ctx context.Context) {
+	s.mu.Lock()
+	s.stale = false
+	wanted := s.table.Wanted()
+	s.mu.Unlock()
+	found := map[string]objectapi.Object{}
+	for _, prefix := range prefixes(wanted) {
+		if err := s.listPrefix(ctx, prefix, found); err != nil {
+			s.mu.Lock()
+			s.listed, s.stale = time.Now(), true
+			s.mu.Unlock()
+			s.opt.Log.Debug("Ownership records not read.", "err", err)
+			return
+		}
+	}
+	s.takeIn(ctx, wanted, found)
+}
+
+// prefixes returns the distinct duties of the shards, such as "claims/".
+func prefixes(ids []string) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, id := range ids {
+		duty, _, _ := strings.Cut(id, "/")
+		if !seen[duty] {
+			seen[duty] = true
+			out = append(out, duty+"/")
+		}
+	}
+	return out
+}
+
+func (s *Sharder) listPrefix(ctx context.Context, prefix string, into map[string]objectapi.Object) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	after := ""
+	for {
+		page, err := s.opt.API.List(ctx, keyPrefix+prefix, after, listPage)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		for _, o := range page.Objects {
+			into[strings.TrimPrefix(o.Key, keyPrefix)] = o
+			after = o.Key
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return nil
+		}
+	}
+}
+
+func (s *Sharder) takeIn(ctx context.Context, wanted []string, found map[string]objectapi.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.listed, s.ready = now, true
+	s.gap = min(2*s.gap, listGapMax)
+	for _, id := range wanted {
+		o, ok := found[id]
+		var r shards.Record
+		if ok && json.Unmarshal(o.Value, &r) != nil {
+			s.opt.Log.Error("Ownership record not readable.", "shard", id)
+			continue
+		}
+		if o.Version > s.table.Version(id) {
+			s.gap = listGap
+		}
+		s.table.SetRecord(now, id, r, o.Version)
+		s.reconcile(ctx, id)
+	}
+}
+
+// reconcile makes the ownerships match the record known. It is called with mu held.
+func (s *Sharder) reconcile(ctx context.Context, id string) {
+	r, _ := s.table.Record(id)
+	own := s.held[id]
+	if own != nil && (r.Epoch > own.shard.Epoch || r.Released) {
+		s.opt.Log.Info("Shard lost.", "shard", id, "epoch", own.shard.Epoch, "newer", r.Epoch)
+		own.cancel()
+		return
+	}
+	if own == nil && s.table.Mine(id) && !s.stopping {
+		s.start(ctx, Shard{ID: id, Epoch: r.Epoch})
+	}
+}
+
+// start is called with mu held.
+func (s *Sharder) start(ctx context.Context, shard Shard) {
+	owned, cancel := context.WithCancel(ctx)
+	own := &ownership{shard: shard, cancel: cancel, done: make(chan struct{})}
+	s.held[shard.ID] = own
+	s.opt.Log.Info("Shard taken.", "shard", shard.ID, "epoch", shard.Epoch)
+	go func() {
+		defer close(own.done)
+		s.opt.Acquired(owned, shard)
+		s.ended(ctx, own, owned.Err() == nil)
+		cancel()
+	}()
+}
+
+// ended removes an ownership; one given up by its own duty is released.
+func (s *Sharder) ended(ctx context.Context, own *ownership, gaveUp bool) {
+	s.mu.Lock()
+	delete(s.held, own.shard.ID)
+	if gaveUp {
+		s.table.GaveUp(time.Now(), own.shard.ID)
+	}
+	s.mu.Unlock()
+	if gaveUp {
+		s.release(ctx, own.shard)
+	}
+	s.signal()
+}
+
+func (s *Sharder) take(ctx context.Context, take shards.Take) {
+	value, err := json.Marshal(take.Record)
+	if err != nil {
+		return
+	}
+	ctx2, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	version, err := s.opt.API.Put(ctx2, keyPrefix+take.ID, value, take.Expect)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.stale = true
+		if !errors.Is(err, objectapi.ErrConflict) {
+			s.opt.Log.Debug("Shard not taken.", "shard", take.ID, "err", err)
+		}
+		return
+	}
+	s.table.SetRecord(time.Now(), take.ID, take.Record, version)
+	s.reconcile(ctx, take.ID)
+}
+
+// release writes that the shard is free, unless it has a newer record.
+func (s *Sharder) release(ctx context.Context, shard Shard) {
+	s.mu.Lock()
+	r, ok := s.table.Record(shard.ID)
+	version := s.table.Version(shard.ID)
+	s.mu.Unlock()
+	if !ok || r.Epoch != shard.Epoch || r.Host != s.opt.Host {
+		return
+	}
+	r.Released = true
+	value, err := json.Marshal(r)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	version, err = s.opt.API.Put(ctx, keyPrefix+shard.ID, value, version)
+	if err != nil {
+		s.opt.Log.Warn("Shard not handed over; it is taken when this host has gone.", "shard", shard.ID, "err", err)
+		return
+	}
+	s.mu.Lock()
+	s.table.SetRecord(time.Now(), shard.ID, r, version)
+	s.mu.Unlock()
+}
+
+func (s *Sharder) signal() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Sharder) endAll() {
+	s.mu.Lock()
+	var own []*ownership
+	for _, o := range s.held {
+		o.cancel()
+		own = append(own, o)
+	}
+	s.mu.Unlock()
+	for _, o := range own {
+		<-o.done
+	}
+}
+
+// Release hands the shards over for a planned stop: it takes no more, ends the
+// ownerships, waits for their goroutines and marks the records as released.
+func (s *Sharder) Release(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	var own []*ownership
+	for _, o := range s.held {
+		o.cancel()
+		own = append(own, o)
+	}
+	s.mu.Unlock()
+	for _, o := range own {
+		select {
+		case <-o.done:
+			s.release(ctx, o.shard)
+		case <-ctx.Done():
+			return Error.Wrap(ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Lookup returns the holder of a shard as far as this host knows.
+func (s *Sharder) Lookup(id string) (Owner, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.table.Record(id)
+	if !ok || r.Released {
+		return Owner{}, false
+	}
+	own := s.held[id]
+	self := own != nil && own.shard.Epoch == r.Epoch
+	return Owner{Host: r.Host, Address: r.Address, Epoch: r.Epoch, Self: self}, true
+}
+
+// Lost is told by the holder of a shard that it met a newer epoch.
+func (s *Sharder) Lost(shard Shard) {
+	s.mu.Lock()
+	if own := s.held[shard.ID]; own != nil && own.shard.Epoch == shard.Epoch {
+		own.cancel()
+	}
+	s.stale = true
+	s.mu.Unlock()
+	s.signal()
+}
+
+// Stale is told that the owner that Lookup gave does not hold the shard.
+func (s *Sharder) Stale(string) {
+	s.mu.Lock()
+	s.stale = true
+	s.mu.Unlock()
+	s.signal()
+}
+
+// Failed is told that a call to the holder of a shard failed. A holder whose calls
+// fail for long is replaced though the fleet view calls it alive.
+func (s *Sharder) Failed(id string, epoch model.Epoch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Failed(time.Now(), id, epoch)
+	s.stale = true
+}
+
+// Reached is told that the holder of a shard answered.
+func (s *Sharder) Reached(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Reached(id)
+}
+
+// Status lists what is known of the wanted shards.
+func (s *Sharder) Status() []wire.ShardStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []wire.ShardStatus
+	for _, id := range s.table.Wanted() {
+		r, _ := s.table.Record(id)
+		st := wire.ShardStatus{Shard: id, Epoch: r.Epoch}
+		if !r.Released {
+			st.Holder = r.Host
+		}
+		out = append(out, st)
+	}
+	return out
+}
