Add the configuration duty

An accepted configuration must be in force everywhere and never revert, also through outages and races. A change is stored as content objects first and becomes the next generation by one conditional update of a root object; the root's history resolves lost answers and names the winner to those who lost a race. Hosts follow the root by few watches, peers or a slow poll, and refuse content whose digest differs.

Ruled out: one large object (no room for history below a megabyte) and a watch on every host (each counts as a call).

--- /dev/null
+++ b/internal/coordination/confgen/content.go
@@ -0,0 +1,55 @@
+package confgen
+
+import (
+	"fmt"
+	"strings"
+
+	"oleanderfall.example/oleanderfall/internal/state/confstore"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// The keys of the object API that configuration lives under.
+const (
+	RootKey       = "config/root"
+	ContentPrefix = "config/content/"
+)
+
+// KeptGenerations is the number of generations whose content is kept.
+const KeptGenerations = 16
+
+const digestInKey = 32
+
+// ContentKey names one chunk of a generation's content. Operators that race for one
+// generation write under different keys, since their digests differ.
+func ContentKey(g model.Generation, digest string, chunk int) string {
+	return fmt.Sprintf("%s%012d-%s/%03d", ContentPrefix, g, digest[:min(len(digest), digestInKey)], chunk)
+}
+
+// Garbage returns those content keys that no reader needs: content of old
+// generations, and content of changes that lost their race. Content of generations
+// above the root's may belong to a commit under way and stays.
+func Garbage(root confstore.Root, keys []string) []string {
+	kept := map[string]bool{}
+	for _, c := range root.History {
+		if c.Generation+KeptGenerations > root.Generation {
+			kept[contentFolder(c.Generation, c.Digest)] = true
+		}
+	}
+	var out []string
+	for _, key := range keys {
+		folder, _, ok := strings.Cut(strings.TrimPrefix(key, ContentPrefix), "/")
+		var g model.Generation
+		if _, err := fmt.Sscanf(folder, "%d-", &g); !ok || err != nil {
+			continue
+		}
+		if g <= root.Generation && !kept[folder] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+func contentFolder(g model.Generation, digest string) string {
+	folder, _, _ := strings.Cut(strings.TrimPrefix(ContentKey(g, digest, 0), ContentPrefix), "/")
+	return folder
+}
--- a/internal/protocol/settings/bind.go
+++ b/internal/protocol/settings/bind.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"reflect"
 	"sort"
 	"strconv"
@@ -167,8 +166,8 @@
 		return fmt.Sprintf("there is no section [%s.%s]", ref, text)
 	}
 	if tag.Get("kind") == "address" {
-		if _, _, err := net.SplitHostPort(text); err != nil {
-			return fmt.Sprintf("%q is not host:port", text)
+		if reason := checkAddress(text); reason != "" {
+			return reason
 		}
 	}
 	switch into.Interface().(type) {
@@ -189,11 +188,8 @@
 	if err != nil {
 		return fmt.Sprintf("%q is not a duration; write a number with its unit, such as 250ms, 5s or 2m (allowed %s)", text, allowed(tag))
 	}
-	low, high := limits(tag)
-	lowest, _ := time.ParseDuration(low)
-	highest, _ := time.ParseDuration(high)
-	if high != "" && (d < lowest || d > highest) {
-		return fmt.Sprintf("%s is out of range (allowed %s)", text, allowed(tag))
+	if reason := durationInRange(d, tag); reason != "" {
+		return reason
 	}
 	into.SetInt(int64(d))
 	return ""
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -7,7 +7,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"errors"
 	"reflect"
 
@@ -34,58 +33,39 @@
 	m := merge(files)
 	c := &model.Config{}
 	problems := bind(m, reflect.ValueOf(c).Elem())
-	problems = append(problems, crossCheck(m, c)...)
+	crossCheck(c, func(section, key, reason string) {
+		problems = append(problems, m.problem(section, key, reason))
+	})
 	if len(problems) > 0 {
 		return nil, problems.sorted()
 	}
-	return c, nil
+	return c, checkSize(files, c)
 }
 
-// crossCheck finds what no single key shows.
-func crossCheck(m *merged, c *model.Config) Problems {
-	var out Problems
-	report := func(section, key, reason string) {
-		s := m.sections[section]
-		line := s.line
-		file := s.file
-		if e, ok := s.keys[key]; ok {
-			line, file = e.line, e.file
-		}
-		out = append(out, Problem{File: file, Line: line, Section: section, Key: key, Reason: reason})
-	}
-	addresses := map[string]string{}
-	for id, e := range c.Endpoints {
-		section := "endpoint." + string(id)
-		if e.Kind == model.EndpointEngine && e.Deployment == "" {
-			report(section, "deployment", "an engine names its deployment")
-		}
-		if e.Kind == model.EndpointPlain && e.Service == "" {
-			report(section, "service", "a plain endpoint names its service")
-		}
-		if other, taken := addresses[e.Address]; taken && e.Address != "" {
-			report(section, "address", "the address is also that of endpoint "+other)
-		}
-		addresses[e.Address] = string(id)
+// checkSize refuses a folder whose canonical form is too large to hand round.
+func checkSize(files []File, c *model.Config) error {
+	b, err := EncodeConfig(c)
+	if err != nil {
+		return err
 	}
-	for id, t := range c.Trainers {
-		if t.GroupSize > t.StepSamples {
-			report("trainer."+string(id), "group_size", "a group is larger than a step")
-		}
+	if len(b) <= MaxConfigBytes {
+		return nil
 	}
-	return out
-}
-
-// EncodeConfig returns the canonical form of a configuration: equal configurations
-// have equal bytes.
-func EncodeConfig(c *model.Config) ([]byte, error) {
-	b, err := json.Marshal(c)
-	return b, Error.Wrap(err)
+	return Problems{{File: files[0].Name, Reason: tooLarge(len(b))}}
 }
 
-// DecodeConfig reads the canonical form.
-func DecodeConfig(b []byte) (*model.Config, error) {
-	c := &model.Config{}
-	return c, Error.Wrap(json.Unmarshal(b, c))
+// problem finds the place of a section's key.
+func (m *merged) problem(section, key, reason string) Problem {
+	p := Problem{Section: section, Key: key, Reason: reason}
+	s := m.sections[section]
+	if s == nil {
+		return p
+	}
+	p.File, p.Line = s.file, s.line
+	if e, ok := s.keys[key]; ok {
+		p.File, p.Line = e.file, e.line
+	}
+	return p
 }
 
 // AsProblems returns the problems that err holds, if it does.
--- /dev/null
+++ b/internal/protocol/settings/values.go
@@ -0,0 +1,133 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// checkValues holds each value of a built configuration against its struct tags.
+func checkValues(root reflect.Value, report reporter) {
+	names := sectionNames(root)
+	for i := range root.NumField() {
+		kind := root.Type().Field(i).Tag.Get("section")
+		field := root.Field(i)
+		if field.Kind() != reflect.Map {
+			checkStruct(kind, field, names, report)
+			continue
+		}
+		for _, name := range names[kind] {
+			if !validName(name) {
+				report(kind+"."+name, "", "a name has letters, digits, - and _")
+			}
+			item := field.MapIndex(reflect.ValueOf(name).Convert(field.Type().Key()))
+			checkStruct(kind+"."+name, item, names, report)
+		}
+	}
+}
+
+// sectionNames lists the names of the sections of each kind.
+func sectionNames(root reflect.Value) map[string][]string {
+	names := map[string][]string{}
+	for i := range root.NumField() {
+		field := root.Field(i)
+		if field.Kind() != reflect.Map {
+			continue
+		}
+		kind := root.Type().Field(i).Tag.Get("section")
+		for _, key := range field.MapKeys() {
+			names[kind] = append(names[kind], key.String())
+		}
+		slices.Sort(names[kind])
+	}
+	return names
+}
+
+func checkStruct(section string, v reflect.Value, names map[string][]string, report reporter) {
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		key := f.Tag.Get("ini")
+		if key == "" {
+			continue
+		}
+		if reason := checkValue(v.Field(i), f.Tag, names); reason != "" {
+			report(section, key, reason)
+		}
+	}
+}
+
+func checkValue(v reflect.Value, tag reflect.StructTag, names map[string][]string) string {
+	switch value := v.Interface().(type) {
+	case time.Duration:
+		return durationInRange(value, tag)
+	case model.Priority:
+		if value < model.PriorityTraining || value > model.PriorityLive {
+			return fmt.Sprintf("%d is no class of work", value)
+		}
+		return ""
+	}
+	switch v.Kind() {
+	case reflect.String:
+		return checkText(v.String(), tag, names)
+	case reflect.Int:
+		return numberInRange(float64(v.Int()), tag)
+	case reflect.Float64:
+		return numberInRange(v.Float(), tag)
+	}
+	return ""
+}
+
+func checkText(text string, tag reflect.StructTag, names map[string][]string) string {
+	if text == "" {
+		if tag.Get("optional") == "" {
+			return "the key is required: " + tag.Get("help")
+		}
+		return ""
+	}
+	if choice := tag.Get("choice"); choice != "" && !contains(strings.Split(choice, ","), text) {
+		return fmt.Sprintf("%q is not one of %s", text, choice)
+	}
+	if ref := tag.Get("ref"); ref != "" && !contains(names[ref], text) {
+		return fmt.Sprintf("there is no section [%s.%s]", ref, text)
+	}
+	if tag.Get("kind") == "address" {
+		return checkAddress(text)
+	}
+	return ""
+}
+
+// checkAddress wants host:port with a port number.
+func checkAddress(text string) string {
+	const maxPort = 65535
+	_, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return fmt.Sprintf("%q is not host:port", text)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > maxPort {
+		return fmt.Sprintf("%q has no port number from 0 to %d", text, maxPort)
+	}
+	return ""
+}
+
+func durationInRange(d time.Duration, tag reflect.StructTag) string {
+	low, high := limits(tag)
+	lowest, _ := time.ParseDuration(low)
+	highest, _ := time.ParseDuration(high)
+	if high != "" && (d < lowest || d > highest) {
+		return fmt.Sprintf("%s is out of range (allowed %s)", d, allowed(tag))
+	}
+	return ""
+}
+
+func numberInRange(v float64, tag reflect.StructTag) string {
+	if v != v || outside(tag, v) {
+		return fmt.Sprintf("%v is out of range (allowed %s)", v, allowed(tag))
+	}
+	return ""
+}
--- a/internal/protocol/wire/control.go
+++ b/internal/protocol/wire/control.go
@@ -55,6 +55,8 @@
 	Generation model.Generation `cbor:"1,keyasint"`
 	// List asks for the history instead of a configuration.
 	List bool `cbor:"2,keyasint"`
+	// Packed asks for the compressed form, as peers do.
+	Packed bool `cbor:"3,keyasint"`
 }
 
 // ConfigReply carries a generation.
@@ -62,6 +64,9 @@
 	Generation model.Generation `cbor:"1,keyasint"`
 	Config     []byte           `cbor:"2,keyasint"`
 	History    []Change         `cbor:"3,keyasint"`
+	// Packed is the compressed canonical form, Digest that of the canonical form.
+	Packed []byte `cbor:"4,keyasint"`
+	Digest string `cbor:"5,keyasint"`
 }
 
 // Change describes one accepted generation.
--- /dev/null
+++ b/internal/transport/confduty/handlers.go
@@ -0,0 +1,173 @@
+package confduty
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/confgen"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/confstore"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+const (
+	maxOperatorBytes = 64
+	maxNoteBytes     = 256
+	maxRequestID     = 64
+)
+
+func describe(c confstore.Change) string {
+	if c.Operator == "" {
+		return "another change"
+	}
+	if c.Note == "" {
+		return "a change by " + c.Operator
+	}
+	return fmt.Sprintf("the change %q by %s", c.Note, c.Operator)
+}
+
+func when(c confstore.Change) string {
+	return time.UnixMilli(c.AppliedUnixMillis).UTC().Format(time.RFC3339)
+}
+
+// handleApply serves wire.MethodApply.
+func (d *Duty) handleApply(ctx context.Context, _ string, b []byte) (any, error) {
+	var r wire.ApplyRequest
+	if err := wire.Decode(b, &r); err != nil {
+		return nil, resultcode.New(resultcode.BadRequest, "%v", err)
+	}
+	if err := checkApply(r); err != nil {
+		return nil, err
+	}
+	g, err := d.Apply(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return wire.ApplyReply{Generation: g}, nil
+}
+
+func checkApply(r wire.ApplyRequest) error {
+	switch {
+	case r.Operator == "" || len(r.Operator) > maxOperatorBytes:
+		return resultcode.New(resultcode.BadRequest, "a change names its operator in 1 to %d bytes", maxOperatorBytes)
+	case r.RequestID == "" || len(r.RequestID) > maxRequestID:
+		return resultcode.New(resultcode.BadRequest, "a change has a request id of 1 to %d bytes", maxRequestID)
+	case len(r.Note) > maxNoteBytes:
+		return resultcode.New(resultcode.BadRequest, "a note has at most %d bytes", maxNoteBytes)
+	}
+	return nil
+}
+
+// Apply commits a change as the generation after its base and returns that
+// generation. Errors are *resultcode.Error.
+func (d *Duty) Apply(ctx context.Context, r wire.ApplyRequest) (model.Generation, error) {
+	config, err := settings.DecodeNewConfig(r.Config)
+	if err != nil {
+		return 0, resultcode.New(resultcode.BadConfiguration, "%v", err)
+	}
+	packed, err := settings.Pack(r.Config)
+	if err != nil {
+		return 0, resultcode.New(resultcode.Internal, "%v", err)
+	}
+	digest := settings.Digest(r.Config)
+	c := &committer{storage: d.storage, chunks: split(packed)}
+	result := c.run(ctx, confgen.Request{
+		Base:   r.Base,
+		Chunks: len(c.chunks),
+		Change: confstore.Change{
+			Operator:          r.Operator,
+			Note:              r.Note,
+			RequestID:         r.RequestID,
+			AppliedUnixMillis: d.now().UnixMilli(),
+			Digest:            digest,
+		},
+	})
+	d.metrics.commits.WithLabelValues(resultLabel(result.Kind)).Inc()
+	if err := resultError(result); err != nil {
+		d.log.Warn("Change not accepted.", "operator", r.Operator, "request", r.RequestID, "err", err)
+		return 0, err
+	}
+	d.log.Info("Change accepted.", "generation", result.Generation, "operator", r.Operator, "request", r.RequestID)
+	d.offer(confstore.Held{Generation: result.Generation, Digest: digest, Packed: packed, Config: config}, "operator")
+	if c.root.Generation == result.Generation {
+		d.store.SawRoot(c.root)
+	}
+	return result.Generation, nil
+}
+
+// handleConfig serves wire.MethodConfig.
+func (d *Duty) handleConfig(ctx context.Context, _ string, b []byte) (any, error) {
+	var r wire.ConfigRequest
+	if err := wire.Decode(b, &r); err != nil {
+		return nil, resultcode.New(resultcode.BadRequest, "%v", err)
+	}
+	if r.List {
+		return d.history(ctx), nil
+	}
+	held, err := d.find(ctx, r.Generation)
+	if err != nil {
+		return nil, err
+	}
+	reply := wire.ConfigReply{Generation: held.Generation, Digest: held.Digest}
+	if r.Packed {
+		reply.Packed = held.Packed
+		return reply, nil
+	}
+	reply.Config, err = settings.Unpack(held.Packed, held.Digest)
+	if err != nil {
+		return nil, resultcode.New(resultcode.Internal, "%v", err)
+	}
+	return reply, nil
+}
+
+// history returns the accepted changes from the object API, or, in an outage, as
+// last seen here.
+func (d *Duty) history(ctx context.Context) wire.ConfigReply {
+	if root, _, err := d.storage.readRoot(ctx); err == nil {
+		d.store.SawRoot(root)
+	}
+	root := d.store.Root()
+	reply := wire.ConfigReply{Generation: d.store.Current().Generation, Digest: d.store.Current().Digest}
+	for _, c := range root.History {
+		reply.History = append(reply.History, wire.Change{
+			Generation:        c.Generation,
+			Operator:          c.Operator,
+			Note:              c.Note,
+			AppliedUnixMillis: c.AppliedUnixMillis,
+			Digest:            c.Digest,
+		})
+	}
+	return reply
+}
+
+// find returns the generation in force for 0, and any kept one by its number.
+func (d *Duty) find(ctx context.Context, g model.Generation) (confstore.Held, error) {
+	current := d.store.Current()
+	if g == 0 || g == current.Generation {
+		if current.Generation == 0 {
+			return confstore.Held{}, resultcode.New(resultcode.NotFound, "no configuration has been applied")
+		}
+		return current, nil
+	}
+	root, _, err := d.storage.readRoot(ctx)
+	if err != nil {
+		return confstore.Held{}, resultcode.New(resultcode.StorageOutage, "%v", err)
+	}
+	for _, c := range root.History {
+		if c.Generation == g {
+			return d.readOld(ctx, c)
+		}
+	}
+	return confstore.Held{}, resultcode.New(resultcode.NotFound, "generation %d is not in the history", g)
+}
+
+func (d *Duty) readOld(ctx context.Context, c confstore.Change) (confstore.Held, error) {
+	held, err := d.storage.readAll(ctx, c.Generation, c.Digest)
+	if err != nil {
+		return held, resultcode.New(resultcode.NotFound, "the content of generation %d cannot be read: %v", c.Generation, err)
+	}
+	return held, nil
+}
