--- a/internal/protocol/resultcode/resultcode.go
+++ b/internal/protocol/resultcode/resultcode.go
@@ -47,6 +47,7 @@
 	StreamBroken         Code = 42
 	OutcomeUnknown       Code = 43
 	InProgress           Code = 44
+	ClaimUnknown         Code = 45
 	BadConfiguration     Code = 50
 	ConfigurationRaced   Code = 51
 	StorageOutage        Code = 52
@@ -96,6 +97,7 @@
 	{StreamBroken, "stream_broken", Unknown, http.StatusBadGateway, false, "The stream ended early and could not be resumed."},
 	{OutcomeUnknown, "outcome_unknown", Unknown, http.StatusBadGateway, false, "The request was claimed and may have run; it will not be run again."},
 	{InProgress, "in_progress", Unknown, http.StatusConflict, true, "The request with this key is still running; ask again with the same key."},
+	{ClaimUnknown, "claim_unknown", Unknown, http.StatusServiceUnavailable, true, "Whether this key was used before could not be found out; this sending did not run; ask again with the same key."},
 	{BadConfiguration, "bad_configuration", NotRun, http.StatusBadRequest, false, "The configuration has errors; nothing was applied."},
 	{ConfigurationRaced, "configuration_raced", NotRun, http.StatusConflict, false, "Another operator's change was accepted first; nothing was applied."},
 	{StorageOutage, "storage_outage", NotRun, http.StatusServiceUnavailable, true, "The platform's object API does not answer; nothing was written."},
--- /dev/null
+++ b/internal/transport/claimduty/duty.go
@@ -0,0 +1,253 @@
+package claimduty
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/shards"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/sharder"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("claimduty")
+
+// Options configures a Duty.
+type Options struct {
+	// Mesh is the entry program's; New registers handlers, so it precedes Start.
+	Mesh *quicmesh.Mesh
+	API  objectapi.API
+	Host model.HostID
+	// Incarnation is this process's life; it grows with each start.
+	Incarnation model.Incarnation
+	// Address is the mesh's address as others reach it.
+	Address string
+	View    func() *model.FleetView
+	Log     *slog.Logger
+	// Registerer takes the metrics, nil for none.
+	Registerer prometheus.Registerer
+	// Timing holds the waits of shard ownership; zero means the defaults.
+	Timing shards.Timing
+}
+
+// Duty records the claims of this entry host with the shards' owners, and is the
+// owner of the shards that this host holds.
+type Duty struct {
+	opt      Options
+	sharder  *sharder.Sharder
+	metrics  *metrics
+	attempts *attempts
+	// shardCount is the number of shards, 0 until the layout was read.
+	shardCount atomic.Int64
+
+	mu     sync.Mutex
+	owners map[string]*owner
+}
+
+var _ Claims = (*Duty)(nil)
+
+// New returns a Duty; Run starts it.
+func New(opt Options) *Duty {
+	d := &Duty{opt: opt, metrics: newMetrics(opt.Registerer), attempts: newAttempts(), owners: map[string]*owner{}}
+	d.sharder = sharder.New(sharder.Options{
+		API:         opt.API,
+		Host:        opt.Host,
+		Incarnation: opt.Incarnation,
+		Address:     opt.Address,
+		View:        opt.View,
+		Shards:      func(*model.FleetView) []string { return d.shards() },
+		Candidates:  candidates,
+		Acquired:    d.acquired,
+		Log:         opt.Log,
+		Timing:      opt.Timing,
+	})
+	opt.Mesh.Handle(wire.MethodClaim, d.handleClaim)
+	opt.Mesh.Handle(wire.MethodSettle, d.handleSettle)
+	opt.Mesh.Handle(wire.MethodFollow, d.handleFollow)
+	opt.Mesh.Handle(wire.MethodAnswer, d.handleAnswer)
+	return d
+}
+
+func (d *Duty) shards() []string {
+	ids := make([]string, d.shardCount.Load())
+	for i := range ids {
+		ids[i] = shardID(i)
+	}
+	return ids
+}
+
+func shardID(i int) string { return fmt.Sprintf("claims/%d", i) }
+
+func candidates(v *model.FleetView) []model.Member {
+	var out []model.Member
+	for _, m := range v.Members {
+		if m.EntryMesh != "" {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Run serves until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	if !d.awaitLayout(ctx) {
+		return
+	}
+	var running sync.WaitGroup
+	running.Go(func() { d.sharder.Run(ctx) })
+	running.Go(func() { d.settleAll(ctx) })
+	running.Wait()
+}
+
+// layoutRetry is the pause between two tries to read the layout.
+const layoutRetry = 250 * time.Millisecond
+
+// awaitLayout reads how many shards there are, once there is a configuration.
+func (d *Duty) awaitLayout(ctx context.Context) bool {
+	for {
+		if v := d.opt.View(); v != nil && v.Config != nil {
+			n, err := readLayout(ctx, d.opt.API, max(1, v.Config.System.ClaimShards))
+			if err == nil {
+				if n != v.Config.System.ClaimShards {
+					d.opt.Log.Warn("The number of claim shards is fixed and differs from the configuration.", "shards", n)
+				}
+				d.shardCount.Store(int64(n))
+				return true
+			}
+			d.opt.Log.Debug("Claim layout not read.", "err", err)
+		}
+		if !pause(ctx, layoutRetry) {
+			return false
+		}
+	}
+}
+
+// Stop prepares a planned stop: it waits until the ends of this host's attempts are
+// durable and hands the shards over. Begin must no longer be called.
+func (d *Duty) Stop(ctx context.Context) error {
+	for {
+		if live, _ := d.attempts.size(); live == 0 {
+			break
+		}
+		if !pause(ctx, settleTick) {
+			break
+		}
+	}
+	return d.sharder.Release(ctx)
+}
+
+// Ready returns nil once claims can be recorded.
+func (d *Duty) Ready() error {
+	n := int(d.shardCount.Load())
+	if n == 0 {
+		return Error.New("claim layout not read yet")
+	}
+	for i := range n {
+		if _, ok := d.sharder.Lookup(shardID(i)); !ok {
+			return Error.New("shard %s has no owner", shardID(i))
+		}
+	}
+	return nil
+}
+
+// Shards lists the holders of the claim shards.
+func (d *Duty) Shards() []wire.ShardStatus { return d.sharder.Status() }
+
+// acquired serves a shard for as long as this host holds it.
+func (d *Duty) acquired(ctx context.Context, shard sharder.Shard) {
+	o := newOwner(shard, d.opt.API, d.timing, d.metrics, d.opt.Log, d.sharder.Lost)
+	d.mu.Lock()
+	d.owners[shard.ID] = o
+	d.mu.Unlock()
+	o.run(ctx, randomUint64())
+	d.mu.Lock()
+	if d.owners[shard.ID] == o {
+		delete(d.owners, shard.ID)
+	}
+	d.mu.Unlock()
+}
+
+func (d *Duty) timing() (interval, lifetime time.Duration) {
+	if v := d.opt.View(); v != nil && v.Config != nil {
+		return v.Config.System.ClaimCommitInterval, v.Config.System.ClaimLifetime
+	}
+	return 0, 0
+}
+
+func (d *Duty) owner(shard string) (*owner, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o := d.owners[shard]; o != nil {
+		return o, nil
+	}
+	return nil, resultcode.New(resultcode.NotOwner, "%s is not held here", shard)
+}
+
+func (d *Duty) handleClaim(ctx context.Context, _ string, b []byte) (any, error) {
+	var r claimRequest
+	if err := wire.Decode(b, &r); err != nil {
+		return nil, resultcode.New(resultcode.BadRequest, "claim not readable")
+	}
+	o, err := d.owner(r.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.serveClaim(ctx, r), nil
+}
+
+func (d *Duty) handleSettle(ctx context.Context, _ string, b []byte) (any, error) {
+	var r settleRequest
+	if err := wire.Decode(b, &r); err != nil {
+		return nil, resultcode.New(resultcode.BadRequest, "settlement not readable")
+	}
+	o, err := d.owner(r.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.serveSettle(ctx, r), nil
+}
+
+func (d *Duty) handleFollow(ctx context.Context, _ string, b []byte) (any, error) {
+	var r followRequest
+	if err := wire.Decode(b, &r); err != nil {
+		return nil, resultcode.New(resultcode.BadRequest, "question not readable")
+	}
+	return d.follow(ctx, r), nil
+}
+
+func (d *Duty) follow(ctx context.Context, r followRequest) followReply {
+	if r.Incarnation != d.opt.Incarnation {
+		return followReply{State: followGone}
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMillis)*time.Millisecond, followWait))
+	defer cancel()
+	return d.attempts.follow(ctx, r.Attempt)
+}
+
+func (d *Duty) handleAnswer(_ context.Context, _ string, b []byte) (any, error) {
+	var r answerRequest
+	if err := wire.Decode(b, &r); err != nil {
+		return nil, resultcode.New(resultcode.BadRequest, "question not readable")
+	}
+	h, ok := d.attempts.answer(r.Attempt)
+	return answerReply{Found: ok && r.Incarnation == d.opt.Incarnation, Status: h.status, Body: h.body}, nil
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/internal/transport/claimduty/harness_test.go
@@ -0,0 +1,336 @@
+package claimduty
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/shards"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+var quickTiming = shards.Timing{
+	Settle: 20 * time.Millisecond, RankDelay: 50 * time.Millisecond, Jitter: 10 * time.Millisecond,
+	Missing: 100 * time.Millisecond, Unreachable: time.Second, MinHold: 2 * time.Second, Stable: time.Hour,
+	Cooldown: time.Second,
+}
+
+// gate passes calls to an object API, holds them while shut, and tells of each write.
+type gate struct {
+	objectapi.API
+	mu      sync.Mutex
+	shut    chan struct{}
+	onWrite func(key string)
+}
+
+func (g *gate) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = make(chan struct{})
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.shut)
+	g.shut = nil
+}
+
+func (g *gate) pass(ctx context.Context) error {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut == nil {
+		return nil
+	}
+	select {
+	case <-shut:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(objectapi.ErrUnavailable, ctx.Err())
+	}
+}
+
+func (g *gate) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if err := g.pass(ctx); err != nil {
+		return 0, err
+	}
+	version, err := g.API.Put(ctx, key, value, expect)
+	g.mu.Lock()
+	told := g.onWrite
+	g.mu.Unlock()
+	if told != nil && err == nil {
+		told(key)
+	}
+	return version, err
+}
+
+func (g *gate) List(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
+	if err := g.pass(ctx); err != nil {
+		return objectapi.Page{}, err
+	}
+	return g.API.List(ctx, prefix, after, limit)
+}
+
+// cluster is several entry duties before one object store and one plain service.
+type cluster struct {
+	tb      testing.TB
+	store   *standin.ObjectStore
+	plain   *standin.Plain
+	keys    *tlsconf.Keys
+	entries []*entryHost
+
+	mu   sync.Mutex
+	view *model.FleetView
+	dead map[model.HostID]bool
+}
+
+type entryHost struct {
+	*Duty
+	name   model.HostID
+	mesh   *quicmesh.Mesh
+	gate   *gate
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+type clusterOptions struct {
+	entries  int
+	shards   int
+	lifetime time.Duration
+	store    standin.ObjectStoreOptions
+	service  time.Duration
+}
+
+func newCluster(tb testing.TB, opt clusterOptions) *cluster {
+	tb.Helper()
+	if opt.lifetime == 0 {
+		opt.lifetime = 10 * time.Minute
+	}
+	dir := tb.TempDir()
+	if err := tlsconf.WriteDevelopmentKeys(dir, "host"); err != nil {
+		tb.Fatal(err)
+	}
+	keys, err := tlsconf.Load(tlsconf.Files{
+		Authority: filepath.Join(dir, "ca.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key"),
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	plain, err := standin.NewPlain("127.0.0.1:0", standin.PlainOptions{Name: "plain", ServiceTime: max(opt.service, time.Millisecond), Concurrency: 512})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(plain.Close)
+	c := &cluster{tb: tb, store: standin.NewObjectStore(opt.store), plain: plain, keys: keys, dead: map[model.HostID]bool{}}
+	c.view = &model.FleetView{Config: &model.Config{System: model.System{
+		ClaimShards: opt.shards, ClaimCommitInterval: 40 * time.Millisecond, ClaimLifetime: opt.lifetime,
+	}}}
+	for i := range opt.entries {
+		c.start(model.HostID(fmt.Sprintf("host-%d", i)), "127.0.0.1:0")
+	}
+	c.refresh()
+	c.await("every shard has an owner", func() bool {
+		for _, e := range c.entries {
+			if e.Ready() != nil {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+// start runs an entry duty; a second start of a name is a new life of that host.
+func (c *cluster) start(name model.HostID, listen string) *entryHost {
+	c.tb.Helper()
+	mesh, err := quicmesh.New(quicmesh.Options{
+		Listen: listen, Server: c.keys.Server(), Client: c.keys.Client(), Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	e := &entryHost{name: name, mesh: mesh, gate: &gate{API: c.store}, done: make(chan struct{})}
+	api := objectapi.NewClient(e.gate, objectapi.ClientOptions{
+		Seed: randomUint64(), AttemptTimeout: time.Second, ReadsPerSecond: 1000, WritesPerSecond: 200,
+	})
+	e.Duty = New(Options{
+		Mesh: mesh, API: api, Host: name, Incarnation: newIncarnation(), Address: mesh.Address(),
+		View: c.fleet, Log: slog.New(slog.DiscardHandler), Timing: quickTiming,
+	})
+	if err := mesh.Start(); err != nil {
+		c.tb.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go func() { defer close(e.done); e.Run(ctx) }()
+	c.entries = append(c.entries, e)
+	c.tb.Cleanup(e.kill)
+	return e
+}
+
+// kill ends an entry duty without any handing over.
+func (e *entryHost) kill() {
+	e.cancel()
+	e.mesh.Close()
+	<-e.done
+}
+
+func (c *cluster) fleet() *model.FleetView {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+// refresh makes a view of the entries that run.
+func (c *cluster) refresh(dead ...model.HostID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range dead {
+		c.dead[d] = true
+	}
+	next := &model.FleetView{Config: c.view.Config}
+	for _, e := range c.entries {
+		state := model.HostAlive
+		if c.dead[e.name] {
+			state = model.HostDead
+		}
+		next.Members = append(next.Members, model.Member{Host: e.name, EntryMesh: e.mesh.Address(), State: state})
+	}
+	c.view = next
+}
+
+func (c *cluster) await(what string, ok func() bool) {
+	c.tb.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.tb.Fatalf("did not come about: %s", what)
+}
+
+// ownerOf returns the entry that holds the shard of a key, and another one.
+func (c *cluster) ownerOf(key string) (owner, other *entryHost) {
+	c.tb.Helper()
+	c.await("the shard has an owner", func() bool {
+		owner = nil
+		for _, e := range c.entries {
+			if o, ok := e.sharder.Lookup(e.shardOf(hashKey(testKey(key)))); ok && o.Self {
+				owner = e
+			}
+		}
+		return owner != nil
+	})
+	for _, e := range c.entries {
+		if e != owner && !c.dead[e.name] {
+			other = e
+		}
+	}
+	return owner, other
+}
+
+func testKey(key string) Key { return Key{Caller: "shop", Service: "desk", Idempotency: key} }
+
+// result is what a caller was told.
+type result struct {
+	code resultcode.Code
+	body string
+}
+
+func (r result) outcome() resultcode.Outcome { return r.code.Info().Outcome }
+
+func codeOf(err error) resultcode.Code {
+	var coded *resultcode.Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return resultcode.Internal
+}
+
+// send does what an entry program does with a non-idempotent request.
+func (c *cluster) send(e *entryHost, key string, timeout time.Duration) result {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return c.sendWith(ctx, e.Duty, key)
+}
+
+func (c *cluster) sendWith(ctx context.Context, claims Claims, key string) result {
+	t, err := claims.Begin(ctx, testKey(key), 7)
+	if err != nil {
+		return result{code: codeOf(err)}
+	}
+	switch t.Verdict {
+	case VerdictAnswered:
+		return result{resultcode.OK, string(t.Answer.Body)}
+	case VerdictUnknown:
+		return result{code: resultcode.OutcomeUnknown}
+	case VerdictAnswerLost:
+		return result{code: resultcode.AnswerLost}
+	}
+	body, err := c.dispatch(ctx, key)
+	if err != nil {
+		claims.Settle(ctx, t, resultcode.Unknown, Answer{})
+		return result{code: resultcode.EndpointFailed}
+	}
+	claims.Settle(ctx, t, resultcode.Ran, Answer{Status: http.StatusOK, Body: body})
+	return result{resultcode.OK, string(body)}
+}
+
+func (c *cluster) dispatch(ctx context.Context, key string) ([]byte, error) {
+	url := "http://" + c.plain.Address() + "/v1/call/order"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(key)))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
+// runs counts the executions of each key at the plain service, the judge.
+func (c *cluster) runs() map[string]int {
+	n := map[string]int{}
+	for _, r := range c.plain.Runs() {
+		n[r.Body]++
+	}
+	return n
+}
+
+// judge checks what callers were told of keys against what ran.
+func (c *cluster) judge(told map[string][]result) {
+	c.tb.Helper()
+	n := c.runs()
+	for key, runs := range n {
+		if runs > 1 {
+			c.tb.Errorf("%s ran %d times", key, runs)
+		}
+	}
+	for key, results := range told {
+		last := results[len(results)-1]
+		if last.outcome() == resultcode.NotRun && n[key] > 0 {
+			c.tb.Errorf("%s was told %v and ran", key, last.code)
+		}
+		for _, r := range results {
+			if r.code == resultcode.OK && r.body != standin.PlainAnswer("order", key) {
+				c.tb.Errorf("%s got the answer %q", key, r.body)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/claimduty/module.go
@@ -0,0 +1,65 @@
+package claimduty
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/feed"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+)
+
+// Module provides the Duty, also as Claims, to a program that provides its mesh,
+// feed client, object API and settings. The entry program calls Duty.Stop as a part
+// of its planned stop, once it takes no more requests.
+var Module = fx.Module("claimduty", fx.Provide(newDuty, func(d *Duty) Claims { return d }))
+
+type dutyParams struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Settings  *settings.Process
+	Mesh      *quicmesh.Mesh
+	Feed      *feed.Client
+	API       objectapi.API
+	Registry  *prometheus.Registry
+	Root      *slog.Logger
+}
+
+func newDuty(p dutyParams) *Duty {
+	d := New(Options{
+		Mesh:        p.Mesh,
+		API:         p.API,
+		Host:        p.Settings.Host.ID,
+		Incarnation: newIncarnation(),
+		Address:     p.Settings.Entry.Mesh,
+		View:        p.Feed.View,
+		Log:         logging.Part(p.Root, "claims"),
+		Registerer:  p.Registry,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() { d.Run(ctx) })
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			err := d.Stop(stop)
+			cancel()
+			running.Wait()
+			return err
+		},
+	})
+	return d
+}
+
+// newIncarnation grows with each start of the process.
+func newIncarnation() model.Incarnation { return model.Incarnation(time.Now().UnixNano()) }
--- /dev/null
+++ b/internal/transport/claimduty/owner.go
@@ -0,0 +1,350 @@
+package claimduty
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/claims"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/journal"
+	"oleanderfall.example/oleanderfall/internal/transport/ring"
+	"oleanderfall.example/oleanderfall/internal/transport/sharder"
+)
+
+const (
+	// ownerRing bounds the calls on their way to an owner's goroutine; a call that
+	// finds it full is answered Undecided.
+	ownerRing = 4096
+	// idleWake is the longest time between two looks at folding and expiry.
+	idleWake = time.Second
+)
+
+// event is a call to the owner's goroutine: a request for a claim or a settlement.
+type event struct {
+	claim  *claims.Request
+	settle *claims.Settlement
+	reply  chan ownerReply
+}
+
+// ownerReply is the core's reply, with the answer where the journal's tail has it.
+type ownerReply struct {
+	claims.Reply
+	body    []byte
+	hasBody bool
+}
+
+// owner serves one shard under one epoch.
+type owner struct {
+	shard   sharder.Shard
+	store   *store
+	timing  func() (interval, lifetime time.Duration)
+	metrics *metrics
+	log     *slog.Logger
+	lost    func(sharder.Shard)
+	events  *ring.Ring[event]
+	// done ends when the owner serves no more.
+	done chan struct{}
+
+	// The rest belongs to the owner's goroutine.
+	core    *claims.Core
+	calls   map[claims.Call]pendingCall
+	lastID  claims.Call
+	working sync.WaitGroup
+	commits chan commitResult
+	folds   chan foldResult
+	removed chan bool
+}
+
+type pendingCall struct {
+	reply chan ownerReply
+	key   journal.Key
+	began time.Time
+}
+
+type commitResult struct {
+	err  error
+	took time.Duration
+}
+
+type foldResult struct {
+	fold *claims.Fold
+	err  error
+}
+
+// newOwner returns the owner of shard; writer is unique to this ownership.
+func newOwner(shard sharder.Shard, api objectapi.API, timing func() (time.Duration, time.Duration), m *metrics, log *slog.Logger, lost func(sharder.Shard)) *owner {
+	return &owner{
+		shard: shard, store: &store{api: api, shard: shard.ID}, timing: timing, metrics: m, log: log, lost: lost,
+		events:  ring.New[event](ownerRing, ring.Refuse),
+		done:    make(chan struct{}),
+		calls:   map[claims.Call]pendingCall{},
+		commits: make(chan commitResult, 1),
+		folds:   make(chan foldResult, 1),
+		removed: make(chan bool, 1),
+	}
+}
+
+// call hands a call to the owner and waits for its reply.
+func (o *owner) call(ctx context.Context, e event) ownerReply {
+	undecided := ownerReply{Reply: claims.Reply{Verdict: claims.Undecided}}
+	e.reply = make(chan ownerReply, 1)
+	if err := o.events.Push(ctx, e); err != nil {
+		return undecided
+	}
+	select {
+	case r := <-e.reply:
+		return r
+	case <-o.done:
+	case <-ctx.Done():
+	}
+	return undecided
+}
+
+// run serves the shard until ctx ends or a newer owner is met.
+func (o *owner) run(ctx context.Context, writer uint64) {
+	defer close(o.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer o.working.Wait()
+	defer cancel()
+	if err := o.takeOver(ctx, writer); err != nil {
+		o.giveUp(err)
+		return
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case e := <-o.events.C():
+			o.take(e)
+			o.takeMore()
+		case r := <-o.commits:
+			if r.err != nil {
+				o.giveUp(r.err)
+				return
+			}
+			o.metrics.commitSeconds.Observe(r.took.Seconds())
+			o.answer(o.core.Committed(time.Now()))
+		case r := <-o.folds:
+			o.core.Folded(r.fold, r.err == nil)
+			o.note("Segment not folded; tried again.", r.err)
+		case ok := <-o.removed:
+			o.core.Removed(ok)
+		case <-timer.C:
+		case <-ctx.Done():
+			o.giveUp(ctx.Err())
+			return
+		}
+		o.advance(ctx)
+		timer.Reset(o.sleep())
+	}
+}
+
+func (o *owner) note(sentence string, err error) {
+	if err != nil {
+		o.log.Debug(sentence, "shard", o.shard.ID, "err", err)
+	}
+}
+
+func (o *owner) sleep() time.Duration {
+	if due, ok := o.core.Due(); ok {
+		return max(0, min(time.Until(due), idleWake))
+	}
+	return idleWake
+}
+
+// giveUp answers the waiting calls and, when a newer owner was met, says so.
+func (o *owner) giveUp(err error) {
+	if o.core != nil {
+		o.answer(o.core.Lost())
+	}
+	if errors.Is(err, errLost) {
+		o.metrics.lost.Inc()
+		o.log.Info("Newer owner met.", "shard", o.shard.ID, "epoch", o.shard.Epoch)
+		o.lost(o.shard)
+	}
+}
+
+// takeOver reads the journal and fences older owners by an entry of its epoch.
+func (o *owner) takeOver(ctx context.Context, writer uint64) error {
+	began := time.Now()
+	for backoff := firstBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		l, err := o.store.load(ctx)
+		if err == nil && l.maxEpoch > o.shard.Epoch {
+			return errLost
+		}
+		if err == nil {
+			err = o.fence(ctx, l, writer)
+		}
+		if err == nil {
+			o.metrics.takeoverSeconds.Observe(time.Since(began).Seconds())
+			o.log.Info("Journal read.", "shard", o.shard.ID, "epoch", o.shard.Epoch, "claims", l.table.Len(),
+				"reads", o.store.reads, "took", time.Since(began))
+			return nil
+		}
+		o.note("Journal not read; tried again.", err)
+		if !pause(ctx, backoff) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *owner) fence(ctx context.Context, l *loaded, writer uint64) error {
+	for l.last+1 > l.folded()+journal.Slots {
+		segment, answers := journal.Compact(l.tail[:journal.SegmentEntries])
+		if err := o.store.fold(ctx, segment, answers); err != nil {
+			return err
+		}
+		l.tail = l.tail[journal.SegmentEntries:]
+		l.segments = append(l.segments, claims.Segment{Number: segment[0].Number, EndMillis: segment[0].EndMillis})
+	}
+	fence := journal.Entry{
+		Seq: l.last + 1, Epoch: o.shard.Epoch, Writer: writer, AtMillis: max(l.lastMillis, time.Now().UnixMilli()),
+	}
+	if err := o.store.append(ctx, &fence); err != nil {
+		return err
+	}
+	interval, lifetime := o.timing()
+	opt := claims.Options{Epoch: o.shard.Epoch, Writer: writer, Interval: interval, Lifetime: lifetime}
+	o.core = claims.New(opt, l.table, append(l.tail, fence), l.segments, fence.Seq, fence.AtMillis)
+	return nil
+}
+
+func (o *owner) takeMore() {
+	for {
+		e, ok := o.events.TryPop()
+		if !ok {
+			return
+		}
+		o.take(e)
+	}
+}
+
+func (o *owner) take(e event) {
+	now := time.Now()
+	o.lastID++
+	pending := pendingCall{reply: e.reply, began: now}
+	if e.claim != nil {
+		e.claim.Call = o.lastID
+		pending.key = e.claim.Key
+		o.calls[o.lastID] = pending
+		o.answer(o.core.Claim(now, *e.claim))
+		return
+	}
+	e.settle.Call = o.lastID
+	o.calls[o.lastID] = pending
+	o.answer(o.core.Settle(now, *e.settle))
+}
+
+func (o *owner) answer(replies []claims.Reply) {
+	for _, r := range replies {
+		pending, ok := o.calls[r.Call]
+		if !ok {
+			continue
+		}
+		delete(o.calls, r.Call)
+		full := ownerReply{Reply: r}
+		if r.Verdict == claims.Answered && !r.Claim.Held {
+			full.body, full.hasBody = o.core.Body(r.Claim, pending.key)
+		}
+		o.metrics.verdicts.WithLabelValues(verdictName(r.Verdict)).Inc()
+		pending.reply <- full
+	}
+}
+
+// advance starts the work that the core has ready.
+func (o *owner) advance(ctx context.Context) {
+	now := time.Now()
+	o.core.SetTiming(o.timing())
+	o.core.Expire(now)
+	o.metrics.observe(o.shard.ID, o.core.Stats())
+	if entry := o.core.NextCommit(now); entry != nil {
+		o.metrics.entryOps.Observe(float64(len(entry.Ops)))
+		o.work(func() {
+			began := time.Now()
+			err := o.store.append(ctx, entry)
+			o.commits <- commitResult{err, time.Since(began)}
+		})
+	}
+	if fold := o.core.NextFold(); fold != nil {
+		o.work(func() { o.folds <- foldResult{fold, o.store.fold(ctx, fold.Segment, fold.Answers)} })
+	}
+	if segment := o.core.NextRemoval(now); segment != nil {
+		o.work(func() { o.removed <- o.store.remove(ctx, segment.Number) == nil })
+	}
+}
+
+func (o *owner) work(job func()) {
+	o.working.Add(1)
+	go func() {
+		defer o.working.Done()
+		job()
+	}()
+}
+
+// serveClaim answers MethodClaim at the owner.
+func (o *owner) serveClaim(ctx context.Context, r claimRequest) claimReply {
+	got := o.call(ctx, event{claim: &claims.Request{Key: r.Key, Attempt: r.Attempt, Digest: r.Digest, Holder: r.Holder}})
+	reply := claimReply{
+		Verdict: got.Verdict, Epoch: o.shard.Epoch, Attempt: got.Claim.Attempt, Holder: got.Holder,
+		Status: int(got.Claim.Status), Body: got.body, Held: got.Claim.Held,
+		RetryAfterMillis: got.RetryAfter.Milliseconds(),
+	}
+	if got.Verdict == claims.Answered && !got.Claim.Held && !got.hasBody {
+		body, err := o.store.answer(ctx, got.Claim)
+		reply.Body, reply.AnswerMissing = body, err != nil && !errors.Is(err, objectapi.ErrNotFound)
+	}
+	return reply
+}
+
+// serveSettle answers MethodSettle at the owner.
+func (o *owner) serveSettle(ctx context.Context, r settleRequest) settleReply {
+	reply := settleReply{Results: make([]settled, len(r.Items))}
+	var waiting sync.WaitGroup
+	for i, item := range r.Items {
+		s := &claims.Settlement{
+			Key: item.Key, Attempt: item.Attempt, State: item.State, Status: item.Status, Body: item.Body, Held: item.Held,
+		}
+		waiting.Go(func() {
+			got := o.call(ctx, event{settle: s})
+			reply.Results[i] = settled{Durable: got.Verdict == claims.Settled, Kept: got.Kept}
+		})
+	}
+	waiting.Wait()
+	return reply
+}
+
+// layoutKey is the object that fixes the number of shards for good.
+const layoutKey = "claims-layout"
+
+type layout struct {
+	Shards int `cbor:"1,keyasint"`
+}
+
+// readLayout returns the number of shards, fixing it at wanted when nobody has.
+func readLayout(ctx context.Context, api objectapi.API, wanted int) (int, error) {
+	o, err := api.Get(ctx, layoutKey)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		value, err := wire.Encode(layout{Shards: wanted})
+		if err != nil {
+			return 0, err
+		}
+		if _, err := api.Put(ctx, layoutKey, value, 0); err != nil && !errors.Is(err, objectapi.ErrConflict) {
+			return 0, err
+		}
+		o, err = api.Get(ctx, layoutKey)
+		if err != nil {
+			return 0, err
+		}
+	} else if err != nil {
+		return 0, err
+	}
+	var l layout
+	if err := wire.Decode(o.Value, &l); err != nil || l.Shards < 1 {
+		return 0, Error.New("layout not readable: %v", err)
+	}
+	return l.Shards, nil
+}
