Add the entry program: calls, streams, decisions

Callers reach services and deployments through oleander-entry. The decisions (routing, admission, retries, health, quarantine, stream assembly) are pure packages; internal/transport/entry carries them out with a bulkhead a target. Non-idempotent calls go through claimduty.Claims and are refused as claim_unavailable while no implementation is wired. engineapi answers now name the endpoint's incarnation.

--- /dev/null
+++ b/internal/coordination/admission/gate.go
@@ -0,0 +1,321 @@
+// Package admission decides which requests to a service or a deployment run now,
+// wait for a slot, or are refused at once.
+//
+// Invariant: at most the limit runs at once; a request that cannot meet its
+// deadline is refused as soon as that is known and never held back; training gets
+// its floor of slots while it has work, whatever the live load.
+package admission
+
+import (
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+const (
+	// MaxWait bounds the time a request may wait for a slot.
+	MaxWait = 500 * time.Millisecond
+	// waitShare bounds the wait as a share of the time to the deadline.
+	waitShare = 0.5
+	// queuePerSlot bounds the waiting requests as a multiple of the limit.
+	queuePerSlot = 8
+	// minRetryAfter is the least wait a refused client is told.
+	minRetryAfter = 10 * time.Millisecond
+	// maxRetryAfter is the longest.
+	maxRetryAfter = 5 * time.Second
+	// rateWeight is the weight of the last window in the completion rate.
+	rateWeight = 0.3
+	// fairShare is how many times its equal share of a full gate a caller may use.
+	fairShare = 2
+)
+
+// Reason says why a request was refused.
+type Reason int
+
+// The reasons.
+const (
+	ReasonNone Reason = iota
+	// ReasonLimit: the limit is reached and the queue is full or too long.
+	ReasonLimit
+	// ReasonDeadline: the request could not end before its deadline.
+	ReasonDeadline
+	// ReasonCaller: the caller has more than its share at once.
+	ReasonCaller
+)
+
+// Verdict is the gate's answer.
+type Verdict int
+
+// The verdicts.
+const (
+	Run Verdict = iota + 1
+	Wait
+	Refuse
+)
+
+// Decision is a verdict with its reason and, when refused, when to come back.
+type Decision struct {
+	Verdict    Verdict
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Ticket is one request at the gate. The holder fills the exported fields.
+type Ticket struct {
+	Caller   model.CallerID
+	Priority model.Priority
+	Deadline time.Time
+	// CallerLimit bounds the caller's requests at once, 0 for none.
+	CallerLimit int
+	// Notify receives the final decision of a ticket that waited.
+	Notify func(Decision)
+
+	state *callerState
+	// place is the index in the queue plus one, 0 when not queued.
+	place int
+}
+
+type callerState struct{ running, waiting int }
+
+// SampleKind says what the end of a request tells about overload.
+type SampleKind int
+
+// The kinds.
+const (
+	// SampleAnswered carries the latency of an answer.
+	SampleAnswered SampleKind = iota
+	// SampleRefused: the endpoints were busy.
+	SampleRefused
+	// SampleNone says nothing.
+	SampleNone
+)
+
+// Sample is the end of a request.
+type Sample struct {
+	Kind    SampleKind
+	Latency time.Duration
+}
+
+// Gate admits requests to one target. It is not safe for concurrent use.
+type Gate struct {
+	limiter
+	trainingFloor float64
+	running       int
+	training      int
+	queue         queue
+	callers       map[model.CallerID]*callerState
+	// service is the expected time of one request.
+	service time.Duration
+	// rate is the completions a second, over windows.
+	rate      float64
+	rateStart time.Time
+	completed int
+}
+
+// NewGate returns a gate with a first limit and the most it may grow to.
+func NewGate(initial, ceiling int, trainingFloor float64) *Gate {
+	return &Gate{
+		limiter:       newLimiter(initial, ceiling),
+		trainingFloor: trainingFloor,
+		callers:       map[model.CallerID]*callerState{},
+	}
+}
+
+// Configure takes over a changed capacity and training floor.
+func (g *Gate) Configure(ceiling int, trainingFloor float64) {
+	g.bound(ceiling)
+	g.trainingFloor = trainingFloor
+}
+
+// Limit is the present limit.
+func (g *Gate) Limit() int { return int(g.limit) }
+
+// Running is the number of requests that run.
+func (g *Gate) Running() int { return g.running }
+
+// Waiting is the number of requests that wait.
+func (g *Gate) Waiting() int { return len(g.queue) }
+
+// Arrive decides on a new request.
+func (g *Gate) Arrive(now time.Time, t *Ticket) Decision {
+	t.state = g.caller(t.Caller)
+	if t.CallerLimit > 0 && t.state.running+t.state.waiting >= t.CallerLimit {
+		return g.refuse(t, ReasonCaller)
+	}
+	if t.Deadline.Sub(now) < g.service/2 {
+		return g.refuse(t, ReasonDeadline)
+	}
+	if g.running < g.Limit() && len(g.queue) == 0 || g.underFloor(t) {
+		g.start(t)
+		return Decision{Verdict: Run}
+	}
+	if g.overShare(t) {
+		return g.refuse(t, ReasonCaller)
+	}
+	if wait := g.expectedWait(t); wait > g.patience(now, t) {
+		reason := ReasonLimit
+		if wait < MaxWait {
+			reason = ReasonDeadline
+		}
+		return g.refuse(t, reason)
+	}
+	if len(g.queue) >= queuePerSlot*g.Limit() && !g.evictBelow(t) {
+		return g.refuse(t, ReasonLimit)
+	}
+	t.state.waiting++
+	g.queue.push(t)
+	return Decision{Verdict: Wait}
+}
+
+// Leave notes the end of a running request and starts those that may run now.
+func (g *Gate) Leave(now time.Time, t *Ticket, s Sample) {
+	g.running--
+	t.state.running--
+	if t.Priority == model.PriorityTraining {
+		g.training--
+	}
+	g.release(t)
+	g.observe(now, s, g.running+1)
+	if s.Kind == SampleAnswered {
+		g.count(now, s.Latency)
+	}
+	g.Advance(now)
+}
+
+// Abandon takes a waiting request out, as when its caller left. It reports false
+// when the request no longer waits: its decision was made.
+func (g *Gate) Abandon(t *Ticket) bool {
+	if t.place == 0 {
+		return false
+	}
+	g.queue.remove(t)
+	t.state.waiting--
+	g.release(t)
+	return true
+}
+
+// Advance starts waiting requests while there is room and refuses those that can
+// no longer meet their deadline. It is also called on a timer.
+func (g *Gate) Advance(now time.Time) {
+	for i := 0; i < len(g.queue); {
+		t := g.queue[i]
+		if t.Deadline.Sub(now) >= g.service/2 {
+			i++
+			continue
+		}
+		g.dequeue(t)
+		t.Notify(g.refuse(t, ReasonDeadline))
+	}
+	for len(g.queue) > 0 && g.running < g.Limit() {
+		t := g.queue.next(g.training < g.floorSlots())
+		g.dequeue(t)
+		g.start(t)
+		t.Notify(Decision{Verdict: Run})
+	}
+}
+
+// dequeue takes t out of the queue; its caller state is kept for what follows.
+func (g *Gate) dequeue(t *Ticket) {
+	g.queue.remove(t)
+	t.state.waiting--
+}
+
+func (g *Gate) start(t *Ticket) {
+	g.running++
+	t.state.running++
+	if t.Priority == model.PriorityTraining {
+		g.training++
+	}
+}
+
+func (g *Gate) floorSlots() int { return int(g.trainingFloor * g.limit) }
+
+// underFloor lets training in while it has less than its floor and a slot is free.
+func (g *Gate) underFloor(t *Ticket) bool {
+	return t.Priority == model.PriorityTraining && g.training < g.floorSlots() && g.running < g.Limit()
+}
+
+// overShare reports whether the caller holds more than its share of a full gate.
+func (g *Gate) overShare(t *Ticket) bool {
+	if len(g.callers) < 2 {
+		return false
+	}
+	share := fairShare * (g.Limit() + queuePerSlot*g.Limit()) / len(g.callers)
+	return t.state.running+t.state.waiting >= max(1, share)
+}
+
+// expectedWait is the time until a slot frees for t.
+func (g *Gate) expectedWait(t *Ticket) time.Duration {
+	ahead := g.queue.ahead(t) + 1
+	if g.rate > 0 {
+		return time.Duration(float64(ahead) / g.rate * float64(time.Second))
+	}
+	return time.Duration(float64(ahead) * float64(g.service) / max(1, g.limit))
+}
+
+func (g *Gate) patience(now time.Time, t *Ticket) time.Duration {
+	left := t.Deadline.Sub(now) - g.service
+	return min(MaxWait, time.Duration(waitShare*float64(left)))
+}
+
+// evictBelow makes room by refusing a waiting request of a lower priority.
+func (g *Gate) evictBelow(t *Ticket) bool {
+	last := g.queue.last()
+	if last == nil || last.Priority >= t.Priority {
+		return false
+	}
+	g.dequeue(last)
+	last.Notify(g.refuse(last, ReasonLimit))
+	return true
+}
+
+func (g *Gate) refuse(t *Ticket, r Reason) Decision {
+	g.release(t)
+	return Decision{Verdict: Refuse, Reason: r, RetryAfter: g.retryAfter()}
+}
+
+// retryAfter is the time in which the queue should have emptied.
+func (g *Gate) retryAfter() time.Duration {
+	wait := g.service
+	if g.rate > 0 {
+		wait = time.Duration(float64(len(g.queue)+1) / g.rate * float64(time.Second))
+	}
+	return min(maxRetryAfter, max(minRetryAfter, wait))
+}
+
+func (g *Gate) caller(id model.CallerID) *callerState {
+	s := g.callers[id]
+	if s == nil {
+		s = &callerState{}
+		g.callers[id] = s
+	}
+	return s
+}
+
+// release forgets a caller with nothing left here.
+func (g *Gate) release(t *Ticket) {
+	if t.state.running+t.state.waiting == 0 {
+		delete(g.callers, t.Caller)
+	}
+}
+
+func (g *Gate) count(now time.Time, latency time.Duration) {
+	if g.service == 0 {
+		g.service = latency
+	}
+	g.service += (latency - g.service) / 16
+	g.completed++
+	if g.rateStart.IsZero() {
+		g.rateStart = now
+	}
+	elapsed := now.Sub(g.rateStart)
+	if elapsed < window {
+		return
+	}
+	rate := float64(g.completed) / elapsed.Seconds()
+	if g.rate == 0 {
+		g.rate = rate
+	}
+	g.rate += rateWeight * (rate - g.rate)
+	g.rateStart, g.completed = now, 0
+}
--- /dev/null
+++ b/internal/coordination/admission/limit.go
@@ -0,0 +1,86 @@
+package admission
+
+import "time"
+
+const (
+	// window is the interval between two adjustments of a limit.
+	window = 100 * time.Millisecond
+	// minSamples is the least number of answers for an adjustment.
+	minSamples = 5
+	// tolerance is how many times the baseline an answer may take on average.
+	tolerance = 2.0
+	// decrease is what a limit is multiplied by when answers come late.
+	decrease = 0.85
+	// baselineDrift is the share by which the baseline rises in each window, so
+	// that it follows work that has truly become longer.
+	baselineDrift = 0.01
+	// nearLimit is the share of the limit in use above which it may grow.
+	nearLimit = 0.75
+	// refusalShare is the share of refusals among the results of a window that
+	// counts as overload.
+	refusalShare = 0.1
+)
+
+// limiter adapts the number of requests at once to the latency of the answers:
+// additive increase, multiplicative decrease.
+type limiter struct {
+	limit    float64
+	floor    float64
+	ceiling  float64
+	baseline time.Duration
+	start    time.Time
+	sum      time.Duration
+	samples  int
+	refusals int
+	peak     int
+}
+
+func newLimiter(initial, ceiling int) limiter {
+	return limiter{limit: float64(max(1, initial)), floor: 1, ceiling: float64(max(1, ceiling))}
+}
+
+func (l *limiter) bound(ceiling int) {
+	grown := float64(ceiling) > l.ceiling
+	l.ceiling = float64(max(1, ceiling))
+	if grown && l.limit < l.ceiling/2 {
+		l.limit = l.ceiling / 2
+	}
+	l.limit = min(l.limit, l.ceiling)
+}
+
+func (l *limiter) observe(now time.Time, s Sample, running int) {
+	l.peak = max(l.peak, running)
+	switch s.Kind {
+	case SampleAnswered:
+		l.sum += s.Latency
+		l.samples++
+	case SampleRefused:
+		l.refusals++
+	}
+	if l.start.IsZero() {
+		l.start = now
+	}
+	if now.Sub(l.start) >= window && l.samples+l.refusals >= minSamples {
+		l.adjust(now)
+	}
+}
+
+func (l *limiter) adjust(now time.Time) {
+	mean := time.Duration(0)
+	if l.samples > 0 {
+		mean = l.sum / time.Duration(l.samples)
+		if l.baseline == 0 || mean < l.baseline {
+			l.baseline = mean
+		}
+	}
+	refused := float64(l.refusals) > refusalShare*float64(l.samples+l.refusals)
+	late := l.baseline > 0 && float64(mean) > tolerance*float64(l.baseline)
+	switch {
+	case refused || late:
+		l.limit = max(l.floor, l.limit*decrease)
+	case float64(l.peak) >= nearLimit*l.limit:
+		l.limit = min(l.ceiling, l.limit+max(1, l.limit/16))
+	}
+	l.baseline += time.Duration(baselineDrift * float64(l.baseline))
+	l.start, l.sum, l.samples, l.refusals, l.peak = now, 0, 0, 0, 0
+}
--- a/internal/protocol/engineapi/client.go
+++ b/internal/protocol/engineapi/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
 )
 
 // Error is the class of this package's errors.
@@ -47,6 +49,8 @@
 type Stream struct {
 	body io.ReadCloser
 	scan *bufio.Scanner
+	// Incarnation is the engine's, 0 when it did not say.
+	Incarnation model.Incarnation
 }
 
 // Next returns the next chunk. io.ErrUnexpectedEOF means the stream was cut short.
@@ -79,7 +83,7 @@
 	}
 	scan := bufio.NewScanner(resp.Body)
 	scan.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
-	return &Stream{body: resp.Body, scan: scan}, nil
+	return &Stream{body: resp.Body, scan: scan, Incarnation: incarnationOf(resp)}, nil
 }
 
 // Cancel ends the request with this id at the engine, if it still runs.
@@ -123,6 +127,8 @@
 type Answer struct {
 	Status int
 	Body   []byte
+	// Incarnation is the endpoint's, 0 when it did not say.
+	Incarnation model.Incarnation
 }
 
 // Call runs one call of a plain service and reads the whole answer.
@@ -142,7 +148,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, Error.New("answer over %d bytes", maxAnswerBytes)
 	}
-	return Answer{Status: resp.StatusCode, Body: body}, nil
+	return Answer{Status: resp.StatusCode, Body: body, Incarnation: incarnationOf(resp)}, nil
 }
 
 // ExportKV reads the KV cache of a running request as opaque bytes.
@@ -210,6 +216,11 @@
 // RefusalHeader says why an endpoint refused a request that it did not run.
 const RefusalHeader = "X-Refused"
 
+func incarnationOf(resp *http.Response) model.Incarnation {
+	i, _ := strconv.ParseUint(resp.Header.Get(IncarnationHeader), 10, 64)
+	return model.Incarnation(i)
+}
+
 func refusal(resp *http.Response) error {
 	switch resp.Header.Get(RefusalHeader) {
 	case "leaving":
--- /dev/null
+++ b/internal/transport/entry/addresses.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"net/http"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+// AddressAnswer names the entry addresses that a caller may use for a while.
+type AddressAnswer struct {
+	Addresses      []string `json:"addresses"`
+	LifetimeMillis int64    `json:"lifetime_ms"`
+}
+
+func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	v := s.view.Load()
+	if v == nil {
+		httpapi.WriteFailure(w, noView(), "")
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, AddressAnswer{
+		Addresses:      s.addresses(v, r.Header.Get(httpapi.CallerHeader)),
+		LifetimeMillis: v.Config.System.AddressLifetime.Milliseconds(),
+	})
+}
+
+type candidate struct {
+	address string
+	local   bool
+	score   uint64
+}
+
+// addresses lists the live entry hosts, those of this zone first, each group in an
+// order that is the caller's own and stays the same.
+func (s *Server) addresses(v *model.FleetView, caller string) []string {
+	leaving := map[model.HostID]bool{}
+	for _, d := range v.Drains {
+		if d.Host != "" {
+			leaving[d.Host] = true
+		}
+	}
+	if s.stopping.Load() {
+		leaving[s.opt.Host] = true
+	}
+	var found []candidate
+	for _, m := range members(v) {
+		if m.Entry == "" || leaving[m.Host] || m.State == model.HostLeaving || m.State == model.HostDead {
+			continue
+		}
+		found = append(found, candidate{
+			address: m.Entry,
+			local:   m.Zone == s.opt.Zone,
+			score:   xxhash.Sum64String(caller + "|" + string(m.Host)),
+		})
+	}
+	sort.Slice(found, func(i, j int) bool {
+		if found[i].local != found[j].local {
+			return found[i].local
+		}
+		return found[i].score < found[j].score
+	})
+	out := make([]string, 0, len(found))
+	for _, c := range found {
+		out = append(out, c.address)
+	}
+	return out
+}
+
+// members returns the view's members, or the configured hosts when membership has
+// not told of any.
+func members(v *model.FleetView) []model.Member {
+	if len(v.Members) > 0 {
+		return v.Members
+	}
+	out := make([]model.Member, 0, len(v.Config.Hosts))
+	for id, h := range v.Config.Hosts {
+		out = append(out, model.Member{Host: id, Zone: h.Zone, Entry: h.Entry, State: model.HostAlive})
+	}
+	return out
+}
+
+// entryHosts lists the configured hosts that run an entry program, in order.
+func entryHosts(c *model.Config) []model.HostID {
+	var out []model.HostID
+	for id, h := range c.Hosts {
+		if h.Entry != "" {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// liveEntryHosts counts the entry hosts that membership holds to be up.
+func liveEntryHosts(v *model.FleetView) int {
+	n := 0
+	for _, m := range members(v) {
+		if m.Entry != "" && m.State != model.HostDead && m.State != model.HostLeaving {
+			n++
+		}
+	}
+	return n
+}
+
+func noView() *httpapi.Failure {
+	f := httpapi.Fail(resultcode.NoEndpoint, "This host has no configuration yet.")
+	f.RetryAfter = noViewRetry
+	return f
+}
--- /dev/null
+++ b/internal/transport/entry/attempt.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/retries"
+	"oleanderfall.example/oleanderfall/internal/coordination/routing"
+	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+// probeTimeout bounds the question whether an endpoint is still alive.
+const probeTimeout = 150 * time.Millisecond
+
+// attemptResult is how one attempt ended.
+type attemptResult struct {
+	choice  routing.Choice
+	answer  engineapi.Answer
+	latency time.Duration
+	err     error
+	result  routing.Result
+	failure retries.Failure
+}
+
+// attempt makes one attempt of a plain call.
+func (s *Server) attempt(ctx context.Context, q *request, number int, c routing.Choice, t trial) attemptResult {
+	started := time.Now()
+	s.metrics.attempts.WithLabelValues(q.target.name).Inc()
+	q.record.add("sent", c.ID, "")
+	answer, err := q.target.client.Call(ctx, c.Address, engineapi.CallRequest{
+		RequestID: fmt.Sprintf("%s-%d", q.id, number),
+		Call:      q.call,
+		Body:      q.body,
+	})
+	out := attemptResult{choice: c, answer: answer, err: err, latency: time.Since(started)}
+	if err != nil {
+		out.result, out.failure = failureOf(ctx, err)
+	}
+	s.endAttempt(q, c, started, &out, t)
+	return out
+}
+
+// endAttempt tells routing, drains and the quarantine how an attempt ended.
+func (s *Server) endAttempt(q *request, c routing.Choice, started time.Time, out *attemptResult, t trial) {
+	if out.result == routing.ResultFailed && q.left() <= 0 && out.latency < q.target.hedgeAfter() {
+		// The deadline was too short to tell anything of the endpoint.
+		out.result = routing.ResultCancelled
+	}
+	if q.target.end(c, started, out.result, out.latency, out.answer.Incarnation) {
+		s.opt.Log.Warn("Endpoint ejected.", "endpoint", c.ID, "target", q.target.name, "err", out.err)
+	}
+	if out.err == nil {
+		q.record.add("answered", c.ID, "")
+		s.endTrial(q, t, true)
+		return
+	}
+	q.record.add("attempt failed", c.ID, out.err.Error())
+	if errors.Is(out.err, engineapi.ErrLeaving) && q.target.drain(c.ID, c.Incarnation) {
+		s.opt.Log.Info("Endpoint is leaving.", "endpoint", c.ID, "target", q.target.name)
+		s.wake()
+	}
+	if out.result == routing.ResultFailed && out.failure == retries.FailureUnknown && s.isDead(q.target, c) {
+		s.died(q, c.ID, started)
+	}
+	s.endTrial(q, t, false)
+}
+
+// isDead asks an endpoint that broke a connection whether it lives on. One that
+// does not answer in time is not held to be dead: it may be slow or cut off.
+func (s *Server) isDead(t *target, c routing.Choice) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	status, err := t.client.Status(ctx, c.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
+	}
+	s.observe(t, c.ID, status.Incarnation)
+	return c.Incarnation != 0 && status.Incarnation > c.Incarnation
+}
+
+func (s *Server) observe(t *target, id model.EndpointID, i model.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Observe(time.Now(), id, i)
+}
+
+// progress counts what a request's attempts have come to.
+type progress struct {
+	made     int
+	running  int
+	unknown  bool
+	excluded []model.EndpointID
+}
+
+func (p *progress) note(r attemptResult) {
+	p.running--
+	p.unknown = p.unknown || r.failure == retries.FailureUnknown
+	p.excluded = append(p.excluded, r.choice.ID)
+}
+
+// failure turns the reason for which a request gets no further attempt into its
+// final answer: not run only when no attempt may have run.
+func (p *progress) failure(q *request, v retries.Verdict) *httpapi.Failure {
+	if p.unknown || p.running > 0 {
+		switch {
+		case !q.idempotent:
+			return httpapi.Fail(resultcode.OutcomeUnknown, "The endpoint failed while the request may have run; it will not run again.")
+		case q.left() <= 0:
+			return httpapi.Fail(resultcode.DeadlineExceeded, "The deadline passed after dispatch.")
+		}
+		return httpapi.Fail(resultcode.EndpointFailed, "The endpoints failed while the request ran.")
+	}
+	f := httpapi.Fail(resultcode.NoEndpoint, "No endpoint can take the request now.")
+	switch v {
+	case retries.StopBudget:
+		f = httpapi.Fail(resultcode.RetryBudgetExhausted, "Attempts failed before they started and the retry budget is spent.")
+	case retries.StopDeadline:
+		f = httpapi.Fail(resultcode.DeadlineTooShort, "No attempt started, and none could end before the deadline.")
+	}
+	f.RetryAfter = noEndpointRetry
+	return f
+}
+
+const noEndpointRetry = 250 * time.Millisecond
--- /dev/null
+++ b/internal/transport/entry/entry_test.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/claimduty"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+// bed is one entry server before stand-ins.
+type bed struct {
+	t      testing.TB
+	config *model.Config
+	server *Server
+	front  *Front
+	claims *fakeClaims
+	plains []*standin.Plain
+	engine []*standin.Engine
+	client *http.Client
+	seq    uint64
+}
+
+func newBed(t testing.TB) *bed {
+	b := &bed{t: t, claims: newFakeClaims(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	b.config = &model.Config{
+		System: model.System{AddressLifetime: 100 * time.Millisecond},
+		Zones:  map[model.ZoneID]model.Zone{"lj-a": {}, "lj-b": {}},
+		Hosts: map[model.HostID]model.Host{
+			"e1": {Zone: "lj-a", Entry: "127.0.0.1:20001"},
+			"e2": {Zone: "lj-b", Entry: "127.0.0.1:20002"},
+			"e3": {Zone: "lj-a", Entry: "127.0.0.1:20003"},
+		},
+		Deployments: map[model.DeploymentID]model.Deployment{"drafts": {MaxRunning: 8, TrainingFloor: 0.2}},
+		Services: map[model.ServiceID]model.Service{
+			"registry": {Timeout: 5 * time.Second, NonIdempotent: []string{"issue"}, Objective: 0.999, MaxRunning: 16},
+		},
+		Endpoints: map[model.EndpointID]model.Endpoint{},
+		Callers: map[model.CallerID]model.Caller{
+			"lab":     {Priority: model.PriorityLive},
+			"trainer": {Priority: model.PriorityTraining},
+		},
+	}
+	b.server = NewServer(Options{
+		Host: "e1", Zone: "lj-a", Claims: b.claims, Metrics: prometheus.NewRegistry(),
+		Log: slog.New(slog.DiscardHandler), Seed: 1,
+	})
+	b.front = NewFront(b.server)
+	if err := b.front.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = b.front.http.Close()
+		b.server.background.Wait()
+		b.client.CloseIdleConnections()
+	})
+	return b
+}
+
+// plain adds a plain endpoint; address overrides its own, as for a proxy before it.
+func (b *bed) plain(opt standin.PlainOptions) *standin.Plain {
+	opt.Name = fmt.Sprintf("registry-%d", len(b.plains))
+	p, err := standin.NewPlain("127.0.0.1:0", opt)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(p.Close)
+	b.plains = append(b.plains, p)
+	b.endpoint(opt.Name, model.Endpoint{Kind: model.EndpointPlain, Service: "registry", Zone: "lj-a", Address: p.Address()})
+	return p
+}
+
+func (b *bed) newEngine(opt standin.EngineOptions) *standin.Engine {
+	opt.Name = fmt.Sprintf("engine-%d", len(b.engine))
+	e, err := standin.NewEngine("127.0.0.1:0", opt)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(e.Close)
+	b.engine = append(b.engine, e)
+	b.endpoint(opt.Name, model.Endpoint{Kind: model.EndpointEngine, Deployment: "drafts", Zone: "lj-a", Address: e.Address()})
+	return e
+}
+
+func (b *bed) endpoint(name string, e model.Endpoint) { b.config.Endpoints[model.EndpointID(name)] = e }
+
+// apply hands the configuration and the rest of a view to the server.
+func (b *bed) apply(change func(*model.FleetView)) {
+	b.seq++
+	v := &model.FleetView{Sequence: b.seq, Generation: 1, Config: b.config}
+	if change != nil {
+		change(v)
+	}
+	b.server.Apply(v)
+}
+
+// poll starts the polls of endpoints.
+func (b *bed) poll() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { b.server.PollLoop(ctx) })
+	b.t.Cleanup(func() { cancel(); running.Wait() })
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	body    string
+	code    resultcode.Code
+	outcome resultcode.Outcome
+	header  http.Header
+}
+
+func (b *bed) call(call, body string, headers ...string) reply {
+	r, err := b.tryCall(call, body, headers...)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return r
+}
+
+func (b *bed) tryCall(call, body string, headers ...string) (reply, error) {
+	return b.post("/v1/services/registry/"+call, body, headers...)
+}
+
+func (b *bed) post(path, body string, headers ...string) (reply, error) {
+	resp, err := b.send(path, body, headers...)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	code, err := strconv.Atoi(resp.Header.Get(httpapi.ResultHeader))
+	return reply{
+		status: resp.StatusCode, body: string(got), code: resultcode.Code(code),
+		outcome: resultcode.Outcome(resp.Header.Get(httpapi.OutcomeHeader)), header: resp.Header,
+	}, err
+}
+
+func (b *bed) send(path, body string, headers ...string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+b.front.Address()+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(httpapi.CallerHeader, "lab")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return b.client.Do(req)
+}
+
+// generated is a stream as a caller sees it.
+type generated struct {
+	tokens []uint32
+	spans  []engineapi.Chunk
+	done   bool
+	fault  string
+	reply  reply
+}
+
+func (b *bed) generate(g httpapi.Generate, headers ...string) generated {
+	body, _ := json.Marshal(g)
+	resp, err := b.send("/v1/deployments/drafts/generate", string(body), headers...)
+	if err != nil {
+		b.t.Error(err)
+		return generated{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	code, _ := strconv.Atoi(resp.Header.Get(httpapi.ResultHeader))
+	out := generated{reply: reply{status: resp.StatusCode, code: resultcode.Code(code), outcome: resultcode.Outcome(resp.Header.Get(httpapi.OutcomeHeader))}}
+	if resp.StatusCode != http.StatusOK {
+		return out
+	}
+	scan := bufio.NewScanner(resp.Body)
+	for scan.Scan() {
+		var c engineapi.Chunk
+		if err := json.Unmarshal(scan.Bytes(), &c); err != nil {
+			b.t.Errorf("line %q: %v", scan.Text(), err)
+		}
+		if c.Error != "" {
+			out.fault = c.Error
+			continue
+		}
+		if c.Offset != len(out.tokens) {
+			b.t.Errorf("chunk at offset %d after %d tokens", c.Offset, len(out.tokens))
+		}
+		out.tokens = append(out.tokens, c.Tokens...)
+		out.spans = append(out.spans, c)
+		out.done = out.done || c.Done && c.Total == len(out.tokens)
+	}
+	return out
+}
+
+// checkTokens compares a stream with the answer that the engine must give.
+func checkTokens(t testing.TB, g generated, prompt string, seed uint64, length int) {
+	t.Helper()
+	if !g.done || len(g.tokens) != length {
+		t.Errorf("stream of %q: done %v, %d of %d tokens, fault %q, code %v", prompt, g.done, len(g.tokens), length, g.fault, g.reply.code)
+	}
+	for i, token := range g.tokens {
+		if token != standin.TokenAt(prompt, seed, i) {
+			t.Fatalf("token %d of %q belongs to another answer", i, prompt)
+		}
+	}
+}
+
+// fakeClaims keeps claims in memory, as one journal for all.
+type fakeClaims struct {
+	mu   sync.Mutex
+	held map[claimduty.Key]*fakeClaim
+	down bool
+}
+
+type fakeClaim struct {
+	ended   chan struct{}
+	outcome resultcode.Outcome
+	answer  claimduty.Answer
+}
+
+func newFakeClaims() *fakeClaims { return &fakeClaims{held: map[claimduty.Key]*fakeClaim{}} }
+
+func (f *fakeClaims) Begin(ctx context.Context, key claimduty.Key, _ uint64) (claimduty.Ticket, error) {
+	f.mu.Lock()
+	if f.down {
+		f.mu.Unlock()
+		return claimduty.Ticket{}, resultcode.New(resultcode.ClaimUnavailable, "down")
+	}
+	c := f.held[key]
+	if c == nil {
+		f.held[key] = &fakeClaim{ended: make(chan struct{})}
+		f.mu.Unlock()
+		return claimduty.Ticket{Key: key, Verdict: claimduty.VerdictRun}, nil
+	}
+	f.mu.Unlock()
+	select {
+	case <-c.ended:
+	case <-ctx.Done():
+		return claimduty.Ticket{}, resultcode.New(resultcode.InProgress, "running")
+	}
+	switch c.outcome {
+	case resultcode.Ran:
+		return claimduty.Ticket{Key: key, Verdict: claimduty.VerdictAnswered, Answer: c.answer}, nil
+	case resultcode.NotRun:
+		return f.Begin(ctx, key, 0)
+	}
+	return claimduty.Ticket{Key: key, Verdict: claimduty.VerdictUnknown}, nil
+}
+
+func (f *fakeClaims) Settle(_ context.Context, t claimduty.Ticket, o resultcode.Outcome, a claimduty.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.held[t.Key]
+	c.outcome, c.answer = o, a
+	if o == resultcode.NotRun {
+		delete(f.held, t.Key)
+	}
+	close(c.ended)
+}
--- /dev/null
+++ b/internal/transport/entry/generate_test.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+const testMedian = 16
+
+func TestStreamIsWholeAndNamesItsVersions(t *testing.T) {
+	b := newBed(t)
+	b.newEngine(standin.EngineOptions{TokenInterval: time.Millisecond, MedianTokens: testMedian, Version: 7})
+	b.apply(nil)
+	g := b.generate(httpapi.Generate{Prompt: "p", Seed: 3})
+	checkTokens(t, g, "p", 3, standin.AnswerLength("p", 3, testMedian, 0))
+	for _, c := range g.spans {
+		if len(c.Tokens) > 0 && c.Version != 7 {
+			t.Errorf("chunk at %d has version %d", c.Offset, c.Version)
+		}
+	}
+}
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -1,7 +1,204 @@
-// Package entry wires the duties of oleander-entry.
+// Package entry is the data path: it answers callers over HTTP, routing each
+// request to an endpoint of its service or deployment.
+//
+// Invariant: every request gets its whole answer, or one failure whose outcome is
+// true; nothing of one service or deployment (slots, connections, retries) is used
+// up by another; with control and the object API gone, the last view keeps serving.
 package entry
 
-import "go.uber.org/fx"
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/transport/claimduty"
+	"oleanderfall.example/oleanderfall/internal/transport/feed"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	"oleanderfall.example/oleanderfall/internal/transport/process"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	clientIdleTimeout = 2 * time.Minute
+)
+
+var errNoView = errors.New("no fleet view yet")
 
 // Module provides and starts the program's duties.
-var Module = fx.Module("entry")
+var Module = fx.Module("entry",
+	fx.Provide(newMesh, newFeed, newServer),
+	fx.Invoke(serve),
+)
+
+func newMesh(s *settings.Process, keys *tlsconf.Keys, root *slog.Logger) (*quicmesh.Mesh, error) {
+	return quicmesh.New(quicmesh.Options{
+		Listen: s.Entry.Mesh,
+		Server: keys.Server(),
+		Client: keys.Client(),
+		Log:    logging.Part(root, "mesh"),
+	})
+}
+
+func newFeed(s *settings.Process, mesh *quicmesh.Mesh, root *slog.Logger) *feed.Client {
+	return feed.NewClient(mesh, s.Control.Listen, logging.Part(root, "feed"))
+}
+
+type serverParams struct {
+	fx.In
+	Settings *settings.Process
+	Feed     *feed.Client
+	Registry *prometheus.Registry
+	Root     *slog.Logger
+	Claims   claimduty.Claims `optional:"true"`
+}
+
+func newServer(p serverParams) *Server {
+	return NewServer(Options{
+		Host:    p.Settings.Host.ID,
+		Zone:    p.Settings.Host.Zone,
+		Claims:  p.Claims,
+		Report:  p.Feed.Report,
+		Metrics: p.Registry,
+		Log:     logging.Part(p.Root, "entry"),
+		Seed:    uint64(time.Now().UnixNano()),
+	})
+}
+
+type serveParams struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Settings  *settings.Process
+	Mesh      *quicmesh.Mesh
+	Feed      *feed.Client
+	Server    *Server
+	Registry  *prometheus.Registry
+	Health    *process.Health
+}
+
+// serve registers the program's life: mesh, duties, admin pages and, last so that
+// it stops first, the callers' port.
+func serve(p serveParams) {
+	p.Health.Add("view", func() error {
+		if p.Feed.View() == nil {
+			return errNoView
+		}
+		return nil
+	})
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return p.Mesh.Start() },
+		OnStop:  func(context.Context) error { p.Mesh.Close(); return nil },
+	})
+	duties := &duties{}
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			duties.start(p.Feed.Run, p.Server.ReportLoop, p.Server.PollLoop, func(ctx context.Context) { applyLoop(ctx, p.Feed, p.Server) })
+			return nil
+		},
+		OnStop: func(context.Context) error { duties.stop(); return nil },
+	})
+	process.ServeAdmin(p.Lifecycle, p.Settings.Entry.Admin, p.Registry, p.Health, func(r *mux.Router) {
+		r.HandleFunc("/v1/explain/{id}", p.Server.ServeExplain).Methods(http.MethodGet)
+	})
+	front := NewFront(p.Server)
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return front.Start(p.Settings.Entry.Listen) },
+		OnStop:  front.Stop,
+	})
+}
+
+// applyLoop hands each new view to the server.
+func applyLoop(ctx context.Context, f *feed.Client, s *Server) {
+	for {
+		select {
+		case <-f.Changed():
+			s.Apply(f.View())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// duties runs loops, each in a goroutine of its own.
+type duties struct {
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+func (d *duties) start(loops ...func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, loop := range loops {
+		d.running.Go(func() { loop(ctx) })
+	}
+}
+
+func (d *duties) stop() {
+	d.cancel()
+	d.running.Wait()
+}
+
+// Front is the callers' port and its planned stop.
+type Front struct {
+	server   *Server
+	http     *http.Server
+	listener net.Listener
+}
+
+// NewFront returns the port of a server, not yet open.
+func NewFront(s *Server) *Front {
+	return &Front{server: s, http: &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       clientIdleTimeout,
+		MaxHeaderBytes:    httpapi.MaxHeaderBytes,
+	}}
+}
+
+// Start opens the port.
+func (f *Front) Start(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	f.listener = l
+	go func() { _ = f.http.Serve(l) }()
+	return nil
+}
+
+// Address returns the open port's address.
+func (f *Front) Address() string { return f.listener.Addr().String() }
+
+// Stop is the planned stop: the host leaves the address answers, serves on until no
+// caller holds an answer that names it, and ends when nothing runs.
+func (f *Front) Stop(ctx context.Context) error {
+	s := f.server
+	s.stopping.Store(true)
+	s.wake()
+	lifetime := time.Duration(0)
+	if v := s.view.Load(); v != nil {
+		lifetime = v.Config.System.AddressLifetime
+	}
+	s.opt.Log.Info("Leaving the address answers.", "lifetime", lifetime)
+	sleep(ctx, lifetime+leaveSlack)
+	err := f.http.Shutdown(ctx)
+	s.background.Wait()
+	s.opt.Log.Info("Nothing runs any more.", "err", err)
+	return err
+}
+
+// leaveSlack is the time in which other hosts learn that this one leaves.
+const leaveSlack = time.Second
--- /dev/null
+++ b/internal/transport/entry/server.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/admission"
+	"oleanderfall.example/oleanderfall/internal/coordination/quarantine"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/endpoints"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/claimduty"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+// Options configures a Server.
+type Options struct {
+	Host model.HostID
+	Zone model.ZoneID
+	// Claims is nil when none can be recorded; calls that need one are refused then.
+	Claims claimduty.Claims
+	// Report tells the host's control program what was seen; nil tells nobody.
+	Report  func(context.Context, wire.Report) error
+	Metrics prometheus.Registerer
+	Log     *slog.Logger
+	// Seed feeds the random choices.
+	Seed uint64
+}
+
+// Server answers callers. Its view of the fleet is set by Apply.
+type Server struct {
+	opt      Options
+	metrics  *metrics
+	history  *history
+	boot     string
+	counter  atomic.Uint64
+	stopping atomic.Bool
+	// connected says that the last report reached the control program.
+	connected atomic.Bool
+	view      atomic.Pointer[model.FleetView]
+	// news wakes the reporter.
+	news chan struct{}
+	// background counts the runs that outlive their caller.
+	background sync.WaitGroup
+
+	mu      sync.RWMutex
+	targets map[endpoints.Target]*target
+
+	rateMu sync.Mutex
+	rates  map[model.CallerID]*callerRate
+
+	quarantineMu sync.Mutex
+	quarantine   *quarantine.List
+}
+
+type callerRate struct {
+	admission.Rate
+}
+
+// NewServer returns a server without a view: it refuses until the first Apply.
+func NewServer(opt Options) *Server {
+	return &Server{
+		opt:        opt,
+		metrics:    newMetrics(opt.Metrics),
+		history:    newHistory(),
+		boot:       fmt.Sprintf("%s-%08x-", opt.Host, rand.Uint32()),
+		news:       make(chan struct{}, 1),
+		targets:    map[endpoints.Target]*target{},
+		rates:      map[model.CallerID]*callerRate{},
+		quarantine: quarantine.New(),
+	}
+}
+
+// Handler returns the pages for callers.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/addresses", s.serveAddresses).Methods(http.MethodGet)
+	r.HandleFunc("/v1/services/{service}/{call}", s.serveCall).Methods(http.MethodPost)
+	r.HandleFunc("/v1/deployments/{deployment}/generate", s.serveGenerate).Methods(http.MethodPost)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		httpapi.WriteFailure(w, httpapi.Fail(resultcode.NotFound, "There is no such page."), "")
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		httpapi.WriteFailure(w, httpapi.Fail(resultcode.BadRequest, "The page does not take this method."), "")
+	})
+	return s.closing(r)
+}
+
+// closing asks clients to open their next connection elsewhere during a planned stop.
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ServeExplain is the admin page on one request.
+func (s *Server) ServeExplain(w http.ResponseWriter, r *http.Request) { s.history.serve(w, r) }
+
+// Apply takes over a view of the fleet.
+func (s *Server) Apply(v *model.FleetView) {
+	if v == nil || v.Config == nil {
+		return
+	}
+	now := time.Now()
+	s.view.Store(v)
+	hosts := entryHosts(v.Config)
+	s.mu.Lock()
+	wanted := map[endpoints.Target]bool{}
+	for id, service := range v.Config.Services {
+		s.applyTarget(now, v, endpoints.Target{Service: id}, hosts, 0)
+		wanted[endpoints.Target{Service: id}] = true
+		s.metrics.objective.WithLabelValues(string(id)).Set(service.Objective)
+	}
+	for id, d := range v.Config.Deployments {
+		s.applyTarget(now, v, endpoints.Target{Deployment: id}, hosts, d.TrainingFloor)
+		wanted[endpoints.Target{Deployment: id}] = true
+	}
+	for id, t := range s.targets {
+		if !wanted[id] {
+			delete(s.targets, id)
+			t.transport.CloseIdleConnections()
+		}
+	}
+	s.mu.Unlock()
+	s.quarantineMu.Lock()
+	s.quarantine.Merge(now, v.Quarantine)
+	s.quarantineMu.Unlock()
+	s.applyLoads(now, v.Loads)
+}
+
+func (s *Server) applyTarget(now time.Time, v *model.FleetView, id endpoints.Target, hosts []model.HostID, floor float64) {
+	t := s.targets[id]
+	if t == nil {
+		t = newTarget(now, id, s.opt.Zone, s.opt.Seed+uint64(len(s.targets)))
+		s.targets[id] = t
+	}
+	list := endpoints.Subset(endpoints.Of(v.Config, id), s.opt.Host, hosts)
+	t.configure(now, list, v.Drains, len(hosts), floor)
+}
+
+func (s *Server) target(id endpoints.Target) *target {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.targets[id]
+}
+
+func (s *Server) allTargets() []*target {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]*target, 0, len(s.targets))
+	for _, t := range s.targets {
+		out = append(out, t)
+	}
+	return out
+}
+
+func (s *Server) nextID() string { return fmt.Sprintf("%s%d", s.boot, s.counter.Add(1)) }
+
+// wake lets the reporter tell news without delay.
+func (s *Server) wake() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// Stopping says that a planned stop began.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
