Prove the data path against failing stand-ins

Streams cut at 31 boundaries, an engine that dies mid stream, a request that crashes each endpoint, half-open, slow, leaving and dead endpoints, a lost answer of a non-idempotent call and a planned stop under load: the stand-ins' logs judge. The poll duty shared a map with its pollers; the race detector showed it, and each poller now gets its own ring. Pollers of a removed target end.

--- a/internal/transport/entry/duties.go
+++ b/internal/transport/entry/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,21 +101,33 @@
 	defer running.Wait()
 	polling := map[*target]*ring.Ring[poll]{}
 	for {
-		for _, t := range s.allTargets() {
+		targets := s.allTargets()
+		for _, t := range targets {
 			if polling[t] == nil {
-				polling[t] = ring.New[poll](pollCapacity, ring.Refuse)
-				for range pollers {
-					running.Go(func() { s.pollFrom(ctx, polling[t]) })
-				}
+				polling[t] = s.startPollers(ctx, &running)
 			}
 			s.offerPolls(ctx, t, polling[t])
 		}
+		for t, r := range polling {
+			if !slices.Contains(targets, t) {
+				r.Close()
+				delete(polling, t)
+			}
+		}
 		if !sleep(ctx, pollInterval) {
 			return
 		}
 	}
 }
 
+func (s *Server) startPollers(ctx context.Context, running *sync.WaitGroup) *ring.Ring[poll] {
+	r := ring.New[poll](pollCapacity, ring.Refuse)
+	for range pollers {
+		running.Go(func() { s.pollFrom(ctx, r) })
+	}
+	return r
+}
+
 // offerPolls queues a round of polls unless the last one is still under way.
 func (s *Server) offerPolls(ctx context.Context, t *target, r *ring.Ring[poll]) {
 	if r.Len() > 0 {
--- /dev/null
+++ b/internal/transport/entry/faults_test.go
@@ -0,0 +1,396 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+const waitLimit = 10 * time.Second
+
+// eventually waits for a condition.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// proxied puts a fault-injecting proxy before an endpoint.
+func (b *bed) proxied(name, upstream string) *toxiproxy.Proxy {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	p := toxiproxy.NewProxy(server, name, "127.0.0.1:0", upstream)
+	if err := p.Start(); err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(p.Stop)
+	e := b.config.Endpoints[model.EndpointID(name)]
+	e.Address = p.Listen
+	b.endpoint(name, e)
+	return p
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	b := newBed(t)
+	leaving := b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	b.apply(nil)
+	b.poll()
+	leaving.SetFaults(standin.Faults{Leaving: true})
+	eventually(t, "the endpoint's own word is reported", func() bool {
+		return len(b.server.report(time.Now()).Drains) == 1
+	})
+	before := len(leaving.Runs())
+	for i := range 50 {
+		body := fmt.Sprint(i)
+		if r := b.call("lookup", body); r.body != standin.PlainAnswer("lookup", body) {
+			t.Fatalf("got %+v", r)
+		}
+	}
+	if after := len(leaving.Runs()); after != before {
+		t.Errorf("%d runs began on the leaving endpoint", after-before)
+	}
+}
+
+func TestDrainInTheViewStopsNewWorkAtOnce(t *testing.T) {
+	b := newBed(t)
+	drained := b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	b.apply(func(v *model.FleetView) {
+		v.Drains = []model.DrainEvidence{{Endpoint: "registry-0", Incarnation: 1, Source: model.DrainFromHostList}}
+	})
+	for range 20 {
+		b.call("lookup", "x")
+	}
+	if n := len(drained.Runs()); n != 0 {
+		t.Errorf("%d runs on the drained endpoint", n)
+	}
+}
+
+func TestRequestThatCrashesEndpointsKillsTwoAtMost(t *testing.T) {
+	b := newBed(t)
+	const endpoints = 5
+	for range endpoints {
+		b.plain(standin.PlainOptions{ServiceTime: time.Millisecond}).SetFaults(standin.Faults{CrashOnKey: "poison"})
+	}
+	b.apply(nil)
+	b.poll()
+	var last reply
+	for range 10 {
+		last = b.call("lookup", "poison", httpapi.IdempotencyKeyHeader, "k")
+	}
+	if last.code != resultcode.Quarantined {
+		t.Errorf("resend got %+v", last)
+	}
+	deaths := 0
+	for _, p := range b.plains {
+		deaths += len(p.Runs())
+	}
+	if deaths != 2 {
+		t.Errorf("%d endpoints died", deaths)
+	}
+	if q := b.server.report(time.Now()).Quarantine; len(q) != 2 || q[0].Crashes != 2 {
+		t.Errorf("reported %+v", q)
+	}
+	if r := b.call("lookup", "harmless"); r.code != resultcode.OK {
+		t.Errorf("another request got %+v", r)
+	}
+}
+
+func TestQuarantineHeardFromOthersIsRefused(t *testing.T) {
+	b := newBed(t)
+	p := b.plain(standin.PlainOptions{})
+	q := &request{target: &target{name: "registry"}, call: "lookup"}
+	q.fingerprint([]byte("poison"))
+	b.apply(func(v *model.FleetView) {
+		v.Quarantine = []model.QuarantinedRequest{{Fingerprint: q.fingerprints[0], Crashes: 2, Remaining: time.Minute}}
+	})
+	if r := b.call("lookup", "poison"); r.code != resultcode.Quarantined || r.outcome != resultcode.NotRun {
+		t.Errorf("got %+v", r)
+	}
+	if len(p.Runs()) != 0 {
+		t.Error("it ran")
+	}
+}
+
+func TestStreamCutAnywhereIsResumedOrEndsInAnError(t *testing.T) {
+	for cut := 1; cut < 700; cut += 23 {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			opt := standin.EngineOptions{TokenInterval: time.Millisecond, MedianTokens: testMedian, PrefillTime: time.Millisecond}
+			b.newEngine(opt).SetFaults(standin.Faults{CutAtByte: cut})
+			b.newEngine(opt)
+			b.apply(nil)
+			for i := range 4 {
+				prompt := fmt.Sprint("p", i)
+				g := b.generate(httpapi.Generate{Prompt: prompt, Seed: 1})
+				checkTokens(t, g, prompt, 1, standin.AnswerLength(prompt, 1, testMedian, 0))
+			}
+		})
+	}
+}
+
+func TestStreamThatCannotBeResumedEndsInAnExplicitError(t *testing.T) {
+	b := newBed(t)
+	b.newEngine(standin.EngineOptions{TokenInterval: time.Millisecond, MedianTokens: 64}).SetFaults(standin.Faults{CutAtByte: 120})
+	b.apply(nil)
+	g := b.generate(httpapi.Generate{Prompt: "p", Seed: 1, MaxTokens: 60})
+	if g.done || g.fault != resultcode.StreamBroken.Info().Name {
+		t.Errorf("done %v, fault %q after %d tokens", g.done, g.fault, len(g.tokens))
+	}
+}
+
+func TestEngineThatDiesMidStreamIsReplaced(t *testing.T) {
+	b := newBed(t)
+	for range 2 {
+		b.newEngine(standin.EngineOptions{TokenInterval: 2 * time.Millisecond, MedianTokens: 200})
+	}
+	b.apply(nil)
+	var running sync.WaitGroup
+	for i := range 4 {
+		running.Go(func() {
+			prompt := fmt.Sprint("long", i)
+			g := b.generate(httpapi.Generate{Prompt: prompt, Seed: 2, MaxTokens: 100})
+			checkTokens(t, g, prompt, 2, 100)
+		})
+	}
+	eventually(t, "streams run on the first engine", func() bool { return len(b.engine[0].Runs()) > 0 })
+	b.engine[0].SetFaults(standin.Faults{Crash: true})
+	running.Wait()
+}
+
+func TestMinVersionIsHeldByWhatChunksSay(t *testing.T) {
+	b := newBed(t)
+	b.newEngine(standin.EngineOptions{TokenInterval: time.Millisecond, MedianTokens: testMedian, Version: 3})
+	b.newEngine(standin.EngineOptions{TokenInterval: time.Millisecond, MedianTokens: testMedian, Version: 5})
+	b.apply(func(v *model.FleetView) {
+		// The load report of the first engine is wrong.
+		v.Loads = []model.EndpointLoad{{Endpoint: "engine-0", Version: 5}, {Endpoint: "engine-1", Version: 5}}
+	})
+	for range 6 {
+		g := b.generate(httpapi.Generate{Prompt: "p", Seed: 1, MinVersion: 5})
+		checkTokens(t, g, "p", 1, standin.AnswerLength("p", 1, testMedian, 0))
+		for _, c := range g.spans {
+			if len(c.Tokens) > 0 && c.Version < 5 {
+				t.Fatalf("token of version %d passed on", c.Version)
+			}
+		}
+	}
+}
+
+func TestCallerThatLeavesCancelsTheStream(t *testing.T) {
+	b := newBed(t)
+	e := b.newEngine(standin.EngineOptions{TokenInterval: 2 * time.Millisecond, MedianTokens: 4000})
+	b.apply(nil)
+	body, _ := json.Marshal(httpapi.Generate{Prompt: "p", Seed: 1})
+	resp, err := b.send("/v1/deployments/drafts/generate", string(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	eventually(t, "the engine has nothing to run", func() bool {
+		load, err := b.server.target(b.server.allTargets()[0].id).client.Load(context.Background(), e.Address())
+		return err == nil && load.Running+load.Queued == 0 && len(e.Runs()) == 1
+	})
+}
+
+func TestHalfOpenEndpointIsEjectedAndCallersAreAnswered(t *testing.T) {
+	b := newBed(t)
+	for range 3 {
+		b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	}
+	p := b.proxied("registry-0", b.plains[0].Address())
+	b.apply(nil)
+	for i := range 60 {
+		b.call("lookup", fmt.Sprint("warm", i))
+	}
+	if _, err := p.Toxics.AddToxicJson(jsonReader(`{"name":"hole","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`)); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 120 {
+		body := fmt.Sprint(i)
+		if r := b.call("lookup", body, httpapi.DeadlineHeader, "2000"); r.body != standin.PlainAnswer("lookup", body) {
+			t.Fatalf("request %d got %+v", i, r)
+		}
+	}
+}
+
+func TestSlowEndpointIsAvoided(t *testing.T) {
+	b := newBed(t)
+	for range 4 {
+		b.plain(standin.PlainOptions{ServiceTime: 2 * time.Millisecond})
+	}
+	b.plains[0].SetFaults(standin.Faults{Slow: 50})
+	b.apply(nil)
+	const requests = 300
+	for i := range requests {
+		b.call("lookup", fmt.Sprint(i))
+	}
+	if n := len(b.plains[0].Runs()); n > requests/10 {
+		t.Errorf("the slow endpoint got %d of %d requests", n, requests)
+	}
+}
+
+func TestDeadEndpointsGiveTrueRefusals(t *testing.T) {
+	b := newBed(t)
+	p := b.plain(standin.PlainOptions{})
+	b.apply(nil)
+	p.SetFaults(standin.Faults{Down: true})
+	r := b.call("lookup", "x")
+	if r.outcome != resultcode.NotRun || r.header.Get(httpapi.RetryAfterMsHeader) == "" {
+		t.Errorf("got %+v", r)
+	}
+	if len(p.Runs()) != 0 {
+		t.Error("it ran")
+	}
+}
+
+func TestLostAnswerOfNonIdempotentCallIsUnknownAndNeverRepeated(t *testing.T) {
+	b := newBed(t)
+	for range 3 {
+		b.plain(standin.PlainOptions{ServiceTime: time.Millisecond}).SetFaults(standin.Faults{CutAtByte: 3})
+	}
+	b.apply(nil)
+	for range 4 {
+		if r := b.call("issue", "c9", httpapi.IdempotencyKeyHeader, "k9"); r.outcome != resultcode.Unknown || r.code != resultcode.OutcomeUnknown {
+			t.Errorf("got %+v", r)
+		}
+	}
+	runs := 0
+	for _, p := range b.plains {
+		runs += len(p.Runs())
+	}
+	if runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+func TestDeadServiceTakesNothingFromAnother(t *testing.T) {
+	b := newBed(t)
+	b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	b.config.Services["dead"] = model.Service{Timeout: time.Second, MaxRunning: 8}
+	hole, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = hole.Close() }()
+	b.endpoint("dead-0", model.Endpoint{Kind: model.EndpointPlain, Service: "dead", Zone: "lj-a", Address: hole.Addr().String()})
+	b.apply(nil)
+	var running sync.WaitGroup
+	var refused atomic.Int64
+	for range 200 {
+		running.Go(func() {
+			r, err := b.post("/v1/services/dead/x", "x", httpapi.DeadlineHeader, "1500")
+			if err != nil || r.code == resultcode.OK {
+				t.Errorf("dead service: %+v, %v", r, err)
+			}
+			if r.outcome == resultcode.NotRun {
+				refused.Add(1)
+			}
+		})
+	}
+	for i := range 100 {
+		body := fmt.Sprint(i)
+		if r := b.call("lookup", body); r.body != standin.PlainAnswer("lookup", body) {
+			t.Errorf("the other service got %+v", r)
+		}
+	}
+	running.Wait()
+	if refused.Load() == 0 {
+		t.Error("nothing was refused early")
+	}
+}
+
+func TestPlannedStopInterruptsNothing(t *testing.T) {
+	b := newBed(t)
+	for range 2 {
+		b.plain(standin.PlainOptions{ServiceTime: 20 * time.Millisecond})
+	}
+	b.newEngine(standin.EngineOptions{TokenInterval: 4 * time.Millisecond, MedianTokens: 600})
+	b.apply(nil)
+	var running sync.WaitGroup
+	running.Go(func() {
+		checkTokens(t, b.generate(httpapi.Generate{Prompt: "p", Seed: 1, MaxTokens: 500}), "p", 1, 500)
+	})
+	eventually(t, "the stream runs", func() bool { return len(b.engine[0].Runs()) == 1 })
+	var stopping atomic.Bool
+	for range 8 {
+		running.Go(func() {
+			for i := 0; !stopping.Load(); i++ {
+				body := fmt.Sprint(i)
+				if r, err := b.tryCall("lookup", body); err != nil || r.body != standin.PlainAnswer("lookup", body) {
+					t.Errorf("got %+v, %v", r, err)
+				}
+			}
+		})
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.front.Stop(context.Background()) }()
+	eventually(t, "the host leaves the address answers", func() bool { return len(b.addresses(t)) == 2 })
+	if !b.server.report(time.Now()).Stopping {
+		t.Error("the stop is not reported")
+	}
+	// Callers hold the address for its lifetime, then use others.
+	time.Sleep(b.config.System.AddressLifetime)
+	stopping.Store(true)
+	running.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func (b *bed) addresses(t *testing.T) []string {
+	t.Helper()
+	resp, err := b.client.Get("http://" + b.front.Address() + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a AddressAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d: %v", resp.StatusCode, err)
+	}
+	return a.Addresses
+}
+
+func TestAddressesNameLiveHostsOfTheOwnZoneFirst(t *testing.T) {
+	b := newBed(t)
+	b.apply(func(v *model.FleetView) {
+		v.Members = []model.Member{
+			{Host: "e1", Zone: "lj-a", Entry: "a:1", State: model.HostAlive},
+			{Host: "e2", Zone: "lj-b", Entry: "b:2", State: model.HostAlive},
+			{Host: "e3", Zone: "lj-a", Entry: "c:3", State: model.HostSuspect},
+			{Host: "e4", Zone: "lj-a", Entry: "d:4", State: model.HostDead},
+			{Host: "e5", Zone: "lj-a", Entry: "e:5", State: model.HostLeaving},
+			{Host: "e6", Zone: "lj-a", State: model.HostAlive},
+		}
+	})
+	got := b.addresses(t)
+	if len(got) != 3 || got[2] != "b:2" {
+		t.Errorf("got %v", got)
+	}
+	if again := b.addresses(t); fmt.Sprint(again) != fmt.Sprint(got) {
+		t.Errorf("order changed from %v to %v", got, again)
+	}
+}
+
+func jsonReader(s string) *strings.Reader { return strings.NewReader(s) }
