Start membership, dissemination and the feed's server

The pure machines for membership, for the spreading of news and for drains, their tables, the duty that runs them, and the hub that answers feeds. The mesh uses one connection for both directions and resets a predecessor's connections after a restart.

--- /dev/null
+++ b/internal/coordination/membership/machine.go
@@ -0,0 +1,277 @@
+// Package membership decides which hosts are alive: heartbeats over an overlay of
+// bounded degree, indirect probes, suspicion that the suspect may refute, and
+// attempts to rejoin hosts thought dead. It is pure: time and chance are passed in.
+//
+// Invariant: only a host itself raises its incarnation and revision, so that a live
+// host which hears of its suspicion always wins over it. What the view says about a
+// host may cost work and is never relied on for safety.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/members"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Machine is one host's side of the protocol. It is not safe for concurrent use.
+type Machine struct {
+	opt   Options
+	self  members.Record
+	table *members.Table
+	// peers are the hosts that this one watches; accepted are those that watch it.
+	peers        map[model.HostID]*peer
+	accepted     map[model.HostID]time.Time
+	peersVersion uint64
+	relays       map[uint64]relay
+	// suspectSince and deadSince date the records that are not alive.
+	suspectSince map[model.HostID]time.Time
+	deadSince    map[model.HostID]time.Time
+	lastTick     time.Time
+	contacts     contacts
+}
+
+type peer struct {
+	record   members.Record
+	nextPing time.Time
+	heard    time.Time
+	// probeUntil is when a running indirect probe has failed; zero for none.
+	probeUntil time.Time
+}
+
+// relay remembers for whom a ping was sent.
+type relay struct {
+	requester model.HostID
+	address   string
+	target    model.HostID
+	expires   time.Time
+}
+
+// New returns a machine that knows only itself.
+func New(opt Options, now time.Time) *Machine {
+	m := &Machine{
+		opt:          opt,
+		self:         opt.Self,
+		table:        members.NewTable(),
+		peers:        map[model.HostID]*peer{},
+		accepted:     map[model.HostID]time.Time{},
+		relays:       map[uint64]relay{},
+		suspectSince: map[model.HostID]time.Time{},
+		deadSince:    map[model.HostID]time.Time{},
+		lastTick:     now,
+	}
+	m.table.Merge(m.self)
+	return m
+}
+
+// Self returns this host's own record.
+func (m *Machine) Self() members.Record { return m.self }
+
+// Sender returns what this host says of itself in its messages.
+func (m *Machine) Sender() Sender {
+	s := m.self
+	return Sender{Host: s.Host, Zone: s.Zone, Control: s.Control, Incarnation: s.Incarnation, Revision: s.Revision, Leaving: s.Leaving}
+}
+
+// Records returns the whole table, dead hosts included.
+func (m *Machine) Records() []members.Record { return m.table.All() }
+
+// Table returns the table for reading.
+func (m *Machine) Table() *members.Table { return m.table }
+
+// SetLeaving announces that this host leaves, or that it does not any more.
+func (m *Machine) SetLeaving(leaving bool) Output {
+	if m.self.Leaving == leaving {
+		return Output{}
+	}
+	m.self.Leaving = leaving
+	return m.announce(m.self.Revision + 1)
+}
+
+// Depart announces that this host is gone by its own will.
+func (m *Machine) Depart() Output {
+	m.self.Leaving = true
+	m.self.State = members.Dead
+	return m.announce(m.self.Revision + 1)
+}
+
+func (m *Machine) announce(revision uint64) Output {
+	m.self.Revision = revision
+	m.table.Merge(m.self)
+	return Output{News: []members.Record{m.self}}
+}
+
+// Links returns the hosts that news goes to: those watched and those that watch this
+// host, in order of host.
+func (m *Machine) Links() []members.Record {
+	out := make([]members.Record, 0, len(m.peers)+len(m.accepted))
+	for _, p := range m.peers {
+		out = append(out, p.record)
+	}
+	for id := range m.accepted {
+		if r, ok := m.table.Get(id); ok && m.peers[id] == nil && r.State != members.Dead {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
+
+func (m *Machine) heartbeats(n int) time.Duration { return time.Duration(n) * m.opt.Heartbeat }
+
+// Tick advances the machine to now. It is called several times a heartbeat.
+func (m *Machine) Tick(now time.Time) Output {
+	m.forgivePause(now)
+	m.lastTick = now
+	var out Output
+	m.refreshPeers(now, &out)
+	for _, id := range m.peerOrder() {
+		m.tickPeer(now, m.peers[id], &out)
+	}
+	m.expire(now, &out)
+	m.contact(now, &out)
+	return out
+}
+
+// forgivePause moves all deadlines by the time this process did not run.
+func (m *Machine) forgivePause(now time.Time) {
+	gap := now.Sub(m.lastTick)
+	if gap < m.heartbeats(pauseHeartbeats) {
+		return
+	}
+	for _, p := range m.peers {
+		p.heard = now
+		p.probeUntil = time.Time{}
+	}
+	for id, since := range m.suspectSince {
+		m.suspectSince[id] = since.Add(gap)
+	}
+}
+
+func (m *Machine) refreshPeers(now time.Time, out *Output) {
+	if m.peersVersion == m.table.Version() {
+		return
+	}
+	m.peersVersion = m.table.Version()
+	next := map[model.HostID]*peer{}
+	for _, r := range Peers(m.self.Host, m.table.Live()) {
+		p := m.peers[r.Host]
+		if p == nil {
+			phase := time.Duration(m.opt.Random() % uint64(m.opt.Heartbeat))
+			p = &peer{nextPing: now.Add(phase), heard: now}
+		}
+		p.record = r
+		next[r.Host] = p
+	}
+	for id, p := range m.peers {
+		if _, accepted := m.accepted[id]; next[id] == nil && !accepted {
+			out.Drop = append(out.Drop, p.record.Control)
+		}
+	}
+	sort.Strings(out.Drop)
+	m.peers = next
+}
+
+func (m *Machine) peerOrder() []model.HostID {
+	ids := make([]model.HostID, 0, len(m.peers))
+	for id := range m.peers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func (m *Machine) tickPeer(now time.Time, p *peer, out *Output) {
+	if !now.Before(p.nextPing) {
+		p.nextPing = now.Add(m.opt.Heartbeat)
+		out.Sends = append(out.Sends, Send{To: p.record.Host, Address: p.record.Control, Message: Message{Kind: Ping}})
+	}
+	switch {
+	case p.record.State != members.Alive:
+	case !p.probeUntil.IsZero() && now.After(p.probeUntil):
+		p.probeUntil = time.Time{}
+		r := p.record
+		r.State = members.Suspect
+		m.take(now, r, out)
+	case p.probeUntil.IsZero() && now.Sub(p.heard) > m.heartbeats(silenceHeartbeats):
+		p.probeUntil = now.Add(m.heartbeats(probeHeartbeats))
+		m.requestProbes(p, out)
+	}
+}
+
+// requestProbes asks other live hosts to ping the silent peer.
+func (m *Machine) requestProbes(p *peer, out *Output) {
+	var helpers []members.Record
+	for _, r := range m.Links() {
+		if r.Host != p.record.Host && r.State == members.Alive {
+			helpers = append(helpers, r)
+		}
+	}
+	for range min(indirectProbes, len(helpers)) {
+		i := int(m.opt.Random() % uint64(len(helpers)))
+		h := helpers[i]
+		helpers = append(helpers[:i], helpers[i+1:]...)
+		out.Sends = append(out.Sends, Send{To: h.Host, Address: h.Control, Message: Message{
+			Kind: ProbeRequest, Target: p.record.Host, TargetAddress: p.record.Control,
+		}})
+	}
+}
+
+// take merges a record and books what follows from a change.
+func (m *Machine) take(now time.Time, r members.Record, out *Output) {
+	old, known := m.table.Get(r.Host)
+	if !m.table.Merge(r) {
+		return
+	}
+	out.News = append(out.News, r)
+	delete(m.suspectSince, r.Host)
+	delete(m.deadSince, r.Host)
+	switch r.State {
+	case members.Suspect:
+		m.suspectSince[r.Host] = now
+	case members.Dead:
+		m.deadSince[r.Host] = now
+		delete(m.accepted, r.Host)
+	}
+	if known && (r.State == members.Dead || old.Incarnation != r.Incarnation) {
+		out.Drop = append(out.Drop, old.Control)
+	}
+	if p := m.peers[r.Host]; p != nil {
+		p.record = r
+	}
+}
+
+// expire ends suspicions, relays and accepted links that are over, and forgets hosts
+// long dead.
+func (m *Machine) expire(now time.Time, out *Output) {
+	for _, id := range overdue(m.suspectSince, now.Add(-m.heartbeats(suspicionHeartbeats))) {
+		r, _ := m.table.Get(id)
+		r.State = members.Dead
+		m.take(now, r, out)
+	}
+	for _, id := range overdue(m.deadSince, now.Add(-ForgetAfter)) {
+		m.table.Forget(id)
+		delete(m.deadSince, id)
+	}
+	for _, id := range overdue(m.accepted, now.Add(-m.heartbeats(silenceHeartbeats))) {
+		delete(m.accepted, id)
+	}
+	for nonce, r := range m.relays {
+		if now.After(r.expires) {
+			delete(m.relays, nonce)
+		}
+	}
+}
+
+// overdue returns the hosts dated before limit, in order of host.
+func overdue(dated map[model.HostID]time.Time, limit time.Time) []model.HostID {
+	var out []model.HostID
+	for id, at := range dated {
+		if at.Before(limit) {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
--- /dev/null
+++ b/internal/state/members/table.go
@@ -0,0 +1,98 @@
+package members
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Buckets is the number of parts a table's digest has.
+const Buckets = 64
+
+// Digest summarises a table: two tables differ in a bucket's live records when their
+// digests differ there. Records of dead hosts are left out.
+type Digest [Buckets]uint64
+
+// Table holds one record a host. It is not safe for concurrent use.
+type Table struct {
+	records map[model.HostID]Record
+	digest  Digest
+	version uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{records: map[model.HostID]Record{}} }
+
+// BucketOf returns the digest bucket of a host.
+func BucketOf(host model.HostID) int { return int(xxhash.Sum64String(string(host)) % Buckets) }
+
+// Merge takes a record and reports whether it replaced what the table held.
+func (t *Table) Merge(r Record) bool {
+	old, known := t.records[r.Host]
+	if known && !r.Supersedes(old) {
+		return false
+	}
+	t.toggle(old, known)
+	t.records[r.Host] = r
+	t.toggle(r, true)
+	t.version++
+	return true
+}
+
+// Forget removes a host.
+func (t *Table) Forget(host model.HostID) {
+	old, known := t.records[host]
+	if !known {
+		return
+	}
+	t.toggle(old, true)
+	delete(t.records, host)
+	t.version++
+}
+
+func (t *Table) toggle(r Record, known bool) {
+	if known && r.State != Dead {
+		t.digest[BucketOf(r.Host)] ^= r.Hash()
+	}
+}
+
+// Get returns a host's record.
+func (t *Table) Get(host model.HostID) (Record, bool) {
+	r, ok := t.records[host]
+	return r, ok
+}
+
+// Len returns the number of records, dead hosts included.
+func (t *Table) Len() int { return len(t.records) }
+
+// Version grows with every change.
+func (t *Table) Version() uint64 { return t.version }
+
+// Digest returns the table's digest.
+func (t *Table) Digest() Digest { return t.digest }
+
+// All returns every record in order of host.
+func (t *Table) All() []Record { return t.filter(func(Record) bool { return true }) }
+
+// Live returns the records of hosts that are not dead, in order of host.
+func (t *Table) Live() []Record {
+	return t.filter(func(r Record) bool { return r.State != Dead })
+}
+
+// Bucket returns the records of the marked buckets, dead hosts included.
+func (t *Table) Bucket(marked func(bucket int) bool) []Record {
+	return t.filter(func(r Record) bool { return marked(BucketOf(r.Host)) })
+}
+
+func (t *Table) filter(keep func(Record) bool) []Record {
+	out := make([]Record, 0, len(t.records))
+	for _, r := range t.records {
+		if keep(r) {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
--- /dev/null
+++ b/internal/transport/feed/feed_test.go
@@ -0,0 +1,57 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+func TestClientNeverTakesALowerGeneration(t *testing.T) {
+	c := NewClient(nil, "", slog.Default())
+	newer, older := &model.Config{}, &model.Config{}
+	c.accept(&model.FleetView{Generation: 7, Config: newer})
+	c.accept(&model.FleetView{Generation: 5, Config: older})
+	if v := c.View(); v.Generation != 7 || v.Config != newer {
+		t.Fatalf("generation %d in force after an older view", v.Generation)
+	}
+	c.accept(&model.FleetView{Generation: 0})
+	if v := c.View(); v.Generation != 7 || v.Config != newer {
+		t.Fatalf("generation %d in force after a view without configuration", v.Generation)
+	}
+}
+
+func TestFeedAnswersAtOnceOnlyWhenTheViewDiffers(t *testing.T) {
+	h := NewHub(9)
+	h.Publish(&model.FleetView{Generation: 3, Config: &model.Config{}})
+	first := h.answer(t.Context(), wire.FeedRequest{WaitMillis: 60_000})
+	if first.ControlIncarnation != 9 || first.View.Sequence != 1 || first.View.Config == nil {
+		t.Fatalf("first answer: %+v", first)
+	}
+	answers := make(chan wire.FeedReply, 1)
+	go func() {
+		answers <- h.answer(t.Context(), wire.FeedRequest{ControlIncarnation: 9, After: 1, Generation: 3, WaitMillis: 60_000})
+	}()
+	select {
+	case <-answers:
+		t.Fatal("answered without a change")
+	case <-time.After(20 * time.Millisecond):
+	}
+	h.Publish(&model.FleetView{Generation: 3, Config: &model.Config{}})
+	if second := <-answers; second.View.Sequence != 2 || second.View.Config != nil {
+		t.Fatalf("second answer: %+v", second)
+	}
+}
+
+func TestFeedAnswersAClientOfAnEarlierControlIncarnation(t *testing.T) {
+	h := NewHub(9)
+	h.Publish(&model.FleetView{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if r := h.answer(ctx, wire.FeedRequest{ControlIncarnation: 8, After: 1, WaitMillis: 60_000}); r.View.Sequence != 1 {
+		t.Fatalf("answer: %+v", r)
+	}
+}
--- a/internal/transport/quicmesh/mesh.go
+++ b/internal/transport/quicmesh/mesh.go
@@ -21,6 +21,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/transport/ring"
 )
 
 // Error is the class of this package's errors.
@@ -58,9 +59,10 @@
 	socket    net.PacketConn
 	transport *quic.Transport
 	listener  *quic.Listener
-	mu        sync.Mutex
-	conns     map[string]*quic.Conn
+	links     *links
 	handlers  map[wire.Method]Handler
+	mu        sync.Mutex
+	closed    bool
 	cancel    context.CancelFunc
 	ctx       context.Context
 	running   sync.WaitGroup
@@ -76,8 +78,8 @@
 	return &Mesh{
 		opt:       opt,
 		socket:    socket,
-		transport: &quic.Transport{Conn: socket},
-		conns:     map[string]*quic.Conn{},
+		transport: &quic.Transport{Conn: socket, StatelessResetKey: resetKey(opt.Client)},
+		links:     newLinks(socket.LocalAddr().String()),
 		handlers:  map[wire.Method]Handler{},
 		ctx:       ctx,
 		cancel:    cancel,
@@ -114,15 +116,14 @@
 
 // Close ends all connections and waits for the handlers.
 func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.cancel()
 	if m.listener != nil {
 		_ = m.listener.Close()
 	}
-	m.mu.Lock()
-	for _, c := range m.conns {
-		_ = c.CloseWithError(0, "closing")
-	}
-	m.mu.Unlock()
+	m.links.closeAll()
 	m.running.Wait()
 	_ = m.transport.Close()
 	_ = m.socket.Close()
@@ -135,18 +136,35 @@
 		if err != nil {
 			return
 		}
+		m.links.accepted(conn, time.Now())
 		m.serve(conn)
 	}
 }
 
 func (m *Mesh) serve(conn *quic.Conn) {
-	m.running.Add(2)
+	out := m.links.track(conn)
+	m.running.Add(3)
+	go m.sendDatagrams(conn, out)
 	go m.serveStreams(conn)
 	go m.serveDatagrams(conn)
 }
 
+func (m *Mesh) sendDatagrams(conn *quic.Conn, out *ring.Ring[[]byte]) {
+	defer m.running.Done()
+	for {
+		b, err := out.Pop(conn.Context())
+		if err != nil {
+			return
+		}
+		if err := conn.SendDatagram(b); err != nil {
+			m.opt.Log.Debug("Datagram not sent.", "err", err)
+		}
+	}
+}
+
 func (m *Mesh) serveStreams(conn *quic.Conn) {
 	defer m.running.Done()
+	defer m.links.untrack(conn)
 	for {
 		stream, err := conn.AcceptStream(m.ctx)
 		if err != nil {
@@ -274,72 +292,3 @@
 	}
 	return &resultcode.Error{Code: f.Code, Detail: f.Detail}
 }
-
-// Send sends a datagram to the process at address over the present connection,
-// dialling when there is none. It may be lost.
-func (m *Mesh) Send(ctx context.Context, address string, b []byte) error {
-	if m.cut(address) {
-		return nil
-	}
-	conn, err := m.connection(ctx, address)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(conn.SendDatagram(b))
-}
-
-// Drop closes the connection to address, if there is one.
-func (m *Mesh) Drop(address string) {
-	m.mu.Lock()
-	conn := m.conns[address]
-	delete(m.conns, address)
-	m.mu.Unlock()
-	if conn != nil {
-		_ = conn.CloseWithError(0, "dropped")
-	}
-}
-
-func (m *Mesh) open(ctx context.Context, address string) (*quic.Stream, error) {
-	conn, err := m.connection(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return conn.OpenStreamSync(ctx)
-}
-
-func (m *Mesh) connection(ctx context.Context, address string) (*quic.Conn, error) {
-	m.mu.Lock()
-	conn := m.conns[address]
-	m.mu.Unlock()
-	if conn != nil && conn.Context().Err() == nil {
-		return conn, nil
-	}
-	addr, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, err
-	}
-	fresh, err := m.transport.Dial(ctx, addr, m.opt.Client, quicConfig())
-	if err != nil {
-		return nil, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if other := m.conns[address]; other != nil && other.Context().Err() == nil {
-		_ = fresh.CloseWithError(0, "duplicate")
-		return other, nil
-	}
-	if m.ctx.Err() != nil {
-		_ = fresh.CloseWithError(0, "closing")
-		return nil, m.ctx.Err()
-	}
-	m.conns[address] = fresh
-	m.serve(fresh)
-	return fresh, nil
-}
-
-func (m *Mesh) forget(address string, err error) {
-	var idle *quic.IdleTimeoutError
-	if errors.As(err, &idle) {
-		m.Drop(address)
-	}
-}
--- a/internal/transport/quicmesh/mesh_test.go
+++ b/internal/transport/quicmesh/mesh_test.go
@@ -94,3 +94,52 @@
 		t.Fatalf("call to nobody: %v", err)
 	}
 }
+
+func TestOneConnectionServesBothDirections(t *testing.T) {
+	dir := devKeys(t)
+	echo := func(_ context.Context, _ string, b []byte) (any, error) { return "ok", nil }
+	a, b := startMesh(t, dir, echo), startMesh(t, dir, echo)
+	var reply string
+	if err := a.Call(t.Context(), b.Address(), testMethod, "x", &reply); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Call(t.Context(), a.Address(), testMethod, "x", &reply); err != nil {
+		t.Fatal(err)
+	}
+	if n := a.Traffic().Connections; n != 1 {
+		t.Fatalf("%d connections between two processes", n)
+	}
+}
+
+func TestRestartedPeerIsReachedAgain(t *testing.T) {
+	dir := devKeys(t)
+	echo := func(_ context.Context, _ string, b []byte) (any, error) { return "ok", nil }
+	a, b := startMesh(t, dir, echo), startMesh(t, dir, echo)
+	var reply string
+	if err := a.Call(t.Context(), b.Address(), testMethod, "x", &reply); err != nil {
+		t.Fatal(err)
+	}
+	address := b.Address()
+	// The socket goes without a word, as in a crash.
+	_ = b.socket.Close()
+	b.Close()
+	again, err := New(Options{Listen: address, Server: b.opt.Server, Client: b.opt.Client, Log: slog.Default()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Handle(testMethod, echo)
+	if err := again.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(again.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), idleTimeout/2)
+	defer cancel()
+	for err = errors.New("not tried"); err != nil && ctx.Err() == nil; {
+		attempt, done := context.WithTimeout(ctx, time.Second)
+		err = a.Call(attempt, address, testMethod, "x", &reply)
+		done()
+	}
+	if err != nil {
+		t.Fatalf("the restarted peer is not reached before the idle timeout: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/transport/quicmesh/send.go
@@ -0,0 +1,118 @@
+package quicmesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// ErrNotConnected: there is no connection to the address yet.
+var ErrNotConnected = errors.New("not connected")
+
+// Send sends a datagram to the process at address over the present connection,
+// dialling when there is none. It may be lost.
+func (m *Mesh) Send(ctx context.Context, address string, b []byte) error {
+	if m.cut(address) {
+		return nil
+	}
+	conn, err := m.connection(ctx, address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(conn.SendDatagram(b))
+}
+
+// TrySend is Send over a present connection only: without one it returns
+// ErrNotConnected at once. A connection that does not keep up drops the oldest
+// datagrams. The mesh owns b from then on.
+func (m *Mesh) TrySend(address string, b []byte) error {
+	if m.cut(address) {
+		return nil
+	}
+	out := m.links.outgoing(address)
+	if out == nil {
+		return Error.Wrap(ErrNotConnected)
+	}
+	return Error.Wrap(out.Push(m.ctx, b))
+}
+
+// Drop closes the connection to address, if there is one.
+func (m *Mesh) Drop(address string) {
+	if conn := m.links.remove(address); conn != nil {
+		_ = conn.CloseWithError(0, "dropped")
+	}
+}
+
+// Traffic returns the mesh's traffic since it started.
+func (m *Mesh) Traffic() Traffic { return m.links.traffic() }
+
+func (m *Mesh) open(ctx context.Context, address string) (*quic.Stream, error) {
+	conn, err := m.connection(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn.OpenStreamSync(ctx)
+}
+
+// connection returns the live connection to address or waits for a dial. Callers
+// that come while a dial runs share it.
+func (m *Mesh) connection(ctx context.Context, address string) (*quic.Conn, error) {
+	conn, d, first := m.links.liveOrDial(address)
+	if conn != nil {
+		return conn, nil
+	}
+	if first && !m.startDial(address, d) {
+		return nil, context.Canceled
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (m *Mesh) startDial(address string, d *dial) bool {
+	if !m.begin() {
+		m.links.dialled(address, d, nil, context.Canceled, time.Now())
+		return false
+	}
+	go func() {
+		defer m.running.Done()
+		conn, err := m.dial(address)
+		if err == nil {
+			m.serve(conn)
+		}
+		m.links.dialled(address, d, conn, err, time.Now())
+	}()
+	return true
+}
+
+// begin counts one more running goroutine unless the mesh is closed.
+func (m *Mesh) begin() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.running.Add(1)
+	return true
+}
+
+func (m *Mesh) dial(address string) (*quic.Conn, error) {
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	return m.transport.Dial(m.ctx, addr, m.opt.Client, quicConfig())
+}
+
+func (m *Mesh) forget(address string, err error) {
+	var idle *quic.IdleTimeoutError
+	if errors.As(err, &idle) {
+		m.Drop(address)
+	}
+}
