--- a/internal/coordination/drains/drains.go
+++ b/internal/coordination/drains/drains.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// Incarnations tells the highest known incarnation of an endpoint, 0 for unknown.
-type Incarnations func(model.EndpointID) model.Incarnation
+// Incarnations tells the highest known incarnation of a target, 0 for unknown.
+type Incarnations func(Target) model.Incarnation
 
 // InForce returns the drains in force among the items, in their order, one a target:
 // the oldest evidence of each.
@@ -87,10 +87,7 @@
 	if d.Cancelled {
 		return false
 	}
-	if d.Endpoint == "" || d.Incarnation == 0 {
-		return true
-	}
-	return known(d.Endpoint) <= d.Incarnation
+	return d.Incarnation == 0 || known(Target{d.Endpoint, d.Host}) <= d.Incarnation
 }
 
 // Bind returns, for evidence without an incarnation, the same evidence for the
@@ -98,11 +95,12 @@
 func Bind(list []items.Item, known Incarnations) []items.Item {
 	var out []items.Item
 	for _, i := range list {
-		if i.Drain == nil || i.Drain.Endpoint == "" || i.Drain.Incarnation != 0 || i.Drain.Source == model.DrainFromOperator {
+		if i.Drain == nil || i.Drain.Incarnation != 0 || i.Drain.Source == model.DrainFromOperator {
 			continue
 		}
-		if inc := known(i.Drain.Endpoint); inc != 0 {
-			bound := Evidence(Target{Endpoint: i.Drain.Endpoint}, inc, i.Drain.Source)
+		t := Target{i.Drain.Endpoint, i.Drain.Host}
+		if inc := known(t); inc != 0 {
+			bound := Evidence(t, inc, i.Drain.Source)
 			bound.AgeMillis = i.AgeMillis
 			out = append(out, bound)
 		}
--- a/internal/coordination/membership/choose.go
+++ b/internal/coordination/membership/choose.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,14 +17,27 @@
 		host  model.HostID
 		score uint64
 	}
-	list := make([]ranked, 0, len(hosts))
+	best := make([]ranked, 0, n+1)
 	for _, h := range hosts {
-		list = append(list, ranked{h, xxhash.Sum64String(key + "\x00" + string(h))})
+		r := ranked{h, rendezvous(key, h)}
+		at := sort.Search(len(best), func(i int) bool { return best[i].score < r.score })
+		if at == n {
+			continue
+		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(n, len(best))]
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
-	out := make([]model.HostID, 0, n)
-	for _, r := range list[:min(n, len(list))] {
+	out := make([]model.HostID, 0, len(best))
+	for _, r := range best {
 		out = append(out, r.host)
 	}
 	return out
 }
+
+func rendezvous(key string, h model.HostID) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(h))
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/scale/main.go
@@ -0,0 +1,71 @@
+// Command scale starts fleets of real oleander-control processes with one stand-in of
+// the platform on loopback and prints what a host costs at each size, with the slopes
+// extrapolated to the size aimed at.
+//
+// Invariant: it ends only the processes that it started.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+type flags struct {
+	Sizes     []int         `default:"8,32,64,128" help:"Numbers of hosts."`
+	Bin       string        `default:"bin" help:"Folder of the programs."`
+	Port      int           `default:"20000" help:"First port used."`
+	Settle    time.Duration `default:"12s" help:"Time between the start of a fleet and its measurement."`
+	Measure   time.Duration `default:"15s" help:"Length of the measurement at rest."`
+	Target    int           `default:"390" help:"Number of hosts to extrapolate to."`
+	Endpoints int           `default:"600" help:"Number of endpoints at the target size."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Description("Measures what a host's control program costs at several fleet sizes."))
+	if err := run(f); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(f flags) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	var results []result
+	for _, n := range f.Sizes {
+		r, err := measureFleet(f, n, stop)
+		if err != nil {
+			return fmt.Errorf("%d hosts: %w", n, err)
+		}
+		results = append(results, r)
+		printTable(os.Stderr, results[len(results)-1:])
+	}
+	printTable(os.Stdout, results)
+	printFit(os.Stdout, results, f.Target)
+	return nil
+}
+
+func measureFleet(f flags, n int, stop <-chan os.Signal) (result, error) {
+	fl, err := startFleet(f, n)
+	if err != nil {
+		return result{}, err
+	}
+	defer fl.stop()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-stop:
+			fl.stop()
+			os.Exit(1)
+		case <-done:
+		}
+	}()
+	return fl.measure(f)
+}
--- /dev/null
+++ b/internal/scale/table.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+var errLate = errors.New("did not happen in time")
+
+// column is one figure of the table.
+type column struct {
+	name   string
+	format string
+	value  func(result) float64
+}
+
+const mega = 1 << 20
+
+var columns = []column{
+	{"endpoints", "%.0f", func(r result) float64 { return float64(r.endpoints) }},
+	{"links", "%.1f", func(r result) float64 { return r.links }},
+	{"RSS mean, MB", "%.1f", func(r result) float64 { return r.rssMean / mega }},
+	{"RSS max, MB", "%.1f", func(r result) float64 { return r.rssMax / mega }},
+	{"CPU, % of a core", "%.2f", func(r result) float64 { return 100 * r.cpuShare }},
+	{"KB/s sent + received", "%.2f", func(r result) float64 { return r.bytesPerSecond / 1000 }},
+	{"packets/s sent + received", "%.1f", func(r result) float64 { return r.packetsPerSecond }},
+	{"object API calls/s, all hosts", "%.2f", func(r result) float64 { return r.objectCalls }},
+	{"all joined, s", "%.1f", func(r result) float64 { return r.joined.Seconds() }},
+	{"configuration everywhere, s", "%.2f", func(r result) float64 { return r.configuration.Seconds() }},
+	{"operator's drain everywhere, s", "%.2f", func(r result) float64 { return r.operatorDrain.Seconds() }},
+	{"endpoint's drain everywhere, s", "%.2f", func(r result) float64 { return r.endpointDrain.Seconds() }},
+	{"killed host dead everywhere, s", "%.1f", func(r result) float64 { return r.deathNoticed.Seconds() }},
+	{"false suspicions", "%.0f", func(r result) float64 { return r.falseSuspicions }},
+}
+
+func printTable(w io.Writer, results []result) {
+	fmt.Fprintf(w, "| hosts |")
+	for _, r := range results {
+		fmt.Fprintf(w, " %d |", r.hosts)
+	}
+	fmt.Fprintf(w, "\n| --- |")
+	for range results {
+		fmt.Fprintf(w, " --- |")
+	}
+	fmt.Fprintln(w)
+	for _, c := range columns {
+		fmt.Fprintf(w, "| %s |", c.name)
+		for _, r := range results {
+			fmt.Fprintf(w, " "+c.format+" |", c.value(r))
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "measured %s\n", time.Now().UTC().Format(time.RFC3339))
+}
+
+// fit returns the least-squares line through the points.
+func fit(x, y []float64) (base, slope float64) {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	d := n*sxx - sx*sx
+	if d == 0 {
+		return sy / n, 0
+	}
+	slope = (n*sxy - sx*sy) / d
+	return (sy - slope*sx) / n, slope
+}
+
+// printFit prints each figure's line over the number of hosts and over its logarithm.
+func printFit(w io.Writer, results []result, target int) {
+	if len(results) < 2 {
+		return
+	}
+	fmt.Fprintf(w, "\n| figure | base | slope a host | at %d hosts, linear | at %d hosts, by log2 |\n| --- | --- | --- | --- | --- |\n", target, target)
+	for _, c := range columns[1:] {
+		var x, lx, y []float64
+		for _, r := range results {
+			x = append(x, float64(r.hosts))
+			lx = append(lx, math.Log2(float64(r.hosts)))
+			y = append(y, c.value(r))
+		}
+		base, slope := fit(x, y)
+		logBase, logSlope := fit(lx, y)
+		fmt.Fprintf(w, "| %s | %.3f | %.5f | %.2f | %.2f |\n", c.name, base, slope, base+slope*float64(target), logBase+logSlope*math.Log2(float64(target)))
+	}
+}
--- /dev/null
+++ b/internal/transport/control/handlers.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/drains"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/items"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+)
+
+const reportTimeout = 2 * time.Second
+
+func (d *duty) register(mesh *quicmesh.Mesh) {
+	d.hub.Register(mesh, d.report)
+	mesh.Handle(wire.MethodStatus, func(context.Context, string, []byte) (any, error) { return d.status(), nil })
+	mesh.Handle(wire.MethodDrain, func(ctx context.Context, _ string, b []byte) (any, error) {
+		var r wire.DrainRequest
+		if err := wire.Decode(b, &r); err != nil {
+			return nil, resultcode.New(resultcode.BadRequest, "%v", err)
+		}
+		return wire.DrainReply{}, d.drains.Drain(ctx, r)
+	})
+}
+
+// status returns this program's account of itself and of its view.
+func (d *duty) status() wire.StatusReply {
+	reply := wire.StatusReply{Host: d.settings.Host.ID}
+	st := d.gossip.State()
+	reply.Hosts = hostGenerations(st.Generations)
+	if v := d.hub.View(); v != nil {
+		reply.View = *v
+		reply.View.Config = nil
+		reply.Endpoint = endpointStatus(st, v)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shards != nil {
+		reply.Shards = d.shards()
+	}
+	return reply
+}
+
+// report takes what a program of this host saw.
+func (d *duty) report(r wire.Report) error {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if err := d.gossip.Learn(ctx, reported(time.Now(), r)...); err != nil {
+		return err
+	}
+	return d.noteStopping(ctx, r.Program, r.Stopping)
+}
+
+// noteStopping makes the host leave while a data-path program of it stops.
+func (d *duty) noteStopping(ctx context.Context, program string, stopping bool) error {
+	d.mu.Lock()
+	was := len(d.stopping) > 0
+	if stopping {
+		d.stopping[program] = true
+	} else {
+		delete(d.stopping, program)
+	}
+	leaving := len(d.stopping) > 0
+	d.mu.Unlock()
+	if leaving == was {
+		return nil
+	}
+	return d.gossip.SetLeaving(ctx, leaving)
+}
+
+// reported returns the items that a report makes.
+func reported(now time.Time, r wire.Report) []items.Item {
+	var out []items.Item
+	for _, e := range r.Drains {
+		i := drains.Evidence(drains.Target{Endpoint: e.Endpoint, Host: e.Host}, e.Incarnation, e.Source)
+		i.AgeMillis = e.Age.Milliseconds()
+		out = append(out, i)
+	}
+	for _, q := range r.Quarantine {
+		out = append(out, quarantined(q))
+	}
+	if len(r.Demands) > 0 {
+		out = append(out, items.Item{
+			Kind:    items.Demand,
+			Key:     string(r.Host) + "/" + r.Program,
+			Version: uint64(now.UnixMilli()),
+			Demand:  largest(r.Demands),
+		})
+	}
+	return out
+}
+
+// quarantined returns the item of a quarantined fingerprint. More crashes, and then
+// a later end, replace what is known.
+func quarantined(q model.QuarantinedRequest) items.Item {
+	const crashShift = 32
+	end := uint64(q.Remaining / time.Second)
+	return items.Item{
+		Kind:    items.Quarantine,
+		Key:     quarantineKey(q.Fingerprint),
+		Version: uint64(q.Crashes)<<crashShift | min(end, 1<<crashShift-1),
+		Quarantine: &items.QuarantineFact{
+			Fingerprint: q.Fingerprint, Crashes: q.Crashes, RemainingMillis: q.Remaining.Milliseconds(),
+		},
+	}
+}
+
+// largest returns the greatest demands within the bound of one item.
+func largest(list []model.CallerDemand) []model.CallerDemand {
+	out := slices.Clone(list)
+	slices.SortStableFunc(out, func(a, b model.CallerDemand) int {
+		switch {
+		case a.PerSecond > b.PerSecond:
+			return -1
+		case a.PerSecond < b.PerSecond:
+			return 1
+		}
+		return 0
+	})
+	return out[:min(len(out), items.MaxDemandsPerHost)]
+}
--- /dev/null
+++ b/internal/transport/control/operatordrains.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/drains"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/items"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// drainPrefix is where the object API keeps the operators' drains.
+const drainPrefix = "drains/"
+
+// maxDrainTries bounds the attempts of operators who race for one target.
+const maxDrainTries = 4
+
+// storedDrain is an operator's drain in the object API. A cancelled one stays, so
+// that its version goes on growing.
+type storedDrain struct {
+	Endpoint    model.EndpointID  `json:"endpoint,omitempty"`
+	Host        model.HostID      `json:"host,omitempty"`
+	Incarnation model.Incarnation `json:"incarnation,omitempty"`
+	Cancelled   bool              `json:"cancelled,omitempty"`
+	Operator    string            `json:"operator"`
+	// UnixMillis is the clock of the host that took the order.
+	UnixMillis int64 `json:"unix_ms"`
+}
+
+func (s storedDrain) target() drains.Target { return drains.Target{Endpoint: s.Endpoint, Host: s.Host} }
+
+func (s storedDrain) item(version uint64, now time.Time) items.Item {
+	i := drains.Operator(s.target(), s.Incarnation, s.Cancelled, version)
+	i.AgeMillis = max(0, now.UnixMilli()-s.UnixMillis)
+	return i
+}
+
+// operatorDrains keeps the operators' drains in the object API and learns those kept.
+type operatorDrains struct {
+	api   objectapi.API
+	view  func() *model.FleetView
+	known func(drains.Target) model.Incarnation
+	learn func(context.Context, ...items.Item) error
+	log   *slog.Logger
+}
+
+// Drain stores an operator's order and spreads it.
+func (o *operatorDrains) Drain(ctx context.Context, r wire.DrainRequest) error {
+	if err := o.check(r); err != nil {
+		return err
+	}
+	s := storedDrain{Endpoint: r.Endpoint, Host: r.Host, Cancelled: r.Cancel, Operator: r.Operator, UnixMillis: time.Now().UnixMilli()}
+	if r.Endpoint != "" {
+		s.Incarnation = o.known(s.target())
+	}
+	version, err := o.store(ctx, s)
+	if err != nil {
+		return storageError(err)
+	}
+	o.log.Info("Operator's drain stored.", "endpoint", r.Endpoint, "host", r.Host, "cancel", r.Cancel, "operator", r.Operator)
+	return o.learn(ctx, s.item(version, time.Now()))
+}
+
+func (o *operatorDrains) check(r wire.DrainRequest) error {
+	if (r.Endpoint == "") == (r.Host == "") {
+		return resultcode.New(resultcode.BadRequest, "a drain names an endpoint or a host")
+	}
+	v := o.view()
+	if v == nil || v.Config == nil {
+		return nil
+	}
+	_, endpoint := v.Config.Endpoints[r.Endpoint]
+	_, host := v.Config.Hosts[r.Host]
+	if !endpoint && !host {
+		return resultcode.New(resultcode.NotFound, "the configuration has no endpoint %q and no host %q", r.Endpoint, r.Host)
+	}
+	return nil
+}
+
+func (o *operatorDrains) store(ctx context.Context, s storedDrain) (uint64, error) {
+	value, err := json.Marshal(s)
+	if err != nil {
+		return 0, err
+	}
+	key := drainPrefix + drains.OperatorKey(s.target())
+	for range maxDrainTries {
+		expect := uint64(0)
+		old, err := o.api.Get(ctx, key)
+		switch {
+		case err == nil:
+			expect = old.Version
+		case !errors.Is(err, objectapi.ErrNotFound):
+			// A read that failed leaves nothing written.
+			return 0, resultcode.New(resultcode.StorageOutage, "%v", err)
+		}
+		version, err := o.api.Put(ctx, key, value, expect)
+		if !errors.Is(err, objectapi.ErrConflict) {
+			return version, err
+		}
+	}
+	return 0, resultcode.New(resultcode.ConfigurationRaced, "other operators change the same drain")
+}
+
+func storageError(err error) error {
+	var coded *resultcode.Error
+	switch {
+	case errors.As(err, &coded):
+		return err
+	case objectapi.Unresolved(err):
+		return resultcode.New(resultcode.StorageUnknown, "%v", err)
+	}
+	return resultcode.New(resultcode.StorageOutage, "%v", err)
+}
+
+// Reset implements objectapi.Handler.
+func (o *operatorDrains) Reset(objects []objectapi.Object) {
+	for _, obj := range objects {
+		o.take(obj)
+	}
+}
+
+// Change implements objectapi.Handler.
+func (o *operatorDrains) Change(e objectapi.Event) {
+	if !e.Deleted {
+		o.take(e.Object)
+	}
+}
+
+func (o *operatorDrains) take(obj objectapi.Object) {
+	var s storedDrain
+	if err := json.Unmarshal(obj.Value, &s); err != nil {
+		o.log.Warn("Stored drain not readable.", "key", obj.Key, "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := o.learn(ctx, s.item(obj.Version, time.Now())); err != nil {
+		o.log.Warn("Stored drain not spread.", "key", obj.Key, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/transport/control/view.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/drains"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/items"
+	"oleanderfall.example/oleanderfall/internal/state/members"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/gossip"
+)
+
+// unknownHeartbeats is how long after its start a host takes the configuration's
+// hosts that it has not heard of as alive.
+const unknownHeartbeats = 15
+
+// sources is what a view is composed of.
+type sources struct {
+	generation model.Generation
+	config     *model.Config
+	state      *gossip.State
+	outageFor  time.Duration
+	// trustUnknown takes hosts that are not heard of yet as alive.
+	trustUnknown bool
+}
+
+// compose returns the fleet view that the sources show.
+func compose(s sources) *model.FleetView {
+	v := &model.FleetView{
+		Generation: s.generation,
+		Config:     s.config,
+		Members:    fleetMembers(s),
+		Drains:     drains.InForce(s.state.Drains, incarnations(s.state)),
+		Loads:      loads(s.state),
+		OutageFor:  s.outageFor,
+	}
+	for _, i := range s.state.Quarantine {
+		remaining := time.Duration(i.Quarantine.RemainingMillis-i.AgeMillis) * time.Millisecond
+		if remaining > 0 {
+			v.Quarantine = append(v.Quarantine, model.QuarantinedRequest{
+				Fingerprint: i.Quarantine.Fingerprint, Crashes: i.Quarantine.Crashes, Remaining: remaining,
+			})
+		}
+	}
+	for _, i := range s.state.Demands {
+		v.Demands = append(v.Demands, i.Demand...)
+	}
+	return v
+}
+
+// incarnations tells the highest known incarnation of an endpoint or a host.
+func incarnations(st *gossip.State) drains.Incarnations {
+	known := map[drains.Target]model.Incarnation{}
+	for _, i := range st.Loads {
+		known[drains.Target{Endpoint: model.EndpointID(i.Key)}] = i.Load.Incarnation
+	}
+	for _, r := range st.Records {
+		known[drains.Target{Host: r.Host}] = r.Incarnation
+	}
+	return func(t drains.Target) model.Incarnation { return known[t] }
+}
+
+func loads(st *gossip.State) []model.EndpointLoad {
+	out := make([]model.EndpointLoad, 0, len(st.Loads))
+	for _, i := range st.Loads {
+		if i.Load.Unreached {
+			continue
+		}
+		out = append(out, model.EndpointLoad{
+			Endpoint: model.EndpointID(i.Key),
+			Running:  i.Load.Running,
+			Queued:   i.Load.Queued,
+			Version:  i.Load.Version,
+			Age:      time.Duration(i.AgeMillis) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+// fleetMembers joins the configuration's hosts with what membership knows, in order
+// of host.
+func fleetMembers(s sources) []model.Member {
+	records := map[model.HostID]members.Record{}
+	for _, r := range s.state.Records {
+		records[r.Host] = r
+	}
+	var out []model.Member
+	if s.config != nil {
+		for id, h := range s.config.Hosts {
+			m := model.Member{Host: id, Zone: h.Zone, Control: h.Control, EntryMesh: h.EntryMesh, Entry: h.Entry, Rollout: h.Rollout}
+			r, known := records[id]
+			delete(records, id)
+			m.Incarnation, m.State = r.Incarnation, memberState(r, known, s.trustUnknown)
+			out = append(out, m)
+		}
+	}
+	for id, r := range records {
+		out = append(out, model.Member{Host: id, Zone: r.Zone, Control: r.Control, Incarnation: r.Incarnation, State: memberState(r, true, false)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	markDrained(out, s.state)
+	return out
+}
+
+func memberState(r members.Record, known, trustUnknown bool) model.HostState {
+	switch {
+	case !known && trustUnknown:
+		return model.HostAlive
+	case !known, r.State == members.Dead:
+		return model.HostDead
+	case r.Leaving:
+		return model.HostLeaving
+	case r.State == members.Suspect:
+		return model.HostSuspect
+	}
+	return model.HostAlive
+}
+
+// markDrained turns the live hosts with a drain in force into leaving ones.
+func markDrained(list []model.Member, st *gossip.State) {
+	drained := map[model.HostID]bool{}
+	for _, d := range drains.InForce(st.Drains, incarnations(st)) {
+		if d.Host != "" {
+			drained[d.Host] = true
+		}
+	}
+	for n := range list {
+		if drained[list[n].Host] && list[n].State != model.HostDead {
+			list[n].State = model.HostLeaving
+		}
+	}
+}
+
+// endpointStatus lists what the endpoints were last seen to be.
+func endpointStatus(st *gossip.State, v *model.FleetView) []wire.EndpointStatus {
+	leaving := map[model.EndpointID]bool{}
+	for _, d := range v.Drains {
+		leaving[d.Endpoint] = true
+	}
+	out := make([]wire.EndpointStatus, 0, len(st.Loads))
+	for _, i := range st.Loads {
+		id := model.EndpointID(i.Key)
+		out = append(out, wire.EndpointStatus{Endpoint: id, Version: i.Load.Version, Leaving: leaving[id], Reached: !i.Load.Unreached})
+	}
+	return out
+}
+
+// hostGenerations lists the generations that hosts said they have in force.
+func hostGenerations(list []items.Item) []wire.HostGeneration {
+	out := make([]wire.HostGeneration, 0, len(list))
+	for _, i := range list {
+		out = append(out, wire.HostGeneration{Host: model.HostID(i.Key), Generation: i.Generation})
+	}
+	return out
+}
--- a/internal/transport/gossip/duty.go
+++ b/internal/transport/gossip/duty.go
@@ -58,6 +58,7 @@
 	requests  *ring.Ring[event]
 	state     atomic.Pointer[State]
 	changed   chan struct{}
+	suspected atomic.Uint64
 
 	machine      *membership.Machine
 	store        *items.Store
@@ -108,6 +109,9 @@
 // Changed receives after the state changed; several changes may make one signal.
 func (d *Duty) Changed() <-chan struct{} { return d.changed }
 
+// Suspicions returns the number of suspicions of other hosts that were news here.
+func (d *Duty) Suspicions() uint64 { return d.suspected.Load() }
+
 // Learn takes items from this host's own duties and spreads what is news.
 func (d *Duty) Learn(ctx context.Context, list ...items.Item) error {
 	if len(list) == 0 {
@@ -281,6 +285,9 @@
 }
 
 func (d *Duty) logRecord(r members.Record) {
+	if r.State == members.Suspect {
+		d.suspected.Add(1)
+	}
 	if r.Host != d.opt.Self.Host && r.State != members.Alive {
 		d.opt.Log.Info("Host is not answering.", "host", r.Host, "dead", r.State == members.Dead)
 	}
