Add the operators' command line, burn report and deeper settings checks

Operators could only check a folder and make keys. The client now applies, compares, prints, drains and reports; its exit codes are result codes, and an apply whose answer is lost says how to repeat it safely. The burn report adds up sliding windows that package objective exports for each service.

Conclusion: a folder that is taken has one canonical form and one INI form.

--- a/internal/protocol/settings/bind.go
+++ b/internal/protocol/settings/bind.go
@@ -159,10 +159,14 @@
 
 // set parses text into a field and returns the reason when it cannot.
 func (b *binder) set(into reflect.Value, tag reflect.StructTag, text string) string {
+	if reason := checkPlain(text); reason != "" {
+		return reason
+	}
 	if choice := tag.Get("choice"); choice != "" && !contains(strings.Split(choice, ","), text) {
 		return fmt.Sprintf("%q is not one of %s", text, choice)
 	}
 	if ref := tag.Get("ref"); ref != "" && !contains(b.kinds[ref], text) {
+		into.SetString(text) // So that later checks do not also call the key empty.
 		return fmt.Sprintf("there is no section [%s.%s]", ref, text)
 	}
 	if tag.Get("kind") == "address" {
--- a/internal/protocol/settings/files.go
+++ b/internal/protocol/settings/files.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
 )
@@ -40,6 +41,9 @@
 	if p.Key != "" {
 		what += " " + p.Key
 	}
+	if what == "" {
+		return fmt.Sprintf("%s: %s", where, p.Reason)
+	}
 	return fmt.Sprintf("%s:%s: %s", where, what, p.Reason)
 }
 
@@ -130,13 +134,17 @@
 }
 
 func (m *merged) add(f File) {
+	if !utf8.Valid(f.Data) {
+		m.problems = append(m.problems, Problem{File: f.Name, Reason: "the file is not UTF-8 text"})
+		return
+	}
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		KeyValueDelimiters:      "=",
 		SkipUnrecognizableLines: false,
 		IgnoreInlineComment:     false,
 	}, f.Data)
 	if err != nil {
-		m.problems = append(m.problems, Problem{File: f.Name, Reason: "not readable as INI: " + err.Error()})
+		m.problems = append(m.problems, Problem{File: f.Name, Reason: "not readable as INI: " + strings.TrimSpace(err.Error())})
 		return
 	}
 	places := m.index(f)
--- /dev/null
+++ b/internal/protocol/settings/reference.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Reference returns the page of all settings in Markdown, made from the same table
+// that reads them.
+func Reference() string {
+	var out strings.Builder
+	out.WriteString(`# Settings
+
+This page is printed by ` + "`oleanderctl settings-reference`" + `; a test compares the two.
+
+Settings are folders of INI files, merged in the order of their names: a key in a
+later file replaces the same key of an earlier one. A duration is a number with its
+unit, such as 250ms, 5s or 2m. An unknown key is an error. A key without default is
+required unless it says optional.
+
+## Shared configuration
+
+The folder given to ` + "`oleanderctl apply`" + `, the same for all hosts.
+
+`)
+	referenceOf(&out, reflect.TypeFor[model.Config]())
+	out.WriteString(`## A host's own settings
+
+The folder given to the programs of one host.
+
+`)
+	referenceOf(&out, reflect.TypeFor[Process]())
+	return strings.TrimRight(out.String(), "\n") + "\n"
+}
+
+func referenceOf(out *strings.Builder, root reflect.Type) {
+	for i := range root.NumField() {
+		f := root.Field(i)
+		kind, item := f.Tag.Get("section"), f.Type
+		if item.Kind() == reflect.Map {
+			kind, item = kind+".NAME", item.Elem()
+		}
+		fmt.Fprintf(out, "### [%s]\n\n| key | value | default | meaning |\n| --- | --- | --- | --- |\n", kind)
+		for j := range item.NumField() {
+			if key := item.Field(j).Tag.Get("ini"); key != "" {
+				tag := item.Field(j).Tag
+				fmt.Fprintf(out, "| `%s` | %s | %s | %s |\n", key, form(item.Field(j)), standard(tag), tag.Get("help"))
+			}
+		}
+		out.WriteString("\n")
+	}
+}
+
+// form tells what a key's value may be.
+func form(f reflect.StructField) string {
+	switch {
+	case f.Tag.Get("choice") != "":
+		return strings.ReplaceAll(f.Tag.Get("choice"), ",", ", ")
+	case f.Tag.Get("ref") != "":
+		return "name of a [" + f.Tag.Get("ref") + "]"
+	case f.Tag.Get("kind") == "address":
+		return "host:port"
+	case f.Tag.Get("range") != "":
+		return allowed(f.Tag)
+	}
+	switch f.Type.Kind() {
+	case reflect.Bool:
+		return "true, false"
+	case reflect.Slice:
+		return "list"
+	}
+	return "text"
+}
+
+func standard(tag reflect.StructTag) string {
+	if def, ok := tag.Lookup("default"); ok {
+		return "`" + def + "`"
+	}
+	if tag.Get("optional") != "" {
+		return "optional"
+	}
+	return "required"
+}
--- a/internal/protocol/settings/settings_test.go
+++ b/internal/protocol/settings/settings_test.go
@@ -66,6 +66,12 @@
 		if err != nil {
 			return
 		}
+		if ps := CheckConfig(c); len(ps) > 0 {
+			t.Fatalf("a folder that was taken is refused as a change: %v", ps)
+		}
+		if again, err := ParseConfig([]File{{Name: "f.ini", Data: FormatINI(c)}}); err != nil || len(Diff(c, again)) > 0 {
+			t.Fatalf("the INI form reads back differently: %v", err)
+		}
 		once, err := EncodeConfig(c)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/protocol/settings/values.go
+++ b/internal/protocol/settings/values.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
@@ -73,6 +75,8 @@
 		return ""
 	}
 	switch v.Kind() {
+	case reflect.Slice:
+		return checkPlain(formatValue(v))
 	case reflect.String:
 		return checkText(v.String(), tag, names)
 	case reflect.Int:
@@ -90,6 +94,9 @@
 		}
 		return ""
 	}
+	if reason := checkPlain(text); reason != "" {
+		return reason
+	}
 	if choice := tag.Get("choice"); choice != "" && !contains(strings.Split(choice, ","), text) {
 		return fmt.Sprintf("%q is not one of %s", text, choice)
 	}
@@ -102,6 +109,17 @@
 	return ""
 }
 
+// checkPlain wants text that stands for itself in an INI file.
+func checkPlain(text string) string {
+	const special = "\"'`#;\\"
+	for _, c := range text {
+		if !unicode.IsPrint(c) || c == utf8.RuneError || strings.ContainsRune(special, c) {
+			return fmt.Sprintf("%q has a character that a value may not have: a quote, #, ; or \\, or one that does not print", text)
+		}
+	}
+	return ""
+}
+
 // checkAddress wants host:port with a port number.
 func checkAddress(text string) string {
 	const maxPort = 65535
--- /dev/null
+++ b/internal/transport/ctl/apply.go
@@ -0,0 +1,198 @@
+package ctl
+
+import (
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// waitInterval separates two looks at who has a generation in force.
+const waitInterval = 250 * time.Millisecond
+
+type checkCommand struct {
+	Folder  string `arg:"" help:"Folder of INI files." type:"existingdir"`
+	Process bool   `help:"The folder holds one host's own settings."`
+}
+
+// Run checks the folder.
+func (c *checkCommand) Run(e *env) error {
+	var err error
+	if c.Process {
+		_, err = settings.LoadProcess(c.Folder)
+	} else {
+		_, err = settings.LoadConfig(c.Folder)
+	}
+	if err != nil {
+		return badFolder(err)
+	}
+	return e.print(struct {
+		OK bool `json:"ok"`
+	}{true}, func(w io.Writer) { fmt.Fprintln(w, "ok") })
+}
+
+func badFolder(err error) error {
+	return resultcode.New(resultcode.BadConfiguration, "the folder has errors:\n%s", err)
+}
+
+type applyCommand struct {
+	Folder    string  `arg:"" help:"Folder of INI files: the whole shared configuration." type:"existingdir"`
+	Base      *uint64 `help:"Generation the folder was made from; a later one in force is a conflict. Default: the one in force now."`
+	Note      string  `help:"What the change is for, for the history."`
+	Operator  string  `help:"Your name for the history; default: that of your certificate." env:"OLEANDER_OPERATOR"`
+	RequestID string  `help:"Repeats an earlier apply whose result is unknown; that one prints its id."`
+	Wait      bool    `help:"Wait until every host has the generation in force."`
+}
+
+// applied is apply's result as JSON.
+type applied struct {
+	Generation model.Generation `json:"generation"`
+	RequestID  string           `json:"request_id"`
+	// Hosts have the generation in force; it is counted with --wait.
+	Hosts int `json:"hosts,omitempty"`
+}
+
+// Run applies the folder.
+func (c *applyCommand) Run(e *env) error {
+	config, err := settings.LoadConfig(c.Folder)
+	if err != nil {
+		return badFolder(err)
+	}
+	request, err := c.request(e, config)
+	if err != nil {
+		return err
+	}
+	conn, err := e.connect()
+	if err != nil {
+		return err
+	}
+	defer conn.close()
+	if c.Base == nil {
+		if request.Base, err = currentGeneration(e, conn); err != nil {
+			return err
+		}
+	}
+	var reply wire.ApplyReply
+	if err := conn.call(e.ctx, wire.MethodApply, request, &reply); err != nil {
+		return withRequestID(err, request)
+	}
+	result := applied{Generation: reply.Generation, RequestID: request.RequestID}
+	if c.Wait {
+		if result.Hosts, err = waitInForce(e, conn, reply.Generation); err != nil {
+			return err
+		}
+	}
+	return e.print(result, func(w io.Writer) {
+		fmt.Fprintf(w, "generation %d accepted\n", result.Generation)
+		if c.Wait {
+			fmt.Fprintf(w, "in force on all %d hosts\n", result.Hosts)
+		}
+	})
+}
+
+func (c *applyCommand) request(e *env, config *model.Config) (wire.ApplyRequest, error) {
+	canonical, err := settings.EncodeConfig(config)
+	if err != nil {
+		return wire.ApplyRequest{}, err
+	}
+	r := wire.ApplyRequest{Config: canonical, Operator: c.Operator, Note: c.Note, RequestID: c.RequestID}
+	if c.Base != nil {
+		r.Base = model.Generation(*c.Base)
+	}
+	if r.Operator == "" {
+		r.Operator = certificateName(e.Certificate)
+	}
+	if r.RequestID == "" {
+		r.RequestID = rand.Text()
+	}
+	return r, nil
+}
+
+// withRequestID tells how an apply with an open result is repeated safely.
+func withRequestID(err error, r wire.ApplyRequest) error {
+	var coded *resultcode.Error
+	if errors.As(err, &coded) && coded.Code.Info().Outcome == resultcode.Unknown {
+		return resultcode.New(coded.Code, "%s\nrepeat it safely with --base %d --request-id %s", coded.Detail, r.Base, r.RequestID)
+	}
+	return err
+}
+
+// certificateName is the common name of a certificate, or "operator".
+func certificateName(file string) string {
+	const unknown = "operator"
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return unknown
+	}
+	block, _ := pem.Decode(text)
+	if block == nil {
+		return unknown
+	}
+	cert, err := x509.ParseCertificate(block.Bytes)
+	if err != nil || cert.Subject.CommonName == "" {
+		return unknown
+	}
+	return cert.Subject.CommonName
+}
+
+// currentGeneration is the newest accepted generation, 0 before the first.
+func currentGeneration(e *env, conn *connection) (model.Generation, error) {
+	var reply wire.ConfigReply
+	if err := conn.call(e.ctx, wire.MethodConfig, wire.ConfigRequest{List: true}, &reply); err != nil {
+		return 0, err
+	}
+	g := reply.Generation
+	if len(reply.History) > 0 {
+		g = max(g, reply.History[0].Generation)
+	}
+	return g, nil
+}
+
+// waitInForce waits until every live host has generation g or a later one.
+func waitInForce(e *env, conn *connection, g model.Generation) (int, error) {
+	for {
+		var status wire.StatusReply
+		err := conn.call(e.ctx, wire.MethodStatus, wire.StatusRequest{}, &status)
+		if err == nil {
+			if behind, hosts := hostsBehind(status, g); len(behind) == 0 {
+				return hosts, nil
+			}
+		}
+		select {
+		case <-e.ctx.Done():
+			behind, _ := hostsBehind(status, g)
+			return 0, resultcode.New(resultcode.DeadlineExceeded, "generation %d was accepted; not yet seen in force on: %v", g, behind)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+// hostsBehind lists the live hosts that are not known to have generation g, and
+// counts all live hosts.
+func hostsBehind(s wire.StatusReply, g model.Generation) (behind []model.HostID, hosts int) {
+	known := map[model.HostID]model.Generation{s.Host: s.View.Generation}
+	for _, h := range s.Hosts {
+		known[h.Host] = max(known[h.Host], h.Generation)
+	}
+	live := map[model.HostID]bool{s.Host: true}
+	for _, m := range s.View.Members {
+		if m.State != model.HostDead {
+			live[m.Host] = true
+		}
+	}
+	for h := range live {
+		if known[h] < g {
+			behind = append(behind, h)
+		}
+	}
+	return behind, len(live)
+}
--- a/internal/transport/ctl/ctl.go
+++ b/internal/transport/ctl/ctl.go
@@ -5,72 +5,113 @@
 package ctl
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
-	"oleanderfall.example/oleanderfall/internal/protocol/settings"
-	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
 )
 
+const description = `Operates an oleanderfall installation.
+
+A command that talks to the installation needs --control and the three key files;
+each flag can also be set by the variable in its help. The exit code is the number
+of the result; docs/RESULT-CODES.md lists them.`
+
 type commands struct {
-	Check checkCommand `cmd:"" help:"Check a folder of shared configuration; nothing is sent."`
-	Keys  keysCommand  `cmd:"" help:"Make a development set of keys."`
+	globals
+
+	Check             checkCommand     `cmd:"" help:"Check a folder of settings; nothing is sent."`
+	Apply             applyCommand     `cmd:"" help:"Make a folder the next generation of the shared configuration."`
+	Diff              diffCommand      `cmd:"" help:"Show what applying a folder would change."`
+	Get               getCommand       `cmd:"" help:"Print a generation of the shared configuration."`
+	History           historyCommand   `cmd:"" help:"List the accepted changes, the newest first."`
+	Status            statusCommand    `cmd:"" help:"Show hosts, generations, shards and endpoints."`
+	Drain             drainCommand     `cmd:"" help:"Give an endpoint or a host no new work."`
+	Undrain           undrainCommand   `cmd:"" help:"End an operator's drain."`
+	Report            reportCommands   `cmd:"" help:"Reports over the programs' metrics."`
+	Keys              keysCommand      `cmd:"" help:"Make a development set of keys."`
+	SettingsReference referenceCommand `cmd:"" help:"Print the page of all settings in Markdown."`
 }
 
-// env is what the commands write to.
-type env struct {
-	out io.Writer
+type globals struct {
+	Control     []string      `help:"Control program, HOST:PORT; repeat it to name others to try." placeholder:"ADDRESS" env:"OLEANDER_CONTROL"`
+	Authority   string        `help:"PEM file of the authority of the installation's keys." placeholder:"FILE" env:"OLEANDER_AUTHORITY"`
+	Certificate string        `help:"PEM file of your certificate." placeholder:"FILE" env:"OLEANDER_CERTIFICATE"`
+	Key         string        `help:"PEM file of your private key." placeholder:"FILE" env:"OLEANDER_KEY"`
+	Output      string        `help:"Form of the output: ${enum}." enum:"text,json" default:"text"`
+	Timeout     time.Duration `help:"Longest time for the whole command." default:"30s"`
 }
 
-type checkCommand struct {
-	Folder string `arg:"" help:"Folder of INI files." type:"existingdir"`
+// env is what a command works with.
+type env struct {
+	*globals
+	ctx context.Context
+	out io.Writer
 }
 
-// Run checks the folder.
-func (c *checkCommand) Run(e *env) error {
-	if _, err := settings.LoadConfig(c.Folder); err != nil {
-		return resultcode.New(resultcode.BadConfiguration, "the folder has errors:\n%s", err)
+// print writes v as JSON, or calls text for people.
+func (e *env) print(v any, text func(io.Writer)) error {
+	if e.Output == "json" {
+		enc := json.NewEncoder(e.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
 	}
-	fmt.Fprintln(e.out, "ok")
+	text(e.out)
 	return nil
 }
 
-type keysCommand struct {
-	Dir   string   `arg:"" help:"Folder to write to."`
-	Names []string `arg:"" help:"Names of the hosts and operators."`
-}
-
-// Run writes the keys.
-func (c *keysCommand) Run(*env) error { return tlsconf.WriteDevelopmentKeys(c.Dir, c.Names...) }
-
 // Main runs one command and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var c commands
-	parser, err := kong.New(&c, kong.Name("oleanderctl"), kong.Description("Operates an oleanderfall installation."), kong.UsageOnError(), kong.Writers(out, errOut))
+	exited, code := false, 0
+	parser, err := kong.New(&c,
+		kong.Name("oleanderctl"),
+		kong.Description(description),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(n int) { exited, code = true, n }),
+		kong.Writers(out, errOut))
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return int(resultcode.Internal)
 	}
 	parsed, err := parser.Parse(args)
+	if exited {
+		return code
+	}
 	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return int(resultcode.BadRequest)
+		return exitCode(resultcode.New(resultcode.BadRequest, "%v; see oleanderctl --help", err), c.Output, errOut)
 	}
-	return exitCode(parsed.Run(&env{out: out}), errOut)
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	return exitCode(parsed.Run(&env{globals: &c.globals, ctx: ctx, out: out}), c.Output, errOut)
+}
+
+// failure is an error as JSON.
+type failure struct {
+	Code    resultcode.Code    `json:"code"`
+	Name    string             `json:"name"`
+	Outcome resultcode.Outcome `json:"outcome"`
+	Detail  string             `json:"detail"`
 }
 
-func exitCode(err error, errOut io.Writer) int {
+// exitCode reports err and returns the number of its result.
+func exitCode(err error, output string, errOut io.Writer) int {
 	if err == nil {
 		return int(resultcode.OK)
 	}
-	fmt.Fprintln(errOut, err)
-	var coded *resultcode.Error
-	if errors.As(err, &coded) {
+	coded := &resultcode.Error{Code: resultcode.Internal, Detail: err.Error()}
+	_ = errors.As(err, &coded)
+	info := coded.Code.Info()
+	if output == "json" {
+		_ = json.NewEncoder(errOut).Encode(failure{Code: coded.Code, Name: info.Name, Outcome: info.Outcome, Detail: coded.Detail})
 		return int(coded.Code)
 	}
-	return int(resultcode.Internal)
+	fmt.Fprintf(errOut, "oleanderctl: %s\n%s (result %s, outcome: %s)\n", coded.Detail, info.Help, coded.Code, info.Outcome)
+	return int(coded.Code)
 }
--- /dev/null
+++ b/internal/transport/ctl/report.go
@@ -0,0 +1,143 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/burn"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/burnwindow"
+)
+
+type reportCommands struct {
+	Burn burnCommand `cmd:"" help:"Show how fast each service spends the errors its objective allows."`
+}
+
+type burnCommand struct {
+	Admin   []string      `required:"" help:"Admin address of an entry program, HOST:PORT; repeat it for each host." placeholder:"ADDRESS"`
+	Between time.Duration `help:"Also watch for this long and report on the time between."`
+	Picture string        `help:"Write the report as a PNG picture too." placeholder:"FILE"`
+}
+
+// burnReport is the report as JSON.
+type burnReport struct {
+	Services []serviceBurn `json:"services"`
+	// Missing names the admin addresses that did not answer; the report is partial then.
+	Missing []string `json:"missing,omitempty"`
+}
+
+type serviceBurn struct {
+	Service   string       `json:"service"`
+	Objective float64      `json:"objective"`
+	Urgency   burn.Urgency `json:"urgency"`
+	Windows   []windowBurn `json:"windows"`
+}
+
+type windowBurn struct {
+	Window string  `json:"window"`
+	Good   uint64  `json:"good"`
+	Bad    uint64  `json:"bad"`
+	Burn   float64 `json:"burn"`
+}
+
+// Run scrapes the programs and prints the report.
+func (c *burnCommand) Run(e *env) error {
+	scraped, missing := scrapeAll(e.ctx, c.Admin)
+	if len(missing) == len(c.Admin) {
+		return resultcode.New(resultcode.Unreachable, "no program answers at %s", strings.Join(missing, ", "))
+	}
+	var later map[string]*serviceCounts
+	if c.Between > 0 {
+		var err error
+		if later, err = scrapeLater(e.ctx, c.Between, without(c.Admin, missing)); err != nil {
+			return err
+		}
+	}
+	report := burnReport{Services: rate(scraped, later, c.Between), Missing: missing}
+	if c.Picture != "" {
+		if err := drawBurn(c.Picture, report); err != nil {
+			return resultcode.New(resultcode.BadRequest, "the picture cannot be written: %v", err)
+		}
+	}
+	return e.print(report, func(w io.Writer) { printBurn(w, report) })
+}
+
+func without(list, removed []string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return slices.Contains(removed, s) })
+}
+
+// scrapeLater scrapes the same programs once more after a while.
+func scrapeLater(ctx context.Context, after time.Duration, addresses []string) (map[string]*serviceCounts, error) {
+	select {
+	case <-time.After(after):
+	case <-ctx.Done():
+		return nil, resultcode.New(resultcode.DeadlineExceeded, "--between is longer than --timeout")
+	}
+	later, missing := scrapeAll(ctx, addresses)
+	if len(missing) > 0 {
+		return nil, resultcode.New(resultcode.Unreachable, "%s did not answer the second time", strings.Join(missing, ", "))
+	}
+	return later, nil
+}
+
+// rate turns counts into rates. later, when given, adds a window between the two.
+func rate(now, later map[string]*serviceCounts, between time.Duration) []serviceBurn {
+	var out []serviceBurn
+	for name, counts := range now {
+		s := serviceBurn{Service: name, Objective: counts.objective}
+		rates := map[time.Duration]float64{}
+		for _, span := range burn.Windows {
+			w := windowOf(span.String(), counts.windows[span.String()], counts.objective)
+			rates[span] = w.Burn
+			s.Windows = append(s.Windows, w)
+		}
+		if end := later[name]; end != nil {
+			delta, ok := difference(counts.total, end.total)
+			if ok {
+				s.Windows = append(s.Windows, windowOf("watched "+between.String(), delta, counts.objective))
+			}
+		}
+		s.Urgency = burn.Judge(rates)
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b serviceBurn) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
+
+// difference is what was counted between two scrapes; a restarted program's counts
+// begin anew and cannot be compared.
+func difference(from, to burnwindow.Count) (burnwindow.Count, bool) {
+	if to.Good < from.Good || to.Bad < from.Bad {
+		return burnwindow.Count{}, false
+	}
+	return burnwindow.Count{Good: to.Good - from.Good, Bad: to.Bad - from.Bad}, true
+}
+
+func windowOf(name string, n burnwindow.Count, objective float64) windowBurn {
+	const hundredths = 100
+	rate := math.Round(burn.Rate(n.Good, n.Bad, objective)*hundredths) / hundredths
+	return windowBurn{Window: name, Good: n.Good, Bad: n.Bad, Burn: rate}
+}
+
+func printBurn(w io.Writer, r burnReport) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "SERVICE\tOBJECTIVE\tWINDOW\tGOOD\tBAD\tBURN\tURGENCY\t")
+	for _, s := range r.Services {
+		for _, x := range s.Windows {
+			fmt.Fprintf(table, "%s\t%g\t%s\t%d\t%d\t%.2f\t%s\t\n", s.Service, s.Objective, x.Window, x.Good, x.Bad, x.Burn, s.Urgency)
+		}
+	}
+	_ = table.Flush()
+	if len(r.Missing) > 0 {
+		fmt.Fprintf(w, "partial: no answer from %s\n", strings.Join(r.Missing, ", "))
+	}
+}
+
+var errNoMetrics = errors.New("the page has no service metrics")
--- /dev/null
+++ b/internal/transport/ctl/status.go
@@ -0,0 +1,87 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+type statusCommand struct{}
+
+// Run prints what the control program sees.
+func (c *statusCommand) Run(e *env) error {
+	var s wire.StatusReply
+	if err := e.do(wire.MethodStatus, wire.StatusRequest{}, &s); err != nil {
+		return err
+	}
+	s.View.Config = nil // The configuration has a command of its own.
+	return e.print(s, func(w io.Writer) { printStatus(w, s) })
+}
+
+func printStatus(w io.Writer, s wire.StatusReply) {
+	fmt.Fprintf(w, "as seen by host %s: generation %d in force", s.Host, s.View.Generation)
+	if s.View.OutageFor > 0 {
+		fmt.Fprintf(w, "; the object API has not answered for %s", s.View.OutageFor)
+	}
+	fmt.Fprintln(w)
+	printHosts(w, s)
+	printShards(w, s.Shards)
+	printEndpoints(w, s)
+}
+
+func printHosts(w io.Writer, s wire.StatusReply) {
+	generations := map[model.HostID]model.Generation{s.Host: s.View.Generation}
+	for _, h := range s.Hosts {
+		generations[h.Host] = h.Generation
+	}
+	members := slices.Clone(s.View.Members)
+	slices.SortFunc(members, func(a, b model.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nHOST\tZONE\tSTATE\tGENERATION\tCONTROL")
+	for _, m := range members {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", m.Host, m.Zone, m.State, generations[m.Host], m.Control)
+	}
+	_ = table.Flush()
+}
+
+func printShards(w io.Writer, shards []wire.ShardStatus) {
+	if len(shards) == 0 {
+		return
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nSHARD\tHOLDER\tEPOCH")
+	for _, s := range shards {
+		fmt.Fprintf(table, "%s\t%s\t%d\n", s.Shard, s.Holder, s.Epoch)
+	}
+	_ = table.Flush()
+}
+
+func printEndpoints(w io.Writer, s wire.StatusReply) {
+	if len(s.Endpoint) == 0 {
+		return
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nENDPOINT\tREACHED\tVERSION\tLEAVING")
+	for _, e := range s.Endpoint {
+		fmt.Fprintf(table, "%s\t%t\t%d\t%s\n", e.Endpoint, e.Reached, e.Version, leaving(s, e))
+	}
+	_ = table.Flush()
+}
+
+// leaving says whether an endpoint is drained, and who said so.
+func leaving(s wire.StatusReply, e wire.EndpointStatus) string {
+	for _, d := range s.View.Drains {
+		if d.Endpoint == e.Endpoint {
+			return "yes, by " + string(d.Source)
+		}
+	}
+	if e.Leaving {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/internal/transport/objective/objective.go
@@ -0,0 +1,117 @@
+// Package objective records, in a data-path program, how the requests of each
+// service ended against the service's objective, for `oleanderctl report burn`.
+//
+// Invariant: label values are the configured services and fixed words only.
+package objective
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/burn"
+	"oleanderfall.example/oleanderfall/internal/state/burnwindow"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// The metrics' names, labels and label values.
+const (
+	RequestsMetric  = "oleander_service_requests_total"
+	WindowMetric    = "oleander_service_window_requests"
+	ObjectiveMetric = "oleander_service_objective"
+	ServiceLabel    = "service"
+	ResultLabel     = "result"
+	WindowLabel     = "window"
+	Good            = "good"
+	Bad             = "bad"
+)
+
+var (
+	requestsDesc  = prometheus.NewDesc(RequestsMetric, "Requests by whether they met the objective.", []string{ServiceLabel, ResultLabel}, nil)
+	windowDesc    = prometheus.NewDesc(WindowMetric, "Requests of a sliding window by whether they met the objective.", []string{ServiceLabel, WindowLabel, ResultLabel}, nil)
+	objectiveDesc = prometheus.NewDesc(ObjectiveMetric, "Share of requests that must succeed in time.", []string{ServiceLabel}, nil)
+)
+
+// Recorder is a prometheus.Collector. Its methods may be called from any goroutine.
+type Recorder struct {
+	now      func() time.Time
+	mu       sync.Mutex
+	services map[model.ServiceID]*service
+}
+
+type service struct {
+	objective float64
+	total     burnwindow.Count
+	window    burnwindow.Window
+}
+
+// NewRecorder returns a recorder registered with reg.
+func NewRecorder(reg prometheus.Registerer, now func() time.Time) *Recorder {
+	r := &Recorder{now: now, services: map[model.ServiceID]*service{}}
+	reg.MustRegister(r)
+	return r
+}
+
+// Configure takes the objectives of the configuration in force. Services that left
+// it are forgotten.
+func (r *Recorder) Configure(c *model.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.services {
+		if _, ok := c.Services[id]; !ok {
+			delete(r.services, id)
+		}
+	}
+	for id, s := range c.Services {
+		if r.services[id] == nil {
+			r.services[id] = &service{}
+		}
+		r.services[id].objective = s.Objective
+	}
+}
+
+// Observe counts one ended request. good says that it succeeded in time; leave out
+// requests that the caller got wrong. A service not configured is passed over.
+func (r *Recorder) Observe(id model.ServiceID, good bool) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[id]
+	if s == nil {
+		return
+	}
+	s.window.Add(now, good)
+	if good {
+		s.total.Good++
+	} else {
+		s.total.Bad++
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (r *Recorder) Describe(out chan<- *prometheus.Desc) {
+	out <- requestsDesc
+	out <- windowDesc
+	out <- objectiveDesc
+}
+
+// Collect implements prometheus.Collector.
+func (r *Recorder) Collect(out chan<- prometheus.Metric) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, s := range r.services {
+		name := string(id)
+		out <- prometheus.MustNewConstMetric(objectiveDesc, prometheus.GaugeValue, s.objective, name)
+		emit(out, requestsDesc, prometheus.CounterValue, s.total, name)
+		for _, span := range burn.Windows {
+			emit(out, windowDesc, prometheus.GaugeValue, s.window.Sum(now, span), name, span.String())
+		}
+	}
+}
+
+func emit(out chan<- prometheus.Metric, d *prometheus.Desc, kind prometheus.ValueType, c burnwindow.Count, labels ...string) {
+	out <- prometheus.MustNewConstMetric(d, kind, float64(c.Good), append(labels[:len(labels):len(labels)], Good)...)
+	out <- prometheus.MustNewConstMetric(d, kind, float64(c.Bad), append(labels[:len(labels):len(labels)], Bad)...)
+}
