Let the entry program record claims

Cause: the entry program was wired without the claims duty, so every non-idempotent call was refused as claim_unavailable. It now provides the object API client and the duty.

--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/transport/claimduty"
 	"oleanderfall.example/oleanderfall/internal/transport/feed"
@@ -39,10 +40,13 @@
 
 // Module provides and starts the program's duties.
 var Module = fx.Module("entry",
-	fx.Provide(newMesh, newFeed, newServer),
+	fx.Provide(newMesh, newFeed, newServer, process.NewObjectAPI, asAPI),
+	claimduty.Module,
 	fx.Invoke(serve),
 )
 
+func asAPI(c *objectapi.Client) objectapi.API { return c }
+
 func newMesh(s *settings.Process, keys *tlsconf.Keys, root *slog.Logger) (*quicmesh.Mesh, error) {
 	return quicmesh.New(quicmesh.Options{
 		Listen: s.Entry.Mesh,
