--- /dev/null
+++ b/internal/coordination/objcall/objcall_test.go
@@ -0,0 +1,94 @@
+package objcall
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestBudgetAndOutageFollowTheTrace runs one trace of call outcomes. Each line of
+// input is "MILLISECONDS throttled|answered|failed".
+func TestBudgetAndOutageFollowTheTrace(t *testing.T) {
+	var budget *Budget
+	var outage Outage
+	start := time.Unix(1_800_000_000, 0)
+	datadriven.RunTest(t, "testdata/calls", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "begin" {
+			var ceiling float64
+			d.ScanArgs(t, "ceiling", &ceiling)
+			budget, outage = NewBudget(ceiling, start), Outage{}
+			return ""
+		}
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var millis int64
+			var what string
+			if _, err := fmt.Sscanf(line, "%d %s", &millis, &what); err != nil {
+				d.Fatalf(t, "%q: %v", line, err)
+			}
+			now := start.Add(time.Duration(millis) * time.Millisecond)
+			switch what {
+			case "throttled":
+				budget.Throttled(now)
+				outage.Answered()
+			case "answered":
+				budget.Answered(now)
+				outage.Answered()
+			case "failed":
+				outage.Failed(now)
+			}
+			fmt.Fprintf(&out, "%s: rate %.2f, outage %s\n", what, budget.Rate(), outage.For(now))
+		}
+		return out.String()
+	})
+}
+
+// TestALostAnswerIsJudgedByWhatTheObjectCarries: "found" gives the present version
+// and writer, "replaced" the versions before it, newest first, as VERSION:WRITER.
+func TestALostAnswerIsJudgedByWhatTheObjectCarries(t *testing.T) {
+	datadriven.RunTest(t, "testdata/resolve", func(t *testing.T, d *datadriven.TestData) string {
+		f := Found{Present: d.HasArg("found"), History: History{Whole: d.HasArg("whole")}}
+		if f.Present {
+			f.Version, f.History.Stamp = parseVersion(t, d, "found", 0)
+			arg, ok := d.Arg("replaced")
+			for i := range arg.Vals {
+				version, stamp := parseVersion(t, d, "replaced", i)
+				f.History.Replaced = append(f.History.Replaced, Replaced{Version: version, Stamp: stamp})
+			}
+			_ = ok
+		}
+		var expect uint64
+		d.ScanArgs(t, "expect", &expect)
+		if d.Cmd == "delete" {
+			return ResolveDelete(expect, f).String()
+		}
+		verdict, version := ResolvePut(Stamp{Writer: 1, Sequence: 1}, expect, f)
+		return fmt.Sprintf("%s %d", verdict, version)
+	})
+}
+
+func parseVersion(t *testing.T, d *datadriven.TestData, key string, i int) (uint64, Stamp) {
+	t.Helper()
+	arg, _ := d.Arg(key)
+	var version, writer uint64
+	if _, err := fmt.Sscanf(arg.Vals[i], "%d:%d", &version, &writer); err != nil {
+		d.Fatalf(t, "%s: %v", arg.Vals[i], err)
+	}
+	return version, Stamp{Writer: writer, Sequence: 1}
+}
+
+func TestAHistoryKeepsTheNewestAndSaysWhenItIsCut(t *testing.T) {
+	h := Created(Stamp{Writer: 1, Sequence: 1})
+	for v := uint64(1); v <= MaxReplaced+1; v++ {
+		if !h.Whole {
+			t.Fatalf("cut after %d versions", v)
+		}
+		h = h.Next(v, Stamp{Writer: 1, Sequence: v + 1})
+	}
+	if h.Whole || len(h.Replaced) != MaxReplaced || h.Replaced[0].Version != MaxReplaced+1 {
+		t.Fatalf("history %+v", h)
+	}
+}
--- a/internal/protocol/objectapi/write.go
+++ b/internal/protocol/objectapi/write.go
@@ -113,7 +113,7 @@
 			case objcall.Refused:
 				return 0, Error.Wrap(ErrConflict)
 			case objcall.Open:
-				return 0, unavailable(err)
+				return 0, stillOpen(err)
 			}
 		}
 		if !c.backoff(ctx, n) {
@@ -124,11 +124,15 @@
 
 func (c *Client) giveUp(lost bool, err error) error {
 	if lost {
-		return unavailable(err)
+		return stillOpen(err)
 	}
 	return err
 }
 
+// stillOpen is the error of a write whose effect was not found out. The last
+// sending's error is kept as text only: a conflict of that one settles nothing.
+func stillOpen(err error) error { return unavailable(errors.New(err.Error())) }
+
 func (c *Client) sendOnce(ctx context.Context, w write) (version uint64, err error) {
 	err = c.attempt(ctx, w.kind, c.writes, c.opt.AttemptTimeout, func(ctx context.Context) (err error) {
 		version, err = w.send(ctx)
--- a/internal/transport/ctl/apply.go
+++ b/internal/transport/ctl/apply.go
@@ -83,7 +83,7 @@
 	}
 	var reply wire.ApplyReply
 	if err := conn.call(e.ctx, wire.MethodApply, request, &reply); err != nil {
-		return withRequestID(err, request)
+		return withRequestID(c.settled(err), request)
 	}
 	result := applied{Generation: reply.Generation, RequestID: request.RequestID}
 	if c.Wait {
@@ -117,6 +117,15 @@
 	return r, nil
 }
 
+// settled corrects a failure of the repetition of an earlier apply.
+func (c *applyCommand) settled(err error) error {
+	var coded *resultcode.Error
+	if c.RequestID != "" && errors.As(err, &coded) && coded.Code == resultcode.StorageOutage {
+		return unsettled(coded)
+	}
+	return err
+}
+
 // withRequestID tells how an apply with an open result is repeated safely.
 func withRequestID(err error, r wire.ApplyRequest) error {
 	var coded *resultcode.Error
--- a/internal/transport/ctl/client.go
+++ b/internal/transport/ctl/client.go
@@ -79,8 +79,9 @@
 
 func (c *connection) close() { c.mesh.Close() }
 
-// call sends an idempotent call to the first control program that replies. A reply
-// that another host may give differently, such as one in an outage, counts.
+// call sends an idempotent call to the first control program that replies. Once a
+// program may have carried it out without replying, the word of another one that
+// it wrote nothing itself does not settle the outcome.
 func (c *connection) call(ctx context.Context, method wire.Method, request, reply any) error {
 	var last error
 	sent := false
@@ -89,6 +90,9 @@
 		err := c.mesh.Call(bounded, address, method, request, reply)
 		cancel()
 		var coded *resultcode.Error
+		if errors.As(err, &coded) && coded.Code == resultcode.StorageOutage && sent {
+			return unsettled(coded)
+		}
 		if err == nil || errors.As(err, &coded) {
 			return err
 		}
@@ -101,6 +105,12 @@
 	return resultcode.New(resultcode.Unreachable, "no control program can be reached: %v", last)
 }
 
+// unsettled is the result of a repetition that failed without settling whether the
+// call before it took effect.
+func unsettled(coded *resultcode.Error) error {
+	return resultcode.New(resultcode.StorageUnknown, "an earlier sending may have taken effect: %s", coded.Detail)
+}
+
 // do connects, makes one call and closes.
 func (e *env) do(method wire.Method, request, reply any) error {
 	c, err := e.connect()
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -154,6 +154,7 @@
 		resultcode.BadRequest:       {"no-such-command"},
 		resultcode.NotFound:         append([]string{"get"}, in.flags...),
 		resultcode.StorageOutage:    append([]string{"apply", good}, in.flags...),
+		resultcode.StorageUnknown:   append([]string{"apply", good, "--base", "0", "--request-id", "earlier"}, in.flags...),
 		resultcode.Unreachable:      append([]string{"status", "--control", "127.0.0.1:1"}, in.flags[4:]...),
 		resultcode.OK:               {"check", good},
 	}
