Count the entry program's requests against their objectives

The burn report reads sliding windows from package objective, but the entry program exported a gauge of the same name on its own and no windows. It hands each ended request to the recorder now; results that a caller brings about by itself are left out.

--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -174,7 +174,12 @@
 		r := objective.NewRecorder(reg, func() time.Time { return now })
 		r.Configure(config)
 		for i := range 100 {
-			r.Observe("orders", i >= 20)
+			if i < 20 {
+				r.Ended("orders", resultcode.Overloaded)
+			} else {
+				r.Ended("orders", resultcode.OK)
+			}
+			r.Ended("orders", resultcode.TooLarge)
 		}
 		server := httptest.NewServer(promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 		defer server.Close()
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/objective"
 )
 
 // metrics are the entry program's own. The service label holds names of the
@@ -14,7 +16,7 @@
 type metrics struct {
 	requests  *prometheus.CounterVec
 	seconds   *prometheus.HistogramVec
-	objective *prometheus.GaugeVec
+	objective *objective.Recorder
 	attempts  *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	tokens    *prometheus.CounterVec
@@ -45,7 +47,7 @@
 	return &metrics{
 		requests:  counter("oleander_requests_total", "Requests by result.", "service", "result", "outcome"),
 		seconds:   seconds,
-		objective: gauge("oleander_service_objective", "Share of requests that must succeed in time."),
+		objective: objective.NewRecorder(reg, time.Now),
 		attempts:  counter("oleander_attempts_total", "Attempts sent to endpoints.", "service"),
 		refusals:  counter("oleander_refusals_total", "Requests refused without running.", "service", "result"),
 		tokens:    counter("oleander_stream_tokens_total", "Tokens passed to callers.", "service"),
@@ -58,6 +60,7 @@
 	result := strconv.Itoa(int(c))
 	m.requests.WithLabelValues(service, result, string(o)).Inc()
 	m.seconds.WithLabelValues(service).Observe(took.Seconds())
+	m.objective.Ended(model.ServiceID(service), c)
 	if c != resultcode.OK && c.Info().Outcome == resultcode.NotRun {
 		m.refusals.WithLabelValues(service, result).Inc()
 	}
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -119,10 +119,10 @@
 	hosts := entryHosts(v.Config)
 	s.mu.Lock()
 	wanted := map[endpoints.Target]bool{}
-	for id, service := range v.Config.Services {
+	s.metrics.objective.Configure(v.Config)
+	for id := range v.Config.Services {
 		s.applyTarget(now, v, endpoints.Target{Service: id}, hosts, 0)
 		wanted[endpoints.Target{Service: id}] = true
-		s.metrics.objective.WithLabelValues(string(id)).Set(service.Objective)
 	}
 	for id, d := range v.Config.Deployments {
 		s.applyTarget(now, v, endpoints.Target{Deployment: id}, hosts, d.TrainingFloor)
--- a/internal/transport/objective/objective.go
+++ b/internal/transport/objective/objective.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/burn"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/burnwindow"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
@@ -71,6 +72,27 @@
 	}
 }
 
+// callerFaults are the results that a caller brings about by itself; they spend
+// nothing of the service's allowance.
+var callerFaults = map[resultcode.Code]bool{
+	resultcode.BadRequest:     true,
+	resultcode.UnknownService: true,
+	resultcode.UnknownCaller:  true,
+	resultcode.KeyRequired:    true,
+	resultcode.KeyReused:      true,
+	resultcode.TooLarge:       true,
+	resultcode.OverRate:       true,
+	resultcode.Quarantined:    true,
+	resultcode.InProgress:     true,
+}
+
+// Ended counts a request that ended with code c, unless the caller got it wrong.
+func (r *Recorder) Ended(id model.ServiceID, c resultcode.Code) {
+	if !callerFaults[c] {
+		r.Observe(id, c == resultcode.OK)
+	}
+}
+
 // Observe counts one ended request. good says that it succeeded in time; leave out
 // requests that the caller got wrong. A service not configured is passed over.
 func (r *Recorder) Observe(id model.ServiceID, good bool) {
