--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -154,6 +154,7 @@
 		resultcode.BadRequest:       {"no-such-command"},
 		resultcode.NotFound:         append([]string{"get"}, in.flags...),
 		resultcode.StorageOutage:    append([]string{"apply", good}, in.flags...),
+		resultcode.StorageUnknown:   append([]string{"apply", good, "--base", "0", "--request-id", "earlier"}, in.flags...),
 		resultcode.Unreachable:      append([]string{"status", "--control", "127.0.0.1:1"}, in.flags[4:]...),
 		resultcode.OK:               {"check", good},
 	}
@@ -173,7 +174,12 @@
 		r := objective.NewRecorder(reg, func() time.Time { return now })
 		r.Configure(config)
 		for i := range 100 {
-			r.Observe("orders", i >= 20)
+			if i < 20 {
+				r.Ended("orders", resultcode.Overloaded)
+			} else {
+				r.Ended("orders", resultcode.OK)
+			}
+			r.Ended("orders", resultcode.TooLarge)
 		}
 		server := httptest.NewServer(promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 		defer server.Close()
