--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -20,29 +20,31 @@
 
 // Verdict counts what was seen and lists every broken rule.
 type Verdict struct {
-	Requests       int            `json:"requests"`
-	Answered       int            `json:"answered"`
-	RefusedNotRun  int            `json:"refused_not_run"`
-	Unknown        int            `json:"unknown"`
-	Broken         int            `json:"broken_connections"`
-	NonIdempotent  int            `json:"non_idempotent"`
-	DoubledRuns    int            `json:"doubled_runs"`
-	FalseNotRun    int            `json:"false_not_run"`
-	WrongAnswers   int            `json:"wrong_answers"`
-	Samples        int            `json:"samples"`
-	StepsDone      map[string]int `json:"steps_done"`
-	Versions       []uint64       `json:"versions"`
-	MaxStaleness   int            `json:"max_staleness"`
-	IdleShare      map[string]float64
-	MillisAtP50    float64  `json:"ms_p50"`
-	MillisAtP99    float64  `json:"ms_p99"`
-	BrokenRules    []string `json:"broken_rules"`
-	SwapsInSamples int      `json:"samples_with_two_versions"`
+	Requests      int            `json:"requests"`
+	Answered      int            `json:"answered"`
+	RefusedNotRun int            `json:"refused_not_run"`
+	Unknown       int            `json:"unknown"`
+	Broken        int            `json:"broken_connections"`
+	NonIdempotent int            `json:"non_idempotent"`
+	DoubledRuns   int            `json:"doubled_runs"`
+	FalseNotRun   int            `json:"false_not_run"`
+	WrongAnswers  int            `json:"wrong_answers"`
+	Samples       int            `json:"samples"`
+	StepsDone     map[string]int `json:"steps_done"`
+	Versions      []uint64       `json:"versions"`
+	MaxStaleness  int            `json:"max_staleness"`
+	IdleShare     map[string]float64
+	MillisAtP50   float64 `json:"ms_p50"`
+	MillisAtP99   float64 `json:"ms_p99"`
+	// Results counts the result codes that callers got.
+	Results        map[string]int `json:"results"`
+	BrokenRules    []string       `json:"broken_rules"`
+	SwapsInSamples int            `json:"samples_with_two_versions"`
 }
 
 // Judge checks the evidence against the rules that always hold.
 func Judge(e Evidence) Verdict {
-	v := Verdict{StepsDone: map[string]int{}, IdleShare: map[string]float64{}}
+	v := Verdict{StepsDone: map[string]int{}, IdleShare: map[string]float64{}, Results: map[string]int{}}
 	runsOf := map[string]int{}
 	spansOf := map[string][]Span{}
 	for _, r := range e.Runs {
@@ -88,6 +90,9 @@
 	v.RefusedNotRun += s.NotRun
 	v.Unknown += s.Unknown
 	v.Broken += s.Broken
+	for code, n := range s.Results {
+		v.Results[code] += n
+	}
 	if s.Answered {
 		v.Answered++
 	}
@@ -157,6 +162,7 @@
 	fmt.Fprintf(&b, "non-idempotent %d: doubled runs %d, false \"not run\" %d; wrong answers %d\n", v.NonIdempotent, v.DoubledRuns, v.FalseNotRun, v.WrongAnswers)
 	fmt.Fprintf(&b, "latency p50 %.1f ms, p99 %.1f ms (whole answers, with resends)\n", v.MillisAtP50, v.MillisAtP99)
 	fmt.Fprintf(&b, "samples %d, versions %v, with a swap inside %d, staleness at most %d\n", v.Samples, v.Versions, v.SwapsInSamples, v.MaxStaleness)
+	fmt.Fprintf(&b, "answers by result code %v\n", v.Results)
 	names := make([]string, 0, len(v.StepsDone))
 	for n := range v.StepsDone {
 		names = append(names, n)
--- /dev/null
+++ b/internal/system/harness_test.go
@@ -0,0 +1,457 @@
+package system
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/platformapi"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/transport/ctl"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+// conditionTimeout is how long a condition is waited for; a test that meets it fails.
+const conditionTimeout = 40 * time.Second
+
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "oleander-bin")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/oleander-control", "../../cmd/oleander-entry", "../../cmd/oleander-rollout").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// host is one machine of a cluster.
+type host struct {
+	name, zone string
+	dir        string
+	// Addresses, in the order of ports.
+	control, controlAdmin, entry, entryMesh, entryAdmin, rollout, rolloutMesh, rolloutAdmin string
+	processes                                                                               map[string]*exec.Cmd
+}
+
+// cluster is a small installation: real processes before stand-ins.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	bin     string
+	store   *standin.ObjectStore
+	listed  *standin.HostList
+	storeAt string
+	listAt  string
+	hosts   []*host
+	plains  []*standin.Plain
+	engines []*standin.Engine
+	scorer  *standin.Scorer
+}
+
+var zones = []string{"lj-a", "lj-b", "kr-a"}
+
+// nextPort is the port to try next. The range lies below the one from which the
+// system takes ports for outgoing connections, so that a port stays free until used.
+var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+
+const (
+	firstPort = 24000
+	lastPort  = 32000
+)
+
+// freeAddresses returns n loopback addresses free for TCP and UDP alike.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for tried := 0; len(out) < n; tried++ {
+		if tried > lastPort-firstPort {
+			t.Fatal("no free ports")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort = firstPort + (nextPort+1-firstPort)%(lastPort-firstPort)
+		if isFree(address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	p, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = p.Close()
+	return true
+}
+
+// startCluster starts four hosts in three zones, three plain endpoints of service
+// "registry", four engines of deployment "drafting" and a trainer's configuration.
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	bin, err := binaries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{t: t, dir: t.TempDir(), bin: bin}
+	c.startPlatform()
+	c.startEndpoints()
+	c.layHosts(4)
+	c.writeConfig("1")
+	for _, h := range c.hosts {
+		c.start(h, "control")
+	}
+	t.Cleanup(c.stop)
+	c.until("control programs answer", func() bool { return c.ctl("status") == 0 })
+	if code := c.ctl("apply", "--wait", c.path("config")); code != 0 {
+		t.Fatalf("apply ended with %d", code)
+	}
+	for _, h := range c.hosts {
+		c.start(h, "entry")
+		// c.start(h, "rollout")
+	}
+	c.until("programs are ready", c.allReady)
+	return c
+}
+
+func (c *cluster) path(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cluster) startPlatform() {
+	c.store = standin.NewObjectStore(standin.ObjectStoreOptions{Latency: 3 * time.Millisecond, ReadsPerSecond: 2000, WritesPerSecond: 400})
+	c.listed = standin.NewHostList(100 * time.Millisecond)
+	store := httptest.NewServer(c.store.Handler())
+	list := httptest.NewServer(c.listed.Handler())
+	c.t.Cleanup(store.CloseClientConnections)
+	c.t.Cleanup(list.Close)
+	c.storeAt, c.listAt = store.URL, list.URL
+}
+
+func (c *cluster) startEndpoints() {
+	for i := range 3 {
+		p, err := standin.NewPlain("127.0.0.1:0", standin.PlainOptions{Name: fmt.Sprintf("registry-app-%d", i+1), ServiceTime: 3 * time.Millisecond})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(p.Close)
+		c.plains = append(c.plains, p)
+	}
+	for i := range 4 {
+		e, err := standin.NewEngine("127.0.0.1:0", standin.EngineOptions{
+			Name: fmt.Sprintf("drafting-%d", i+1), Slots: 16, TokenInterval: 4 * time.Millisecond, MedianTokens: 40, Fencing: i%2 == 0,
+		})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(e.Close)
+		c.engines = append(c.engines, e)
+	}
+	s, err := standin.NewScorer("127.0.0.1:0", "scorer")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(s.Close)
+	c.scorer = s
+}
+
+func (c *cluster) layHosts(n int) {
+	names := []string{"operator"}
+	for i := range n {
+		a := freeAddresses(c.t, 8)
+		h := &host{
+			name: fmt.Sprintf("host-%d", i+1), zone: zones[i%len(zones)], processes: map[string]*exec.Cmd{},
+			control: a[0], controlAdmin: a[1], entry: a[2], entryMesh: a[3], entryAdmin: a[4], rollout: a[5], rolloutMesh: a[6], rolloutAdmin: a[7],
+		}
+		h.dir = c.path(h.name)
+		c.hosts = append(c.hosts, h)
+		names = append(names, h.name)
+	}
+	if err := tlsconf.WriteDevelopmentKeys(c.path("keys"), names...); err != nil {
+		c.t.Fatal(err)
+	}
+	for _, h := range c.hosts {
+		c.write(h.name+"/host.ini", c.hostSettings(h))
+	}
+}
+
+func (c *cluster) hostSettings(h *host) string {
+	var seeds []string
+	for _, other := range c.hosts {
+		seeds = append(seeds, other.control)
+	}
+	var listed []platformapi.ListedHost
+	for _, other := range c.hosts {
+		listed = append(listed, platformapi.ListedHost{Host: hostID(other.name), Zone: zoneID(other.zone), Control: other.control})
+	}
+	c.listed.Set(listed)
+	keys := c.path("keys") + "/"
+	return fmt.Sprintf("[host]\nid = %s\nzone = %s\ndata_dir = %s\n[tls]\nauthority = %sca.pem\ncertificate = %s%s.pem\nkey = %s%s.key\n",
+		h.name, h.zone, c.path(h.name+"/data"), keys, keys, h.name, keys, h.name) +
+		fmt.Sprintf("[platform]\nobject_api = %s\nhost_list = %s\ntimeout = 1s\n", c.storeAt, c.listAt) +
+		fmt.Sprintf("[control]\nlisten = %s\nadmin = %s\nseeds = %s\nheartbeat = 200ms\n", h.control, h.controlAdmin, strings.Join(seeds, ", ")) +
+		fmt.Sprintf("[entry]\nlisten = %s\nmesh = %s\nadmin = %s\n", h.entry, h.entryMesh, h.entryAdmin) +
+		fmt.Sprintf("[rollout]\nlisten = %s\nmesh = %s\nadmin = %s\n", h.rollout, h.rolloutMesh, h.rolloutAdmin)
+}
+
+func (c *cluster) write(name, text string) {
+	path := c.path(name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// writeConfig writes the shared configuration; lifetime is that of address answers.
+func (c *cluster) writeConfig(lifetimeSeconds string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[system]\naddress_lifetime = %ss\n", lifetimeSeconds)
+	for _, z := range zones {
+		fmt.Fprintf(&b, "[zone.%s]\nregion = si-osrednja\n", z)
+	}
+	for _, h := range c.hosts {
+		fmt.Fprintf(&b, "[host.%s]\nzone = %s\ncontrol = %s\nentry = %s\nentry_mesh = %s\nrollout = %s\n", h.name, h.zone, h.control, h.entry, h.entryMesh, h.rollout)
+	}
+	b.WriteString("[service.registry]\ntimeout = 2s\nnon_idempotent = issue\n")
+	for i, p := range c.plains {
+		fmt.Fprintf(&b, "[endpoint.%s]\nkind = plain\nservice = registry\nzone = %s\naddress = %s\n", p.Name(), zones[i%len(zones)], p.Address())
+	}
+	b.WriteString("[deployment.drafting]\nmodel = drafts\n")
+	for i, e := range c.engines {
+		fmt.Fprintf(&b, "[endpoint.%s]\nkind = engine\ndeployment = drafting\nzone = %s\naddress = %s\nfencing = %t\n", e.Name(), zones[i%len(zones)], e.Address(), i%2 == 0)
+	}
+	b.WriteString("[caller.lab]\npriority = live\n[caller.reviewer]\npriority = live\n")
+	fmt.Fprintf(&b, "[scorer.scorer]\naddress = %s\n", c.scorer.Address())
+	b.WriteString("[trainer.drafts]\ndeployment = drafting\nscorer = scorer\ngroup_size = 4\nstaleness_bound = 1\nfreshness = 1\n")
+	c.write("config/10-all.ini", b.String())
+}
+
+// start starts a program of a host.
+func (c *cluster) start(h *host, program string) {
+	c.t.Helper()
+	cmd := exec.Command(filepath.Join(c.bin, "oleander-"+program), h.dir)
+	log, err := os.OpenFile(c.path(h.name+"."+program+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	_ = log.Close()
+	h.processes[program] = cmd
+}
+
+// kill ends a program with SIGKILL.
+func (c *cluster) kill(h *host, program string) {
+	cmd := h.processes[program]
+	if cmd == nil {
+		return
+	}
+	delete(h.processes, program)
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+}
+
+// signal sends a signal to a program.
+func (c *cluster) signal(h *host, program string, s syscall.Signal) {
+	c.t.Helper()
+	if err := h.processes[program].Process.Signal(s); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// terminate asks a program to stop and waits for its end.
+func (c *cluster) terminate(h *host, program string) error {
+	cmd := h.processes[program]
+	delete(h.processes, program)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	return cmd.Wait()
+}
+
+func (c *cluster) stop() {
+	for _, h := range c.hosts {
+		for p := range h.processes {
+			c.kill(h, p)
+		}
+	}
+	if c.t.Failed() {
+		c.printLogs()
+	}
+}
+
+const maxPrintedLog = 1500
+
+func (c *cluster) printLogs() {
+	logs, _ := filepath.Glob(c.path("*.log"))
+	for _, path := range logs {
+		text, _ := os.ReadFile(path)
+		if len(text) > maxPrintedLog {
+			text = text[len(text)-maxPrintedLog:]
+		}
+		c.t.Logf("%s:\n%s", filepath.Base(path), text)
+	}
+}
+
+func (c *cluster) until(what string, holds func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(conditionTimeout)
+	for !holds() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *cluster) allReady() bool {
+	for _, h := range c.hosts {
+		for program, admin := range map[string]string{"control": h.controlAdmin, "entry": h.entryAdmin, "rollout": h.rolloutAdmin} {
+			if h.processes[program] != nil && !answersOK("http://"+admin+"/readyz") {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func answersOK(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ctl runs oleanderctl against the first host that runs and returns its exit code.
+func (c *cluster) ctl(args ...string) int {
+	code, _ := c.ctlOutput(args...)
+	return code
+}
+
+func (c *cluster) ctlOutput(args ...string) (int, string) {
+	keys := c.path("keys") + "/"
+	all := []string{"--authority", keys + "ca.pem", "--certificate", keys + "operator.pem", "--key", keys + "operator.key"}
+	for _, h := range c.hosts {
+		if h.processes["control"] != nil {
+			all = append(all, "--control", h.control)
+		}
+	}
+	var out bytes.Buffer
+	code := ctl.Main(append(all, args...), &out, &out)
+	return code, out.String()
+}
+
+// entries returns the entry addresses of all hosts.
+func (c *cluster) entries() []string {
+	var out []string
+	for _, h := range c.hosts {
+		out = append(out, h.entry)
+	}
+	return out
+}
+
+func (c *cluster) rollouts() []string {
+	var out []string
+	for _, h := range c.hosts {
+		out = append(out, h.rollout)
+	}
+	return out
+}
+
+// caller starts a caller of the registry: every second call may not be repeated.
+func (c *cluster) caller(rate float64, count int) *standin.Caller {
+	caller := standin.StartCaller(standin.CallerOptions{
+		Name: "lab", Entries: c.entries(), Service: "registry", Calls: []string{"look", "issue"}, NonIdempotent: []string{"issue"},
+		Rate: rate, Count: count, Sendings: 8,
+	})
+	c.t.Cleanup(caller.Close)
+	return caller
+}
+
+// reviewer starts a caller of token streams.
+func (c *cluster) reviewer(rate float64, count int) *standin.Caller {
+	caller := standin.StartCaller(standin.CallerOptions{
+		Name: "reviewer", Entries: c.entries(), Deployment: "drafting", Rate: rate, Count: count, Sendings: 8, Deadline: 10 * time.Second,
+	})
+	c.t.Cleanup(caller.Close)
+	return caller
+}
+
+func (c *cluster) trainer(steps, groups int, interval time.Duration) *standin.Trainer {
+	t := standin.StartTrainer(standin.TrainerOptions{
+		Name: "drafts", Rollouts: c.rollouts(), Steps: steps, Groups: groups, GroupSize: 4, BatchMax: 16,
+		TrainTime: 50 * time.Millisecond, VersionInterval: interval,
+	})
+	c.t.Cleanup(t.Close)
+	return t
+}
+
+// wait waits for a part's end.
+func (c *cluster) wait(what string, done <-chan struct{}) {
+	c.t.Helper()
+	select {
+	case <-done:
+	case <-time.After(2 * conditionTimeout):
+		c.t.Fatalf("waited in vain: %s", what)
+	}
+}
+
+// judge reads the evidence and fails the test for every broken rule.
+func (c *cluster) judge(callers map[string]*standin.Caller, trainers map[string]*standin.Trainer) standin.Verdict {
+	c.t.Helper()
+	e := standin.Evidence{Callers: map[string][]standin.Sent{}, Trainers: map[string]standin.TrainerReport{}, StalenessBounds: map[string]int{"drafts": 1}}
+	for _, p := range c.plains {
+		e.Runs = append(e.Runs, p.Runs()...)
+	}
+	for _, g := range c.engines {
+		e.Runs = append(e.Runs, g.Runs()...)
+	}
+	for name, caller := range callers {
+		e.Callers[name] = caller.Sent()
+	}
+	for name, trainer := range trainers {
+		e.Trainers[name] = trainer.Report()
+	}
+	v := standin.Judge(e)
+	for _, rule := range v.BrokenRules {
+		c.t.Error(rule)
+	}
+	c.t.Log("\n" + v.Summary())
+	return v
+}
+
+func (c *cluster) read(name string) string {
+	c.t.Helper()
+	text, err := os.ReadFile(c.path(name))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return string(text)
+}
