--- /dev/null
+++ b/internal/coordination/samples/machine.go
@@ -0,0 +1,406 @@
+// Package samples decides how the samples of a trainer's steps are made and
+// delivered: what is started, cancelled, run again, put into a batch and offered.
+//
+// Invariant: a slot is in at most one batch of its step; a batch is offered only once
+// the record that holds it is confirmed, and only with samples whose oldest version is
+// within the bound of the trainer's version at that moment.
+package samples
+
+import (
+	"time"
+
+	"errors"
+
+	"github.com/zeebo/errs"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/stragglers"
+	"oleanderfall.example/oleanderfall/internal/state/ledger"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("samples")
+
+// The errors of Open.
+var (
+	ErrStepOver     = errors.New("the step is over")
+	ErrStepConflict = errors.New("the step was opened with other contents")
+	ErrStepTooLarge = errors.New("the step has too many samples")
+)
+
+// Settings are the trainer's settings that decide.
+type Settings struct {
+	Bound       int
+	Freshness   float64
+	SpareGroups float64
+	StepSamples int
+	// Scored says that samples wait for a score.
+	Scored bool
+}
+
+// SlotID names one sample of a step; Index is group*groupSize+index.
+type SlotID struct {
+	Step  uint64
+	Index int
+}
+
+// AttemptID numbers an attempt at a slot within one ownership of the trainer.
+type AttemptID uint64
+
+// ActionKind says what an Action asks for.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// ActionStart: generate the slot at Engine, after Prefix tokens that are held.
+	ActionStart ActionKind = iota
+	// ActionCancel: end the attempt at its engine.
+	ActionCancel
+	// ActionScore: have the finished sample scored.
+	ActionScore
+	// ActionDiscard: the content of the slot is not needed any more.
+	ActionDiscard
+)
+
+// Action is something the machine wants done.
+type Action struct {
+	Kind    ActionKind
+	Slot    SlotID
+	Attempt AttemptID
+	Engine  model.EndpointID
+	Prefix  int
+}
+
+type slotState uint8
+
+const (
+	slotPending slotState = iota
+	slotRunning
+	slotScoring
+	slotReady
+	// slotReceived: the trainer has it; nothing is kept.
+	slotReceived
+	// slotUnheld: in a batch of an earlier owner; made again only when asked for.
+	slotUnheld
+)
+
+type slot struct {
+	state    slotState
+	inBatch  bool
+	failures uint8
+	// prefix counts the tokens kept from a broken attempt.
+	prefix  int
+	tokens  int
+	oldest  model.WeightVersion
+	attempt AttemptID
+	// ticket invalidates older entries of the queue.
+	ticket uint32
+	avoid  model.EndpointID
+}
+
+type attempt struct {
+	slot     SlotID
+	engine   model.EndpointID
+	started  time.Time
+	progress time.Time
+	from     int
+	tokens   int
+	oldest   model.WeightVersion
+}
+
+type step struct {
+	rec   ledger.Step
+	slots []slot
+	// batchSequence is the record's sequence that first held each batch.
+	batchSequence []uint64
+	inBatch       int
+	started       int
+	received      int
+	// groupReady counts the ready slots of each group; queue lists the groups that
+	// were whole, in that order, and deliverable counts the slots of those that are
+	// whole and in no batch.
+	groupReady  []uint16
+	queued      []bool
+	queue       []int
+	deliverable int
+}
+
+// Machine holds the steps of one trainer under one ownership.
+type Machine struct {
+	cfg       Settings
+	version   model.WeightVersion
+	epoch     model.Epoch
+	sequence  uint64
+	confirmed uint64
+	steps     []*step
+	attempts  map[AttemptID]*attempt
+	last      AttemptID
+	tickets   uint32
+	pending   pendingQueue
+	delayed   []delayedSlot
+	lengths   *stragglers.Lengths
+	pace      pace
+	counts    Counts
+}
+
+// Counts are the machine's totals.
+type Counts struct {
+	Delivered   uint64
+	Rerun       uint64
+	Cancelled   uint64
+	Doubtful    uint64
+	Moved       uint64
+	OverBound   uint64
+	DroppedBy   stragglers.Dropped
+	Outstanding int
+}
+
+// New returns a machine for an ownership with the given epoch.
+func New(cfg Settings, epoch model.Epoch) *Machine {
+	return &Machine{cfg: cfg, epoch: epoch, attempts: map[AttemptID]*attempt{}, lengths: stragglers.NewLengths()}
+}
+
+// Configure replaces the settings; open steps keep their bound.
+func (m *Machine) Configure(cfg Settings) { m.cfg = cfg }
+
+// Restore takes over the record an earlier owner left.
+func (m *Machine) Restore(r ledger.Record) {
+	m.version = max(m.version, r.TrainerVersion)
+	for _, rec := range r.Steps {
+		st := newStep(rec)
+		for _, batch := range rec.Batches {
+			for _, i := range batch {
+				st.slots[i].state = slotUnheld
+				st.slots[i].inBatch = true
+				st.inBatch++
+			}
+			st.batchSequence = append(st.batchSequence, 0)
+		}
+		m.steps = append(m.steps, st)
+		if !st.whole() {
+			m.queueAll(st)
+		}
+	}
+	m.sequence++
+}
+
+// StepSpec is what a trainer opens a step with.
+type StepSpec struct {
+	Step         uint64
+	Groups       int
+	GroupSize    int
+	MaxTokens    int
+	Bound        int
+	Digest       uint64
+	PromptPrefix string
+	Inline       bool
+	Version      model.WeightVersion
+}
+
+// Open opens a step. It is open once the sequence that Pending shows is confirmed.
+func (m *Machine) Open(now time.Time, s StepSpec) ([]Action, error) {
+	actions := m.SetVersion(now, s.Version)
+	if st := m.find(s.Step); st != nil {
+		if st.rec.Digest != s.Digest {
+			return actions, ErrStepConflict
+		}
+		return actions, nil
+	}
+	if n := len(m.steps); n > 0 && s.Step < m.steps[n-1].rec.Step {
+		return actions, ErrStepOver
+	}
+	if s.Groups < 1 || s.GroupSize < 1 || s.Groups*s.GroupSize > min(m.cfg.StepSamples, ledger.MaxSlots) {
+		return actions, ErrStepTooLarge
+	}
+	rec := ledger.Step{
+		Step: s.Step, Groups: s.Groups, GroupSize: s.GroupSize, MaxTokens: s.MaxTokens,
+		Spare: int(float64(s.Groups) * m.cfg.SpareGroups / (1 + m.cfg.SpareGroups)),
+		Bound: s.Bound, Digest: s.Digest, PromptPrefix: s.PromptPrefix, Inline: s.Inline,
+	}
+	for len(m.steps) >= maxOpenSteps {
+		actions = append(actions, m.closeFirst()...)
+	}
+	st := newStep(rec)
+	m.steps = append(m.steps, st)
+	m.pace.opened(now)
+	m.queueAll(st)
+	m.sequence++
+	return actions, nil
+}
+
+const maxOpenSteps = 2
+
+func newStep(rec ledger.Step) *step {
+	return &step{
+		rec:        rec,
+		slots:      make([]slot, rec.Slots()),
+		groupReady: make([]uint16, rec.Groups),
+		queued:     make([]bool, rec.Groups),
+	}
+}
+
+func (m *Machine) find(number uint64) *step {
+	for _, st := range m.steps {
+		if st.rec.Step == number {
+			return st
+		}
+	}
+	return nil
+}
+
+// whole reports whether every needed slot is in a batch.
+func (st *step) whole() bool { return st.inBatch >= st.rec.Needed() }
+
+func (st *step) fresh(s *slot, version model.WeightVersion) bool {
+	return s.oldest+model.WeightVersion(st.rec.Bound) >= version
+}
+
+// Pending returns the last sequence and whether its record is still to be written.
+func (m *Machine) Pending() (sequence uint64, unwritten bool) {
+	return m.sequence, m.sequence > m.confirmed
+}
+
+// Record returns the record as of the present sequence.
+func (m *Machine) Record() ledger.Record {
+	r := ledger.Record{Epoch: m.epoch, Sequence: m.sequence, TrainerVersion: m.version}
+	for _, st := range m.steps {
+		r.Steps = append(r.Steps, st.rec)
+	}
+	return r
+}
+
+// Confirm tells that the record with this sequence was written.
+func (m *Machine) Confirm(sequence uint64) { m.confirmed = max(m.confirmed, sequence) }
+
+// Confirmed returns the highest sequence written.
+func (m *Machine) Confirmed() uint64 { return m.confirmed }
+
+// Version returns the trainer's version as known.
+func (m *Machine) Version() model.WeightVersion { return m.version }
+
+// Counts returns the totals so far.
+func (m *Machine) Counts() Counts {
+	c := m.counts
+	c.Outstanding = len(m.attempts)
+	return c
+}
+
+// closeFirst forgets the lowest step.
+func (m *Machine) closeFirst() []Action {
+	st := m.steps[0]
+	m.steps = m.steps[1:]
+	var actions []Action
+	for i := range st.slots {
+		actions = append(actions, m.dropSlot(st, i)...)
+	}
+	m.sequence++
+	return actions
+}
+
+// dropSlot ends the work on a slot that is not needed any more.
+func (m *Machine) dropSlot(st *step, i int) []Action {
+	s := &st.slots[i]
+	id := SlotID{Step: st.rec.Step, Index: i}
+	if s.inBatch && s.state != slotReceived {
+		m.counts.Delivered++
+	}
+	if !s.inBatch && s.state != slotReceived {
+		m.counts.DroppedBy.Add(m.expected(s))
+	}
+	var actions []Action
+	if s.state == slotRunning {
+		actions = append(actions, m.cancel(s))
+	}
+	if s.state != slotReceived && s.state != slotUnheld {
+		actions = append(actions, Action{Kind: ActionDiscard, Slot: id})
+	}
+	s.state = slotReceived
+	s.ticket = 0
+	return actions
+}
+
+func (m *Machine) expected(s *slot) int {
+	if s.state == slotScoring || s.state == slotReady {
+		return s.tokens
+	}
+	done := s.prefix
+	if a := m.attempts[s.attempt]; a != nil {
+		done = a.tokens
+	}
+	return done + m.lengths.Remaining(done)
+}
+
+func (m *Machine) cancel(s *slot) Action {
+	a := m.attempts[s.attempt]
+	delete(m.attempts, s.attempt)
+	m.counts.Cancelled++
+	return Action{Kind: ActionCancel, Attempt: s.attempt, Slot: a.slot, Engine: a.engine}
+}
+
+// SetVersion takes in the trainer's version and cancels what can no longer make it.
+func (m *Machine) SetVersion(now time.Time, v model.WeightVersion) []Action {
+	if v <= m.version {
+		return nil
+	}
+	m.pace.versions(now, int(v-m.version))
+	m.version = v
+	var actions []Action
+	for _, st := range m.steps {
+		for i := range st.slots {
+			actions = append(actions, m.dropStale(st, i)...)
+		}
+	}
+	return actions
+}
+
+// dropStale queues a slot again when its content, or what runs of it, is too old. A
+// slot in a batch is left until the trainer asks for that batch again.
+func (m *Machine) dropStale(st *step, i int) []Action {
+	s := &st.slots[i]
+	if s.inBatch && s.state != slotRunning && s.state != slotPending {
+		return nil
+	}
+	switch s.state {
+	case slotRunning:
+		a := m.attempts[s.attempt]
+		if a.oldest == 0 || a.oldest+model.WeightVersion(st.rec.Bound) >= m.version {
+			return nil
+		}
+		cancelled := m.cancel(s)
+		return append(m.rerun(st, i), cancelled)
+	case slotScoring, slotReady:
+		if st.fresh(s, m.version) {
+			return nil
+		}
+		return m.rerun(st, i)
+	case slotPending:
+		if s.prefix > 0 && !st.fresh(s, m.version) {
+			s.prefix = 0
+			return []Action{{Kind: ActionDiscard, Slot: SlotID{Step: st.rec.Step, Index: i}}}
+		}
+	}
+	return nil
+}
+
+// rerun discards a slot's content and queues it.
+func (m *Machine) rerun(st *step, i int) []Action {
+	s := &st.slots[i]
+	if s.state == slotReady && !s.inBatch {
+		st.unready(i)
+	}
+	s.prefix, s.tokens, s.oldest = 0, 0, 0
+	m.counts.Rerun++
+	m.enqueue(st, i)
+	return []Action{{Kind: ActionDiscard, Slot: SlotID{Step: st.rec.Step, Index: i}}}
+}
+
+// unready is called for a ready slot outside batches.
+func (st *step) unready(i int) {
+	g := i / st.rec.GroupSize
+	if st.groupWhole(g) {
+		st.deliverable -= st.rec.GroupSize
+	}
+	st.groupReady[g]--
+}
+
+func (st *step) groupWhole(g int) bool { return int(st.groupReady[g]) == st.rec.GroupSize }
