--- /dev/null
+++ b/internal/coordination/membership/choose.go
@@ -0,0 +1,43 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// Choose returns the n hosts of the list that rank highest for a key by rendezvous
+// hash, best first. Hosts with the same list choose alike, and one host more or less
+// changes the choice of few keys.
+func Choose(hosts []model.HostID, key string, n int) []model.HostID {
+	type ranked struct {
+		host  model.HostID
+		score uint64
+	}
+	best := make([]ranked, 0, n+1)
+	for _, h := range hosts {
+		r := ranked{h, rendezvous(key, h)}
+		at := sort.Search(len(best), func(i int) bool { return best[i].score < r.score })
+		if at == n {
+			continue
+		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]model.HostID, 0, len(best))
+	for _, r := range best {
+		out = append(out, r.host)
+	}
+	return out
+}
+
+func rendezvous(key string, h model.HostID) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(h))
+	return d.Sum64()
+}
--- a/internal/protocol/settings/bind.go
+++ b/internal/protocol/settings/bind.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"reflect"
 	"sort"
 	"strconv"
@@ -160,15 +159,19 @@
 
 // set parses text into a field and returns the reason when it cannot.
 func (b *binder) set(into reflect.Value, tag reflect.StructTag, text string) string {
+	if reason := checkPlain(text); reason != "" {
+		return reason
+	}
 	if choice := tag.Get("choice"); choice != "" && !contains(strings.Split(choice, ","), text) {
 		return fmt.Sprintf("%q is not one of %s", text, choice)
 	}
 	if ref := tag.Get("ref"); ref != "" && !contains(b.kinds[ref], text) {
+		into.SetString(text) // So that later checks do not also call the key empty.
 		return fmt.Sprintf("there is no section [%s.%s]", ref, text)
 	}
 	if tag.Get("kind") == "address" {
-		if _, _, err := net.SplitHostPort(text); err != nil {
-			return fmt.Sprintf("%q is not host:port", text)
+		if reason := checkAddress(text); reason != "" {
+			return reason
 		}
 	}
 	switch into.Interface().(type) {
@@ -189,11 +192,8 @@
 	if err != nil {
 		return fmt.Sprintf("%q is not a duration; write a number with its unit, such as 250ms, 5s or 2m (allowed %s)", text, allowed(tag))
 	}
-	low, high := limits(tag)
-	lowest, _ := time.ParseDuration(low)
-	highest, _ := time.ParseDuration(high)
-	if high != "" && (d < lowest || d > highest) {
-		return fmt.Sprintf("%s is out of range (allowed %s)", text, allowed(tag))
+	if reason := durationInRange(d, tag); reason != "" {
+		return reason
 	}
 	into.SetInt(int64(d))
 	return ""
