--- a/internal/coordination/samples/machine.go
+++ b/internal/coordination/samples/machine.go
@@ -367,7 +367,7 @@
 			return nil
 		}
 		cancelled := m.cancel(s)
-		return append(m.rerun(st, i), cancelled)
+		return append([]Action{cancelled}, m.rerun(st, i)...)
 	case slotScoring, slotReady:
 		if st.fresh(s, m.version) {
 			return nil
--- a/internal/standin/trainer.go
+++ b/internal/standin/trainer.go
@@ -83,8 +83,11 @@
 	client *http.Client
 	cancel context.CancelFunc
 	done   chan struct{}
-	mu     sync.Mutex
-	report TrainerReport
+	// pulling is held while a pull is in flight: the version does not change then, so
+	// that the staleness at receipt is that at delivery.
+	pulling sync.Mutex
+	mu      sync.Mutex
+	report  TrainerReport
 	seen   map[[3]int]bool
 	start  time.Time
 	owner  string
@@ -159,10 +162,12 @@
 }
 
 func (t *Trainer) nextVersion(ctx context.Context) {
+	t.pulling.Lock()
 	t.mu.Lock()
 	t.report.Version++
 	v := t.report.Version
 	t.mu.Unlock()
+	t.pulling.Unlock()
 	t.tellVersion(ctx, v)
 }
 
@@ -207,13 +212,11 @@
 		if t.faults.hold(ctx) != nil {
 			return
 		}
-		var b trainerapi.Batch
-		path := fmt.Sprintf("/steps/%d/batches?cursor=%d&max=%d&version=%d&wait_ms=500", open.Step, cursor, t.opt.BatchMax, t.version())
-		if t.call(ctx, http.MethodGet, path, nil, &b) != http.StatusOK {
+		b, ok := t.pull(ctx, open, cursor)
+		if !ok {
 			_ = sleep(ctx, retryPause)
 			continue
 		}
-		t.receive(open, b)
 		cursor = b.Next
 		if b.Done {
 			return
@@ -221,6 +224,19 @@
 	}
 }
 
+// pull asks for one batch and takes it in under one version.
+func (t *Trainer) pull(ctx context.Context, open trainerapi.OpenStep, cursor uint64) (trainerapi.Batch, bool) {
+	t.pulling.Lock()
+	defer t.pulling.Unlock()
+	var b trainerapi.Batch
+	path := fmt.Sprintf("/steps/%d/batches?cursor=%d&max=%d&version=%d&wait_ms=500", open.Step, cursor, t.opt.BatchMax, t.version())
+	if t.call(ctx, http.MethodGet, path, nil, &b) != http.StatusOK {
+		return b, false
+	}
+	t.receive(open, b)
+	return b, true
+}
+
 // receive records a batch and checks each sample.
 func (t *Trainer) receive(open trainerapi.OpenStep, b trainerapi.Batch) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/transport/rollout/content.go
@@ -0,0 +1,65 @@
+package rollout
+
+import (
+	"sync"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/samples"
+	"oleanderfall.example/oleanderfall/internal/protocol/trainerapi"
+)
+
+const tokenBytes = 4
+
+// content holds the tokens of one attempt. Its worker appends while the owner's duty
+// may read a prefix.
+type content struct {
+	mu        sync.Mutex
+	requestID string
+	attempt   samples.AttemptID
+	// held says that the bytes are counted in the owner's sum.
+	held   bool
+	tokens []uint32
+	record *samples.Recorder
+	score  float64
+}
+
+// continued returns a content that begins with the first n tokens of c.
+func (c *content) continued(requestID string, n int) *content {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n = min(n, len(c.tokens))
+	var spans []samples.Span
+	for _, s := range c.record.Spans() {
+		if s.From < n {
+			s.To = min(s.To, n)
+			spans = append(spans, s)
+		}
+	}
+	return &content{
+		requestID: requestID,
+		tokens:    append([]uint32(nil), c.tokens[:n]...),
+		record:    samples.NewRecorder(spans),
+	}
+}
+
+func newContent(requestID string) *content {
+	return &content{requestID: requestID, record: samples.NewRecorder(nil)}
+}
+
+// sample returns the whole content as the trainer gets it.
+func (c *content) sample(step uint64, group, index int, prompt string) trainerapi.Sample {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := trainerapi.Sample{
+		Step: step, Group: group, Index: index, RequestID: c.requestID, Prompt: prompt, Tokens: c.tokens, Score: c.score,
+	}
+	for _, s := range c.record.Spans() {
+		out.Spans = append(out.Spans, trainerapi.Span{From: s.From, To: s.To, Version: s.Version})
+	}
+	return out
+}
+
+func (c *content) bytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cap(c.tokens) * tokenBytes
+}
--- a/internal/transport/rollout/module.go
+++ b/internal/transport/rollout/module.go
@@ -1,7 +1,109 @@
-// Package rollout wires the duties of oleander-rollout.
+// Package rollout makes samples for trainers: it owns trainers' shards, runs their
+// slots on the engines, has samples scored, and offers batches over HTTP.
+//
+// Invariant: only the owner's duty touches a trainer's machine; nothing is offered
+// before the object API confirmed the record that holds it; one trainer's engines,
+// scorer or pulls hold up no other trainer.
 package rollout
 
-import "go.uber.org/fx"
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/feed"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	"oleanderfall.example/oleanderfall/internal/transport/process"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+var errNoView = errors.New("no fleet view yet")
 
 // Module provides and starts the program's duties.
-var Module = fx.Module("rollout")
+var Module = fx.Module("rollout",
+	fx.Provide(process.NewObjectAPI, newMesh, newFeed, newService),
+	fx.Invoke(serve),
+)
+
+func newMesh(s *settings.Process, keys *tlsconf.Keys, root *slog.Logger) (*quicmesh.Mesh, error) {
+	return quicmesh.New(quicmesh.Options{
+		Listen: s.Rollout.Mesh,
+		Server: keys.Server(),
+		Client: keys.Client(),
+		Log:    logging.Part(root, "mesh"),
+	})
+}
+
+func newFeed(s *settings.Process, mesh *quicmesh.Mesh, root *slog.Logger) *feed.Client {
+	return feed.NewClient(mesh, s.Control.Listen, logging.Part(root, "feed"))
+}
+
+func newService(s *settings.Process, api *objectapi.Client, f *feed.Client, reg *prometheus.Registry, root *slog.Logger) *Service {
+	return NewService(Options{
+		Host:        s.Host.ID,
+		Zone:        s.Host.Zone,
+		Incarnation: model.Incarnation(time.Now().UnixNano()),
+		Listen:      s.Rollout.Listen,
+		API:         api,
+		View:        f.View,
+		Metrics:     reg,
+		Log:         logging.Part(root, "rollout"),
+	})
+}
+
+type serveParams struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Settings  *settings.Process
+	Mesh      *quicmesh.Mesh
+	Feed      *feed.Client
+	Service   *Service
+	Registry  *prometheus.Registry
+	Health    *process.Health
+}
+
+// serve registers the program's life; the last hook stops first.
+func serve(p serveParams) {
+	p.Health.Add("view", func() error {
+		if p.Feed.View() == nil {
+			return errNoView
+		}
+		return nil
+	})
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return p.Mesh.Start() },
+		OnStop:  func(context.Context) error { p.Mesh.Close(); return nil },
+	})
+	process.ServeAdmin(p.Lifecycle, p.Settings.Rollout.Admin, p.Registry, p.Health, func(r *mux.Router) {
+		r.HandleFunc("/v1/explain/{sample}", p.Service.ServeExplain).Methods(http.MethodGet)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := p.Service.Start(); err != nil {
+				return err
+			}
+			duties.Go(func() { p.Feed.Run(ctx) })
+			duties.Go(func() { p.Service.Run(ctx) })
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			err := p.Service.Release(stop)
+			cancel()
+			duties.Wait()
+			return err
+		},
+	})
+}
--- /dev/null
+++ b/internal/transport/rollout/rollout_test.go
@@ -0,0 +1,328 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 60 * time.Second
+
+// bench is a fleet in one process: stand-ins, and hosts that run Services.
+type bench struct {
+	t        *testing.T
+	store    *standin.ObjectStore
+	engines  []*standin.Engine
+	scorer   *standin.Scorer
+	config   *model.Config
+	client   *engineapi.Client
+	mu       sync.Mutex
+	sequence uint64
+	hosts    []*host
+}
+
+type host struct {
+	id      model.HostID
+	service *Service
+	cancel  context.CancelFunc
+	done    chan struct{}
+	dead    bool
+}
+
+func newBench(t *testing.T, hosts int, opt standin.EngineOptions) *bench {
+	b := &bench{t: t, store: standin.NewObjectStore(standin.ObjectStoreOptions{Latency: time.Millisecond})}
+	scorer, err := standin.NewScorer("127.0.0.1:0", "scorer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.scorer = scorer
+	b.client = engineapi.NewClient(newClient(t))
+	t.Cleanup(scorer.Close)
+	b.config = &model.Config{
+		Hosts:       map[model.HostID]model.Host{},
+		Deployments: map[model.DeploymentID]model.Deployment{"d": {MaxRunning: 8, TrainingFloor: 0.25}},
+		Endpoints:   map[model.EndpointID]model.Endpoint{},
+		Trainers: map[model.TrainerID]model.Trainer{"t": {
+			Deployment: "d", Scorer: "s", GroupSize: 4, StepSamples: 4096, StalenessBound: 1, Freshness: 0.5, Share: 1,
+		}},
+		Scorers: map[model.ScorerID]model.Scorer{"s": {Address: scorer.Address(), Timeout: time.Second}},
+	}
+	for i := range 3 {
+		opt.Name = fmt.Sprintf("e%d", i)
+		e, err := standin.NewEngine("127.0.0.1:0", opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		b.engines = append(b.engines, e)
+		b.config.Endpoints[model.EndpointID(opt.Name)] = model.Endpoint{Kind: model.EndpointEngine, Deployment: "d", Address: e.Address()}
+	}
+	for i := range hosts {
+		id := model.HostID(fmt.Sprintf("h%d", i))
+		b.config.Hosts[id] = model.Host{Rollout: "127.0.0.1:0"}
+		b.hosts = append(b.hosts, &host{id: id, dead: true})
+	}
+	return b
+}
+
+// view is what a control program would hand over.
+func (b *bench) view() *model.FleetView {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	v := &model.FleetView{Sequence: b.sequence, Generation: 1, Config: b.config}
+	for _, h := range b.hosts {
+		state := model.HostAlive
+		if h.dead {
+			state = model.HostDead
+		}
+		v.Members = append(v.Members, model.Member{Host: h.id, State: state, Rollout: "x", Incarnation: 1})
+	}
+	for _, e := range b.engines {
+		v.Loads = append(v.Loads, model.EndpointLoad{Endpoint: model.EndpointID(e.Name()), Version: e.Version()})
+	}
+	return v
+}
+
+func (b *bench) start(i int) {
+	b.t.Helper()
+	h := b.hosts[i]
+	h.service = NewService(Options{
+		Host: h.id, Incarnation: model.Incarnation(time.Now().UnixNano()), Listen: "127.0.0.1:0", API: b.store,
+		View: b.view, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler),
+	})
+	if err := h.service.Start(); err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel, h.done = cancel, make(chan struct{})
+	go func() {
+		defer close(h.done)
+		h.service.Run(ctx)
+	}()
+	b.mu.Lock()
+	h.dead = false
+	b.mu.Unlock()
+	b.t.Cleanup(func() { b.kill(i) })
+}
+
+// kill ends a host without handing anything over.
+func (b *bench) kill(i int) {
+	h := b.hosts[i]
+	b.mu.Lock()
+	dead := h.dead
+	h.dead = true
+	b.mu.Unlock()
+	if dead {
+		return
+	}
+	h.service.Close()
+	h.cancel()
+	<-h.done
+}
+
+func (b *bench) addresses() []string {
+	var out []string
+	for _, h := range b.hosts {
+		if h.service != nil {
+			out = append(out, h.service.Address())
+		}
+	}
+	return out
+}
+
+// order has every engine load a version, as the weights' owner would.
+func (b *bench) order(v model.WeightVersion) {
+	client := b.client
+	for _, e := range b.engines {
+		_ = client.Order(context.Background(), e.Address(), engineapi.Order{Fence: 1, Version: v})
+	}
+}
+
+// followVersions orders each version that the trainer reaches until the test ends.
+func (b *bench) followVersions(tr *standin.Trainer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for sleep(ctx, 20*time.Millisecond) {
+			b.order(tr.Report().Version)
+		}
+	}()
+	b.t.Cleanup(func() { cancel(); <-done })
+}
+
+func (b *bench) train(opt standin.TrainerOptions) *standin.Trainer {
+	opt.Name, opt.Rollouts = "t", b.addresses()
+	if opt.BatchMax == 0 {
+		opt.BatchMax = 8
+	}
+	tr := standin.StartTrainer(opt)
+	b.t.Cleanup(tr.Close)
+	b.followVersions(tr)
+	return tr
+}
+
+// judge checks the trainer's account against the engines' logs.
+func (b *bench) judge(tr *standin.Trainer, want int) {
+	b.t.Helper()
+	select {
+	case <-tr.Done():
+	case <-time.After(waitLimit):
+		r := tr.Report()
+		b.t.Fatalf("not done in time: %d steps, %d samples", r.StepsDone, len(r.Received))
+	}
+	r := tr.Report()
+	if len(r.Wrong) > 0 {
+		b.t.Errorf("wrong: %v", r.Wrong)
+	}
+	if len(r.Received) != want {
+		b.t.Errorf("%d samples received of %d", len(r.Received), want)
+	}
+	made := map[string][]standin.Span{}
+	for _, e := range b.engines {
+		for _, run := range e.Runs() {
+			made[run.RequestID] = append(made[run.RequestID], run.Spans...)
+		}
+	}
+	bound := b.config.Trainers["t"].StalenessBound
+	for _, got := range r.Received {
+		if got.Staleness > bound {
+			b.t.Errorf("sample %s is %d versions old", got.RequestID, got.Staleness)
+		}
+		if fault := unlike(got, made); fault != "" {
+			b.t.Errorf("sample %s: %s", got.RequestID, fault)
+		}
+	}
+}
+
+// unlike compares each token's version with the log of the attempts at its sample.
+func unlike(got standin.Received, made map[string][]standin.Span) string {
+	truth := map[int]map[model.WeightVersion]bool{}
+	sample := got.RequestID[:strings.LastIndex(got.RequestID, ".")+1]
+	for id, spans := range made {
+		if id != got.RequestID && !(strings.HasPrefix(id, sample) && got.Spans[0].From < spans0(made[got.RequestID])) {
+			continue
+		}
+		for _, s := range spans {
+			for i := s.From; i < s.To; i++ {
+				if truth[i] == nil {
+					truth[i] = map[model.WeightVersion]bool{}
+				}
+				truth[i][s.Version] = true
+			}
+		}
+	}
+	for _, s := range got.Spans {
+		for i := s.From; i < s.To; i++ {
+			if !truth[i][s.Version] {
+				return fmt.Sprintf("token %d was not made under version %d", i, s.Version)
+			}
+		}
+	}
+	return ""
+}
+
+// spans0 is where the last attempt began.
+func spans0(spans []standin.Span) int {
+	if len(spans) == 0 {
+		return 0
+	}
+	return spans[0].From
+}
+
+func quickEngines() standin.EngineOptions {
+	return standin.EngineOptions{TokenInterval: 2 * time.Millisecond, MedianTokens: 24, SwapTime: 10 * time.Millisecond}
+}
+
+func TestStepsArriveWholeTrueAndFreshWhileVersionsChange(t *testing.T) {
+	b := newBench(t, 1, quickEngines())
+	b.start(0)
+	tr := b.train(standin.TrainerOptions{Steps: 4, Groups: 6, GroupSize: 4, TrainTime: 20 * time.Millisecond})
+	b.judge(tr, 4*24)
+}
+
+func TestAnotherHostContinuesTheStepFromTheObjectAlone(t *testing.T) {
+	b := newBench(t, 2, quickEngines())
+	b.start(0)
+	b.start(1)
+	tr := b.train(standin.TrainerOptions{Steps: 6, Groups: 6, GroupSize: 4, TrainTime: 20 * time.Millisecond})
+	for _, after := range []int{10, 60} {
+		waitFor(t, func() bool { return len(tr.Report().Received) >= after })
+		victim := 0
+		if b.hosts[0].service.owned("t") == nil {
+			victim = 1
+		}
+		b.kill(victim)
+		b.start(victim)
+	}
+	b.judge(tr, 6*24)
+}
+
+func TestHiddenVersionsAndBrokenStreamsAreRunAgain(t *testing.T) {
+	b := newBench(t, 1, quickEngines())
+	b.start(0)
+	b.engines[0].SetFaults(standin.Faults{HideVersion: true})
+	b.engines[1].SetFaults(standin.Faults{CutAtByte: 700})
+	tr := b.train(standin.TrainerOptions{Steps: 2, Groups: 6, GroupSize: 4})
+	waitFor(t, func() bool { return len(tr.Report().Received) >= 8 })
+	b.engines[2].SetFaults(standin.Faults{Crash: true})
+	b.judge(tr, 2*24)
+}
+
+func TestALateScorerHoldsUpOnlyUntilItAnswers(t *testing.T) {
+	b := newBench(t, 1, quickEngines())
+	b.start(0)
+	b.scorer.SetFaults(standin.Faults{Outage: true})
+	tr := b.train(standin.TrainerOptions{Steps: 2, Groups: 6, GroupSize: 4})
+	waitFor(t, func() bool { return len(b.engines[0].Runs()) > 0 })
+	if n := len(tr.Report().Received); n != 0 {
+		t.Fatalf("%d samples came without a score", n)
+	}
+	b.scorer.SetFaults(standin.Faults{})
+	b.judge(tr, 2*24)
+}
+
+func TestLostAnswersAndAnOutageOfTheObjectAPIDeliverNothingTwice(t *testing.T) {
+	b := newBench(t, 1, quickEngines())
+	b.start(0)
+	tr := b.train(standin.TrainerOptions{Steps: 4, Groups: 6, GroupSize: 4})
+	waitFor(t, func() bool { return len(tr.Report().Received) >= 8 })
+	b.store.SetFaults(standin.Faults{LoseAnswers: 5, LoseKeyPrefix: "trainer/"})
+	waitFor(t, func() bool { return len(tr.Report().Received) >= 48 })
+	b.store.SetFaults(standin.Faults{Outage: true})
+	held := len(tr.Report().Received)
+	waitFor(t, func() bool { return b.store.Calls().Writes > 0 && held > 0 })
+	b.store.SetFaults(standin.Faults{})
+	b.judge(tr, 4*24)
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal("condition not met in time")
+}
+
+func newClient(t *testing.T) *http.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
--- /dev/null
+++ b/internal/transport/rollout/service.go
@@ -0,0 +1,165 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/sharder"
+)
+
+const (
+	shardPrefix  = "trainer/"
+	restartPause = 200 * time.Millisecond
+)
+
+func shardOf(t model.TrainerID) string { return shardPrefix + string(t) }
+
+// Options is what a Service needs.
+type Options struct {
+	Host        model.HostID
+	Zone        model.ZoneID
+	Incarnation model.Incarnation
+	// Listen is the HTTP address for trainers.
+	Listen  string
+	API     objectapi.API
+	View    func() *model.FleetView
+	Metrics prometheus.Registerer
+	Log     *slog.Logger
+}
+
+// Service serves the trainers whose shards this host owns.
+type Service struct {
+	opt     Options
+	sharder *sharder.Sharder
+	engines *engineapi.Client
+	http    *http.Client
+	metrics *metrics
+	server  *http.Server
+	address string
+
+	mu     sync.Mutex
+	owners map[model.TrainerID]*owner
+}
+
+// NewService returns a service; Start begins it.
+func NewService(opt Options) *Service {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	s := &Service{
+		opt:     opt,
+		http:    &http.Client{Transport: transport},
+		metrics: newMetrics(opt.Metrics),
+		owners:  map[model.TrainerID]*owner{},
+	}
+	s.engines = engineapi.NewClient(s.http)
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
+	return s
+}
+
+// Start opens the trainers' port.
+func (s *Service) Start() error {
+	l, err := net.Listen("tcp", s.opt.Listen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	s.address = l.Addr().String()
+	s.sharder = sharder.New(sharder.Options{
+		API:         s.opt.API,
+		Host:        s.opt.Host,
+		Incarnation: s.opt.Incarnation,
+		Address:     s.address,
+		View:        s.opt.View,
+		Shards:      trainerShards,
+		Candidates:  rolloutMembers,
+		Acquired:    s.acquired,
+		Log:         s.opt.Log,
+	})
+	go func() { _ = s.server.Serve(l) }()
+	return nil
+}
+
+// Address is the trainers' address once started.
+func (s *Service) Address() string { return s.address }
+
+// Run holds shards until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.sharder.Run(ctx)
+	s.http.CloseIdleConnections()
+}
+
+// Release hands the shards over and closes the trainers' port, for a planned stop.
+func (s *Service) Release(ctx context.Context) error {
+	return errors.Join(s.sharder.Release(ctx), s.server.Shutdown(ctx))
+}
+
+// Close closes the trainers' port at once.
+func (s *Service) Close() { _ = s.server.Close() }
+
+func trainerShards(v *model.FleetView) []string {
+	var out []string
+	for id := range v.Config.Trainers {
+		out = append(out, shardOf(id))
+	}
+	return out
+}
+
+// rolloutMembers are the members that run the rollout program.
+func rolloutMembers(v *model.FleetView) []model.Member {
+	var out []model.Member
+	for _, m := range v.Members {
+		if m.Rollout != "" || v.Config.Hosts[m.Host].Rollout != "" {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (s *Service) owned(t model.TrainerID) *owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[t]
+}
+
+// acquired serves one trainer while its shard is held. A record changed by an earlier
+// owner begins the work anew from what it says.
+func (s *Service) acquired(ctx context.Context, shard sharder.Shard) {
+	trainer := model.TrainerID(strings.TrimPrefix(shard.ID, shardPrefix))
+	for run := 1; ctx.Err() == nil; run++ {
+		err := s.serveTrainer(ctx, trainer, shard, run)
+		if errors.Is(err, errLost) {
+			s.sharder.Lost(shard)
+			return
+		}
+		if ctx.Err() == nil {
+			s.opt.Log.Warn("Trainer's work begins anew.", "trainer", trainer, "epoch", shard.Epoch, "err", err)
+			sleep(ctx, restartPause)
+		}
+	}
+}
+
+func (s *Service) serveTrainer(ctx context.Context, t model.TrainerID, shard sharder.Shard, run int) error {
+	o := newOwner(ctx, ownerOptions{
+		Trainer: t, Shard: shard, Zone: s.opt.Zone, API: s.opt.API, Engines: s.engines, HTTP: s.http,
+		View: s.opt.View, Metrics: s.metrics, Log: s.opt.Log, Run: run,
+	})
+	s.mu.Lock()
+	s.owners[t] = o
+	s.mu.Unlock()
+	err := o.run()
+	s.mu.Lock()
+	if s.owners[t] == o {
+		delete(s.owners, t)
+	}
+	s.mu.Unlock()
+	return err
+}
