Prove commits with killed control programs and a broken network

Three real control programs are killed at different steps of eight commits; the operator's client goes on with the next one under the same request id.

Cause mended: a host asked itself as a seed and did not take up what it heard while it asked the seeds; the two run apart now. Adds 'oleanderctl explain'.

--- a/internal/protocol/objectapi/client.go
+++ b/internal/protocol/objectapi/client.go
@@ -28,6 +28,9 @@
 	// AttemptTimeout bounds one sending, CallTimeout a whole call with its retries.
 	AttemptTimeout time.Duration
 	CallTimeout    time.Duration
+	// WatchLifetime bounds a watch without events: Follow opens it anew from the last
+	// revision seen, so that a dead connection cannot hide changes for longer.
+	WatchLifetime time.Duration
 	// Seed makes the writer id and the jitter; two processes never share one.
 	Seed  uint64
 	Clock Clock
@@ -40,6 +43,7 @@
 	defaultWritesPerSecond = 50
 	defaultAttemptTimeout  = 3 * time.Second
 	defaultCallTimeout     = 12 * time.Second
+	defaultWatchLifetime   = 2 * time.Minute
 	maxAttempts            = 6
 	firstBackoff           = 40 * time.Millisecond
 	maxBackoff             = 2 * time.Second
@@ -101,6 +105,9 @@
 	if opt.CallTimeout == 0 {
 		opt.CallTimeout = defaultCallTimeout
 	}
+	if opt.WatchLifetime == 0 {
+		opt.WatchLifetime = defaultWatchLifetime
+	}
 	if opt.Clock == nil {
 		opt.Clock = systemClock{}
 	}
--- a/internal/protocol/objectapi/follow.go
+++ b/internal/protocol/objectapi/follow.go
@@ -6,12 +6,8 @@
 	"time"
 )
 
-const (
-	listPage = 500
-	// watchLifetime bounds a watch without events: it is opened anew from the last
-	// revision seen, so that a dead connection cannot hide changes for longer.
-	watchLifetime = 2 * time.Minute
-)
+// listPage is the number of objects asked for in one page.
+const listPage = 500
 
 // Handler receives what Follow sees, one call at a time.
 type Handler interface {
@@ -69,7 +65,7 @@
 	}
 	defer w.Close()
 	for {
-		idle, cancel := context.WithTimeout(ctx, f.client.jittered(watchLifetime))
+		idle, cancel := context.WithTimeout(ctx, f.client.jittered(f.client.opt.WatchLifetime))
 		e, err := w.Next(idle)
 		expired := idle.Err() != nil
 		cancel()
--- a/internal/transport/confduty/duty.go
+++ b/internal/transport/confduty/duty.go
@@ -135,7 +135,8 @@
 func (d *Duty) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.running.Add(3)
+	d.running.Add(4)
+	go func() { defer d.running.Done(); d.askSeeds(ctx) }()
 	go func() { defer d.running.Done(); d.fetch(ctx) }()
 	go func() { defer d.running.Done(); d.follow(ctx) }()
 	go func() { defer d.running.Done(); d.collect(ctx) }()
--- a/internal/transport/confduty/fetch.go
+++ b/internal/transport/confduty/fetch.go
@@ -19,14 +19,14 @@
 	// read is asked for again.
 	firstRefetch = 200 * time.Millisecond
 	maxRefetch   = 10 * time.Second
-	// seedRounds is how often the seeds are asked at the start, until one answers.
+	// seedRounds is how often the seeds are asked at the start, until one has a
+	// generation; later ones are heard of by heartbeats.
 	seedRounds      = 10
 	collectInterval = 10 * time.Minute
 )
 
 // fetch gets the generations that were heard of.
 func (d *Duty) fetch(ctx context.Context) {
-	d.askSeeds(ctx)
 	for {
 		h, err := d.hints.Pop(ctx)
 		if err != nil {
@@ -47,11 +47,12 @@
 func (d *Duty) askSeeds(ctx context.Context) {
 	delay := firstRefetch
 	for range seedRounds {
-		answered := len(d.opt.Seeds) == 0
 		for _, address := range d.opt.Seeds {
-			answered = d.fetchPeer(ctx, address) == nil || answered
+			if address != d.opt.Mesh.Address() {
+				_ = d.fetchPeer(ctx, address)
+			}
 		}
-		if answered || d.Generation() > 0 || ctx.Err() != nil {
+		if d.Generation() > 0 || ctx.Err() != nil {
 			return
 		}
 		pause(ctx, d.jitter(delay))
--- a/internal/transport/ctl/ctl.go
+++ b/internal/transport/ctl/ctl.go
@@ -35,6 +35,7 @@
 	Drain             drainCommand     `cmd:"" help:"Give an endpoint or a host no new work."`
 	Undrain           undrainCommand   `cmd:"" help:"End an operator's drain."`
 	Report            reportCommands   `cmd:"" help:"Reports over the programs' metrics."`
+	Explain           explainCommand   `cmd:"" help:"Show what happened to one request or sample."`
 	Keys              keysCommand      `cmd:"" help:"Make a development set of keys."`
 	SettingsReference referenceCommand `cmd:"" help:"Print the page of all settings in Markdown."`
 }
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -202,3 +203,29 @@
 		t.Fatalf("no picture: %v", err)
 	}
 }
+
+func TestExplainAsksUntilAProgramKnowsTheRequest(t *testing.T) {
+	serve := func(known string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/v1/explain/"+known {
+				http.NotFound(w, r)
+				return
+			}
+			_, _ = w.Write([]byte(`{"request_id":"q1","target":"orders","caller":"shop","events":[{"after_us":1500,"what":"dispatched","endpoint":"e1"}]}`))
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	a, b := serve("other"), serve("q1")
+	out, errOut, code := run("explain", "q1", "--admin", a, "--admin", b)
+	if code != 0 {
+		t.Fatal(errOut)
+	}
+	mustContain(t, out, "request q1 of shop to orders", "1.5ms", "dispatched", "e1")
+	if _, _, code := run("explain", "q2", "--admin", a, "--admin", b); code != int(resultcode.NotFound) {
+		t.Fatalf("exit %d for an unknown request", code)
+	}
+	if _, _, code := run("explain", "q2", "--admin", a, "--admin", "127.0.0.1:1"); code != int(resultcode.Unreachable) {
+		t.Fatalf("exit %d though a program did not answer", code)
+	}
+}
--- /dev/null
+++ b/internal/transport/ctl/process_test.go
@@ -0,0 +1,245 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/confgen"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/confstore"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+// fleet is a set of real control programs before one object API.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	binary  string
+	store   *standin.ObjectStore
+	listens []string
+	running []*exec.Cmd
+}
+
+const fleetSize = 3
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewObjectStore(standin.ObjectStoreOptions{})}
+	f.binary = filepath.Join(f.dir, "oleander-control")
+	if out, err := exec.Command("go", "build", "-o", f.binary, "oleanderfall.example/oleanderfall/cmd/oleander-control").CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v", out, err)
+	}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.Close)
+	names := []string{"ana"}
+	for i := range fleetSize {
+		names = append(names, f.name(i))
+		f.listens = append(f.listens, freePort(t))
+	}
+	if err := tlsconf.WriteDevelopmentKeys(f.dir, names...); err != nil {
+		t.Fatal(err)
+	}
+	for i := range fleetSize {
+		f.writeSettings(i, server.URL)
+		f.running = append(f.running, nil)
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range fleetSize {
+			f.kill(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) name(i int) string { return fmt.Sprintf("h%d", i) }
+
+// freePort finds an address whose UDP and TCP ports are free now.
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.LocalAddr().String()
+}
+
+func (f *fleet) writeSettings(i int, store string) {
+	f.t.Helper()
+	host := f.name(i)
+	text := fmt.Sprintf(`[host]
+id = %[1]s
+zone = a
+region = r
+[tls]
+authority = %[2]s/ca.pem
+certificate = %[2]s/%[1]s.pem
+key = %[2]s/%[1]s.key
+[platform]
+object_api = %[3]s
+timeout = 1s
+[control]
+listen = %[4]s
+admin = %[5]s
+seeds = %[6]s, %[7]s
+heartbeat = 100ms
+`, host, f.dir, store, f.listens[i], freePort(f.t), f.listens[0], f.listens[1])
+	if err := os.MkdirAll(filepath.Join(f.dir, host), 0o700); err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(f.dir, host, "host.ini"), []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) start(i int) {
+	f.t.Helper()
+	cmd := exec.Command(f.binary, filepath.Join(f.dir, f.name(i)))
+	cmd.Stderr = &bytes.Buffer{}
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.running[i] = cmd
+}
+
+func (f *fleet) kill(i int) {
+	_ = f.running[i].Process.Kill()
+	_ = f.running[i].Wait()
+}
+
+// ctl runs a command against host i first and the others after it.
+func (f *fleet) ctl(i int, args ...string) (out, errOut string, code int) {
+	for n := range fleetSize {
+		args = append(args, "--control", f.listens[(i+n)%fleetSize])
+	}
+	file := func(name string) string { return filepath.Join(f.dir, name) }
+	return run(append(args, "--authority", file("ca.pem"), "--certificate", file("ana.pem"), "--key", file("ana.key"))...)
+}
+
+// root is the root object as the platform holds it.
+func (f *fleet) root() confstore.Root {
+	f.t.Helper()
+	o, err := objectapi.NewClient(f.store, objectapi.ClientOptions{Seed: 9}).Get(f.t.Context(), confgen.RootKey)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var root confstore.Root
+	if err := json.Unmarshal(o.Value, &root); err != nil {
+		f.t.Fatal(err)
+	}
+	return root
+}
+
+// inForce is the generation in force at host i, 0 when it does not say.
+func (f *fleet) inForce(i int) uint64 {
+	file := func(name string) string { return filepath.Join(f.dir, name) }
+	out, _, code := run("get", "--output", "json", "--timeout", "2s", "--control", f.listens[i],
+		"--authority", file("ca.pem"), "--certificate", file("ana.pem"), "--key", file("ana.key"))
+	var got struct {
+		Generation uint64 `json:"generation"`
+	}
+	if code != 0 || json.Unmarshal([]byte(out), &got) != nil {
+		return 0
+	}
+	return got.Generation
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(40 * time.Second); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("not seen: %s", what)
+		}
+	}
+}
+
+func TestNoAcceptedChangeIsLostOrDoubledWhenControlProgramsAreKilled(t *testing.T) {
+	f := newFleet(t)
+	f.eventually("the first change", func() bool {
+		_, _, code := f.ctl(0, "apply", folder(t, "[zone.a]\nregion = r\n"), "--note", "start")
+		return code == 0
+	})
+	f.store.SetFaults(standin.Faults{DelayMillis: 30}) // Spreads a commit's steps over the kills below.
+	accepted := map[string]uint64{"start": 1}
+	refused := map[string]bool{}
+	for round := range 8 {
+		victim := round % fleetSize
+		note := "round" + strconv.Itoa(round)
+		type result struct {
+			out  string
+			code int
+		}
+		done := make(chan result, 1)
+		go func() {
+			out, _, code := f.ctl(victim, "apply", folder(t, "[zone.a]\nregion = "+note+"\n"), "--note", note, "--output", "json")
+			done <- result{out, code}
+		}()
+		time.Sleep(time.Duration(40+round*30) * time.Millisecond)
+		f.kill(victim)
+		r := <-done
+		var reply applied
+		switch {
+		case r.code == 0 && json.Unmarshal([]byte(r.out), &reply) == nil:
+			accepted[note] = uint64(reply.Generation)
+		case resultcode.Code(r.code).Info().Outcome == resultcode.NotRun:
+			refused[note] = true
+		}
+		f.start(victim)
+	}
+	f.store.SetFaults(standin.Faults{})
+	t.Logf("accepted %d, refused %d of 9", len(accepted), len(refused))
+	f.checkHistory(accepted, refused)
+}
+
+func (f *fleet) checkHistory(accepted map[string]uint64, refused map[string]bool) {
+	f.t.Helper()
+	root := f.root()
+	found := map[string]uint64{}
+	for i, c := range root.History {
+		if uint64(c.Generation) != uint64(root.Generation)-uint64(i) {
+			f.t.Fatalf("generation %d stands in place %d", c.Generation, i)
+		}
+		if found[c.Note] != 0 {
+			f.t.Fatalf("%s became generations %d and %d", c.Note, found[c.Note], c.Generation)
+		}
+		found[c.Note] = uint64(c.Generation)
+	}
+	for note, g := range accepted {
+		if found[note] != g {
+			f.t.Fatalf("%s was accepted as %d and is %d", note, g, found[note])
+		}
+	}
+	for note := range refused {
+		if found[note] != 0 {
+			f.t.Fatalf("%s was called not applied and is generation %d", note, found[note])
+		}
+	}
+	for i := range fleetSize {
+		f.eventually("the newest generation on "+f.name(i), func() bool { return f.inForce(i) == uint64(root.Generation) })
+	}
+	f.checkOutage(uint64(root.Generation))
+}
+
+// checkOutage restarts a host while the object API is gone.
+func (f *fleet) checkOutage(newest uint64) {
+	f.t.Helper()
+	f.store.SetFaults(standin.Faults{Outage: true})
+	f.kill(2)
+	f.start(2)
+	f.eventually("the newest generation after a start in an outage", func() bool { return f.inForce(2) == newest })
+	if _, errOut, code := f.ctl(2, "apply", folder(f.t, "[zone.b]\nregion = r\n"), "--base", fmt.Sprint(newest)); code != int(resultcode.StorageOutage) {
+		f.t.Fatalf("apply in an outage: %d %s", code, errOut)
+	}
+}
