--- a/internal/coordination/claims/commit.go
+++ b/internal/coordination/claims/commit.go
@@ -149,3 +149,6 @@
 	c.expired = now
 	return c.table.Expire(c.millis(now), c.opt.Lifetime)
 }
+
+// Lookup returns the claim of a key, as if all that is staged were durable.
+func (c *Core) Lookup(k journal.Key) (journal.Claim, bool) { return c.table.Get(k) }
--- /dev/null
+++ b/internal/transport/claimduty/store_test.go
@@ -0,0 +1,132 @@
+package claimduty
+
+import (
+	"context"
+	"encoding/binary"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/claims"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/journal"
+)
+
+// TestMain fixes the seed of rapid where none is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
+// driver runs a core against a store without goroutines.
+type driver struct {
+	t     *testing.T
+	core  *claims.Core
+	store *store
+	now   time.Time
+}
+
+func newDriver(t *testing.T, api *standin.ObjectStore, opt claims.Options) *driver {
+	return &driver{
+		t: t, store: &store{api: api, shard: "claims/0"}, now: time.Unix(1_700_000_000, 0),
+		core: claims.New(opt, journal.NewTable(), nil, nil, 0, 0),
+	}
+}
+
+// commit writes the staged entry and does the folding and removing that is due.
+func (d *driver) commit() {
+	d.now = d.now.Add(200 * time.Millisecond)
+	ctx := context.Background()
+	d.core.Expire(d.now)
+	if e := d.core.NextCommit(d.now); e != nil {
+		if err := d.store.append(ctx, e); err != nil {
+			d.t.Fatal(err)
+		}
+		d.core.Committed(d.now)
+	}
+	if f := d.core.NextFold(); f != nil {
+		d.core.Folded(f, d.store.fold(ctx, f.Segment, f.Answers) == nil)
+	}
+	if s := d.core.NextRemoval(d.now); s != nil {
+		d.core.Removed(d.store.remove(ctx, s.Number) == nil)
+	}
+}
+
+func numbered(i int) (k journal.Key) {
+	binary.BigEndian.PutUint32(k[:], uint32(i))
+	return k
+}
+
+// What a takeover reads equals what the owner remembers, through folding, expiry,
+// removal of segments and claims that stay unsettled for long.
+func TestTakeoverReadsWhatTheOwnerRemembers(t *testing.T) {
+	api := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	opt := claims.Options{Lifetime: 20 * time.Second, Interval: time.Millisecond}
+	d := newDriver(t, api, opt)
+	random := rand.New(rand.NewPCG(1, 2))
+	open := map[int]bool{}
+	const entries = 1500
+	for i := range entries {
+		k := numbered(i)
+		d.core.Claim(d.now, claims.Request{Key: k, Attempt: journal.Attempt(k), Digest: uint64(i)})
+		open[i] = true
+		for other := range open {
+			if random.IntN(20) == 0 && other%50 != 0 {
+				end := []journal.State{journal.Free, journal.Ran, journal.Unknown}[random.IntN(3)]
+				d.core.Settle(d.now, claims.Settlement{Key: numbered(other), Attempt: journal.Attempt(numbered(other)), State: end, Body: []byte("answer")})
+				delete(open, other)
+			}
+		}
+		d.commit()
+		if i%100 == 99 {
+			compareWithTakeover(t, d, api, i)
+		}
+	}
+	if s := d.core.Stats(); s.Segments > 10 || s.Open < entries/50 {
+		t.Fatalf("%d segments and %d unsettled claims remain", s.Segments, s.Open)
+	}
+}
+
+func compareWithTakeover(t *testing.T, d *driver, api *standin.ObjectStore, upTo int) {
+	t.Helper()
+	d.now = d.now.Add(time.Second)
+	d.commit()
+	successor := &store{api: api, shard: "claims/0"}
+	l, err := successor.load(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	theirs := claims.New(claims.Options{}, l.table, l.tail, l.segments, l.last, l.lastMillis)
+	for i := range upTo + 1 {
+		mine, ok := d.core.Lookup(numbered(i))
+		got, found := theirs.Lookup(numbered(i))
+		if ok && (!found || got.State != mine.State || got.Attempt != mine.Attempt || got.Digest != mine.Digest) {
+			t.Fatalf("entry %d, key %d: owner has %+v, takeover read %+v (%v)", upTo, i, mine, got, found)
+		}
+		if !ok && found && got.State == journal.Running {
+			t.Fatalf("entry %d, key %d: takeover holds a claim that was settled", upTo, i)
+		}
+		if ok && mine.State == journal.Ran {
+			checkAnswer(t, theirs, successor, mine, numbered(i))
+		}
+	}
+}
+
+func checkAnswer(t *testing.T, core *claims.Core, s *store, c journal.Claim, k journal.Key) {
+	t.Helper()
+	body, ok := core.Body(c, k)
+	if !ok {
+		var err error
+		if body, err = s.answer(context.Background(), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if string(body) != "answer" {
+		t.Fatalf("the answer of key %x reads %q", k, body)
+	}
+}
