--- a/internal/standin/trainer.go
+++ b/internal/standin/trainer.go
@@ -88,9 +88,9 @@
 	pulling sync.Mutex
 	mu      sync.Mutex
 	report  TrainerReport
-	seen   map[[3]int]bool
-	start  time.Time
-	owner  string
+	seen    map[[3]int]bool
+	start   time.Time
+	owner   string
 }
 
 // StartTrainer starts a trainer.
