--- a/internal/coordination/samples/sim_test.go
+++ b/internal/coordination/samples/sim_test.go
@@ -41,7 +41,6 @@
 	breaks, doubts, lostAnswers, lostWrites, failedSwaps float64
 	// crashEvery is the mean time between two deaths of the owner, 0 for none.
 	crashEvery time.Duration
-	naive      bool
 	fresh      func(Settings, model.Epoch) policy
 }
 
