Ask the hosts themselves who has a generation in force

In a trial with 32 real control programs that word stayed old for over 20 s for some hosts although their logs show the generation in force after 0.5 s: the item is gossiped once and not part of the anti-entropy exchange.

Also: a host takes its region from the configuration's zone rather than from its own settings, since a mismatch made every host a watcher of the object API.

--- a/internal/protocol/wire/control.go
+++ b/internal/protocol/wire/control.go
@@ -57,6 +57,8 @@
 	List bool `cbor:"2,keyasint"`
 	// Packed asks for the compressed form, as peers do.
 	Packed bool `cbor:"3,keyasint"`
+	// Head asks for the number and the digest of the generation in force only.
+	Head bool `cbor:"4,keyasint"`
 }
 
 // ConfigReply carries a generation.
--- a/internal/transport/confduty/duty.go
+++ b/internal/transport/confduty/duty.go
@@ -30,9 +30,11 @@
 
 // Options configures a Duty.
 type Options struct {
-	Mesh   *quicmesh.Mesh
-	API    *objectapi.Client
-	Host   model.HostID
+	Mesh *quicmesh.Mesh
+	API  *objectapi.Client
+	Host model.HostID
+	Zone model.ZoneID
+	// Region is used until a configuration tells the region of Zone.
 	Region model.RegionID
 	// Seeds are control addresses asked at the start.
 	Seeds []string
@@ -97,6 +99,7 @@
 		Mesh:       p.Mesh,
 		API:        p.API,
 		Host:       p.Settings.Host.ID,
+		Zone:       p.Settings.Host.Zone,
 		Region:     p.Settings.Host.Region,
 		Seeds:      p.Settings.Control.Seeds,
 		Log:        logging.Part(p.Root, "configuration"),
--- a/internal/transport/confduty/fetch.go
+++ b/internal/transport/confduty/fetch.go
@@ -141,7 +141,16 @@
 		}
 		return config.Zones[z].Region
 	}
-	return confgen.WatchRank(d.opt.Host, d.opt.Region, list(), regionOf)
+	return confgen.WatchRank(d.opt.Host, d.ownRegion(config), list(), regionOf)
+}
+
+func (d *Duty) ownRegion(config *model.Config) model.RegionID {
+	if config != nil {
+		if zone, ok := config.Zones[d.opt.Zone]; ok {
+			return zone.Region
+		}
+	}
+	return d.opt.Region
 }
 
 // watch follows the root until this host is no watcher any more.
--- a/internal/transport/confduty/handlers.go
+++ b/internal/transport/confduty/handlers.go
@@ -107,6 +107,10 @@
 	if r.List {
 		return d.history(ctx), nil
 	}
+	if r.Head {
+		held := d.store.Current()
+		return wire.ConfigReply{Generation: held.Generation, Digest: held.Digest}, nil
+	}
 	held, err := d.find(ctx, r.Generation)
 	if err != nil {
 		return nil, err
--- a/internal/transport/ctl/apply.go
+++ b/internal/transport/ctl/apply.go
@@ -168,40 +168,21 @@
 
 // waitInForce waits until every live host has generation g or a later one.
 func waitInForce(e *env, conn *connection, g model.Generation) (int, error) {
+	var behind []model.HostID
 	for {
 		var status wire.StatusReply
 		err := conn.call(e.ctx, wire.MethodStatus, wire.StatusRequest{}, &status)
 		if err == nil {
-			if behind, hosts := hostsBehind(status, g); len(behind) == 0 {
+			conn.askBehind(e.ctx, &status, g)
+			var hosts int
+			if behind, hosts = hostsBehind(status, g); len(behind) == 0 {
 				return hosts, nil
 			}
 		}
 		select {
 		case <-e.ctx.Done():
-			behind, _ := hostsBehind(status, g)
-			return 0, resultcode.New(resultcode.DeadlineExceeded, "generation %d was accepted; not yet seen in force on: %v", g, behind)
+			return 0, resultcode.New(resultcode.DeadlineExceeded, "generation %d was accepted; not seen in force on: %v", g, behind)
 		case <-time.After(waitInterval):
 		}
 	}
 }
-
-// hostsBehind lists the live hosts that are not known to have generation g, and
-// counts all live hosts.
-func hostsBehind(s wire.StatusReply, g model.Generation) (behind []model.HostID, hosts int) {
-	known := map[model.HostID]model.Generation{s.Host: s.View.Generation}
-	for _, h := range s.Hosts {
-		known[h.Host] = max(known[h.Host], h.Generation)
-	}
-	live := map[model.HostID]bool{s.Host: true}
-	for _, m := range s.View.Members {
-		if m.State != model.HostDead {
-			live[m.Host] = true
-		}
-	}
-	for h := range live {
-		if known[h] < g {
-			behind = append(behind, h)
-		}
-	}
-	return behind, len(live)
-}
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -81,7 +81,7 @@
 	return run(append(args, in.flags...)...)
 }
 
-func folder(t *testing.T, text string) string {
+func folder(t testing.TB, text string) string {
 	t.Helper()
 	dir := t.TempDir()
 	if err := os.WriteFile(filepath.Join(dir, "10.ini"), []byte(text), 0o600); err != nil {
--- a/internal/transport/ctl/process_test.go
+++ b/internal/transport/ctl/process_test.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -23,7 +22,8 @@
 
 // fleet is a set of real control programs before one object API.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
+	size    int
 	dir     string
 	binary  string
 	store   *standin.ObjectStore
@@ -31,11 +31,9 @@
 	running []*exec.Cmd
 }
 
-const fleetSize = 3
-
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB, size int, heartbeat time.Duration) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewObjectStore(standin.ObjectStoreOptions{})}
+	f := &fleet{t: t, size: size, dir: t.TempDir(), store: standin.NewObjectStore(standin.ObjectStoreOptions{})}
 	f.binary = filepath.Join(f.dir, "oleander-control")
 	if out, err := exec.Command("go", "build", "-o", f.binary, "oleanderfall.example/oleanderfall/cmd/oleander-control").CombinedOutput(); err != nil {
 		t.Fatalf("%s: %v", out, err)
@@ -43,20 +41,20 @@
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	names := []string{"ana"}
-	for i := range fleetSize {
+	for i := range f.size {
 		names = append(names, f.name(i))
 		f.listens = append(f.listens, freePort(t))
 	}
 	if err := tlsconf.WriteDevelopmentKeys(f.dir, names...); err != nil {
 		t.Fatal(err)
 	}
-	for i := range fleetSize {
-		f.writeSettings(i, server.URL)
+	for i := range f.size {
+		f.writeSettings(i, server.URL, heartbeat)
 		f.running = append(f.running, nil)
 		f.start(i)
 	}
 	t.Cleanup(func() {
-		for i := range fleetSize {
+		for i := range f.size {
 			f.kill(i)
 		}
 	})
@@ -65,8 +63,8 @@
 
 func (f *fleet) name(i int) string { return fmt.Sprintf("h%d", i) }
 
-// freePort finds an address whose UDP and TCP ports are free now.
-func freePort(t *testing.T) string {
+// freePort finds an address whose UDP port is free now.
+func freePort(t testing.TB) string {
 	t.Helper()
 	l, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -76,7 +74,7 @@
 	return l.LocalAddr().String()
 }
 
-func (f *fleet) writeSettings(i int, store string) {
+func (f *fleet) writeSettings(i int, store string, heartbeat time.Duration) {
 	f.t.Helper()
 	host := f.name(i)
 	text := fmt.Sprintf(`[host]
@@ -92,10 +90,10 @@
 timeout = 1s
 [control]
 listen = %[4]s
-admin = %[5]s
-seeds = %[6]s, %[7]s
-heartbeat = 100ms
-`, host, f.dir, store, f.listens[i], freePort(f.t), f.listens[0], f.listens[1])
+admin = 127.0.0.1:0
+seeds = %[5]s, %[6]s
+heartbeat = %[7]s
+`, host, f.dir, store, f.listens[i], f.listens[0], f.listens[1], heartbeat)
 	if err := os.MkdirAll(filepath.Join(f.dir, host), 0o700); err != nil {
 		f.t.Fatal(err)
 	}
@@ -107,13 +105,20 @@
 func (f *fleet) start(i int) {
 	f.t.Helper()
 	cmd := exec.Command(f.binary, filepath.Join(f.dir, f.name(i)))
-	cmd.Stderr = &bytes.Buffer{}
+	log, err := os.OpenFile(f.log(i), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
 	f.running[i] = cmd
 }
 
+func (f *fleet) log(i int) string { return filepath.Join(f.dir, f.name(i)+".log") }
+
 func (f *fleet) kill(i int) {
 	_ = f.running[i].Process.Kill()
 	_ = f.running[i].Wait()
@@ -121,8 +126,8 @@
 
 // ctl runs a command against host i first and the others after it.
 func (f *fleet) ctl(i int, args ...string) (out, errOut string, code int) {
-	for n := range fleetSize {
-		args = append(args, "--control", f.listens[(i+n)%fleetSize])
+	for n := range f.size {
+		args = append(args, "--control", f.listens[(i+n)%f.size])
 	}
 	file := func(name string) string { return filepath.Join(f.dir, name) }
 	return run(append(args, "--authority", file("ca.pem"), "--certificate", file("ana.pem"), "--key", file("ana.key"))...)
@@ -166,7 +171,7 @@
 }
 
 func TestNoAcceptedChangeIsLostOrDoubledWhenControlProgramsAreKilled(t *testing.T) {
-	f := newFleet(t)
+	f := newFleet(t, 3, 100*time.Millisecond)
 	f.eventually("the first change", func() bool {
 		_, _, code := f.ctl(0, "apply", folder(t, "[zone.a]\nregion = r\n"), "--note", "start")
 		return code == 0
@@ -175,7 +180,7 @@
 	accepted := map[string]uint64{"start": 1}
 	refused := map[string]bool{}
 	for round := range 8 {
-		victim := round % fleetSize
+		victim := round % f.size
 		note := "round" + strconv.Itoa(round)
 		type result struct {
 			out  string
@@ -226,7 +231,7 @@
 			f.t.Fatalf("%s was called not applied and is generation %d", note, found[note])
 		}
 	}
-	for i := range fleetSize {
+	for i := range f.size {
 		f.eventually("the newest generation on "+f.name(i), func() bool { return f.inForce(i) == uint64(root.Generation) })
 	}
 	f.checkOutage(uint64(root.Generation))
--- a/internal/transport/ctl/status.go
+++ b/internal/transport/ctl/status.go
@@ -19,6 +19,14 @@
 	if err := e.do(wire.MethodStatus, wire.StatusRequest{}, &s); err != nil {
 		return err
 	}
+	newest := s.View.Generation
+	for _, h := range s.Hosts {
+		newest = max(newest, h.Generation)
+	}
+	if conn, err := e.connect(); err == nil {
+		conn.askBehind(e.ctx, &s, newest)
+		conn.close()
+	}
 	s.View.Config = nil // The configuration has a command of its own.
 	return e.print(s, func(w io.Writer) { printStatus(w, s) })
 }
@@ -35,10 +43,7 @@
 }
 
 func printHosts(w io.Writer, s wire.StatusReply) {
-	generations := map[model.HostID]model.Generation{s.Host: s.View.Generation}
-	for _, h := range s.Hosts {
-		generations[h.Host] = h.Generation
-	}
+	generations := generationsOf(s)
 	members := slices.Clone(s.View.Members)
 	slices.SortFunc(members, func(a, b model.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
