--- /dev/null
+++ b/internal/coordination/claims/trace_test.go
@@ -0,0 +1,90 @@
+package claims
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"oleanderfall.example/oleanderfall/internal/state/journal"
+)
+
+// TestTraces replays recorded events against stated outcomes. Each line of a trace is
+// an event at a time in milliseconds:
+//
+//	MS claim CALL KEY ATTEMPT DIGEST
+//	MS settle CALL KEY ATTEMPT free|ran|unknown
+//	MS commit                (asks for the entry that is due)
+//	MS committed             (the entry is durable)
+//	MS lost                  (a newer owner was met)
+func TestTraces(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var c *Core
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "new" {
+				opt := Options{Epoch: 1, Writer: 1, Interval: 40 * time.Millisecond, Lifetime: time.Minute}
+				d.MaybeScanArgs(t, "max-waiting", &opt.MaxWaiting)
+				c = New(opt, journal.NewTable(), nil, nil, 0, 0)
+				return ""
+			}
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				replay(t, c, line, &out)
+			}
+			return out.String()
+		})
+	})
+}
+
+var traceStart = time.Unix(1_700_000_000, 0)
+
+func replay(t *testing.T, c *Core, line string, out *strings.Builder) {
+	t.Helper()
+	f := strings.Fields(line)
+	var ms, call int
+	if _, err := fmt.Sscan(f[0], &ms); err != nil {
+		t.Fatal(line, err)
+	}
+	now := traceStart.Add(time.Duration(ms) * time.Millisecond)
+	if len(f) > 2 {
+		if _, err := fmt.Sscan(f[2], &call); err != nil {
+			t.Fatal(line, err)
+		}
+	}
+	var replies []Reply
+	switch f[1] {
+	case "claim":
+		r := Request{Call: Call(call), Digest: uint64(f[5][0])}
+		copy(r.Key[:], f[3])
+		copy(r.Attempt[:], f[4])
+		replies = c.Claim(now, r)
+	case "settle":
+		s := Settlement{Call: Call(call), State: map[string]journal.State{"free": journal.Free, "ran": journal.Ran, "unknown": journal.Unknown}[f[5]]}
+		copy(s.Key[:], f[3])
+		copy(s.Attempt[:], f[4])
+		replies = c.Settle(now, s)
+	case "commit":
+		c.Expire(now)
+		if e := c.NextCommit(now); e != nil {
+			fmt.Fprintf(out, "%d entry %d with %d operations\n", ms, e.Seq, len(e.Ops))
+		} else {
+			fmt.Fprintf(out, "%d nothing due\n", ms)
+		}
+	case "committed":
+		replies = c.Committed(now)
+	case "lost":
+		replies = c.Lost()
+	default:
+		t.Fatalf("unknown event %q", line)
+	}
+	for _, r := range replies {
+		fmt.Fprintf(out, "%d call %d: %s\n", ms, r.Call, verdictWord[r.Verdict])
+	}
+}
+
+var verdictWord = map[Verdict]string{
+	Granted: "granted", InUse: "in use", Answered: "answered", NotKnown: "not known",
+	Reused: "reused", Refused: "refused", Undecided: "undecided", Settled: "settled",
+}
--- a/internal/transport/claimduty/api.go
+++ b/internal/transport/claimduty/api.go
@@ -57,8 +57,10 @@
 // Claims is what an entry program needs. Begin waits while the request runs
 // elsewhere, until it ends or ctx does.
 //
-// Begin's errors are *resultcode.Error: ClaimUnavailable and KeyReused are certain
-// not to have run anything; InProgress says that the wait ended first.
+// Begin's errors are *resultcode.Error. After each of them this sending was not
+// granted and must not be dispatched. ClaimUnavailable is certain that no sending of
+// the key ran, KeyReused that this content did not; InProgress says that the wait for
+// another sending ended first; ClaimUnknown that nobody could tell of the key.
 type Claims interface {
 	Begin(ctx context.Context, key Key, digest uint64) (Ticket, error)
 	// Settle records how a claimed request ended. NotRun gives the key free.
--- a/internal/transport/claimduty/attempts.go
+++ b/internal/transport/claimduty/attempts.go
@@ -80,7 +80,8 @@
 	close(at.ended)
 }
 
-// finish records how an attempt ended and queues its settlement.
+// finish records how an attempt ended and queues its settlement. An answer without
+// a status is none: a resend learns that the request ran and its answer is lost.
 func (a *attempts) finish(id journal.Attempt, end journal.State, status int, body []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -89,7 +90,7 @@
 		return
 	}
 	at.end, at.status = end, status
-	if end == journal.Ran {
+	if end == journal.Ran && status != 0 {
 		a.hold(id, answerHeld{status, body})
 	}
 	close(at.ended)
