Wake the control program less often at rest

Cause: at rest the gossip duty ticked 20 times and the observation duty 10 times a second, and each wake-up woke idle threads. A 20 s profile of one of 64 hosts showed a third of the time in the scheduler and a sixth in the choice of endpoints. Now the duties tick slowly unless something is due, the choice looks at a view once, and two threads run Go code.

--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -38,7 +39,7 @@
 var Module = fx.Module("control",
 	fx.Provide(process.NewObjectAPI, newIdentity, newGossip, newMesh, newHub, newDuty),
 	confduty.Module,
-	fx.Invoke(limitMemory, serveAdmin, startMesh),
+	fx.Invoke(limitResources, serveAdmin, startMesh),
 )
 
 const (
@@ -46,9 +47,13 @@
 	// runtime does not count.
 	memoryLimitBytes = 24 << 20
 	gcPercent        = 50
+	// maxThreads bounds the threads that run Go code at once: the program is idle
+	// most of the time, and waking more threads costs more than it gains.
+	maxThreads = 2
 )
 
-func limitMemory() {
+func limitResources() {
+	runtime.GOMAXPROCS(min(maxThreads, runtime.GOMAXPROCS(0)))
 	debug.SetMemoryLimit(memoryLimitBytes)
 	debug.SetGCPercent(gcPercent)
 }
--- a/internal/transport/gossip/duty.go
+++ b/internal/transport/gossip/duty.go
@@ -26,10 +26,13 @@
 	// received datagrams wait in a ring that drops its oldest; requests block.
 	datagramRing = 1024
 	requestRing  = 64
-	// ticksPerHeartbeat sets how finely the machine's time advances.
-	ticksPerHeartbeat = 20
-	minTick           = 5 * time.Millisecond
-	maxTick           = 50 * time.Millisecond
+	// ticksPerHeartbeat sets how finely the machine's time advances at rest,
+	// busyTicksPerHeartbeat while there are urgent news to send or a state to hand on.
+	ticksPerHeartbeat     = 5
+	busyTicksPerHeartbeat = 20
+	minTick               = 5 * time.Millisecond
+	maxTick               = 200 * time.Millisecond
+	maxBusyTick           = 50 * time.Millisecond
 	// exchangeHeartbeats is the mean interval between two exchanges with a peer.
 	exchangeHeartbeats = 5
 	departLinger       = 200 * time.Millisecond
@@ -155,22 +158,40 @@
 	d.ctx = ctx
 	defer d.outbox.wait()
 	defer d.requests.Close()
-	tick := time.NewTicker(min(max(d.opt.Heartbeat/ticksPerHeartbeat, minTick), maxTick))
-	defer tick.Stop()
+	next := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case e := <-d.datagrams.C():
 			d.handle(time.Now(), e)
 		case e := <-d.requests.C():
 			d.handle(time.Now(), e)
-		case <-tick.C:
-			d.tick(time.Now())
+		case <-timer.C:
+			now := time.Now()
+			d.tick(now)
+			next = now.Add(min(max(d.opt.Heartbeat/ticksPerHeartbeat, minTick), maxTick))
+			timer.Reset(next.Sub(now))
 		case <-ctx.Done():
 			return
 		}
+		if now := time.Now(); d.busy() && next.Sub(now) > d.busyTick() {
+			next = now.Add(d.busyTick())
+			timer.Reset(d.busyTick())
+		}
 	}
 }
 
+func (d *Duty) busyTick() time.Duration {
+	return min(max(d.opt.Heartbeat/busyTicksPerHeartbeat, minTick), maxBusyTick)
+}
+
+// busy says that something is to be sent or handed on soon.
+func (d *Duty) busy() bool {
+	urgent, _ := d.queue.Len()
+	return urgent > 0 || d.publish.urgent
+}
+
 func (d *Duty) tick(now time.Time) {
 	d.act(now, d.machine.Tick(now), "")
 	d.flush(now)
--- a/internal/transport/observe/choice.go
+++ b/internal/transport/observe/choice.go
@@ -29,19 +29,22 @@
 	generation model.Generation
 	hosts      uint64
 	made       bool
+	// sequence is that of the view looked at last.
+	sequence uint64
 }
 
 // refresh computes this host's shares when the configuration or the live hosts
 // changed.
 func (c *choice) refresh(now time.Time, self model.HostID, view *model.FleetView) ([]share, bool) {
-	if c.made && now.Sub(c.at) < choiceInterval {
+	if c.made && (now.Sub(c.at) < choiceInterval || view.Sequence == c.sequence) {
 		return nil, false
 	}
+	c.at, c.sequence = now, view.Sequence
 	hosts, digest := byRegion(view)
 	if c.made && digest == c.hosts && view.Generation == c.generation {
 		return nil, false
 	}
-	*c = choice{at: now, generation: view.Generation, hosts: digest, made: true}
+	c.generation, c.hosts, c.made = view.Generation, digest, true
 	return shares(self, view.Config, hosts), true
 }
 
--- a/internal/transport/observe/observe.go
+++ b/internal/transport/observe/observe.go
@@ -23,7 +23,10 @@
 	maxPolls     = 32
 	// unreachedAfter is the number of failed polls that count as unreached.
 	unreachedAfter = 2
-	tickInterval   = 100 * time.Millisecond
+	// maxWait is the longest time between two looks at the targets, minWait the
+	// shortest.
+	maxWait = time.Second
+	minWait = 50 * time.Millisecond
 )
 
 // Options configures a Duty.
@@ -64,45 +67,53 @@
 // Run asks until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
 	defer d.running.Wait()
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(minWait)
+	defer timer.Stop()
 	for {
 		select {
-		case <-tick.C:
-			d.tick(ctx, time.Now())
+		case <-timer.C:
+			timer.Reset(d.tick(ctx, time.Now()))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (d *Duty) tick(ctx context.Context, now time.Time) {
+// tick starts the polls that are due and returns how long to wait for the next.
+func (d *Duty) tick(ctx context.Context, now time.Time) time.Duration {
 	view := d.opt.View()
 	if view == nil || view.Config == nil {
-		return
+		return maxWait
 	}
 	if shares, changed := d.choice.refresh(now, d.opt.Host, view); changed {
 		d.assign(now, view.Config, shares)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	wait := maxWait
 	for _, t := range d.targets {
-		if now.Before(t.next) || t.busy {
-			continue
-		}
-		select {
-		case d.slots <- struct{}{}:
-			t.next = t.next.Add(pollInterval)
-			if t.next.Before(now) {
-				t.next = now.Add(pollInterval)
-			}
-			t.busy = true
-			d.running.Add(1)
-			go d.poll(ctx, t, *t)
-		default:
-			return
+		if !now.Before(t.next) && !t.busy {
+			d.startPoll(ctx, now, t)
 		}
+		wait = min(wait, t.next.Sub(now))
+	}
+	return max(wait, minWait)
+}
+
+// startPoll asks a target in the background if there is room for one more poll.
+func (d *Duty) startPoll(ctx context.Context, now time.Time, t *target) {
+	select {
+	case d.slots <- struct{}{}:
+	default:
+		return
+	}
+	t.next = t.next.Add(pollInterval)
+	if t.next.Before(now) {
+		t.next = now.Add(pollInterval)
 	}
+	t.busy = true
+	d.running.Add(1)
+	go d.poll(ctx, t, *t)
 }
 
 // assign replaces the targets by this host's shares.
