--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -234,7 +234,7 @@
 		m.deadSince[r.Host] = now
 		delete(m.accepted, r.Host)
 	}
-	if known && (r.State == members.Dead || old.Incarnation != r.Incarnation) {
+	if known && r.State == members.Dead {
 		out.Drop = append(out.Drop, old.Control)
 	}
 	if p := m.peers[r.Host]; p != nil {
