Prove the control program with real processes and stand-ins

Six real control processes over three zones: an endpoint's, the host list's and an operator's drain reach every host, the operator's survives the restart of all, a lost zone is dead and returns, a paused program returns, a feed client keeps its view while control is gone and takes the next life's during an outage of the object API, and a planned stop is noticed at once. One call met the reset of a former life's connection and is repeated by the test.

--- /dev/null
+++ b/internal/transport/control/process_test.go
@@ -0,0 +1,352 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/platformapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/feed"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+)
+
+const (
+	testHosts = 6
+	testZones = 3
+	waitLimit = 90 * time.Second
+)
+
+// installation is a set of real control processes with the platform's stand-ins.
+type installation struct {
+	t       *testing.T
+	dir     string
+	program string
+	store   *standin.ObjectStore
+	list    *standin.HostList
+	engines []*standin.Engine
+	mesh    *quicmesh.Mesh
+	ports   []string
+	hosts   []*exec.Cmd
+	clients []*feed.Client
+}
+
+var (
+	programDir  string
+	programOnce sync.Once
+)
+
+// buildProgram builds the control program once and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(programDir, "oleander-control")
+	programOnce.Do(func() {
+		out, err := exec.Command("go", "build", "-o", path, "oleanderfall.example/oleanderfall/cmd/oleander-control").CombinedOutput()
+		if err != nil {
+			t.Errorf("build: %v\n%s", err, out)
+		}
+	})
+	return path
+}
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "oleander-control-test-")
+	if err != nil {
+		panic(err)
+	}
+	programDir = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func hostName(i int) string { return fmt.Sprintf("host-%d", i) }
+
+func zoneName(i int) string { return fmt.Sprintf("z%d", i%testZones) }
+
+func newInstallation(t *testing.T) *installation {
+	t.Helper()
+	t.Parallel()
+	in := &installation{t: t, dir: t.TempDir(), program: buildProgram(t), store: standin.NewObjectStore(standin.ObjectStoreOptions{}), list: standin.NewHostList(0)}
+	in.must(tlsconf.WriteDevelopmentKeys(in.dir, "host"))
+	keys, err := tlsconf.Load(tlsconf.Files{Authority: in.path("ca.pem"), Certificate: in.path("host.pem"), Key: in.path("host.key")})
+	in.must(err)
+	open := func() *quicmesh.Mesh {
+		m, err := quicmesh.New(quicmesh.Options{Listen: "127.0.0.1:0", Server: keys.Server(), Client: keys.Client(), Log: slog.New(slog.DiscardHandler)})
+		in.must(err)
+		return m
+	}
+	// Free UDP ports for the control programs, each held until all are known.
+	var held []*quicmesh.Mesh
+	for range testHosts {
+		m := open()
+		held = append(held, m)
+		in.ports = append(in.ports, m.Address())
+	}
+	for _, m := range held {
+		m.Close()
+	}
+	in.mesh = open()
+	in.must(in.mesh.Start())
+	t.Cleanup(in.mesh.Close)
+	in.startPlatform()
+	for i := range testHosts {
+		in.hosts = append(in.hosts, in.startHost(i))
+	}
+	t.Cleanup(in.stopHosts)
+	in.follow()
+	in.apply()
+	return in
+}
+
+func (in *installation) path(name string) string { return filepath.Join(in.dir, name) }
+
+func (in *installation) must(err error) {
+	in.t.Helper()
+	if err != nil {
+		in.t.Fatal(err)
+	}
+}
+
+func (in *installation) startPlatform() {
+	store := httptest.NewServer(in.store.Handler())
+	list := httptest.NewServer(in.list.Handler())
+	in.t.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+		list.Close()
+	})
+	for i := range testHosts {
+		e, err := standin.NewEngine("127.0.0.1:0", standin.EngineOptions{Name: fmt.Sprintf("engine-%d", i)})
+		in.must(err)
+		in.t.Cleanup(e.Close)
+		in.engines = append(in.engines, e)
+	}
+	for i := range testHosts {
+		dir := in.path(hostName(i))
+		in.must(os.MkdirAll(dir, 0o700))
+		text := fmt.Sprintf("[host]\nid = %s\nzone = %s\nregion = r\n[tls]\nauthority = %s\ncertificate = %s\nkey = %s\n[platform]\nobject_api = %s\nhost_list = %s\n[control]\nlisten = %s\nadmin = 127.0.0.1:0\nseeds = %s\nheartbeat = 200ms\n",
+			hostName(i), zoneName(i), in.path("ca.pem"), in.path("host.pem"), in.path("host.key"), store.URL, list.URL, in.ports[i], in.ports[0])
+		in.must(os.WriteFile(filepath.Join(dir, "host.ini"), []byte(text), 0o600))
+	}
+}
+
+func (in *installation) startHost(i int) *exec.Cmd {
+	cmd := exec.Command(in.program, in.path(hostName(i)))
+	log, err := os.OpenFile(in.path(hostName(i)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	in.must(err)
+	defer func() { _ = log.Close() }()
+	cmd.Stderr = log
+	in.must(cmd.Start())
+	return cmd
+}
+
+func (in *installation) kill(i int) {
+	_ = in.hosts[i].Process.Kill()
+	_ = in.hosts[i].Wait()
+}
+
+func (in *installation) stopHosts() {
+	for i := range in.hosts {
+		in.kill(i)
+	}
+}
+
+func (in *installation) follow() {
+	ctx, cancel := context.WithCancel(context.Background())
+	in.t.Cleanup(cancel)
+	for _, address := range in.ports {
+		c := feed.NewClient(in.mesh, address, slog.New(slog.DiscardHandler))
+		go c.Run(ctx)
+		in.clients = append(in.clients, c)
+	}
+}
+
+func (in *installation) apply() {
+	var b strings.Builder
+	b.WriteString("[deployment.d]\nmodel = m\n")
+	for z := range testZones {
+		fmt.Fprintf(&b, "[zone.%s]\nregion = r\n", zoneName(z))
+	}
+	for i, e := range in.engines {
+		fmt.Fprintf(&b, "[host.%s]\nzone = %s\ncontrol = %s\n", hostName(i), zoneName(i), in.ports[i])
+		fmt.Fprintf(&b, "[endpoint.%s]\nkind = engine\ndeployment = d\nzone = %s\naddress = %s\n", e.Name(), zoneName(i), e.Address())
+	}
+	config, err := settings.ParseConfig([]settings.File{{Name: "test.ini", Data: []byte(b.String())}})
+	in.must(err)
+	encoded, err := settings.EncodeConfig(config)
+	in.must(err)
+	in.eventually("apply", func() bool {
+		var reply wire.ApplyReply
+		return in.call(0, wire.MethodApply, wire.ApplyRequest{Config: encoded, Operator: "test", RequestID: "1"}, &reply) == nil
+	})
+	in.everywhere("generation 1", func(v *model.FleetView) bool { return v.Generation == 1 })
+}
+
+func (in *installation) call(host int, method wire.Method, request, reply any) error {
+	ctx, cancel := context.WithTimeout(in.t.Context(), 5*time.Second)
+	defer cancel()
+	return in.mesh.Call(ctx, in.ports[host], method, request, reply)
+}
+
+func (in *installation) eventually(what string, holds func() bool) {
+	in.t.Helper()
+	for deadline := time.Now().Add(waitLimit); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			in.t.Fatalf("did not happen: %s", what)
+		}
+	}
+}
+
+// everywhere waits until the condition holds in the views of the hosts that run.
+func (in *installation) everywhere(what string, holds func(*model.FleetView) bool) {
+	in.t.Helper()
+	for i, c := range in.clients {
+		if in.hosts[i].ProcessState != nil {
+			continue
+		}
+		in.eventually(fmt.Sprintf("%s at %s", what, hostName(i)), func() bool { return c.View() != nil && holds(c.View()) })
+	}
+}
+
+func hostsIn(state model.HostState, wanted ...int) func(*model.FleetView) bool {
+	return func(v *model.FleetView) bool {
+		got := map[model.HostID]bool{}
+		for _, m := range v.Members {
+			if m.State == state {
+				got[m.Host] = true
+			}
+		}
+		for _, i := range wanted {
+			if !got[model.HostID(hostName(i))] {
+				return false
+			}
+		}
+		return len(got) == len(wanted)
+	}
+}
+
+func drainOf(v *model.FleetView, endpoint string) (model.DrainEvidence, bool) {
+	for _, d := range v.Drains {
+		if d.Endpoint == model.EndpointID(endpoint) {
+			return d, true
+		}
+	}
+	return model.DrainEvidence{}, false
+}
+
+func leaving(endpoint string) func(*model.FleetView) bool {
+	return func(v *model.FleetView) bool { _, ok := drainOf(v, endpoint); return ok }
+}
+
+func not(f func(*model.FleetView) bool) func(*model.FleetView) bool {
+	return func(v *model.FleetView) bool { return !f(v) }
+}
+
+func TestEndpointsWordDrainsItEverywhereUntilItsNextIncarnation(t *testing.T) {
+	in := newInstallation(t)
+	in.everywhere("loads", func(v *model.FleetView) bool { return len(v.Loads) == testHosts })
+	in.engines[2].SetFaults(standin.Faults{Leaving: true})
+	in.everywhere("drain", leaving("engine-2"))
+	in.engines[2].SetFaults(standin.Faults{})
+	in.engines[2].SetFaults(standin.Faults{Crash: true})
+	in.everywhere("clean start", not(leaving("engine-2")))
+}
+
+func TestHostListsWordDrainsEndpointsAndHosts(t *testing.T) {
+	in := newInstallation(t)
+	in.list.Set([]platformapi.ListedHost{{Endpoint: "engine-1", Leaving: true}, {Host: "host-4", Control: in.ports[4], Leaving: true}, {Host: "host-0", Control: in.ports[0]}})
+	in.everywhere("drain", func(v *model.FleetView) bool {
+		d, ok := drainOf(v, "engine-1")
+		return ok && d.Source == model.DrainFromHostList && hostsIn(model.HostLeaving, 4)(v)
+	})
+}
+
+func TestOperatorsDrainSurvivesTheRestartOfEveryControlProgram(t *testing.T) {
+	in := newInstallation(t)
+	var reply wire.DrainReply
+	in.must(in.call(3, wire.MethodDrain, wire.DrainRequest{Endpoint: "engine-5", Operator: "test"}, &reply))
+	in.everywhere("drain", leaving("engine-5"))
+	in.stopHosts()
+	for i := range in.hosts {
+		in.hosts[i] = in.startHost(i)
+	}
+	in.eventually("status after the restart", func() bool {
+		var s wire.StatusReply
+		return in.call(1, wire.MethodStatus, wire.StatusRequest{}, &s) == nil && leaving("engine-5")(&s.View)
+	})
+	in.everywhere("drain after the restart", leaving("engine-5"))
+	// The first call may meet the reset of the former life's connection.
+	in.eventually("cancel", func() bool {
+		return in.call(2, wire.MethodDrain, wire.DrainRequest{Endpoint: "engine-5", Cancel: true, Operator: "test"}, &reply) == nil
+	})
+	in.everywhere("cancelled drain", not(leaving("engine-5")))
+	if err := in.call(2, wire.MethodDrain, wire.DrainRequest{Endpoint: "nobody", Operator: "test"}, &reply); err == nil {
+		t.Fatal("a drain of an unknown endpoint was accepted")
+	}
+}
+
+func TestLostZoneIsDeadAndReturnsAlive(t *testing.T) {
+	in := newInstallation(t)
+	in.everywhere("join", hostsIn(model.HostAlive, 0, 1, 2, 3, 4, 5))
+	in.kill(1)
+	in.kill(4)
+	in.everywhere("zone dead", hostsIn(model.HostDead, 1, 4))
+	in.everywhere("others alive", hostsIn(model.HostAlive, 0, 2, 3, 5))
+	in.everywhere("every endpoint observed", func(v *model.FleetView) bool { return len(v.Loads) == testHosts })
+	in.hosts[1], in.hosts[4] = in.startHost(1), in.startHost(4)
+	in.everywhere("zone back", hostsIn(model.HostAlive, 0, 1, 2, 3, 4, 5))
+}
+
+func TestPausedControlProgramIsDeadForOthersAndReturns(t *testing.T) {
+	in := newInstallation(t)
+	in.everywhere("join", hostsIn(model.HostAlive, 0, 1, 2, 3, 4, 5))
+	in.must(in.hosts[3].Process.Signal(syscall.SIGSTOP))
+	for i, c := range in.clients {
+		if i != 3 {
+			in.eventually("paused host dead", func() bool { return hostsIn(model.HostDead, 3)(c.View()) })
+		}
+	}
+	in.must(in.hosts[3].Process.Signal(syscall.SIGCONT))
+	in.everywhere("paused host back", hostsIn(model.HostAlive, 0, 1, 2, 3, 4, 5))
+}
+
+func TestClientKeepsItsViewWhileControlIsGoneAndTakesTheNextLifes(t *testing.T) {
+	in := newInstallation(t)
+	in.kill(2)
+	before := in.clients[2].View()
+	// The client has failed at least once when the others have noticed the death.
+	in.everywhere("death", hostsIn(model.HostDead, 2))
+	if v := in.clients[2].View(); v.Config == nil || v.Generation != before.Generation {
+		t.Fatalf("view without control: %+v", v)
+	}
+	in.store.SetFaults(standin.Faults{Outage: true})
+	in.hosts[2] = in.startHost(2)
+	in.eventually("view of the next life in an outage", func() bool {
+		v := in.clients[2].View()
+		return v.Generation == 1 && v.OutageFor > 0 && hostsIn(model.HostAlive, 0, 1, 2, 3, 4, 5)(v)
+	})
+}
+
+func TestPlannedStopLeavesTheFleetAtOnce(t *testing.T) {
+	in := newInstallation(t)
+	in.everywhere("join", hostsIn(model.HostAlive, 0, 1, 2, 3, 4, 5))
+	in.must(in.hosts[5].Process.Signal(syscall.SIGTERM))
+	if err := in.hosts[5].Wait(); err != nil {
+		t.Fatalf("planned stop: %v", err)
+	}
+	in.everywhere("gone", hostsIn(model.HostDead, 5))
+}
