--- /dev/null
+++ b/internal/coordination/admission/bench_test.go
@@ -0,0 +1,31 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func BenchmarkAdmission(b *testing.B) {
+	g := NewGate(64, 64, 0.2)
+	var r Rate
+	r.SetLimit(1e9)
+	others := Ticket{Caller: "batch", Deadline: epoch.Add(time.Hour), Priority: model.PriorityBatch}
+	g.Arrive(epoch, &others)
+	t := Ticket{Caller: "lab", Deadline: epoch.Add(time.Hour), Priority: model.PriorityLive}
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		if ok, _ := r.Arrive(now); !ok {
+			b.Fatal("over rate")
+		}
+		if d := g.Arrive(now, &t); d.Verdict != Run {
+			b.Fatal("not admitted")
+		}
+		g.Leave(now, &t, Sample{Kind: SampleAnswered, Latency: 5 * time.Millisecond, Took: 5 * time.Millisecond})
+	}
+}
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -25,6 +25,8 @@
 	maxRetryAfter = 5 * time.Second
 	// rateWeight is the weight of the last window in the completion rate.
 	rateWeight = 0.3
+	// maxSpare bounds the states of callers kept for reuse.
+	maxSpare = 64
 	// fairShare is how many times its equal share of a full gate a caller may use.
 	fairShare = 2
 )
@@ -84,16 +86,21 @@
 const (
 	// SampleAnswered carries the latency of an answer.
 	SampleAnswered SampleKind = iota
+	// SampleEnded is the end of an answer whose latency was observed before.
+	SampleEnded
 	// SampleRefused: the endpoints were busy.
 	SampleRefused
 	// SampleNone says nothing.
 	SampleNone
 )
 
-// Sample is the end of a request.
+// Sample is what the end of a request tells.
 type Sample struct {
-	Kind    SampleKind
+	Kind SampleKind
+	// Latency is the time to the answer, or to the first part of a stream.
 	Latency time.Duration
+	// Took is the whole time of the request.
+	Took time.Duration
 }
 
 // Gate admits requests to one target. It is not safe for concurrent use.
@@ -104,6 +111,8 @@
 	training      int
 	queue         queue
 	callers       map[model.CallerID]*callerState
+	// spare holds states of callers that left, for reuse.
+	spare []*callerState
 	// service is the expected time of one request.
 	service time.Duration
 	// rate is the completions a second, over windows.
@@ -112,18 +121,18 @@
 	completed int
 }
 
-// NewGate returns a gate with a first limit and the most it may grow to.
-func NewGate(initial, ceiling int, trainingFloor float64) *Gate {
+// NewGate returns a gate for a number of endpoints with so many slots together.
+func NewGate(endpoints, slots int, trainingFloor float64) *Gate {
 	return &Gate{
-		limiter:       newLimiter(initial, ceiling),
+		limiter:       newLimiter(endpoints, slots),
 		trainingFloor: trainingFloor,
 		callers:       map[model.CallerID]*callerState{},
 	}
 }
 
 // Configure takes over a changed capacity and training floor.
-func (g *Gate) Configure(ceiling int, trainingFloor float64) {
-	g.bound(ceiling)
+func (g *Gate) Configure(endpoints, slots int, trainingFloor float64) {
+	g.bound(endpoints, slots)
 	g.trainingFloor = trainingFloor
 }
 
@@ -176,12 +185,15 @@
 	}
 	g.release(t)
 	g.observe(now, s, g.running+1)
-	if s.Kind == SampleAnswered {
-		g.count(now, s.Latency)
+	if s.Kind == SampleAnswered || s.Kind == SampleEnded {
+		g.count(now, s.Took)
 	}
 	g.Advance(now)
 }
 
+// Observe takes the latency of a request that goes on, as of a stream's first part.
+func (g *Gate) Observe(now time.Time, s Sample) { g.observe(now, s, g.running) }
+
 // Abandon takes a waiting request out, as when its caller left. It reports false
 // when the request no longer waits: its decision was made.
 func (g *Gate) Abandon(t *Ticket) bool {
@@ -285,10 +297,15 @@
 
 func (g *Gate) caller(id model.CallerID) *callerState {
 	s := g.callers[id]
-	if s == nil {
+	if s != nil {
+		return s
+	}
+	if n := len(g.spare); n > 0 {
+		s, g.spare = g.spare[n-1], g.spare[:n-1]
+	} else {
 		s = &callerState{}
-		g.callers[id] = s
 	}
+	g.callers[id] = s
 	return s
 }
 
@@ -296,14 +313,17 @@
 func (g *Gate) release(t *Ticket) {
 	if t.state.running+t.state.waiting == 0 {
 		delete(g.callers, t.Caller)
+		if len(g.spare) < maxSpare {
+			g.spare = append(g.spare, t.state)
+		}
 	}
 }
 
-func (g *Gate) count(now time.Time, latency time.Duration) {
+func (g *Gate) count(now time.Time, took time.Duration) {
 	if g.service == 0 {
-		g.service = latency
+		g.service = took
 	}
-	g.service += (latency - g.service) / 16
+	g.service += (took - g.service) / 16
 	g.completed++
 	if g.rateStart.IsZero() {
 		g.rateStart = now
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -9,6 +9,8 @@
 	minSamples = 5
 	// tolerance is how many times the baseline an answer may take on average.
 	tolerance = 2.0
+	// slack is added to the tolerance: a delay this short harms nobody.
+	slack = 10 * time.Millisecond
 	// decrease is what a limit is multiplied by when answers come late.
 	decrease = 0.85
 	// baselineDrift is the share by which the baseline rises in each window, so
@@ -22,7 +24,8 @@
 )
 
 // limiter adapts the number of requests at once to the latency of the answers:
-// additive increase, multiplicative decrease.
+// additive increase, multiplicative decrease. It begins at the capacity, since an
+// idle fleet gives no answers to grow by.
 type limiter struct {
 	limit    float64
 	floor    float64
@@ -35,17 +38,20 @@
 	peak     int
 }
 
-func newLimiter(initial, ceiling int) limiter {
-	return limiter{limit: float64(max(1, initial)), floor: 1, ceiling: float64(max(1, ceiling))}
+func newLimiter(floor, ceiling int) limiter {
+	l := limiter{floor: float64(max(1, floor)), ceiling: float64(max(1, ceiling))}
+	l.limit = l.ceiling
+	return l
 }
 
-func (l *limiter) bound(ceiling int) {
-	grown := float64(ceiling) > l.ceiling
-	l.ceiling = float64(max(1, ceiling))
-	if grown && l.limit < l.ceiling/2 {
-		l.limit = l.ceiling / 2
+// bound takes over a changed floor and ceiling. A limit at its ceiling follows it.
+func (l *limiter) bound(floor, ceiling int) {
+	atCeiling := l.limit >= l.ceiling
+	l.floor, l.ceiling = float64(max(1, floor)), float64(max(1, ceiling))
+	if atCeiling {
+		l.limit = l.ceiling
 	}
-	l.limit = min(l.limit, l.ceiling)
+	l.limit = max(l.floor, min(l.limit, l.ceiling))
 }
 
 func (l *limiter) observe(now time.Time, s Sample, running int) {
@@ -74,10 +80,10 @@
 		}
 	}
 	refused := float64(l.refusals) > refusalShare*float64(l.samples+l.refusals)
-	late := l.baseline > 0 && float64(mean) > tolerance*float64(l.baseline)
+	late := l.baseline > 0 && mean > time.Duration(tolerance*float64(l.baseline))+slack
 	switch {
 	case refused || late:
-		l.limit = max(l.floor, l.limit*decrease)
+		l.limit = max(l.floor, min(l.limit, max(float64(l.peak), l.limit/2))*decrease)
 	case float64(l.peak) >= nearLimit*l.limit:
 		l.limit = min(l.ceiling, l.limit+max(1, l.limit/16))
 	}
--- a/internal/coordination/admission/rate.go
+++ b/internal/coordination/admission/rate.go
@@ -23,7 +23,7 @@
 // hosts; without demands from others (connected false) the split is even.
 func Share(total, own, sum float64, hosts int, connected bool) float64 {
 	even := total / float64(max(1, hosts))
-	if !connected || sum <= 0 || own <= 0 {
+	if !connected || sum <= 0 {
 		return even
 	}
 	return equalPart*even + (1-equalPart)*total*min(1, own/sum)
--- /dev/null
+++ b/internal/coordination/routing/bench_test.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/endpoints"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// fleet lists n endpoints over three zones.
+func fleet(n int) []endpoints.Endpoint {
+	out := make([]endpoints.Endpoint, n)
+	for i := range out {
+		out[i] = endpoints.Endpoint{
+			ID: model.EndpointID(fmt.Sprintf("e%03d", i)), Address: fmt.Sprintf("a:%d", i),
+			Zone: model.ZoneID(fmt.Sprintf("z%d", i%3)), Slots: 32,
+		}
+	}
+	return out
+}
+
+func BenchmarkPick(b *testing.B) {
+	t := NewTable(epoch, "z0")
+	t.Update(fleet(600))
+	rng := rand.NewPCG(1, 1)
+	for i, e := range fleet(600) {
+		t.Report(epoch, e.ID, Load{Running: i % 40, Version: 3})
+		t.CacheEvent(epoch, e.ID, uint64(i%100)+1, true)
+	}
+	now := epoch.Add(time.Second)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, ok := t.Pick(now, rng, Constraints{MinVersion: 2, PrefixHash: uint64(i%200) + 1})
+		if !ok {
+			b.Fatal("no endpoint")
+		}
+		t.Begin(now, c)
+		t.End(now, c, now, ResultAnswered, 20*time.Millisecond)
+	}
+}
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -11,9 +11,6 @@
 const (
 	// randomDraws bounds the random draws for one candidate before a scan.
 	randomDraws = 4
-	// localCandidates and remoteCandidates are the numbers of random choices.
-	localCandidates  = 2
-	remoteCandidates = 1
 	// contention is how much a full batch slows each of its requests.
 	contention = 0.5
 )
@@ -42,7 +39,9 @@
 	entry  *entry
 }
 
-// Pick chooses an endpoint; false when none can take the request.
+// Pick chooses an endpoint; false when none can take the request. The candidates
+// are two of the own zone and one of another, or two of another when the own zone
+// has none, and the holders of the prompt's prefix.
 func (t *Table) Pick(now time.Time, rng Rand, c Constraints) (Choice, bool) {
 	at := now.Sub(t.epoch)
 	var best *entry
@@ -56,15 +55,15 @@
 			best, bestFinish = e, finish
 		}
 	}
-	for range localCandidates {
-		consider(t.draw(at, rng, t.local, &c), false)
+	first := t.draw(at, rng, t.local, &c, nil)
+	consider(first, false)
+	if first != nil {
+		consider(t.draw(at, rng, t.local, &c, first), false)
 	}
-	remote := remoteCandidates
-	if best == nil {
-		remote = localCandidates
-	}
-	for range remote {
-		consider(t.draw(at, rng, t.remote, &c), false)
+	other := t.draw(at, rng, t.remote, &c, nil)
+	consider(other, false)
+	if first == nil && other != nil {
+		consider(t.draw(at, rng, t.remote, &c, other), false)
 	}
 	if c.PrefixHash != 0 {
 		for _, h := range t.prefixes.holders(at, c.PrefixHash) {
@@ -79,9 +78,9 @@
 	return Choice{ID: best.ID, Address: best.Address, Incarnation: best.health.Incarnation, Finish: bestFinish, entry: best}, true
 }
 
-// draw returns a random entry of list that fits, nil when there is none. An entry
-// that is warming up is passed over as often as its weight says.
-func (t *Table) draw(now time.Duration, rng Rand, list []*entry, c *Constraints) *entry {
+// draw returns a random entry of list that fits and is not the one drawn before, nil
+// when there is none. One that is warming up is passed over as its weight says.
+func (t *Table) draw(now time.Duration, rng Rand, list []*entry, c *Constraints, drawn *entry) *entry {
 	n := uint64(len(list))
 	if n == 0 {
 		return nil
@@ -89,13 +88,13 @@
 	for range randomDraws {
 		r := rng.Uint64()
 		e := list[(r>>32)%n]
-		if e.fits(now, c) && e.accepts(now, r) {
+		if e != drawn && e.fits(now, c) && e.accepts(now, r) {
 			return e
 		}
 	}
 	start := rng.Uint64() % n
 	for i := range n {
-		if e := list[(start+i)%n]; e.fits(now, c) {
+		if e := list[(start+i)%n]; e != drawn && e.fits(now, c) {
 			return e
 		}
 	}
@@ -132,7 +131,7 @@
 	if over := load + 1 - slots; over > 0 {
 		factor += over / slots
 	}
-	finish := time.Duration(float64(service) * factor / e.health.Weight(now))
+	finish := time.Duration(float64(service) * factor)
 	if !e.local {
 		finish += ZonePenalty + time.Duration(ZonePenaltyShare*float64(service))
 	}
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -33,6 +33,9 @@
 	sampleLifetime = 5 * time.Second
 )
 
+// epochLead keeps times of a new table above 0, which stands for never.
+const epochLead = time.Hour
+
 // Rand is a source of random numbers.
 type Rand interface{ Uint64() uint64 }
 
@@ -78,7 +81,7 @@
 // NewTable returns an empty table for a host in zone.
 func NewTable(now time.Time, zone model.ZoneID) *Table {
 	return &Table{
-		epoch:    now,
+		epoch:    now.Add(-epochLead),
 		zone:     zone,
 		byID:     map[model.EndpointID]*entry{},
 		service:  DefaultService,
--- /dev/null
+++ b/internal/coordination/routing/table_test.go
@@ -0,0 +1,176 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"oleanderfall.example/oleanderfall/internal/state/endpoints"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// replay plays events into a table. Its picks use one seeded source.
+type replay struct {
+	now   time.Time
+	table *Table
+	rng   *rand.PCG
+	held  map[string][]Choice
+}
+
+func (p *replay) step(t *testing.T, d *datadriven.TestData) string {
+	var id, text string
+	var count, incarnation, version, running int
+	var prefix uint64
+	var exclude []string
+	d.MaybeScanArgs(t, "id", &id)
+	d.MaybeScanArgs(t, "after", &text)
+	d.MaybeScanArgs(t, "count", &count)
+	d.MaybeScanArgs(t, "incarnation", &incarnation)
+	d.MaybeScanArgs(t, "version", &version)
+	d.MaybeScanArgs(t, "running", &running)
+	d.MaybeScanArgs(t, "prefix", &prefix)
+	d.MaybeScanArgs(t, "exclude", &exclude)
+	after, _ := time.ParseDuration(text)
+	p.now = p.now.Add(after)
+	endpoint := model.EndpointID(id)
+	switch d.Cmd {
+	case "table":
+		p.table, p.rng, p.held = NewTable(p.now, "z0"), rand.NewPCG(1, 2), map[string][]Choice{}
+		p.table.Update(parseEndpoints(d.Input))
+	case "observe":
+		p.table.Observe(p.now, endpoint, model.Incarnation(incarnation))
+	case "drain":
+		return fmt.Sprint("news: ", p.table.Drain(endpoint, model.Incarnation(incarnation)))
+	case "view":
+		p.table.SetDrains([]model.DrainEvidence{{Endpoint: endpoint, Incarnation: model.Incarnation(incarnation)}})
+	case "report":
+		p.table.Report(p.now, endpoint, Load{Running: running, Version: model.WeightVersion(version)})
+	case "cached":
+		p.table.CacheEvent(p.now, endpoint, prefix, true)
+	case "answered", "failed", "overtaken":
+		return p.ends(t, d, endpoint, max(1, count))
+	case "begin":
+		p.begin(endpoint, count)
+	case "pick":
+		c := Constraints{MinVersion: model.WeightVersion(version), PrefixHash: prefix}
+		for _, e := range exclude {
+			c.Exclude = append(c.Exclude, model.EndpointID(e))
+		}
+		return p.spread(c)
+	}
+	return ""
+}
+
+func parseEndpoints(text string) []endpoints.Endpoint {
+	var out []endpoints.Endpoint
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		f := strings.Fields(line)
+		out = append(out, endpoints.Endpoint{ID: model.EndpointID(f[0]), Zone: model.ZoneID(f[1]), Slots: 8})
+	}
+	return out
+}
+
+// begin sends count requests to an endpoint, past the choice.
+func (p *replay) begin(id model.EndpointID, count int) {
+	for range count {
+		p.table.Begin(p.now, Choice{ID: id, entry: p.table.byID[id]})
+	}
+}
+
+func (p *replay) ends(t *testing.T, d *datadriven.TestData, id model.EndpointID, count int) string {
+	var took string
+	d.MaybeScanArgs(t, "took", &took)
+	length, _ := time.ParseDuration(took)
+	result := map[string]Result{"answered": ResultAnswered, "failed": ResultFailed, "overtaken": ResultOvertaken}[d.Cmd]
+	ejected := false
+	for range count {
+		p.begin(id, 1)
+		ejected = p.table.End(p.now, Choice{ID: id, entry: p.table.byID[id]}, p.now, result, length) || ejected
+	}
+	return fmt.Sprint("ejected: ", ejected)
+}
+
+// spread picks a thousand times and shows each endpoint's share to a tenth.
+func (p *replay) spread(c Constraints) string {
+	got := map[model.EndpointID]int{}
+	for range 1000 {
+		choice, ok := p.table.Pick(p.now, p.rng, c)
+		if !ok {
+			return "none"
+		}
+		got[choice.ID]++
+	}
+	var out []string
+	for id, n := range got {
+		out = append(out, fmt.Sprintf("%s %d%%", id, (n+50)/100*10))
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
+}
+
+func TestTraces(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		p := &replay{now: epoch}
+		datadriven.RunTest(t, path, p.step)
+	})
+}
+
+// TestPickKeepsItsRules: whatever happened before, a pick fits, and the count of
+// requests in flight is that of begins less ends.
+func TestPickKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		list := fleet(rapid.IntRange(1, 12).Draw(t, "endpoints"))
+		table := NewTable(now, "z0")
+		table.Update(list)
+		rng := rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)
+		inflight := map[model.EndpointID]int{}
+		type begun struct {
+			choice Choice
+			at     time.Time
+		}
+		var held []begun
+		for range rapid.IntRange(1, 150).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			id := list[rapid.IntRange(0, len(list)-1).Draw(t, "endpoint")].ID
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				table.Drain(id, model.Incarnation(rapid.IntRange(0, 3).Draw(t, "incarnation")))
+			case 1:
+				table.Observe(now, id, model.Incarnation(rapid.IntRange(1, 4).Draw(t, "incarnation")))
+			case 2, 3:
+				c := Constraints{Exclude: []model.EndpointID{id}}
+				choice, ok := table.Pick(now, rng, c)
+				if !ok {
+					continue
+				}
+				e := table.byID[choice.ID]
+				if choice.ID == id || e.leaving() || !e.health.Available(now.Sub(table.epoch)) {
+					t.Fatalf("picked %s, excluded %s: %+v", choice.ID, id, e)
+				}
+				table.Begin(now, choice)
+				inflight[choice.ID]++
+				held = append(held, begun{choice, now})
+			default:
+				if len(held) == 0 {
+					continue
+				}
+				h := held[0]
+				held = held[1:]
+				table.End(now, h.choice, h.at, Result(rapid.IntRange(0, 4).Draw(t, "result")), time.Millisecond)
+				inflight[h.choice.ID]--
+			}
+			for _, e := range table.entries {
+				if e.inflight != inflight[e.ID] || e.inflight == 0 && e.startSum != 0 {
+					t.Fatalf("%s: %d in flight of %d, start sum %v", e.ID, e.inflight, inflight[e.ID], e.startSum)
+				}
+			}
+		}
+	})
+}
--- a/internal/transport/entry/attempt.go
+++ b/internal/transport/entry/attempt.go
@@ -43,12 +43,12 @@
 	if err != nil {
 		out.result, out.failure = failureOf(ctx, err)
 	}
-	s.endAttempt(q, c, started, &out, t)
+	s.endAttempt(ctx, q, c, started, &out, t)
 	return out
 }
 
 // endAttempt tells routing, drains and the quarantine how an attempt ended.
-func (s *Server) endAttempt(q *request, c routing.Choice, started time.Time, out *attemptResult, t trial) {
+func (s *Server) endAttempt(ctx context.Context, q *request, c routing.Choice, started time.Time, out *attemptResult, t trial) {
 	if out.result == routing.ResultFailed && q.left() <= 0 && out.latency < q.target.hedgeAfter() {
 		// The deadline was too short to tell anything of the endpoint.
 		out.result = routing.ResultCancelled
@@ -66,7 +66,7 @@
 		s.opt.Log.Info("Endpoint is leaving.", "endpoint", c.ID, "target", q.target.name)
 		s.wake()
 	}
-	if out.result == routing.ResultFailed && out.failure == retries.FailureUnknown && s.isDead(q.target, c) {
+	if out.result == routing.ResultFailed && out.failure == retries.FailureUnknown && ctx.Err() == nil && s.isDead(q.target, c) {
 		s.died(q, c.ID, started)
 	}
 	s.endTrial(q, t, false)
--- a/internal/transport/entry/duties.go
+++ b/internal/transport/entry/duties.go
@@ -73,20 +73,6 @@
 	return out
 }
 
-// applyLoads hands the view's load reports to the tables.
-func (s *Server) applyLoads(now time.Time, loads []model.EndpointLoad) {
-	if len(loads) == 0 {
-		return
-	}
-	for _, t := range s.allTargets() {
-		t.mu.Lock()
-		for _, l := range loads {
-			t.table.Report(now, l.Endpoint, routing.Load{Running: l.Running, Queued: l.Queued, Version: l.Version, Age: l.Age})
-		}
-		t.mu.Unlock()
-	}
-}
-
 // poll is one endpoint to ask.
 type poll struct {
 	target  *target
@@ -134,6 +120,7 @@
 		return
 	}
 	t.mu.Lock()
+	t.resize(time.Now())
 	list := t.table.Endpoints()
 	t.mu.Unlock()
 	for _, e := range list {
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -35,6 +35,8 @@
 	engine []*standin.Engine
 	client *http.Client
 	seq    uint64
+	// address is where requests go.
+	address string
 }
 
 func newBed(t testing.TB) *bed {
@@ -65,6 +67,7 @@
 	if err := b.front.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
+	b.address = b.front.Address()
 	t.Cleanup(func() {
 		_ = b.front.http.Close()
 		b.server.background.Wait()
@@ -157,7 +160,7 @@
 }
 
 func (b *bed) send(path, body string, headers ...string) (*http.Response, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+b.front.Address()+path, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequest(http.MethodPost, "http://"+b.address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/entry/generate.go
+++ b/internal/transport/entry/generate.go
@@ -76,8 +76,13 @@
 		return err
 	}
 	run := &streamRun{server: s, request: q, ask: g, lines: lines}
+	started := time.Now()
 	err = run.run(ctx)
-	q.target.leave(ticket, run.sample)
+	sample := admission.Sample{Kind: admission.SampleNone}
+	if err == nil {
+		sample = admission.Sample{Kind: admission.SampleEnded, Took: time.Since(started)}
+	}
+	q.target.leave(ticket, sample)
 	return err
 }
 
@@ -89,12 +94,10 @@
 	lines     *httpapi.Lines
 	assembler streams.Assembler
 	progress  progress
-	sample    admission.Sample
 }
 
 func (r *streamRun) run(ctx context.Context) error {
 	q := r.request
-	r.sample.Kind = admission.SampleNone
 	for {
 		result, err := r.attempt(ctx)
 		if err != nil {
@@ -160,7 +163,7 @@
 	if out.err != nil {
 		out.result, out.failure = failureOf(ctx, out.err)
 	}
-	s.endAttempt(q, choice, started, &out, t)
+	s.endAttempt(ctx, q, choice, started, &out, t)
 	return out, nil
 }
 
@@ -194,7 +197,7 @@
 			return stalledOr(attempt, err)
 		}
 		if first {
-			r.noteFirst(time.Since(started))
+			q.target.observe(time.Since(started))
 		}
 		stall.Reset(stallTimeout)
 		if err := r.pass(number, chunk); err != nil {
@@ -208,11 +211,6 @@
 	return max(stallTimeout, r.request.left()/retries.MaxAttempts)
 }
 
-// noteFirst takes the time to the first chunk as the sample of latency.
-func (r *streamRun) noteFirst(took time.Duration) {
-	r.sample = admission.Sample{Kind: admission.SampleAnswered, Latency: took}
-}
-
 func stalledOr(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
 		return errors.Join(errStalled, err)
--- a/internal/transport/entry/race.go
+++ b/internal/transport/entry/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/admission"
@@ -13,63 +14,65 @@
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
 )
 
-// errOvertaken ends an attempt because another one of its request was answered.
+// errOvertaken ends an attempt because its hedge was answered first.
 var errOvertaken = errors.New("another attempt was answered")
 
-// race makes the attempts of one plain call: repeats after failures, and a hedge
-// beside an attempt that takes long.
+// race makes the attempts of one plain call: one after another in the caller's
+// goroutine, and at most one hedge beside an attempt that takes long.
 type race struct {
-	server   *Server
-	request  *request
+	server  *Server
+	request *request
+
+	mu       sync.Mutex
 	progress progress
-	results  chan attemptResult
-	cancels  []context.CancelCauseFunc
 	// last is the endpoint of the latest attempt.
 	last model.EndpointID
+	// overtake ends the attempt that the hedge runs beside.
+	overtake context.CancelCauseFunc
+	// hedged receives the hedge's result; nil without a hedge.
+	hedged chan attemptResult
+	ended  bool
 }
 
 // run makes attempts until one is answered or none may follow.
 func (s *Server) run(ctx context.Context, q *request) (engineapi.Answer, admission.Sample, error) {
-	r := &race{server: s, request: q, results: make(chan attemptResult, retries.MaxAttempts)}
-	defer r.cancel()
-	if err := r.launch(ctx); err != nil {
-		return engineapi.Answer{}, admission.Sample{Kind: admission.SampleNone}, err
+	r := &race{server: s, request: q}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if q.idempotent {
+		hedge := time.AfterFunc(q.target.hedgeAfter(), func() { r.hedge(ctx) })
+		defer hedge.Stop()
 	}
-	hedge := time.NewTimer(q.target.hedgeAfter())
-	defer hedge.Stop()
+	defer r.end()
 	for {
-		select {
-		case result := <-r.results:
-			answer, done, err := r.ended(ctx, result)
-			if done {
-				return answer, sampleOf(result, err), err
-			}
-		case <-hedge.C:
-			r.hedge(ctx)
-		case <-ctx.Done():
-			return engineapi.Answer{}, admission.Sample{Kind: admission.SampleRefused}, r.progress.failure(q, retries.StopDeadline)
+		result, err := r.attempt(ctx)
+		if err != nil {
+			return engineapi.Answer{}, admission.Sample{Kind: admission.SampleNone}, err
+		}
+		if result.err != nil {
+			result = r.orHedge(result)
+		}
+		if result.err == nil {
+			return result.answer, sampleOf(ctx, result), nil
+		}
+		if err := r.pause(ctx, result.failure); err != nil {
+			return engineapi.Answer{}, sampleOf(ctx, result), err
 		}
 	}
 }
 
-func sampleOf(r attemptResult, err error) admission.Sample {
+func sampleOf(ctx context.Context, r attemptResult) admission.Sample {
 	switch {
-	case err == nil:
-		return admission.Sample{Kind: admission.SampleAnswered, Latency: r.latency}
-	case r.result == routing.ResultRefused:
+	case r.err == nil:
+		return admission.Sample{Kind: admission.SampleAnswered, Latency: r.latency, Took: r.latency}
+	case r.result == routing.ResultRefused, errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return admission.Sample{Kind: admission.SampleRefused}
 	}
 	return admission.Sample{Kind: admission.SampleNone}
 }
 
-func (r *race) cancel() {
-	for _, c := range r.cancels {
-		c(errOvertaken)
-	}
-}
-
-// launch starts one attempt in a goroutine of its own.
-func (r *race) launch(ctx context.Context) error {
+// prepare takes leave for one attempt and picks its endpoint; mu is held.
+func (r *race) prepare() (trial, routing.Choice, int, error) {
 	q := r.request
 	t, err := r.server.try(q)
 	if err != nil {
@@ -77,63 +80,98 @@
 		if r.progress.unknown {
 			f = f.Uncertain()
 		}
-		return f
+		return trial{}, routing.Choice{}, 0, f
 	}
 	choice, ok := q.target.begin(routing.Constraints{Exclude: r.progress.excluded})
 	if !ok {
 		r.server.endTrial(q, t, false)
-		return r.progress.failure(q, retries.StopAttempts)
+		return trial{}, routing.Choice{}, 0, r.progress.failure(q, retries.StopAttempts)
 	}
-	attempt, cancel := context.WithCancelCause(ctx)
-	r.cancels = append(r.cancels, cancel)
 	r.progress.made++
 	r.progress.running++
 	r.last = choice.ID
-	number := r.progress.made
-	go func() { r.results <- r.server.attempt(attempt, q, number, choice, t) }()
-	return nil
+	return t, choice, r.progress.made, nil
 }
 
-// ended handles the end of an attempt. done says that the request has its answer
-// or its final failure.
-func (r *race) ended(ctx context.Context, result attemptResult) (engineapi.Answer, bool, error) {
+// attempt makes one attempt here.
+func (r *race) attempt(ctx context.Context) (attemptResult, error) {
+	ctx, overtake := context.WithCancelCause(ctx)
+	defer overtake(nil)
+	r.mu.Lock()
+	t, choice, number, err := r.prepare()
+	r.overtake = overtake
+	r.mu.Unlock()
+	if err != nil {
+		return attemptResult{}, err
+	}
+	result := r.server.attempt(ctx, r.request, number, choice, t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.progress.note(result)
+	return result, nil
+}
+
+// hedge makes a second attempt beside one that takes long. A suspected request is
+// tried alone, which prepare sees to.
+func (r *race) hedge(ctx context.Context) {
+	q := r.request
+	r.mu.Lock()
+	a := retries.Attempt{Made: r.progress.made, Idempotent: q.idempotent, Left: q.left()}
+	if r.ended || r.progress.running != 1 || !q.target.hedge(a) {
+		r.mu.Unlock()
+		return
+	}
+	r.progress.excluded = append(r.progress.excluded, r.last)
+	t, choice, number, err := r.prepare()
+	if err != nil {
+		r.mu.Unlock()
+		return
+	}
+	overtake, results := r.overtake, make(chan attemptResult, 1)
+	r.hedged = results
+	r.mu.Unlock()
+	q.record.add("hedged", choice.ID, "")
+	result := r.server.attempt(ctx, q, number, choice, t)
+	results <- result
 	if result.err == nil {
-		return result.answer, true, nil
+		overtake(errOvertaken)
 	}
-	if r.progress.running > 0 {
-		return engineapi.Answer{}, false, nil
+}
+
+// orHedge returns the hedge's result in place of a failed one, if there is a hedge.
+func (r *race) orHedge(failed attemptResult) attemptResult {
+	r.mu.Lock()
+	results := r.hedged
+	r.hedged = nil
+	r.mu.Unlock()
+	if results == nil {
+		return failed
 	}
+	result := <-results
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress.note(result)
+	return result
+}
+
+// pause waits before the next attempt; the error is the request's final failure.
+func (r *race) pause(ctx context.Context, f retries.Failure) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	verdict, wait := r.request.target.decide(retries.Attempt{
-		Failure:    result.failure,
+		Failure:    f,
 		Made:       r.progress.made,
 		Idempotent: r.request.idempotent,
 		Left:       r.request.left(),
 	})
-	if verdict != retries.Retry {
-		return engineapi.Answer{}, true, r.progress.failure(r.request, verdict)
-	}
-	if !sleep(ctx, wait) {
-		return engineapi.Answer{}, true, r.progress.failure(r.request, retries.StopDeadline)
-	}
-	if err := r.launch(ctx); err != nil {
-		return engineapi.Answer{}, true, err
+	if verdict == retries.Retry && sleep(ctx, wait) {
+		return nil
 	}
-	return engineapi.Answer{}, false, nil
+	return r.progress.failure(r.request, verdict)
 }
 
-// hedge starts a second attempt beside one that takes long. A suspected request is
-// tried alone, which launch sees to.
-func (r *race) hedge(ctx context.Context) {
-	q := r.request
-	if r.progress.running != 1 {
-		return
-	}
-	a := retries.Attempt{Made: r.progress.made, Idempotent: q.idempotent, Left: q.left()}
-	if !q.target.hedge(a) {
-		return
-	}
-	q.record.add("hedged", "", "")
-	r.progress.excluded = append(r.progress.excluded, r.last)
-	_ = r.launch(ctx)
+func (r *race) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
 }
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -115,40 +115,46 @@
 		return
 	}
 	now := time.Now()
+	old := s.view.Load()
+	if old == nil || old.Config != v.Config {
+		s.applyConfig(now, v.Config)
+	}
 	s.view.Store(v)
-	hosts := entryHosts(v.Config)
-	s.mu.Lock()
-	wanted := map[endpoints.Target]bool{}
-	for id, service := range v.Config.Services {
-		s.applyTarget(now, v, endpoints.Target{Service: id}, hosts, 0)
-		wanted[endpoints.Target{Service: id}] = true
+	for _, t := range s.allTargets() {
+		t.apply(now, v)
+	}
+	s.quarantineMu.Lock()
+	s.quarantine.Merge(now, v.Quarantine)
+	s.quarantineMu.Unlock()
+}
+
+// applyConfig makes the targets those of the configuration.
+func (s *Server) applyConfig(now time.Time, c *model.Config) {
+	hosts := entryHosts(c)
+	wanted := map[endpoints.Target]float64{}
+	for id, service := range c.Services {
+		wanted[endpoints.Target{Service: id}] = 0
 		s.metrics.objective.WithLabelValues(string(id)).Set(service.Objective)
 	}
-	for id, d := range v.Config.Deployments {
-		s.applyTarget(now, v, endpoints.Target{Deployment: id}, hosts, d.TrainingFloor)
-		wanted[endpoints.Target{Deployment: id}] = true
+	for id, d := range c.Deployments {
+		wanted[endpoints.Target{Deployment: id}] = d.TrainingFloor
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, floor := range wanted {
+		t := s.targets[id]
+		if t == nil {
+			t = newTarget(now, id, s.opt.Zone, s.opt.Seed+uint64(len(s.targets)))
+			s.targets[id] = t
+		}
+		t.configure(now, endpoints.Subset(endpoints.Of(c, id), s.opt.Host, hosts), floor)
 	}
 	for id, t := range s.targets {
-		if !wanted[id] {
+		if _, ok := wanted[id]; !ok {
 			delete(s.targets, id)
 			t.transport.CloseIdleConnections()
 		}
 	}
-	s.mu.Unlock()
-	s.quarantineMu.Lock()
-	s.quarantine.Merge(now, v.Quarantine)
-	s.quarantineMu.Unlock()
-	s.applyLoads(now, v.Loads)
-}
-
-func (s *Server) applyTarget(now time.Time, v *model.FleetView, id endpoints.Target, hosts []model.HostID, floor float64) {
-	t := s.targets[id]
-	if t == nil {
-		t = newTarget(now, id, s.opt.Zone, s.opt.Seed+uint64(len(s.targets)))
-		s.targets[id] = t
-	}
-	list := endpoints.Subset(endpoints.Of(v.Config, id), s.opt.Host, hosts)
-	t.configure(now, list, v.Drains, len(hosts), floor)
 }
 
 func (s *Server) target(id endpoints.Target) *target {
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -40,6 +40,8 @@
 	budget *retries.Budget
 	rng    *rand.PCG
 	cursor map[model.EndpointID]uint64
+	// trainingFloor is the share of slots kept for training.
+	trainingFloor float64
 }
 
 func newTarget(now time.Time, id endpoints.Target, zone model.ZoneID, seed uint64) *target {
@@ -62,18 +64,33 @@
 	}
 }
 
-// configure takes over the endpoints of a view.
-func (t *target) configure(now time.Time, list []endpoints.Endpoint, drains []model.DrainEvidence, entryHosts int, floor float64) {
+// configure takes over the endpoints of a configuration.
+func (t *target) configure(now time.Time, list []endpoints.Endpoint, trainingFloor float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.table.Update(list)
-	t.table.SetDrains(drains)
-	_, slots := t.table.Usable(now)
+	t.trainingFloor = trainingFloor
 	if t.gate == nil {
-		t.gate = admission.NewGate(max(4, slots/max(1, entryHosts)), slots, floor)
-		return
+		count, slots := t.table.Usable(now)
+		t.gate = admission.NewGate(count, slots, trainingFloor)
 	}
-	t.gate.Configure(slots, floor)
+}
+
+// apply takes over what a view says of the endpoints.
+func (t *target) apply(now time.Time, v *model.FleetView) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.SetDrains(v.Drains)
+	for _, l := range v.Loads {
+		t.table.Report(now, l.Endpoint, routing.Load{Running: l.Running, Queued: l.Queued, Version: l.Version, Age: l.Age})
+	}
+	t.resize(now)
+}
+
+// resize fits the gate to the endpoints that may get work; mu is held.
+func (t *target) resize(now time.Time) {
+	count, slots := t.table.Usable(now)
+	t.gate.Configure(count, slots, t.trainingFloor)
 }
 
 // admit waits for a slot. The decision is Run or Refuse.
@@ -110,6 +127,13 @@
 	t.gate.Leave(time.Now(), k, s)
 }
 
+// observe takes the latency of a stream's first chunk.
+func (t *target) observe(latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gate.Observe(time.Now(), admission.Sample{Kind: admission.SampleAnswered, Latency: latency})
+}
+
 // begin picks an endpoint and notes the attempt.
 func (t *target) begin(c routing.Constraints) (routing.Choice, bool) {
 	now := time.Now()
--- /dev/null
+++ b/internal/transport/httpapi/fuzz_test.go
@@ -0,0 +1,42 @@
+package httpapi
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+)
+
+// FuzzReading: any headers and body yield a request in its limits or a refusal that
+// says not run.
+func FuzzReading(f *testing.F) {
+	f.Add("lab", "2000", "k1", "live", `{"prompt":"p","max_tokens":5,"seed":1}`)
+	f.Add("", "-1", "", "urgent", `{"prompt":1}`)
+	f.Add("x", "99999999999999999999", "k", "", `{"prompt":"p","max_tokens":-5}`)
+	f.Fuzz(func(t *testing.T, caller, deadline, key, priority, body string) {
+		h := http.Header{}
+		h.Set(CallerHeader, caller)
+		h.Set(DeadlineHeader, deadline)
+		h.Set(IdempotencyKeyHeader, key)
+		h.Set(PriorityHeader, priority)
+		m, err := ReadMeta(h)
+		checkRefusal(t, err)
+		if err == nil && (m.Timeout < 0 || m.Timeout > MaxDeadline || len(m.Key) > MaxKeyBytes || len(m.Caller) > MaxKeyBytes) {
+			t.Errorf("out of limits: %+v", m)
+		}
+		g, err := ReadGenerate([]byte(body))
+		checkRefusal(t, err)
+		if err == nil && (g.Prompt == "" || g.MaxTokens < 0 || g.MaxTokens > MaxTokens) {
+			t.Errorf("out of limits: %+v", g)
+		}
+	})
+}
+
+func checkRefusal(t *testing.T, err error) {
+	t.Helper()
+	var coded *resultcode.Error
+	if err != nil && (!errors.As(err, &coded) || coded.Code.Info().Outcome != resultcode.NotRun) {
+		t.Errorf("refused with %v", err)
+	}
+}
