--- a/internal/protocol/resultcode/resultcode.go
+++ b/internal/protocol/resultcode/resultcode.go
@@ -47,6 +47,7 @@
 	StreamBroken         Code = 42
 	OutcomeUnknown       Code = 43
 	InProgress           Code = 44
+	ClaimUnknown         Code = 45
 	BadConfiguration     Code = 50
 	ConfigurationRaced   Code = 51
 	StorageOutage        Code = 52
@@ -54,6 +55,7 @@
 	NotFound             Code = 54
 	NotOwner             Code = 55
 	StaleEpoch           Code = 56
+	Unreachable          Code = 57
 	StepConflict         Code = 60
 	StepUnknown          Code = 61
 	BatchNotReady        Code = 62
@@ -96,6 +98,7 @@
 	{StreamBroken, "stream_broken", Unknown, http.StatusBadGateway, false, "The stream ended early and could not be resumed."},
 	{OutcomeUnknown, "outcome_unknown", Unknown, http.StatusBadGateway, false, "The request was claimed and may have run; it will not be run again."},
 	{InProgress, "in_progress", Unknown, http.StatusConflict, true, "The request with this key is still running; ask again with the same key."},
+	{ClaimUnknown, "claim_unknown", Unknown, http.StatusServiceUnavailable, true, "Whether this key was used before could not be found out; this sending did not run; ask again with the same key."},
 	{BadConfiguration, "bad_configuration", NotRun, http.StatusBadRequest, false, "The configuration has errors; nothing was applied."},
 	{ConfigurationRaced, "configuration_raced", NotRun, http.StatusConflict, false, "Another operator's change was accepted first; nothing was applied."},
 	{StorageOutage, "storage_outage", NotRun, http.StatusServiceUnavailable, true, "The platform's object API does not answer; nothing was written."},
@@ -103,6 +106,7 @@
 	{NotFound, "not_found", NotRun, http.StatusNotFound, false, "The named object does not exist."},
 	{NotOwner, "not_owner", NotRun, http.StatusMisdirectedRequest, true, "This host does not own the shard."},
 	{StaleEpoch, "stale_epoch", NotRun, http.StatusConflict, true, "The shard has a newer owner."},
+	{Unreachable, "unreachable", NotRun, http.StatusServiceUnavailable, true, "No control program can be reached; nothing was sent."},
 	{StepConflict, "step_conflict", NotRun, http.StatusConflict, false, "The trainer opened this step with other contents."},
 	{StepUnknown, "step_unknown", NotRun, http.StatusNotFound, false, "The trainer has no such step open."},
 	{BatchNotReady, "batch_not_ready", NotRun, http.StatusAccepted, true, "No batch is ready yet; ask again."},
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -130,11 +130,11 @@
 
 // applyConfig makes the targets those of the configuration.
 func (s *Server) applyConfig(now time.Time, c *model.Config) {
+	s.metrics.objective.Configure(c)
 	hosts := entryHosts(c)
 	wanted := map[endpoints.Target]float64{}
-	for id, service := range c.Services {
+	for id := range c.Services {
 		wanted[endpoints.Target{Service: id}] = 0
-		s.metrics.objective.WithLabelValues(string(id)).Set(service.Objective)
 	}
 	for id, d := range c.Deployments {
 		wanted[endpoints.Target{Deployment: id}] = d.TrainingFloor
