Keep a failing rack from condemning popular requests

A content fingerprint is that of many requests: when a rack took several endpoints at once, each popular request on them would have counted two deaths and been refused for two minutes. Deaths of attempts that began before the last death was seen now count as one for contents; for an idempotency key each death counts. Seen to fail first: the new quarantine test refused shared content after a rack.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,7 +1,7 @@
 // Package quarantine finds requests that crash the endpoints that run them.
 //
 // Invariant: a fingerprint is refused once two distinct endpoint incarnations died
-// running it and no endpoint has answered it since; every entry expires.
+// running it and no endpoint answered it in between; every entry expires.
 package quarantine
 
 import (
@@ -26,6 +26,10 @@
 	// Began is when the attempt began: two attempts of which one began before the
 	// other's death was seen may have met the same life.
 	Began time.Time
+	// Shared says that many requests may have the fingerprint, as that of a content.
+	// Endpoints that die at the same time, as with a rack, then count as one: only
+	// the death of one that began the request later shows what killed it.
+	Shared bool
 }
 
 type seenDeath struct {
@@ -101,7 +105,7 @@
 		l.entries[fingerprint] = s
 	}
 	for _, known := range s.deaths {
-		if known.endpoint == d.Endpoint && !d.Began.After(known.at) {
+		if (d.Shared || known.endpoint == d.Endpoint) && !d.Began.After(known.at) {
 			return false
 		}
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+func TestEndpointsThatDieTogetherDoNotCondemnSharedContent(t *testing.T) {
+	l := New()
+	for _, e := range []model.EndpointID{"a", "b", "c"} {
+		l.Died(epoch, harmless, Death{Endpoint: e, Began: epoch.Add(-time.Second), Shared: true})
+	}
+	if v := verdict(l, epoch, harmless); v != Suspect {
+		t.Fatalf("after a rack died: %v", v)
+	}
+	l.Died(epoch.Add(time.Second), harmless, Death{Endpoint: "d", Began: epoch.Add(time.Millisecond), Shared: true})
+	if v := verdict(l, epoch.Add(time.Second), harmless); v != Refuse {
+		t.Fatalf("after a death of its own: %v", v)
+	}
+}
+
 func TestAnswerClearsSuspicionButNotQuarantine(t *testing.T) {
 	l := New()
 	l.Died(epoch, harmless, Death{Endpoint: "a", Began: epoch})
--- a/internal/transport/entry/call.go
+++ b/internal/transport/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -30,6 +31,10 @@
 		q.fingerprint(q.body)
 		answer, err = s.answerCall(r.Context(), q, service)
 	}
+	if errors.Is(r.Context().Err(), context.Canceled) {
+		q.record.add("caller left", "", "")
+		panic(http.ErrAbortHandler)
+	}
 	s.finish(w, q, answer, err)
 }
 
--- a/internal/transport/entry/duties.go
+++ b/internal/transport/entry/duties.go
@@ -15,7 +15,9 @@
 const (
 	reportInterval = time.Second
 	pollInterval   = time.Second
-	pollTimeout    = 500 * time.Millisecond
+	// pollSpacing bounds the polls a second of a large target.
+	pollSpacing = 15 * time.Millisecond
+	pollTimeout = 500 * time.Millisecond
 	// pollers bounds the polls of one target at once.
 	pollers      = 16
 	program      = "oleander-entry"
@@ -116,13 +118,15 @@
 
 // offerPolls queues a round of polls unless the last one is still under way.
 func (s *Server) offerPolls(ctx context.Context, t *target, r *ring.Ring[poll]) {
-	if r.Len() > 0 {
+	now := time.Now()
+	if r.Len() > 0 || now.Before(t.nextPoll) {
 		return
 	}
 	t.mu.Lock()
-	t.resize(time.Now())
+	t.resize(now)
 	list := t.table.Endpoints()
 	t.mu.Unlock()
+	t.nextPoll = now.Add(time.Duration(len(list)) * pollSpacing)
 	for _, e := range list {
 		_ = r.Push(ctx, poll{target: t, id: e.ID, address: e.Address})
 	}
--- a/internal/transport/entry/generate.go
+++ b/internal/transport/entry/generate.go
@@ -46,6 +46,10 @@
 		q.fingerprint([]byte(g.Prompt))
 		err = s.generate(r.Context(), q, g, lines)
 	}
+	if errors.Is(r.Context().Err(), context.Canceled) {
+		q.record.add("caller left", "", "")
+		panic(http.ErrAbortHandler)
+	}
 	s.finishStream(q, lines, err)
 }
 
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -86,6 +86,9 @@
 	return q.caller.Priority
 }
 
+// contentFingerprint is the index of the content's fingerprint.
+const contentFingerprint = 0
+
 // fingerprint names the request by its content and by its idempotency key.
 func (q *request) fingerprint(content []byte) {
 	var d xxhash.Digest
@@ -223,8 +226,8 @@
 func (s *Server) died(q *request, endpoint model.EndpointID, began time.Time) {
 	now := time.Now()
 	s.quarantineMu.Lock()
-	for _, f := range q.fingerprints {
-		s.quarantine.Died(now, f, quarantine.Death{Endpoint: endpoint, Began: began})
+	for i, f := range q.fingerprints {
+		s.quarantine.Died(now, f, quarantine.Death{Endpoint: endpoint, Began: began, Shared: i == contentFingerprint})
 	}
 	s.quarantineMu.Unlock()
 	q.record.add("endpoint died", endpoint, "")
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -33,6 +33,8 @@
 	client    *engineapi.Client
 	transport *http.Transport
 	claiming  chan struct{}
+	// nextPoll is when the poll duty asks the endpoints again; only it uses this.
+	nextPoll time.Time
 
 	mu     sync.Mutex
 	table  *routing.Table
