Go on above the generation in force after the object API lost writes

A root restored from an old copy left operators without a way to change the configuration: the base in force was above the root and every change was refused as raced. The committing host's generation is now a floor; the next change becomes the one above it. Ruled out: lowering what is in force, which would revert an accepted configuration.

--- a/internal/coordination/confgen/commit.go
+++ b/internal/coordination/confgen/commit.go
@@ -11,7 +11,10 @@
 // Request is a change that an operator asks for.
 type Request struct {
 	// Base is the generation that the change started from.
-	Base   model.Generation
+	Base model.Generation
+	// Floor is the generation in force at the committing host. It is above the
+	// root's only when the object API lost writes, and is then gone on from.
+	Floor  model.Generation
 	Change confstore.Change
 	// Chunks is the number of content objects.
 	Chunks int
@@ -192,10 +195,11 @@
 		}
 		return Result{Kind: Accepted, Generation: change.Generation}, true
 	}
-	if r.Base != root.Generation {
+	newest := max(root.Generation, r.Floor)
+	if r.Base != newest {
 		return raced(root, r), true
 	}
-	if r.Base != 0 && root.Digest == r.Change.Digest {
+	if r.Base != 0 && newest == root.Generation && root.Digest == r.Change.Digest {
 		return Result{Kind: Unchanged, Generation: root.Generation}, true
 	}
 	return Result{}, false
@@ -204,7 +208,7 @@
 // raced names the latest other change. When the history does not reach back to the
 // request's base, the request itself may have been accepted in between.
 func raced(root confstore.Root, r Request) Result {
-	out := Result{Kind: Raced, Generation: root.Generation}
+	out := Result{Kind: Raced, Generation: max(root.Generation, r.Floor)}
 	if len(root.History) == 0 {
 		return out
 	}
@@ -219,7 +223,7 @@
 // Successor returns the root that accepts the request after root.
 func Successor(root confstore.Root, r Request) confstore.Root {
 	change := r.Change
-	change.Generation = root.Generation + 1
+	change.Generation = max(root.Generation, r.Floor) + 1
 	history := make([]confstore.Change, 0, confstore.MaxHistory)
 	history = append(history, change)
 	keep := min(len(root.History), confstore.MaxHistory-1)
--- a/internal/transport/confduty/duty_test.go
+++ b/internal/transport/confduty/duty_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -322,3 +324,62 @@
 		t.Fatal(err)
 	}
 }
+
+func TestChangesGoOnAboveTheGenerationInForceAfterTheRootWasRestored(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.host(), w.host()
+	api := a.duty.opt.API
+	var old objectapi.Object
+	for g := range model.Generation(3) {
+		zone := fmt.Sprintf("z%d", g+1)
+		if _, err := a.duty.Apply(t.Context(), change(t, g, zone, zone)); err != nil {
+			t.Fatal(err)
+		}
+		if g == 0 {
+			old, _ = api.Get(t.Context(), confgen.RootKey)
+		}
+	}
+	w.eventually("generation 3", func() bool { return a.has(3, "z3") && b.has(3, "z3") })
+	now, err := api.Get(t.Context(), confgen.RootKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := api.Put(t.Context(), confgen.RootKey, old.Value, now.Version); err != nil {
+		t.Fatal(err)
+	}
+	if g, err := b.duty.Apply(t.Context(), change(t, 3, "4", "z4")); err != nil || g != 4 {
+		t.Fatalf("after the restoration: generation %d, %v", g, err)
+	}
+	w.eventually("generation 4", func() bool { return a.has(4, "z4") && b.has(4, "z4") })
+}
+
+func TestALargeConfigurationIsStoredInSeveralObjects(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.host(), w.host()
+	random := rand.New(rand.NewPCG(1, 1))
+	c := &model.Config{}
+	if err := json.Unmarshal(config(t, "z1"), c); err != nil {
+		t.Fatal(err)
+	}
+	for range 55000 {
+		id := fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64())
+		c.Zones[model.ZoneID(id)] = model.Zone{Region: "r"}
+	}
+	large, err := settings.EncodeConfig(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := change(t, 0, "1", "z1")
+	r.Config = large
+	if _, err := a.duty.Apply(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+	root, _, err := a.duty.storage.readRoot(t.Context())
+	if err != nil || root.Chunks < 2 {
+		t.Fatalf("%d chunks: %v", root.Chunks, err)
+	}
+	w.eventually("the large configuration", func() bool { return b.has(1, "z1") })
+	if held, err := a.duty.readOld(t.Context(), root.History[0]); err != nil || held.Digest != root.Digest {
+		t.Fatalf("read whole: %v", err)
+	}
+}
--- a/internal/transport/confduty/handlers.go
+++ b/internal/transport/confduty/handlers.go
@@ -76,6 +76,7 @@
 	c := &committer{storage: d.storage, chunks: split(packed)}
 	result := c.run(ctx, confgen.Request{
 		Base:   r.Base,
+		Floor:  d.Generation(),
 		Chunks: len(c.chunks),
 		Change: confstore.Change{
 			Operator:          r.Operator,
