Record ends and hand claim shards over before the mesh closes

In a planned stop of the entry program the mesh closed before the claim duty stopped: ends that had not been recorded could not be sent any more, and the stop would have waited for them until its limit of 15 minutes. The duty now stops between the callers' port and the mesh, and waits at most 30 s for ends, as an outage may keep them.

--- a/internal/transport/claimduty/duty.go
+++ b/internal/transport/claimduty/duty.go
@@ -135,16 +135,21 @@
 	}
 }
 
+// stopWait bounds the wait for ends to become durable in a planned stop. Ends that
+// an outage keeps from it are unknown to resends.
+const stopWait = 30 * time.Second
+
 // Stop prepares a planned stop: it waits until the ends of this host's attempts are
 // durable and hands the shards over. Begin must no longer be called.
 func (d *Duty) Stop(ctx context.Context) error {
-	for {
-		if live, _ := d.attempts.size(); live == 0 {
-			break
-		}
-		if !pause(ctx, settleTick) {
-			break
-		}
+	bounded, cancel := context.WithTimeout(ctx, stopWait)
+	defer cancel()
+	live, _ := d.attempts.size()
+	for live > 0 && pause(bounded, settleTick) {
+		live, _ = d.attempts.size()
+	}
+	if live > 0 {
+		d.opt.Log.Warn("Stopping with ends that are not recorded.", "attempts", live)
 	}
 	return d.sharder.Release(ctx)
 }
--- a/internal/transport/claimduty/harness_test.go
+++ b/internal/transport/claimduty/harness_test.go
@@ -89,6 +89,7 @@
 type cluster struct {
 	tb      testing.TB
 	store   *standin.ObjectStore
+	api     objectapi.API
 	plain   *standin.Plain
 	keys    *tlsconf.Keys
 	entries []*entryHost
@@ -113,6 +114,8 @@
 	lifetime time.Duration
 	store    standin.ObjectStoreOptions
 	service  time.Duration
+	// over puts something between the duties and the store, nil for nothing.
+	over func(*standin.ObjectStore) objectapi.API
 }
 
 func newCluster(tb testing.TB, opt clusterOptions) *cluster {
@@ -136,6 +139,10 @@
 	}
 	tb.Cleanup(plain.Close)
 	c := &cluster{tb: tb, store: standin.NewObjectStore(opt.store), plain: plain, keys: keys, dead: map[model.HostID]bool{}}
+	c.api = c.store
+	if opt.over != nil {
+		c.api = opt.over(c.store)
+	}
 	c.view = &model.FleetView{Config: &model.Config{System: model.System{
 		ClaimShards: opt.shards, ClaimCommitInterval: 40 * time.Millisecond, ClaimLifetime: opt.lifetime,
 	}}}
@@ -163,7 +170,7 @@
 	if err != nil {
 		c.tb.Fatal(err)
 	}
-	e := &entryHost{name: name, mesh: mesh, gate: &gate{API: c.store}, done: make(chan struct{})}
+	e := &entryHost{name: name, mesh: mesh, gate: &gate{API: c.api}, done: make(chan struct{})}
 	api := objectapi.NewClient(e.gate, objectapi.ClientOptions{
 		Seed: randomUint64(), AttemptTimeout: time.Second, ReadsPerSecond: 1000, WritesPerSecond: 200,
 	})
--- a/internal/transport/claimduty/module.go
+++ b/internal/transport/claimduty/module.go
@@ -18,8 +18,8 @@
 )
 
 // Module provides the Duty, also as Claims, to a program that provides its mesh,
-// feed client, object API and settings. The entry program calls Duty.Stop as a part
-// of its planned stop, once it takes no more requests.
+// feed client, object API and settings. The program calls Duty.Stop in its planned
+// stop, when it takes no more requests and its mesh is still open.
 var Module = fx.Module("claimduty", fx.Provide(newDuty, func(d *Duty) Claims { return d }))
 
 type dutyParams struct {
@@ -51,11 +51,10 @@
 			running.Go(func() { d.Run(ctx) })
 			return nil
 		},
-		OnStop: func(stop context.Context) error {
-			err := d.Stop(stop)
+		OnStop: func(context.Context) error {
 			cancel()
 			running.Wait()
-			return err
+			return nil
 		},
 	})
 	return d
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -88,6 +88,7 @@
 	Mesh      *quicmesh.Mesh
 	Feed      *feed.Client
 	Server    *Server
+	Claims    *claimduty.Duty
 	Registry  *prometheus.Registry
 	Health    *process.Health
 }
@@ -116,6 +117,9 @@
 	process.ServeAdmin(p.Lifecycle, p.Settings.Entry.Admin, p.Registry, p.Health, func(r *mux.Router) {
 		r.HandleFunc("/v1/explain/{id}", p.Server.ServeExplain).Methods(http.MethodGet)
 	})
+	// Once nothing runs any more, and while the mesh is open, the claims' ends are
+	// recorded and the shards handed over.
+	p.Lifecycle.Append(fx.StopHook(p.Claims.Stop))
 	front := NewFront(p.Server)
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return front.Start(p.Settings.Entry.Listen) },
