Bring weight versions to all engines in waves, and start steps in time

Cause: nothing ordered a published version at the engines, and the rollout program began an opened step at once however long the trainer would still train. Work ahead of the trainer is held back by freshness: at 1/2 it ends when it is expected to be pulled. An answer with hidden versions no longer counts as a request that breaks engines: a test met that as a slot held back for a minute, under load on a shared machine.

--- a/internal/coordination/samples/attempts.go
+++ b/internal/coordination/samples/attempts.go
@@ -51,6 +51,9 @@
 	m.pace.made(now.Sub(a.started), tokens-a.from)
 	s.tokens, s.oldest, s.prefix, s.failures = tokens, oldest, 0, 0
 	s.state = slotScoring
+	if st.made++; st.made == st.rec.Needed() {
+		m.pace.stepTime = average(m.pace.stepTime, now.Sub(st.began))
+	}
 	if !st.fresh(s, m.version) {
 		return m.rerun(st, a.slot.Index)
 	}
@@ -127,7 +130,7 @@
 	case FailureRefused:
 		kept, oldest = s.prefix, s.oldest
 	}
-	if f != FailureRefused && kept <= a.from && s.failures < suspectFailures {
+	if f == FailureBroken && kept <= a.from && s.failures < suspectFailures {
 		s.failures++
 	}
 	s.prefix, s.oldest, s.tokens = kept, oldest, 0
--- a/internal/coordination/samples/machine.go
+++ b/internal/coordination/samples/machine.go
@@ -114,8 +114,10 @@
 	// batchSequence is the record's sequence that first held each batch.
 	batchSequence []uint64
 	inBatch       int
-	started       int
 	received      int
+	// began is when the first slot was started, made how many slots ended.
+	began time.Time
+	made  int
 	// groupReady counts the ready slots of each group; queue lists the groups that
 	// were whole, in that order, and deliverable counts the slots of those that are
 	// whole and in no batch.
@@ -222,7 +224,6 @@
 	}
 	st := newStep(rec)
 	m.steps = append(m.steps, st)
-	m.pace.opened(now)
 	m.queueAll(st)
 	m.sequence++
 	return actions, nil
--- a/internal/coordination/samples/plan.go
+++ b/internal/coordination/samples/plan.go
@@ -139,7 +139,7 @@
 			heap.Pop(&m.pending)
 			continue
 		}
-		least, allowed := m.minVersion(st, pick.Newest())
+		least, allowed := m.minVersion(now, st, pick.Newest())
 		if !allowed {
 			break
 		}
@@ -157,7 +157,9 @@
 	m.last++
 	s := &st.slots[i]
 	s.state, s.attempt, s.ticket = slotRunning, m.last, 0
-	st.started++
+	if st.began.IsZero() {
+		st.began = now
+	}
 	id := SlotID{Step: st.rec.Step, Index: i}
 	m.attempts[m.last] = &attempt{slot: id, engine: engine, started: now, progress: now, from: s.prefix, tokens: s.prefix, oldest: s.oldest}
 	if s.prefix == 0 {
@@ -169,27 +171,15 @@
 // minVersion is the lowest version worth starting the slot under: the bound less the
 // versions expected until delivery, weighed by freshness; the newest version there is
 // when no engine has that one yet and the bound allows it. The second result is false
-// while work ahead of the trainer's present step is not allowed.
-func (m *Machine) minVersion(st *step, newest model.WeightVersion) (model.WeightVersion, bool) {
-	wait := m.pace.sampleTime
-	ahead := m.ahead(st)
-	if ahead {
-		wait += m.pace.stepEvery
+// while it is too early to work ahead of the trainer.
+func (m *Machine) minVersion(now time.Time, st *step, newest model.WeightVersion) (model.WeightVersion, bool) {
+	until := m.pace.untilPull(now, st.rec.Step)
+	if st.rec.Step > m.pace.pulled && m.pace.pulled > 0 && !m.pace.mayWorkAhead(now, m.cfg.Freshness) {
+		return 0, false
 	}
+	wait := max(m.pace.sampleTime, until)
 	margin := int(math.Round(m.cfg.Freshness * m.pace.advance(wait)))
-	if ahead {
-		limit := int((1 - m.cfg.Freshness) * float64(st.rec.Slots()))
-		if margin > st.rec.Bound || st.started >= limit {
-			return 0, false
-		}
-	}
 	wanted := m.version - min(m.version, model.WeightVersion(max(0, st.rec.Bound-margin)))
 	oldest := m.version - min(m.version, model.WeightVersion(st.rec.Bound))
 	return max(1, oldest, min(wanted, newest)), true
 }
-
-// ahead reports whether an earlier step is not whole yet.
-func (m *Machine) ahead(st *step) bool {
-	first := m.steps[0]
-	return first != st && !first.whole()
-}
--- a/internal/coordination/samples/pull.go
+++ b/internal/coordination/samples/pull.go
@@ -52,6 +52,7 @@
 	for m.steps[0] != st {
 		actions = append(actions, m.closeFirst()...)
 	}
+	m.pace.pulling(now, p.Step)
 	if p.Cursor > uint64(len(st.rec.Batches)) || p.Max < st.rec.GroupSize {
 		return Offer{State: PullConflict}, actions
 	}
@@ -66,7 +67,7 @@
 			return Offer{State: PullWait}, actions
 		}
 	}
-	offer, more := m.offer(st, p.Cursor)
+	offer, more := m.offer(now, st, p.Cursor)
 	return offer, append(actions, more...)
 }
 
@@ -137,7 +138,7 @@
 // offer answers with a recorded batch once each of its samples is held and fresh.
 // What is not is made again: that the trainer asks proves that it has not received
 // the batch.
-func (m *Machine) offer(st *step, cursor uint64) (Offer, []Action) {
+func (m *Machine) offer(now time.Time, st *step, cursor uint64) (Offer, []Action) {
 	if m.confirmed < st.batchSequence[cursor] {
 		return Offer{State: PullWait}, nil
 	}
@@ -159,6 +160,8 @@
 	if o.State == PullWait {
 		return Offer{State: PullWait}, actions
 	}
-	o.Done = st.whole() && int(cursor) == len(st.rec.Batches)-1
+	if o.Done = st.whole() && int(cursor) == len(st.rec.Batches)-1; o.Done {
+		m.pace.done(now)
+	}
 	return o, actions
 }
--- a/internal/coordination/samples/sim_test.go
+++ b/internal/coordination/samples/sim_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/state/ledger"
@@ -155,6 +157,7 @@
 	end := s.now.Add(limit)
 	s.at(0, s.openStep)
 	s.at(s.opt.versionEvery, s.newVersion)
+	s.at(time.Second, s.tick)
 	if s.opt.crashEvery > 0 {
 		s.at(s.crashDelay(), s.crash)
 	}
@@ -170,6 +173,9 @@
 	return s.trainer.done
 }
 
+// tick lets work start that was held back.
+func (s *sim) tick() { s.at(time.Second, s.tick) }
+
 func (s *sim) settle() {
 	if s.down {
 		return
@@ -336,11 +342,9 @@
 		return
 	}
 	var attempts []*simAttempt
-	for id := AttemptID(1); id <= s.lastAttempt(); id++ {
-		if at := e.attempts[id]; at != nil {
-			s.catchUp(at)
-			attempts = append(attempts, at)
-		}
+	for _, id := range slices.Sorted(maps.Keys(e.attempts)) {
+		attempts = append(attempts, e.attempts[id])
+		s.catchUp(e.attempts[id])
 	}
 	e.version = v
 	for _, at := range attempts {
@@ -351,14 +355,6 @@
 	}
 }
 
-func (s *sim) lastAttempt() AttemptID {
-	last := AttemptID(0)
-	for id := range s.running {
-		last = max(last, id)
-	}
-	return last
-}
-
 // write keeps one conditional update in flight; its answer may be lost and is then
 // resolved by a read.
 func (s *sim) write() {
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -33,12 +33,13 @@
 	"oleanderfall.example/oleanderfall/internal/transport/process"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
 	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+	"oleanderfall.example/oleanderfall/internal/transport/weightwave"
 )
 
 // Module provides and starts the program's duties.
 var Module = fx.Module("control",
 	fx.Provide(process.NewObjectAPI, newIdentity, newGossip, newMesh, newHub, newDuty),
-	confduty.Module,
+	confduty.Module, weightwave.Module,
 	fx.Invoke(limitResources, serveAdmin, startMesh),
 )
 
--- a/internal/transport/rollout/events.go
+++ b/internal/transport/rollout/events.go
@@ -54,7 +54,7 @@
 			result = routing.ResultRefused
 		}
 	case e.doubtful:
-		kind, result = samples.FailureDoubtful, routing.ResultRefused
+		kind = samples.FailureDoubtful
 	}
 	o.engines.end(e.job.id, result)
 	o.forget(e.job.id)
--- /dev/null
+++ b/internal/transport/weightwave/module.go
@@ -0,0 +1,61 @@
+package weightwave
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/feed"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
+)
+
+// Module runs a Duty in the control program.
+var Module = fx.Module("weightwave", fx.Invoke(start))
+
+type params struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Settings  *settings.Process
+	API       *objectapi.Client
+	Hub       *feed.Hub
+	Registry  *prometheus.Registry
+	Root      *slog.Logger
+}
+
+func start(p params) {
+	plain := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}}
+	d := New(Options{
+		Host:        p.Settings.Host.ID,
+		Incarnation: model.Incarnation(time.Now().UnixNano()),
+		Address:     p.Settings.Control.Listen,
+		API:         p.API,
+		Engines:     engineapi.NewClient(plain),
+		View:        p.Hub.View,
+		Metrics:     p.Registry,
+		Log:         logging.Part(p.Root, "weights"),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() { d.Run(ctx) })
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			err := d.Release(stop)
+			cancel()
+			running.Wait()
+			plain.CloseIdleConnections()
+			return err
+		},
+	})
+}
