Name the attempt that made a sample's last tokens

Cause: a stream cut between its last token and its end mark was resumed by an attempt that made no token; the sample then named that attempt, whose log has no spans. Ruled out: wrong versions, since the spans matched the log of the attempt before.

--- a/internal/transport/rollout/content.go
+++ b/internal/transport/rollout/content.go
@@ -14,7 +14,9 @@
 type content struct {
 	mu        sync.Mutex
 	requestID string
-	attempt   samples.AttemptID
+	// maker is the request that made the last tokens.
+	maker   string
+	attempt samples.AttemptID
 	// held says that the bytes are counted in the owner's sum.
 	held   bool
 	tokens []uint32
@@ -36,6 +38,7 @@
 	}
 	return &content{
 		requestID: requestID,
+		maker:     c.maker,
 		tokens:    append([]uint32(nil), c.tokens[:n]...),
 		record:    samples.NewRecorder(spans),
 	}
@@ -50,7 +53,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := trainerapi.Sample{
-		Step: step, Group: group, Index: index, RequestID: c.requestID, Prompt: prompt, Tokens: c.tokens, Score: c.score,
+		Step: step, Group: group, Index: index, RequestID: c.maker, Prompt: prompt, Tokens: c.tokens, Score: c.score,
 	}
 	for _, s := range c.record.Spans() {
 		out.Spans = append(out.Spans, trainerapi.Span{From: s.From, To: s.To, Version: s.Version})
--- a/internal/transport/rollout/worker.go
+++ b/internal/transport/rollout/worker.go
@@ -77,7 +77,10 @@
 	if err := c.record.Add(chunk.Offset, len(chunk.Tokens), chunk.Version); err != nil {
 		return err
 	}
-	c.tokens = append(c.tokens, chunk.Tokens...)
+	if len(chunk.Tokens) > 0 {
+		c.tokens = append(c.tokens, chunk.Tokens...)
+		c.maker = c.requestID
+	}
 	return nil
 }
 
