Bound what loads and demands cost a host at 390 hosts

Cause: at 600 endpoints the two askers of each spread 90 loads a second at rest, and each host passes a hint on three times: more than a heartbeat's budget, so that a part would reach no one. The scale measurement also shows what feeding a program costs.

--- a/internal/coordination/dissemination/queue.go
+++ b/internal/coordination/dissemination/queue.go
@@ -31,7 +31,7 @@
 // The byte budgets of one message.
 const (
 	// HeartbeatHintBytes bounds the hints in a heartbeat.
-	HeartbeatHintBytes = 450
+	HeartbeatHintBytes = 600
 	// MessageBytes bounds all news in one message; it fits a QUIC datagram.
 	MessageBytes = 950
 )
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -21,7 +21,9 @@
 type result struct {
 	hosts, endpoints int
 	rssMean, rssMax  float64
+	rssMaxFed        float64
 	cpuShare         float64
+	cpuShareFed      float64
 	bytesPerSecond   float64
 	packetsPerSecond float64
 	links            float64
@@ -59,6 +61,12 @@
 	if err := w.until(func(v *model.FleetView) bool { return v.Generation >= 1 }); err != nil {
 		return r, fmt.Errorf("first views: %w", err)
 	}
+	time.Sleep(fl.Settle / 4)
+	fed := result{}
+	if err := f.atRest(fl.Measure, &fed); err != nil {
+		return r, err
+	}
+	r.cpuShareFed, r.rssMaxFed = fed.cpuShare, fed.rssMax
 	return r, f.timings(w, &r)
 }
 
--- a/internal/state/items/items.go
+++ b/internal/state/items/items.go
@@ -35,12 +35,12 @@
 	// Version orders the items of one key; a higher one replaces a lower one.
 	Version uint64 `cbor:"3,keyasint"`
 	// AgeMillis is the item's age at the sender.
-	AgeMillis  int64                `cbor:"4,keyasint,omitempty"`
-	Drain      *DrainFact           `cbor:"5,keyasint,omitempty"`
-	Quarantine *QuarantineFact      `cbor:"6,keyasint,omitempty"`
-	Load       *LoadFact            `cbor:"7,keyasint,omitempty"`
-	Demand     []model.CallerDemand `cbor:"8,keyasint,omitempty"`
-	Generation model.Generation     `cbor:"9,keyasint,omitempty"`
+	AgeMillis  int64            `cbor:"4,keyasint,omitempty"`
+	Drain      *DrainFact       `cbor:"5,keyasint,omitempty"`
+	Quarantine *QuarantineFact  `cbor:"6,keyasint,omitempty"`
+	Load       *LoadFact        `cbor:"7,keyasint,omitempty"`
+	Demand     []DemandFact     `cbor:"8,keyasint,omitempty"`
+	Generation model.Generation `cbor:"9,keyasint,omitempty"`
 }
 
 // DrainFact says that an endpoint or a host is leaving, or no longer is.
@@ -69,6 +69,12 @@
 	Unreached   bool                `cbor:"5,keyasint,omitempty"`
 }
 
+// DemandFact is how much a caller asks of the host that the item's key names.
+type DemandFact struct {
+	Caller    model.CallerID `cbor:"1,keyasint"`
+	PerSecond float32        `cbor:"2,keyasint"`
+}
+
 // Limits bounds one kind.
 type Limits struct {
 	MaxCount int
@@ -83,11 +89,13 @@
 const (
 	// MaxDemandsPerHost bounds the callers in one host's Demand item.
 	MaxDemandsPerHost = 8
-	demandBytes       = 32
-	itemFixedBytes    = 16
-	drainBytes        = 40
-	quarantineBytes   = 24
-	loadBytes         = 14
+	// The sizes below are estimates of what the codec makes of an item.
+	demandBytes     = 12
+	itemFixedBytes  = 20
+	drainBytes      = 32
+	quarantineBytes = 24
+	loadBytes       = 14
+	generationBytes = 6
 )
 
 // LimitsOf returns a kind's bounds; ok is false for an unknown kind.
@@ -100,7 +108,7 @@
 	case Load:
 		return Limits{MaxCount: 4096, MaxAge: 30 * time.Second}, true
 	case Demand:
-		return Limits{MaxCount: 1024, MaxAge: time.Minute}, true
+		return Limits{MaxCount: 1024, MaxAge: 2 * time.Minute}, true
 	case Generation:
 		return Limits{MaxCount: 1024, MaxAge: time.Hour}, true
 	}
@@ -117,8 +125,13 @@
 		n += quarantineBytes
 	case i.Load != nil:
 		n += loadBytes
+	case i.Generation != 0:
+		n += generationBytes
+	}
+	for _, d := range i.Demand {
+		n += demandBytes + len(d.Caller)
 	}
-	return n + demandBytes*len(i.Demand)
+	return n
 }
 
 // ID names an item among all kinds.
--- a/internal/transport/control/duty.go
+++ b/internal/transport/control/duty.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +55,7 @@
 	mu       sync.Mutex
 	stopping map[string]bool
 	shards   func() []wire.ShardStatus
+	demands  demandSpread
 }
 
 func (d *duty) start() {
@@ -199,3 +202,16 @@
 
 // known returns the highest known incarnation of an endpoint or a host.
 func (d *duty) known(t drains.Target) model.Incarnation { return incarnations(d.gossip.State())(t) }
+
+// knownLoad returns the load item of an endpoint that is known by now, with its
+// present age.
+func (d *duty) knownLoad(id model.EndpointID) (items.Item, bool) {
+	st := d.gossip.State()
+	n, found := slices.BinarySearchFunc(st.Loads, string(id), func(i items.Item, key string) int { return strings.Compare(i.Key, key) })
+	if !found {
+		return items.Item{}, false
+	}
+	i := st.Loads[n]
+	i.AgeMillis += time.Since(st.At).Milliseconds()
+	return i, true
+}
--- a/internal/transport/control/handlers.go
+++ b/internal/transport/control/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/drains"
@@ -49,7 +48,8 @@
 func (d *duty) report(r wire.Report) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	if err := d.gossip.Learn(ctx, reported(time.Now(), r)...); err != nil {
+	list := append(reported(r), d.demands.items(time.Now(), r)...)
+	if err := d.gossip.Learn(ctx, list...); err != nil {
 		return err
 	}
 	return d.noteStopping(ctx, r.Program, r.Stopping)
@@ -73,7 +73,7 @@
 }
 
 // reported returns the items that a report makes.
-func reported(now time.Time, r wire.Report) []items.Item {
+func reported(r wire.Report) []items.Item {
 	var out []items.Item
 	for _, e := range r.Drains {
 		i := drains.Evidence(drains.Target{Endpoint: e.Endpoint, Host: e.Host}, e.Incarnation, e.Source)
@@ -83,14 +83,6 @@
 	for _, q := range r.Quarantine {
 		out = append(out, quarantined(q))
 	}
-	if len(r.Demands) > 0 {
-		out = append(out, items.Item{
-			Kind:    items.Demand,
-			Key:     string(r.Host) + "/" + r.Program,
-			Version: uint64(now.UnixMilli()),
-			Demand:  largest(r.Demands),
-		})
-	}
 	return out
 }
 
@@ -108,18 +100,3 @@
 		},
 	}
 }
-
-// largest returns the greatest demands within the bound of one item.
-func largest(list []model.CallerDemand) []model.CallerDemand {
-	out := slices.Clone(list)
-	slices.SortStableFunc(out, func(a, b model.CallerDemand) int {
-		switch {
-		case a.PerSecond > b.PerSecond:
-			return -1
-		case a.PerSecond < b.PerSecond:
-			return 1
-		}
-		return 0
-	})
-	return out[:min(len(out), items.MaxDemandsPerHost)]
-}
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -45,7 +45,7 @@
 const (
 	// memoryLimitBytes leaves room below the 32 MB of a control program for what the
 	// runtime does not count.
-	memoryLimitBytes = 24 << 20
+	memoryLimitBytes = 18 << 20
 	gcPercent        = 50
 	// maxThreads bounds the threads that run Go code at once: the program is idle
 	// most of the time, and waking more threads costs more than it gains.
@@ -130,8 +130,9 @@
 		hub:      p.Hub,
 		started:  time.Now(),
 		stopping: map[string]bool{},
+		demands:  demandSpread{last: map[string]spreadDemand{}},
 	}
-	d.observe = observe.New(observe.Options{Host: p.Settings.Host.ID, Client: engineapi.NewClient(plain), View: p.Hub.View, Learn: p.Gossip.Learn})
+	d.observe = observe.New(observe.Options{Host: p.Settings.Host.ID, Client: engineapi.NewClient(plain), View: p.Hub.View, Known: d.knownLoad, Learn: p.Gossip.Learn})
 	d.drains = &operatorDrains{api: p.API, view: p.Hub.View, known: d.known, learn: p.Gossip.Learn, log: d.log}
 	d.hosts = &hostList{
 		base: p.Settings.Platform.HostList, http: plain, timeout: p.Settings.Platform.Timeout,
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/drains"
@@ -45,7 +46,10 @@
 		}
 	}
 	for _, i := range s.state.Demands {
-		v.Demands = append(v.Demands, i.Demand...)
+		host, _, _ := strings.Cut(i.Key, "/")
+		for _, f := range i.Demand {
+			v.Demands = append(v.Demands, model.CallerDemand{Host: model.HostID(host), Caller: f.Caller, PerSecond: float64(f.PerSecond)})
+		}
 	}
 	return v
 }
--- a/internal/transport/observe/observe.go
+++ b/internal/transport/observe/observe.go
@@ -35,6 +35,8 @@
 	Client *engineapi.Client
 	// View returns the present view, nil before the first.
 	View func() *model.FleetView
+	// Known returns the load of an endpoint as spread by any host, with its age.
+	Known func(model.EndpointID) (items.Item, bool)
 	// Learn spreads items.
 	Learn func(context.Context, ...items.Item) error
 }
@@ -145,8 +147,12 @@
 	defer d.running.Done()
 	defer func() { <-d.slots }()
 	seen, err := d.ask(ctx, was)
+	known, ok := d.opt.Known(was.id)
 	d.mu.Lock()
 	t.busy = false
+	if ok {
+		t.spread.hear(time.Now(), known)
+	}
 	list := t.results(time.Now(), seen, err)
 	d.mu.Unlock()
 	_ = d.opt.Learn(ctx, list...)
--- a/internal/transport/observe/observe_test.go
+++ b/internal/transport/observe/observe_test.go
@@ -112,3 +112,19 @@
 		t.Fatalf("a leaving endpoint spreads %+v", list)
 	}
 }
+
+func TestTheSecondAskerStaysSilentWhileTheFirstSpreads(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fact := items.LoadFact{Running: 8, Version: 1, Incarnation: 1}
+	s := &spread{rank: 1}
+	for range 10 {
+		now = now.Add(refreshInterval)
+		s.hear(now, items.Item{Kind: items.Load, Key: "e", Load: &fact, AgeMillis: 2000})
+		if list := s.load(now, "e", fact, 0); len(list) != 0 {
+			t.Fatalf("spread what is known: %+v", list)
+		}
+	}
+	if list := s.load(now.Add(laterPart*refreshInterval), "e", fact, 0); len(list) != 1 {
+		t.Fatal("silent though the first asker is")
+	}
+}
