Join through the configuration's hosts without a host list, and feed loads every 2 s

Cause: the addresses to join through were set only after a read of the host list, which is optional.

--- /dev/null
+++ b/internal/coordination/membership/bench_test.go
@@ -0,0 +1,31 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// BenchmarkTick advances a machine of 390 hosts by a fifth of a heartbeat.
+func BenchmarkTick(b *testing.B) {
+	live := fleetOf(390, 7)
+	now := time.Unix(1000, 0)
+	m := New(Options{Self: live[0], Heartbeat: time.Second, Random: rand.New(rand.NewPCG(1, 1)).Uint64}, now)
+	m.Learn(now, live)
+	m.Tick(now)
+	for b.Loop() {
+		now = now.Add(200 * time.Millisecond)
+		for _, p := range m.peers {
+			p.heard = now
+		}
+		m.Tick(now)
+	}
+}
+
+// BenchmarkPeers computes the links anew, as after a change among 390 hosts.
+func BenchmarkPeers(b *testing.B) {
+	live := fleetOf(390, 7)
+	for b.Loop() {
+		Peers(live[0].Host, live)
+	}
+}
--- a/internal/transport/control/duty.go
+++ b/internal/transport/control/duty.go
@@ -54,6 +54,7 @@
 
 	mu       sync.Mutex
 	stopping map[string]bool
+	listed   []string
 	shards   func() []wire.ShardStatus
 	demands  demandSpread
 }
@@ -88,6 +89,7 @@
 	for {
 		select {
 		case <-d.conf.Changed():
+			d.join(ctx)
 		case <-d.gossip.Changed():
 		case <-tick.C:
 			down := d.api.OutageFor() > 0
@@ -134,9 +136,20 @@
 	_ = d.gossip.Learn(ctx, items.Item{Kind: items.Generation, Key: string(d.settings.Host.ID), Version: version, Generation: g})
 }
 
-// heartbeatSeeds are the addresses to join through: settings and configuration.
-func (d *duty) joinThrough(ctx context.Context, listed []string) {
-	seeds := append(append([]string(nil), d.settings.Control.Seeds...), listed...)
+// setListed replaces the addresses that the platform's host list names.
+func (d *duty) setListed(ctx context.Context, listed []string) {
+	d.mu.Lock()
+	d.listed = listed
+	d.mu.Unlock()
+	d.join(ctx)
+}
+
+// join sets the addresses to join through: those of the settings, of the platform's
+// host list and of the configuration.
+func (d *duty) join(ctx context.Context) {
+	d.mu.Lock()
+	seeds := append(append([]string(nil), d.settings.Control.Seeds...), d.listed...)
+	d.mu.Unlock()
 	if _, config := d.conf.Current(); config != nil {
 		for _, h := range config.Hosts {
 			seeds = append(seeds, h.Control)
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -136,7 +136,7 @@
 	d.drains = &operatorDrains{api: p.API, view: p.Hub.View, known: d.known, learn: p.Gossip.Learn, log: d.log}
 	d.hosts = &hostList{
 		base: p.Settings.Platform.HostList, http: plain, timeout: p.Settings.Platform.Timeout,
-		chosen: d.isFollower, known: d.known, learn: p.Gossip.Learn, seeds: d.joinThrough, log: d.log,
+		chosen: d.isFollower, known: d.known, learn: p.Gossip.Learn, seeds: d.setListed, log: d.log,
 	}
 	p.Conf.SetMembers(func() []model.Member {
 		if v := p.Hub.View(); v != nil {
@@ -157,7 +157,7 @@
 				return err
 			}
 			d.start()
-			d.joinThrough(ctx, nil)
+			d.join(ctx)
 			d.log.Info("Control program started.", "host", d.settings.Host.ID, "address", mesh.Address())
 			return nil
 		},
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -29,11 +29,12 @@
 
 // compose returns the fleet view that the sources show.
 func compose(s sources) *model.FleetView {
+	inForce := drains.InForce(s.state.Drains, incarnations(s.state))
 	v := &model.FleetView{
 		Generation: s.generation,
 		Config:     s.config,
-		Members:    fleetMembers(s),
-		Drains:     drains.InForce(s.state.Drains, incarnations(s.state)),
+		Members:    fleetMembers(s, inForce),
+		Drains:     inForce,
 		Loads:      loads(s.state),
 		OutageFor:  s.outageFor,
 	}
@@ -85,7 +86,7 @@
 
 // fleetMembers joins the configuration's hosts with what membership knows, in order
 // of host.
-func fleetMembers(s sources) []model.Member {
+func fleetMembers(s sources, inForce []model.DrainEvidence) []model.Member {
 	records := map[model.HostID]members.Record{}
 	for _, r := range s.state.Records {
 		records[r.Host] = r
@@ -104,7 +105,7 @@
 		out = append(out, model.Member{Host: id, Zone: r.Zone, Control: r.Control, Incarnation: r.Incarnation, State: memberState(r, true, false)})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
-	markDrained(out, s.state)
+	markDrained(out, inForce)
 	return out
 }
 
@@ -123,9 +124,9 @@
 }
 
 // markDrained turns the live hosts with a drain in force into leaving ones.
-func markDrained(list []model.Member, st *gossip.State) {
+func markDrained(list []model.Member, inForce []model.DrainEvidence) {
 	drained := map[model.HostID]bool{}
-	for _, d := range drains.InForce(st.Drains, incarnations(st)) {
+	for _, d := range inForce {
 		if d.Host != "" {
 			drained[d.Host] = true
 		}
--- a/internal/transport/gossip/state.go
+++ b/internal/transport/gossip/state.go
@@ -23,7 +23,7 @@
 }
 
 // hintInterval is the least time between two states that differ in hints only.
-const hintInterval = time.Second
+const hintInterval = 2 * time.Second
 
 // publisher hands states on: those with urgent changes at once, others seldom.
 type publisher struct {
