Refuse malformed items and impossible revisions from peers

Cause: an item without the part that its kind names was taken into the store and would have crashed the composition of the view; the highest revision would have overflowed on refutation.

--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -7,10 +7,14 @@
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
 
+// maxRevision bounds the revisions that are taken from others, so that raising one
+// never overflows.
+const maxRevision = 1 << 48
+
 // Receive takes a message that came directly from its sender.
 func (m *Machine) Receive(now time.Time, from Sender, msg Message) Output {
 	var out Output
-	if from.Host == m.self.Host {
+	if from.Host == m.self.Host || from.Host == "" || from.Revision > maxRevision {
 		return out
 	}
 	m.heard(now, from, &out)
@@ -93,7 +97,7 @@
 	var out Output
 	for _, r := range records {
 		switch {
-		case r.Host == "":
+		case r.Host == "" || r.Revision > maxRevision || r.State > members.Dead:
 		case r.Host == m.self.Host:
 			m.refute(r, &out)
 		default:
--- a/internal/coordination/membership/rules_test.go
+++ b/internal/coordination/membership/rules_test.go
@@ -61,6 +61,14 @@
 	})
 }
 
+func TestARevisionNobodyCouldHaveReachedIsIgnored(t *testing.T) {
+	m := New(Options{Self: members.Record{Host: "a", Incarnation: 1}, Heartbeat: time.Second, Random: func() uint64 { return 1 }}, time.Unix(0, 0))
+	m.Learn(time.Unix(1, 0), []members.Record{{Host: "a", Incarnation: 1, Revision: 1<<64 - 1, State: members.Dead}})
+	if own, _ := m.Table().Get("a"); own.Revision != 0 || own.State != members.Alive {
+		t.Fatalf("own record %+v", own)
+	}
+}
+
 func TestTheDeathOfAnUnknownHostIsNoNews(t *testing.T) {
 	m := New(Options{Self: members.Record{Host: "a", Incarnation: 1}, Heartbeat: time.Second, Random: func() uint64 { return 1 }}, time.Unix(0, 0))
 	out := m.Learn(time.Unix(1, 0), []members.Record{{Host: "b", Incarnation: 1, State: members.Dead}})
--- a/internal/state/items/items.go
+++ b/internal/state/items/items.go
@@ -89,6 +89,7 @@
 const (
 	// MaxDemandsPerHost bounds the callers in one host's Demand item.
 	MaxDemandsPerHost = 8
+	maxKeyBytes       = 256
 	// The sizes below are estimates of what the codec makes of an item.
 	demandBytes     = 12
 	itemFixedBytes  = 20
@@ -115,6 +116,26 @@
 	return Limits{}, false
 }
 
+// Valid reports whether the item carries what its kind says, and nothing oversized.
+func (i Item) Valid() bool {
+	if i.Key == "" || len(i.Key) > maxKeyBytes || i.AgeMillis < 0 {
+		return false
+	}
+	switch i.Kind {
+	case Drain:
+		return i.Drain != nil && (i.Drain.Endpoint == "") != (i.Drain.Host == "")
+	case Quarantine:
+		return i.Quarantine != nil
+	case Load:
+		return i.Load != nil
+	case Demand:
+		return len(i.Demand) <= MaxDemandsPerHost
+	case Generation:
+		return i.Generation != 0
+	}
+	return false
+}
+
 // Size estimates the item's encoded bytes.
 func (i Item) Size() int {
 	n := itemFixedBytes + len(i.Key)
--- a/internal/state/items/items_test.go
+++ b/internal/state/items/items_test.go
@@ -65,8 +65,8 @@
 
 func TestDigestsOfKeptItemsAreEqualIffTheItemsAre(t *testing.T) {
 	a, b := NewStore(), NewStore()
-	one := Item{Kind: Drain, Key: "x", Version: 1, Drain: &DrainFact{}}
-	two := Item{Kind: Drain, Key: "y", Version: 4, Drain: &DrainFact{}}
+	one := Item{Kind: Drain, Key: "x", Version: 1, Drain: &DrainFact{Endpoint: "e"}}
+	two := Item{Kind: Drain, Key: "y", Version: 4, Drain: &DrainFact{Endpoint: "e"}}
 	a.Merge(start, one)
 	a.Merge(start, two)
 	b.Merge(start, two)
--- a/internal/state/items/store.go
+++ b/internal/state/items/store.go
@@ -29,12 +29,12 @@
 // BucketOf returns the digest bucket of a key.
 func BucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
 
-// Merge takes an item and reports whether it was news. An item that is too old, of
-// an unknown kind or over the kind's bound is not.
+// Merge takes an item and reports whether it was news. An item that is not valid, too
+// old or over the kind's bound is not.
 func (s *Store) Merge(now time.Time, i Item) bool {
 	limits, known := LimitsOf(i.Kind)
 	age := time.Duration(i.AgeMillis) * time.Millisecond
-	if !known || age < 0 || age >= limits.MaxAge {
+	if !known || !i.Valid() || age >= limits.MaxAge {
 		return false
 	}
 	of := s.kinds[i.Kind]
--- /dev/null
+++ b/internal/transport/gossip/fuzz_test.go
@@ -0,0 +1,56 @@
+package gossip
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/dissemination"
+	"oleanderfall.example/oleanderfall/internal/coordination/drains"
+	"oleanderfall.example/oleanderfall/internal/coordination/membership"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/state/items"
+	"oleanderfall.example/oleanderfall/internal/state/members"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// FuzzDatagram holds that no datagram breaks a duty or lowers the host's own record.
+func FuzzDatagram(f *testing.F) {
+	seed := datagram{
+		From:    membership.Sender{Host: "b", Control: "b:1", Incarnation: 1},
+		Message: membership.Message{Kind: membership.Ping},
+		News: dissemination.News{
+			Records: []members.Record{{Host: "a", Incarnation: 1, State: members.Dead}},
+			Items:   []items.Item{drains.Evidence(drains.Target{Endpoint: "e"}, 1, model.DrainFromEndpoint), {Kind: items.Load, Key: "e", Version: 1}},
+		},
+	}
+	b, err := wire.Encode(seed)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d := New(Options{
+			Self: members.Record{Host: "a", Control: "a:1", Incarnation: 1}, Heartbeat: time.Second, Log: slog.New(slog.DiscardHandler),
+			Random: func() uint64 { return 1 }, Generation: func() model.Generation { return 1 }, Heard: func(model.Generation, string) {},
+		})
+		d.OnDatagram("", b)
+		e, ok := d.datagrams.TryPop()
+		if !ok {
+			return
+		}
+		now := time.Unix(1000, 0)
+		d.machine.Receive(now, e.received.From, e.received.Message)
+		d.machine.Learn(now, e.received.News.Records)
+		d.learnItems(now, e.received.News.Items, e.received.From.Host)
+		own, _ := d.machine.Table().Get("a")
+		if own.State != members.Alive {
+			t.Fatalf("own record %+v", own)
+		}
+		for _, i := range d.snapshot(now).Loads {
+			if i.Load == nil {
+				t.Fatal("a load without a load")
+			}
+		}
+	})
+}
