Bound writes to callers and the cost of a caller's share

A caller that does not read held its slot without end, since only reads had a time limit; writes now end with the request's deadline. The share of a caller's rate was worked out for each request over all hosts and demands; it is now every 200 ms. The half-open proof also holds attempts to 1.1 a request: the endpoint is avoided through its age in flight, mostly before it is ejected, and the test says so now.

--- a/internal/transport/entry/faults_test.go
+++ b/internal/transport/entry/faults_test.go
@@ -213,25 +213,29 @@
 	})
 }
 
-func TestHalfOpenEndpointIsEjectedAndCallersAreAnswered(t *testing.T) {
+func TestHalfOpenEndpointIsAvoidedAndCallersAreAnswered(t *testing.T) {
 	b := newBed(t)
 	for range 3 {
 		b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
 	}
 	p := b.proxied("registry-0", b.plains[0].Address())
 	b.apply(nil)
-	for i := range 60 {
+	const warm, requests = 60, 180
+	for i := range warm {
 		b.call("lookup", fmt.Sprint("warm", i))
 	}
 	if _, err := p.Toxics.AddToxicJson(jsonReader(`{"name":"hole","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`)); err != nil {
 		t.Fatal(err)
 	}
-	for i := range 120 {
+	for i := range requests - warm {
 		body := fmt.Sprint(i)
 		if r := b.call("lookup", body, httpapi.DeadlineHeader, "2000"); r.body != standin.PlainAnswer("lookup", body) {
 			t.Fatalf("request %d got %+v", i, r)
 		}
 	}
+	if made := attemptsMade(b); made > 1.1*requests {
+		t.Errorf("%v attempts for %d requests", made, requests)
+	}
 }
 
 func TestSlowEndpointIsAvoided(t *testing.T) {
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -33,6 +33,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
+	writeTimeout      = httpapi.MaxDeadline + time.Minute
 	clientIdleTimeout = 2 * time.Minute
 )
 
@@ -167,6 +168,7 @@
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    httpapi.MaxHeaderBytes,
 	}}
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -19,6 +19,10 @@
 	noViewRetry = 500 * time.Millisecond
 	// suspectRetry is when to send a request again whose like is being tried alone.
 	suspectRetry = 200 * time.Millisecond
+	// shareInterval is how often a caller's share of its rate is worked out.
+	shareInterval = 200 * time.Millisecond
+	// writeGrace is the time after the deadline in which an answer may be written.
+	writeGrace = 5 * time.Second
 	// streamTimeout bounds a stream whose caller gives no deadline.
 	streamTimeout = 2 * time.Minute
 )
@@ -63,6 +67,8 @@
 	q.record.caller = q.meta.Caller
 	s.history.begin(q.record)
 	q.setDeadline(v.Config, id)
+	// A caller that does not read must not hold a slot beyond its deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeGrace))
 	q.body, err = httpapi.ReadBody(w, r)
 	return q, err
 }
@@ -119,8 +125,12 @@
 	s.rateMu.Lock()
 	defer s.rateMu.Unlock()
 	r := s.callerRate(q.meta.Caller)
-	r.SetLimit(s.rateShare(v, q.meta.Caller, q.caller.RequestsPerSecond, r.Demand()))
-	ok, retryAfter := r.Arrive(time.Now())
+	now := time.Now()
+	if now.Sub(r.limited) >= shareInterval {
+		r.limited = now
+		r.SetLimit(s.rateShare(v, q.meta.Caller, q.caller.RequestsPerSecond, r.Demand()))
+	}
+	ok, retryAfter := r.Arrive(now)
 	if ok {
 		return nil
 	}
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -63,8 +63,10 @@
 	quarantine   *quarantine.List
 }
 
+// callerRate is a caller's bucket; its limit follows the demands at an interval.
 type callerRate struct {
 	admission.Rate
+	limited time.Time
 }
 
 // NewServer returns a server without a view: it refuses until the first Apply.
