--- a/internal/transport/confduty/handlers.go
+++ b/internal/transport/confduty/handlers.go
@@ -76,6 +76,7 @@
 	c := &committer{storage: d.storage, chunks: split(packed)}
 	result := c.run(ctx, confgen.Request{
 		Base:   r.Base,
+		Floor:  d.Generation(),
 		Chunks: len(c.chunks),
 		Change: confstore.Change{
 			Operator:          r.Operator,
@@ -107,6 +108,10 @@
 	if r.List {
 		return d.history(ctx), nil
 	}
+	if r.Head {
+		held := d.store.Current()
+		return wire.ConfigReply{Generation: held.Generation, Digest: held.Digest}, nil
+	}
 	held, err := d.find(ctx, r.Generation)
 	if err != nil {
 		return nil, err
--- a/internal/transport/control/duty.go
+++ b/internal/transport/control/duty.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,7 +54,9 @@
 
 	mu       sync.Mutex
 	stopping map[string]bool
+	listed   []string
 	shards   func() []wire.ShardStatus
+	demands  demandSpread
 }
 
 func (d *duty) start() {
@@ -85,6 +89,7 @@
 	for {
 		select {
 		case <-d.conf.Changed():
+			d.join(ctx)
 		case <-d.gossip.Changed():
 		case <-tick.C:
 			down := d.api.OutageFor() > 0
@@ -131,9 +136,20 @@
 	_ = d.gossip.Learn(ctx, items.Item{Kind: items.Generation, Key: string(d.settings.Host.ID), Version: version, Generation: g})
 }
 
-// heartbeatSeeds are the addresses to join through: settings and configuration.
-func (d *duty) joinThrough(ctx context.Context, listed []string) {
-	seeds := append(append([]string(nil), d.settings.Control.Seeds...), listed...)
+// setListed replaces the addresses that the platform's host list names.
+func (d *duty) setListed(ctx context.Context, listed []string) {
+	d.mu.Lock()
+	d.listed = listed
+	d.mu.Unlock()
+	d.join(ctx)
+}
+
+// join sets the addresses to join through: those of the settings, of the platform's
+// host list and of the configuration.
+func (d *duty) join(ctx context.Context) {
+	d.mu.Lock()
+	seeds := append(append([]string(nil), d.settings.Control.Seeds...), d.listed...)
+	d.mu.Unlock()
 	if _, config := d.conf.Current(); config != nil {
 		for _, h := range config.Hosts {
 			seeds = append(seeds, h.Control)
@@ -199,3 +215,16 @@
 
 // known returns the highest known incarnation of an endpoint or a host.
 func (d *duty) known(t drains.Target) model.Incarnation { return incarnations(d.gossip.State())(t) }
+
+// knownLoad returns the load item of an endpoint that is known by now, with its
+// present age.
+func (d *duty) knownLoad(id model.EndpointID) (items.Item, bool) {
+	st := d.gossip.State()
+	n, found := slices.BinarySearchFunc(st.Loads, string(id), func(i items.Item, key string) int { return strings.Compare(i.Key, key) })
+	if !found {
+		return items.Item{}, false
+	}
+	i := st.Loads[n]
+	i.AgeMillis += time.Since(st.At).Milliseconds()
+	return i, true
+}
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -32,23 +33,28 @@
 	"oleanderfall.example/oleanderfall/internal/transport/process"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
 	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
+	"oleanderfall.example/oleanderfall/internal/transport/weightwave"
 )
 
 // Module provides and starts the program's duties.
 var Module = fx.Module("control",
 	fx.Provide(process.NewObjectAPI, newIdentity, newGossip, newMesh, newHub, newDuty),
-	confduty.Module,
-	fx.Invoke(limitMemory, serveAdmin, startMesh),
+	confduty.Module, weightwave.Module,
+	fx.Invoke(limitResources, serveAdmin, startMesh),
 )
 
 const (
 	// memoryLimitBytes leaves room below the 32 MB of a control program for what the
 	// runtime does not count.
-	memoryLimitBytes = 24 << 20
+	memoryLimitBytes = 18 << 20
 	gcPercent        = 50
+	// maxThreads bounds the threads that run Go code at once: the program is idle
+	// most of the time, and waking more threads costs more than it gains.
+	maxThreads = 2
 )
 
-func limitMemory() {
+func limitResources() {
+	runtime.GOMAXPROCS(min(maxThreads, runtime.GOMAXPROCS(0)))
 	debug.SetMemoryLimit(memoryLimitBytes)
 	debug.SetGCPercent(gcPercent)
 }
@@ -125,12 +131,13 @@
 		hub:      p.Hub,
 		started:  time.Now(),
 		stopping: map[string]bool{},
+		demands:  demandSpread{last: map[string]spreadDemand{}},
 	}
-	d.observe = observe.New(observe.Options{Host: p.Settings.Host.ID, Client: engineapi.NewClient(plain), View: p.Hub.View, Learn: p.Gossip.Learn})
+	d.observe = observe.New(observe.Options{Host: p.Settings.Host.ID, Client: engineapi.NewClient(plain), View: p.Hub.View, Known: d.knownLoad, Learn: p.Gossip.Learn})
 	d.drains = &operatorDrains{api: p.API, view: p.Hub.View, known: d.known, learn: p.Gossip.Learn, log: d.log}
 	d.hosts = &hostList{
 		base: p.Settings.Platform.HostList, http: plain, timeout: p.Settings.Platform.Timeout,
-		chosen: d.isFollower, known: d.known, learn: p.Gossip.Learn, seeds: d.joinThrough, log: d.log,
+		chosen: d.isFollower, known: d.known, learn: p.Gossip.Learn, seeds: d.setListed, log: d.log,
 	}
 	p.Conf.SetMembers(func() []model.Member {
 		if v := p.Hub.View(); v != nil {
@@ -151,7 +158,7 @@
 				return err
 			}
 			d.start()
-			d.joinThrough(ctx, nil)
+			d.join(ctx)
 			d.log.Info("Control program started.", "host", d.settings.Host.ID, "address", mesh.Address())
 			return nil
 		},
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -19,6 +19,10 @@
 	noViewRetry = 500 * time.Millisecond
 	// suspectRetry is when to send a request again whose like is being tried alone.
 	suspectRetry = 200 * time.Millisecond
+	// shareInterval is how often a caller's share of its rate is worked out.
+	shareInterval = 200 * time.Millisecond
+	// writeGrace is the time after the deadline in which an answer may be written.
+	writeGrace = 5 * time.Second
 	// streamTimeout bounds a stream whose caller gives no deadline.
 	streamTimeout = 2 * time.Minute
 )
@@ -63,6 +67,8 @@
 	q.record.caller = q.meta.Caller
 	s.history.begin(q.record)
 	q.setDeadline(v.Config, id)
+	// A caller that does not read must not hold a slot beyond its deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeGrace))
 	q.body, err = httpapi.ReadBody(w, r)
 	return q, err
 }
@@ -86,6 +92,9 @@
 	return q.caller.Priority
 }
 
+// contentFingerprint is the index of the content's fingerprint.
+const contentFingerprint = 0
+
 // fingerprint names the request by its content and by its idempotency key.
 func (q *request) fingerprint(content []byte) {
 	var d xxhash.Digest
@@ -116,8 +125,12 @@
 	s.rateMu.Lock()
 	defer s.rateMu.Unlock()
 	r := s.callerRate(q.meta.Caller)
-	r.SetLimit(s.rateShare(v, q.meta.Caller, q.caller.RequestsPerSecond, r.Demand()))
-	ok, retryAfter := r.Arrive(time.Now())
+	now := time.Now()
+	if now.Sub(r.limited) >= shareInterval {
+		r.limited = now
+		r.SetLimit(s.rateShare(v, q.meta.Caller, q.caller.RequestsPerSecond, r.Demand()))
+	}
+	ok, retryAfter := r.Arrive(now)
 	if ok {
 		return nil
 	}
@@ -223,8 +236,8 @@
 func (s *Server) died(q *request, endpoint model.EndpointID, began time.Time) {
 	now := time.Now()
 	s.quarantineMu.Lock()
-	for _, f := range q.fingerprints {
-		s.quarantine.Died(now, f, quarantine.Death{Endpoint: endpoint, Began: began})
+	for i, f := range q.fingerprints {
+		s.quarantine.Died(now, f, quarantine.Death{Endpoint: endpoint, Began: began, Shared: i == contentFingerprint})
 	}
 	s.quarantineMu.Unlock()
 	q.record.add("endpoint died", endpoint, "")
