Ask the next control program when one is silent

The call goes to the next program after 2 s as well; the request id keeps it one change. A refusal that speaks for the replying program only no longer settles a call that another may have taken.

The test also loses the answer of every other root now, and lets nine operators race through three real programs. The entry program takes the object API's limits from the configuration too.

--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -32,10 +32,10 @@
 	ClaimCommitInterval time.Duration `json:"claim_commit_interval" ini:"claim_commit_interval" default:"40ms" range:"1ms..1s" help:"Least time between two group commits of one claim shard."`
 	// ClaimLifetime is how long a claim is remembered after its request ended.
 	ClaimLifetime time.Duration `json:"claim_lifetime" ini:"claim_lifetime" default:"10m" range:"1s..24h" help:"How long a claim is remembered after its request ended."`
-	// ObjectAPIReadsPerSecond bounds the reads one host sends to the object API.
-	ObjectAPIReadsPerSecond float64 `json:"object_api_reads_per_second" ini:"object_api_reads_per_second" default:"100" range:"1..2000" help:"Reads a second that one host sends to the object API."`
-	// ObjectAPIWritesPerSecond bounds the writes one host sends to the object API.
-	ObjectAPIWritesPerSecond float64 `json:"object_api_writes_per_second" ini:"object_api_writes_per_second" default:"50" range:"1..500" help:"Writes a second that one host sends to the object API."`
+	// ObjectAPIReadsPerSecond bounds the reads one program of a host sends to the object API.
+	ObjectAPIReadsPerSecond float64 `json:"object_api_reads_per_second" ini:"object_api_reads_per_second" default:"100" range:"1..2000" help:"Reads a second that each program of a host may send to the object API."`
+	// ObjectAPIWritesPerSecond bounds the writes one program of a host sends to the object API.
+	ObjectAPIWritesPerSecond float64 `json:"object_api_writes_per_second" ini:"object_api_writes_per_second" default:"50" range:"1..500" help:"Writes a second that each program of a host may send to the object API."`
 }
 
 // Zone is an availability zone.
--- a/internal/transport/confduty/duty.go
+++ b/internal/transport/confduty/duty.go
@@ -50,6 +50,8 @@
 
 const (
 	hintRing = 64
+	// fetchers go on when one of them waits for a peer that does not reply.
+	fetchers = 2
 	// defaultPoll is the fallback for hosts without a watch: at 390 hosts it costs
 	// the object API 6.5 reads a second.
 	defaultPoll = time.Minute
@@ -138,11 +140,13 @@
 func (d *Duty) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.running.Add(4)
-	go func() { defer d.running.Done(); d.askSeeds(ctx) }()
-	go func() { defer d.running.Done(); d.fetch(ctx) }()
-	go func() { defer d.running.Done(); d.follow(ctx) }()
-	go func() { defer d.running.Done(); d.collect(ctx) }()
+	duties := []func(context.Context){d.askSeeds, d.follow, d.collect}
+	for range fetchers {
+		duties = append(duties, d.fetch)
+	}
+	for _, duty := range duties {
+		d.running.Go(func() { duty(ctx) })
+	}
 }
 
 // Stop ends the duty and waits for it.
--- a/internal/transport/confduty/fetch.go
+++ b/internal/transport/confduty/fetch.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	peerTimeout = 3 * time.Second
+	peerTimeout = 2 * time.Second
 	// roleInterval separates two looks at whether this host is a watcher.
 	roleInterval = 2 * time.Second
 	// firstRefetch and maxRefetch bound the delay before content that could not be
--- a/internal/transport/ctl/client.go
+++ b/internal/transport/ctl/client.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
@@ -15,8 +17,10 @@
 )
 
 const (
-	// attemptTimeout bounds the wait for one control program before the next is tried.
+	// attemptTimeout bounds one call, hedgeDelay the wait for one control program
+	// before the next is asked as well.
 	attemptTimeout = 15 * time.Second
+	hedgeDelay     = 2 * time.Second
 	// connectTimeout bounds the search for a control program that can be reached.
 	connectTimeout = 4 * time.Second
 )
@@ -79,30 +83,96 @@
 
 func (c *connection) close() { c.mesh.Close() }
 
-// call sends an idempotent call to the first control program that replies. Once a
-// program may have carried it out without replying, the word of another one that
-// it wrote nothing itself does not settle the outcome.
+// call sends an idempotent call to the first control program, and to the next one as
+// well when there is no reply for a while or the connection breaks; the first word
+// that settles the outcome counts. Once a program may have carried the call out
+// without replying, the word of another that it wrote nothing itself settles nothing.
 func (c *connection) call(ctx context.Context, method wire.Method, request, reply any) error {
-	var last error
-	sent := false
-	for _, address := range c.targets {
-		bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err := c.mesh.Call(bounded, address, method, request, reply)
-		cancel()
-		var coded *resultcode.Error
-		if errors.As(err, &coded) && coded.Code == resultcode.StorageOutage && sent {
-			return unsettled(coded)
-		}
-		if err == nil || errors.As(err, &coded) {
-			return err
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	p := &pending{connection: c, method: method, request: request, replies: make(chan sending, len(c.targets))}
+	hedge := time.NewTicker(hedgeDelay)
+	defer hedge.Stop()
+	p.next(ctx)
+	for {
+		select {
+		case <-hedge.C:
+			p.next(ctx)
+		case s := <-p.replies:
+			if settled, err := p.settle(s, reply); settled {
+				return err
+			}
+			if !p.next(ctx) && p.running == 0 {
+				return p.failure()
+			}
 		}
-		sent = sent || !errors.Is(err, quicmesh.ErrNotSent)
-		last = err
 	}
-	if sent {
-		return resultcode.New(resultcode.DeadlineExceeded, "no control program replied: %v", last)
+}
+
+// sending is one sending's end.
+type sending struct {
+	reply []byte
+	err   error
+}
+
+// pending is a call that was sent to some of the control programs.
+type pending struct {
+	*connection
+	method  wire.Method
+	request any
+	replies chan sending
+	started int
+	running int
+	// unheard says that a program may have carried the call out without replying.
+	unheard bool
+	last    error
+}
+
+// next sends the call to the next control program, if there is one.
+func (p *pending) next(ctx context.Context) bool {
+	if p.started == len(p.targets) {
+		return false
+	}
+	address := p.targets[p.started]
+	p.started++
+	p.running++
+	go func() {
+		var raw cbor.RawMessage
+		err := p.mesh.Call(ctx, address, p.method, p.request, &raw)
+		p.replies <- sending{reply: raw, err: err}
+	}()
+	return true
+}
+
+// settle reports whether a sending's end settles the call, and how.
+func (p *pending) settle(s sending, reply any) (bool, error) {
+	p.running--
+	var coded *resultcode.Error
+	switch {
+	case s.err == nil:
+		return true, wire.Decode(s.reply, reply)
+	case errors.As(s.err, &coded) && ownWordOnly(coded.Code) && (p.unheard || p.running > 0):
+		return true, unsettled(coded)
+	case coded != nil:
+		return true, s.err
+	}
+	p.unheard = p.unheard || !errors.Is(s.err, quicmesh.ErrNotSent)
+	p.last = s.err
+	return false, nil
+}
+
+// ownWordOnly says that a refusal with this code speaks for the replying program
+// only: another one may have taken the same call.
+func ownWordOnly(c resultcode.Code) bool {
+	return c == resultcode.StorageOutage || c == resultcode.BadConfiguration
+}
+
+// failure is the result when no control program replied.
+func (p *pending) failure() error {
+	if p.unheard {
+		return resultcode.New(resultcode.DeadlineExceeded, "no control program replied: %v", p.last)
 	}
-	return resultcode.New(resultcode.Unreachable, "no control program can be reached: %v", last)
+	return resultcode.New(resultcode.Unreachable, "no control program can be reached: %v", p.last)
 }
 
 // unsettled is the result of a repetition that failed without settling whether the
--- a/internal/transport/ctl/process_test.go
+++ b/internal/transport/ctl/process_test.go
@@ -176,10 +176,12 @@
 		_, _, code := f.ctl(0, "apply", folder(t, "[zone.a]\nregion = r\n"), "--note", "start")
 		return code == 0
 	})
-	f.store.SetFaults(standin.Faults{DelayMillis: 30}) // Spreads a commit's steps over the kills below.
 	accepted := map[string]uint64{"start": 1}
 	refused := map[string]bool{}
 	for round := range 8 {
+		// The delay spreads a commit's steps over the kills; every other root is
+		// written without an answer.
+		f.store.SetFaults(standin.Faults{DelayMillis: 30, LoseAnswers: round % 2, LoseKeyPrefix: confgen.RootKey})
 		victim := round % f.size
 		note := "round" + strconv.Itoa(round)
 		type result struct {
@@ -206,6 +208,8 @@
 	f.store.SetFaults(standin.Faults{})
 	t.Logf("accepted %d, refused %d of 9", len(accepted), len(refused))
 	f.checkHistory(accepted, refused)
+	f.checkRace()
+	f.checkOutage(uint64(f.root().Generation))
 }
 
 func (f *fleet) checkHistory(accepted map[string]uint64, refused map[string]bool) {
@@ -234,7 +238,31 @@
 	for i := range f.size {
 		f.eventually("the newest generation on "+f.name(i), func() bool { return f.inForce(i) == uint64(root.Generation) })
 	}
-	f.checkOutage(uint64(root.Generation))
+}
+
+// checkRace lets operators apply at once through all hosts: one of them wins.
+func (f *fleet) checkRace() {
+	f.t.Helper()
+	const operators = 9
+	base := uint64(f.root().Generation)
+	codes := make(chan int, operators)
+	for i := range operators {
+		dir := folder(f.t, fmt.Sprintf("[zone.a]\nregion = race%d\n", i))
+		go func() {
+			_, _, code := f.ctl(i%f.size, "apply", dir, "--base", fmt.Sprint(base), "--operator", fmt.Sprint("op", i))
+			codes <- code
+		}()
+	}
+	counts := map[int]int{}
+	for range operators {
+		counts[<-codes]++
+	}
+	if counts[0] != 1 || counts[int(resultcode.ConfigurationRaced)] != operators-1 {
+		f.t.Fatalf("exit codes of %d operators: %v", operators, counts)
+	}
+	for i := range f.size {
+		f.eventually("the winner's generation on "+f.name(i), func() bool { return f.inForce(i) == base+1 })
+	}
 }
 
 // checkOutage restarts a host while the object API is gone.
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -88,6 +88,7 @@
 	Mesh      *quicmesh.Mesh
 	Feed      *feed.Client
 	Server    *Server
+	API       *objectapi.Client
 	Claims    *claimduty.Duty
 	Registry  *prometheus.Registry
 	Health    *process.Health
@@ -109,7 +110,7 @@
 	duties := &duties{}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			duties.start(p.Feed.Run, p.Server.ReportLoop, p.Server.PollLoop, func(ctx context.Context) { applyLoop(ctx, p.Feed, p.Server) })
+			duties.start(p.Feed.Run, p.Server.ReportLoop, p.Server.PollLoop, func(ctx context.Context) { applyLoop(ctx, p.Feed, p.Server, p.API) })
 			return nil
 		},
 		OnStop: func(context.Context) error { duties.stop(); return nil },
@@ -127,12 +128,16 @@
 	})
 }
 
-// applyLoop hands each new view to the server.
-func applyLoop(ctx context.Context, f *feed.Client, s *Server) {
+// applyLoop hands each new view to the server and its limits to the object API's client.
+func applyLoop(ctx context.Context, f *feed.Client, s *Server, api *objectapi.Client) {
 	for {
 		select {
 		case <-f.Changed():
-			s.Apply(f.View())
+			v := f.View()
+			s.Apply(v)
+			if v.Config != nil {
+				api.SetCeilings(v.Config.System.ObjectAPIReadsPerSecond, v.Config.System.ObjectAPIWritesPerSecond)
+			}
 		case <-ctx.Done():
 			return
 		}
