--- /dev/null
+++ b/internal/coordination/burn/burn_test.go
@@ -0,0 +1,26 @@
+package burn
+
+import (
+	"testing"
+	"time"
+)
+
+func TestAnAlarmNeedsTheLongWindowAndItsShortOne(t *testing.T) {
+	m, h := time.Minute, time.Hour
+	cases := []struct {
+		rates map[time.Duration]float64
+		want  Urgency
+	}{
+		{map[time.Duration]float64{5 * m: 15, h: 15}, Page},
+		{map[time.Duration]float64{5 * m: 0, h: 15, 30 * m: 7, 6 * h: 7}, Ticket},
+		{map[time.Duration]float64{5 * m: 100, h: 14, 30 * m: 7, 6 * h: 5}, Fine},
+	}
+	for _, c := range cases {
+		if got := Judge(c.rates); got != c.want {
+			t.Errorf("%v: %s, want %s", c.rates, got, c.want)
+		}
+	}
+	if Rate(0, 0, 0.99) != 0 || Rate(10, 0, 1) != 0 || Rate(0, 1, 1) < PageRate {
+		t.Error("no requests, no errors, or an objective without allowance is rated wrongly")
+	}
+}
--- a/internal/transport/ctl/process_test.go
+++ b/internal/transport/ctl/process_test.go
@@ -43,8 +43,8 @@
 	names := []string{"ana"}
 	for i := range f.size {
 		names = append(names, f.name(i))
-		f.listens = append(f.listens, freePort(t))
 	}
+	f.listens = freePorts(t, size)
 	if err := tlsconf.WriteDevelopmentKeys(f.dir, names...); err != nil {
 		t.Fatal(err)
 	}
@@ -63,15 +63,20 @@
 
 func (f *fleet) name(i int) string { return fmt.Sprintf("h%d", i) }
 
-// freePort finds an address whose UDP port is free now.
-func freePort(t testing.TB) string {
+// freePorts finds addresses whose UDP ports are free now, all at once so that none
+// is found twice.
+func freePorts(t testing.TB, n int) []string {
 	t.Helper()
-	l, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var out []string
+	for range n {
+		l, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.LocalAddr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.LocalAddr().String()
+	return out
 }
 
 func (f *fleet) writeSettings(i int, store string, heartbeat time.Duration) {
--- a/internal/transport/ctl/spread_test.go
+++ b/internal/transport/ctl/spread_test.go
@@ -24,12 +24,15 @@
 		_, _, code := f.ctl(0, "apply", folder(b, "[zone.a]\nregion = r\n"), "--wait", "--timeout", "20s")
 		return code == 0
 	})
+	for i := range f.size {
+		f.eventually("generation 1 on "+f.name(i), func() bool { return f.inForce(i) > 0 })
+	}
 	before := f.store.Calls()
 	var started []time.Time
 	first := uint64(f.root().Generation) + 1
 	for i := 0; b.Loop(); i++ {
 		started = append(started, time.Now())
-		dir := folder(b, fmt.Sprintf("[zone.a]\nregion = r%d\n", i))
+		dir := folder(b, fmt.Sprintf("[zone.a]\nregion = r\n[service.s]\ntimeout = %dms\n", 100+i))
 		if _, errOut, code := f.ctl(i%spreadHosts, "apply", dir, "--wait", "--timeout", "20s"); code != 0 {
 			b.Fatal(errOut)
 		}
