--- a/internal/coordination/objcall/budget.go
+++ b/internal/coordination/objcall/budget.go
@@ -6,7 +6,7 @@
 	// decreaseFactor is applied to the rate when the API refuses a call for its rate.
 	decreaseFactor = 0.5
 	// increaseShare of the ceiling is added for each interval without a refusal.
-	increaseShare = 0.05
+	increaseShare = 0.02
 	// adaptInterval separates two changes of the rate.
 	adaptInterval = time.Second
 	// floorShare of the ceiling is what a budget never falls below.
--- /dev/null
+++ b/internal/protocol/objectapi/contention_test.go
@@ -0,0 +1,47 @@
+package objectapi_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/standin"
+)
+
+// BenchmarkHostsOverThePlatformsRate lets 40 hosts, each allowed 50 writes a second,
+// write to a platform that takes 400, and reports, after the budgets had time to
+// adapt, the writes that took effect and the share that the platform refused.
+func BenchmarkHostsOverThePlatformsRate(b *testing.B) {
+	const (
+		hosts    = 40
+		warmUp   = 5 * time.Second
+		duration = 10 * time.Second
+		perHost  = 4
+	)
+	for b.Loop() {
+		store := standin.NewObjectStore(standin.ObjectStoreOptions{WritesPerSecond: 400, Latency: 2 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(b.Context(), warmUp+duration)
+		var wait sync.WaitGroup
+		for h := range hosts {
+			c := objectapi.NewClient(store, objectapi.ClientOptions{Seed: uint64(h + 1)})
+			for w := range perHost {
+				wait.Go(func() {
+					for i := 0; ctx.Err() == nil; i++ {
+						_, _ = c.Put(ctx, fmt.Sprintf("%d/%d/%d", h, w, i), []byte("value"), 0)
+					}
+				})
+			}
+		}
+		time.Sleep(warmUp)
+		before := store.Calls()
+		wait.Wait()
+		cancel()
+		after := store.Calls()
+		writes, refused := after.Writes-before.Writes, after.Throttled-before.Throttled
+		b.ReportMetric(float64(writes-refused)/duration.Seconds(), "taken/s")
+		b.ReportMetric(100*float64(refused)/float64(writes), "%refused")
+	}
+}
