Let the limit fall to one and cap outliers in its latency

At full size hundreds of hosts share a few endpoints, and a limit of at least one request an endpoint a host would have kept them queued. The floor is 1 now. So that one slow endpoint cannot push the limit there, an answer counts as at most five times the best window. Overload is measured with one and with eight entry hosts.

--- a/internal/coordination/admission/bench_test.go
+++ b/internal/coordination/admission/bench_test.go
@@ -10,7 +10,7 @@
 var epoch = time.Unix(1000, 0)
 
 func BenchmarkAdmission(b *testing.B) {
-	g := NewGate(64, 64, 0.2)
+	g := NewGate(64, 0.2)
 	var r Rate
 	r.SetLimit(1e9)
 	others := Ticket{Caller: "batch", Deadline: epoch.Add(time.Hour), Priority: model.PriorityBatch}
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -121,18 +121,18 @@
 	completed int
 }
 
-// NewGate returns a gate for a number of endpoints with so many slots together.
-func NewGate(endpoints, slots int, trainingFloor float64) *Gate {
+// NewGate returns a gate for endpoints with so many slots together.
+func NewGate(slots int, trainingFloor float64) *Gate {
 	return &Gate{
-		limiter:       newLimiter(endpoints, slots),
+		limiter:       newLimiter(slots),
 		trainingFloor: trainingFloor,
 		callers:       map[model.CallerID]*callerState{},
 	}
 }
 
 // Configure takes over a changed capacity and training floor.
-func (g *Gate) Configure(endpoints, slots int, trainingFloor float64) {
-	g.bound(endpoints, slots)
+func (g *Gate) Configure(slots int, trainingFloor float64) {
+	g.bound(slots)
 	g.trainingFloor = trainingFloor
 }
 
--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -67,7 +67,7 @@
 		var floor float64
 		d.ScanArgs(t, "slots", &slots)
 		d.MaybeScanArgs(t, "floor", &floor)
-		tr.gate, tr.tickets = NewGate(1, slots, floor), map[string]*Ticket{}
+		tr.gate, tr.tickets = NewGate(slots, floor), map[string]*Ticket{}
 	case "arrive":
 		tr.arrive(d, t)
 	case "leave":
@@ -129,7 +129,7 @@
 func TestGateKeepsItsRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := epoch
-		g := NewGate(1, rapid.IntRange(1, 12).Draw(t, "slots"), rapid.Float64Range(0, 0.5).Draw(t, "floor"))
+		g := NewGate(rapid.IntRange(1, 12).Draw(t, "slots"), rapid.Float64Range(0, 0.5).Draw(t, "floor"))
 		var running []*Ticket
 		waiting := map[*Ticket]bool{}
 		decide := func(k *Ticket, d Decision) {
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -11,11 +11,15 @@
 	tolerance = 2.0
 	// slack is added to the tolerance: a delay this short harms nobody.
 	slack = 10 * time.Millisecond
+	// outlier bounds one answer's time, as a multiple of the baseline.
+	outlier = 5
 	// decrease is what a limit is multiplied by when answers come late.
 	decrease = 0.85
 	// baselineDrift is the share by which the baseline rises in each window, so
 	// that it follows work that has truly become longer.
 	baselineDrift = 0.01
+	// minLimit is low: many hosts may share few endpoints.
+	minLimit = 1
 	// nearLimit is the share of the limit in use above which it may grow.
 	nearLimit = 0.75
 	// refusalShare is the share of refusals among the results of a window that
@@ -28,7 +32,6 @@
 // idle fleet gives no answers to grow by.
 type limiter struct {
 	limit    float64
-	floor    float64
 	ceiling  float64
 	baseline time.Duration
 	start    time.Time
@@ -38,27 +41,27 @@
 	peak     int
 }
 
-func newLimiter(floor, ceiling int) limiter {
-	l := limiter{floor: float64(max(1, floor)), ceiling: float64(max(1, ceiling))}
+func newLimiter(ceiling int) limiter {
+	l := limiter{ceiling: float64(max(1, ceiling))}
 	l.limit = l.ceiling
 	return l
 }
 
-// bound takes over a changed floor and ceiling. A limit at its ceiling follows it.
-func (l *limiter) bound(floor, ceiling int) {
+// bound takes over a changed ceiling. A limit at its ceiling follows it.
+func (l *limiter) bound(ceiling int) {
 	atCeiling := l.limit >= l.ceiling
-	l.floor, l.ceiling = float64(max(1, floor)), float64(max(1, ceiling))
+	l.ceiling = float64(max(1, ceiling))
 	if atCeiling {
 		l.limit = l.ceiling
 	}
-	l.limit = max(l.floor, min(l.limit, l.ceiling))
+	l.limit = min(l.limit, l.ceiling)
 }
 
 func (l *limiter) observe(now time.Time, s Sample, running int) {
 	l.peak = max(l.peak, running)
 	switch s.Kind {
 	case SampleAnswered:
-		l.sum += s.Latency
+		l.sum += l.capped(s.Latency)
 		l.samples++
 	case SampleRefused:
 		l.refusals++
@@ -71,6 +74,14 @@
 	}
 }
 
+// capped keeps one slow endpoint's answers from reading as general lateness.
+func (l *limiter) capped(d time.Duration) time.Duration {
+	if l.baseline == 0 {
+		return d
+	}
+	return min(d, outlier*l.baseline+slack)
+}
+
 func (l *limiter) adjust(now time.Time) {
 	mean := time.Duration(0)
 	if l.samples > 0 {
@@ -83,7 +94,7 @@
 	late := l.baseline > 0 && mean > time.Duration(tolerance*float64(l.baseline))+slack
 	switch {
 	case refused || late:
-		l.limit = max(l.floor, min(l.limit, max(float64(l.peak), l.limit/2))*decrease)
+		l.limit = max(minLimit, min(l.limit, max(float64(l.peak), l.limit/2))*decrease)
 	case float64(l.peak) >= nearLimit*l.limit:
 		l.limit = min(l.ceiling, l.limit+max(1, l.limit/16))
 	}
--- a/internal/transport/entry/measure_test.go
+++ b/internal/transport/entry/measure_test.go
@@ -195,10 +195,9 @@
 }
 
 // overBed is a bed with the experiment's services.
-func overBed(b *testing.B) (*bed, map[string][]string, func() int) {
+func overBed(b *testing.B) (*bed, map[string][]string) {
 	bed := newBed(b)
 	addresses := map[string][]string{}
-	var plains []*standin.Plain
 	for _, service := range []string{"busy", "quiet", "dead"} {
 		bed.config.Services[model.ServiceID(service)] = model.Service{Timeout: time.Second, MaxRunning: overSlots}
 		for i := range overEndpoints {
@@ -214,19 +213,12 @@
 			if service == "busy" && i == 0 {
 				p.SetFaults(standin.Faults{Slow: overSlow})
 			}
-			plains = append(plains, p)
 			addresses[service] = append(addresses[service], address)
 			bed.endpoint(fmt.Sprint(service, i), model.Endpoint{Kind: model.EndpointPlain, Service: model.ServiceID(service), Zone: "lj-a", Address: address})
 		}
 	}
 	bed.apply(nil)
-	return bed, addresses, func() int {
-		n := 0
-		for _, p := range plains {
-			n += len(p.Runs())
-		}
-		return n
-	}
+	return bed, addresses
 }
 
 // hole is an address that accepts connections and never answers.
@@ -239,19 +231,38 @@
 	return l.Addr().String()
 }
 
-// BenchmarkOverload measures the entry server, BenchmarkOverloadBaseline a plain
-// balancer before the same stand-ins.
+// BenchmarkOverload measures one and eight entry servers, BenchmarkOverloadBaseline a
+// plain balancer, before the same stand-ins.
 func BenchmarkOverload(b *testing.B) {
-	bed, _, _ := overBed(b)
+	for _, hosts := range []int{1, 8} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) { measureOverload(b, hosts) })
+	}
+}
+
+func measureOverload(b *testing.B, hosts int) {
+	first, _ := overBed(b)
+	beds := []*bed{first}
+	for len(beds) < hosts {
+		next := newBed(b)
+		next.config = first.config
+		next.apply(nil)
+		beds = append(beds, next)
+	}
 	call := func(service string, i int) bool {
-		r, err := bed.post("/v1/services/"+service+"/lookup", fmt.Sprint(i), httpapi.DeadlineHeader, fmt.Sprint(overDeadline.Milliseconds()))
+		r, err := beds[i%hosts].post("/v1/services/"+service+"/lookup", fmt.Sprint(i), httpapi.DeadlineHeader, fmt.Sprint(overDeadline.Milliseconds()))
 		return err == nil && r.code == resultcode.OK
 	}
+	attempts := func() (n float64) {
+		for _, bed := range beds {
+			n += attemptsMade(bed)
+		}
+		return n
+	}
 	for b.Loop() {
 		_, alone := overload(b, false, call)
-		before := attemptsMade(bed)
+		before := attempts()
 		busy, quiet := overload(b, true, call)
-		reportOverload(b, busy, quiet, alone, attemptsMade(bed)-before)
+		reportOverload(b, busy, quiet, alone, attempts()-before)
 	}
 }
 
@@ -272,7 +283,7 @@
 
 // BenchmarkOverloadBaseline: round robin, three retries, no limits.
 func BenchmarkOverloadBaseline(b *testing.B) {
-	_, addresses, _ := overBed(b)
+	_, addresses := overBed(b)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	var next, attempts atomic.Int64
 	call := func(service string, i int) bool {
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -73,8 +73,8 @@
 	t.table.Update(list)
 	t.trainingFloor = trainingFloor
 	if t.gate == nil {
-		count, slots := t.table.Usable(now)
-		t.gate = admission.NewGate(count, slots, trainingFloor)
+		_, slots := t.table.Usable(now)
+		t.gate = admission.NewGate(slots, trainingFloor)
 	}
 }
 
@@ -91,8 +91,8 @@
 
 // resize fits the gate to the endpoints that may get work; mu is held.
 func (t *target) resize(now time.Time) {
-	count, slots := t.table.Usable(now)
-	t.gate.Configure(count, slots, t.trainingFloor)
+	_, slots := t.table.Usable(now)
+	t.gate.Configure(slots, t.trainingFloor)
 }
 
 // admit waits for a slot. The decision is Run or Refuse.
