Take a shard over from an owner that still commits

With eight pages to read and a commit each 40 ms that would happen again and again until the old owner heard of its loss, up to 15 s later; reasoned, not measured. It now reads just the entry that was in its way and tries the next number.

A late write of a segment that was removed long since no longer keeps a takeover from ending.

--- a/internal/transport/claimduty/owner.go
+++ b/internal/transport/claimduty/owner.go
@@ -179,6 +179,9 @@
 		if err == nil {
 			err = o.fence(ctx, l, writer)
 		}
+		if errors.Is(err, errLost) {
+			return err
+		}
 		if err == nil {
 			o.metrics.takeoverSeconds.Observe(time.Since(began).Seconds())
 			o.log.Info("Journal read.", "shard", o.shard.ID, "epoch", o.shard.Epoch, "claims", l.table.Len(),
@@ -192,7 +195,39 @@
 	}
 }
 
+// fence writes the entry that stops older owners. One that still commits gets in
+// before it now and then; its entry is read and the next number tried.
 func (o *owner) fence(ctx context.Context, l *loaded, writer uint64) error {
+	for {
+		if err := o.makeRoom(ctx, l); err != nil {
+			return err
+		}
+		fence := journal.Entry{
+			Seq: l.last + 1, Epoch: o.shard.Epoch, Writer: writer, AtMillis: max(l.lastMillis, time.Now().UnixMilli()),
+		}
+		err := o.store.append(ctx, &fence)
+		if err == nil {
+			l.add(fence)
+			break
+		}
+		if !errors.Is(err, errLost) {
+			return err
+		}
+		if err := o.store.follow(ctx, l); err != nil {
+			return err
+		}
+		if l.maxEpoch > o.shard.Epoch {
+			return errLost
+		}
+	}
+	interval, lifetime := o.timing()
+	opt := claims.Options{Epoch: o.shard.Epoch, Writer: writer, Interval: interval, Lifetime: lifetime}
+	o.core = claims.New(opt, l.table, l.tail, l.segments, l.last, l.lastMillis)
+	return nil
+}
+
+// makeRoom folds until the next entry's slot holds nothing that is not folded.
+func (o *owner) makeRoom(ctx context.Context, l *loaded) error {
 	for l.last+1 > l.folded()+journal.Slots {
 		segment, answers := journal.Compact(l.tail[:journal.SegmentEntries])
 		if err := o.store.fold(ctx, segment, answers); err != nil {
@@ -201,15 +236,6 @@
 		l.tail = l.tail[journal.SegmentEntries:]
 		l.segments = append(l.segments, claims.Segment{Number: segment[0].Number, EndMillis: segment[0].EndMillis})
 	}
-	fence := journal.Entry{
-		Seq: l.last + 1, Epoch: o.shard.Epoch, Writer: writer, AtMillis: max(l.lastMillis, time.Now().UnixMilli()),
-	}
-	if err := o.store.append(ctx, &fence); err != nil {
-		return err
-	}
-	interval, lifetime := o.timing()
-	opt := claims.Options{Epoch: o.shard.Epoch, Writer: writer, Interval: interval, Lifetime: lifetime}
-	o.core = claims.New(opt, l.table, append(l.tail, fence), l.segments, fence.Seq, fence.AtMillis)
 	return nil
 }
 
--- a/internal/transport/claimduty/store.go
+++ b/internal/transport/claimduty/store.go
@@ -124,11 +124,11 @@
 	}
 	first := entries[0].Seq
 	l.last = entries[len(entries)-1].Seq
-	if len(l.segments) == 0 && first > 1 {
-		// All segments expired. Entries before the first boundary were in one of them.
+	if through+1 < first {
+		// All later segments expired. Entries before the first boundary were in one.
 		through = (first + journal.SegmentEntries - 2) / journal.SegmentEntries * journal.SegmentEntries
 	}
-	if through > l.last || through+1 < first {
+	if through > l.last {
 		return errMoved
 	}
 	for _, e := range entries {
@@ -244,6 +244,34 @@
 	return o.Version, nil
 }
 
+// follow reads the entry after the last one read, which another owner wrote since.
+func (s *store) follow(ctx context.Context, l *loaded) error {
+	o, err := s.api.Get(ctx, s.entryKey(l.last+1))
+	s.reads++
+	if err != nil {
+		return err
+	}
+	var e journal.Entry
+	if err := wire.Decode(o.Value, &e); err != nil {
+		return err
+	}
+	if e.Seq != l.last+1 {
+		return errMoved
+	}
+	s.versions[journal.Slot(e.Seq)] = o.Version
+	l.add(e)
+	return nil
+}
+
+// add takes in the next entry.
+func (l *loaded) add(e journal.Entry) {
+	l.table.Apply(e)
+	l.tail = append(l.tail, e)
+	l.last = e.Seq
+	l.lastMillis = max(l.lastMillis, e.AtMillis)
+	l.maxEpoch = max(l.maxEpoch, e.Epoch)
+}
+
 // fold writes a segment: the answers first, so that a whole segment has them.
 func (s *store) fold(ctx context.Context, segment, answers []journal.Part) error {
 	for _, p := range answers {
--- a/internal/transport/claimduty/store_test.go
+++ b/internal/transport/claimduty/store_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"flag"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/claims"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/journal"
+	"oleanderfall.example/oleanderfall/internal/transport/sharder"
 )
 
 // TestMain fixes the seed of rapid where none is given.
@@ -92,6 +96,65 @@
 	}
 }
 
+// racingAPI runs something before its first write.
+type racingAPI struct {
+	objectapi.API
+	before func()
+}
+
+func (r *racingAPI) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if before := r.before; before != nil {
+		r.before = nil
+		before()
+	}
+	return r.API.Put(ctx, key, value, expect)
+}
+
+// An owner that commits while its successor reads is fenced at the next number, and
+// the successor knows what it committed.
+func TestTakeoverFromABusyOwnerFollowsItsLastEntries(t *testing.T) {
+	api := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	d := newDriver(t, api, claims.Options{Epoch: 1, Writer: 1, Interval: time.Millisecond})
+	claim := func(i int) {
+		d.core.Claim(d.now, claims.Request{Key: numbered(i), Attempt: journal.Attempt(numbered(i)), Digest: 1})
+		d.commit()
+	}
+	claim(1)
+	racing := &racingAPI{API: api, before: func() { claim(2); claim(3) }}
+	o := newOwner(sharder.Shard{ID: "claims/0", Epoch: 2}, racing, noTiming, newMetrics(nil), slog.New(slog.DiscardHandler), nil)
+	if err := o.takeOver(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	for i := 1; i <= 3; i++ {
+		if c, ok := o.core.Lookup(numbered(i)); !ok || c.State != journal.Running {
+			t.Errorf("the successor does not know claim %d", i)
+		}
+	}
+	if o.store.reads > 4 {
+		t.Errorf("%d reads", o.store.reads)
+	}
+	d.core.Claim(d.now, claims.Request{Key: numbered(4), Attempt: journal.Attempt(numbered(4))})
+	d.now = d.now.Add(time.Second)
+	if err := d.store.append(t.Context(), d.core.NextCommit(d.now)); !errors.Is(err, errLost) {
+		t.Errorf("the former owner's commit: %v", err)
+	}
+}
+
+// A successor that finds an entry of a newer epoch gives up.
+func TestTakeoverOfAnOlderEpochGivesUp(t *testing.T) {
+	api := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	newer := newOwner(sharder.Shard{ID: "claims/0", Epoch: 3}, api, noTiming, newMetrics(nil), slog.New(slog.DiscardHandler), nil)
+	racing := &racingAPI{API: api, before: func() {
+		if err := newer.takeOver(t.Context(), 3); err != nil {
+			t.Error(err)
+		}
+	}}
+	older := newOwner(sharder.Shard{ID: "claims/0", Epoch: 2}, racing, noTiming, newMetrics(nil), slog.New(slog.DiscardHandler), nil)
+	if err := older.takeOver(t.Context(), 2); !errors.Is(err, errLost) {
+		t.Fatalf("the older epoch's takeover: %v", err)
+	}
+}
+
 func compareWithTakeover(t *testing.T, d *driver, api *standin.ObjectStore, upTo int) {
 	t.Helper()
 	d.now = d.now.Add(time.Second)
