Let a trainer say how many groups it needs; replay traces of samples

A step now ends without groups only when its opening says how many it needs; the setting bounds that. Traces state the decisions on delivery, staleness, takeover and broken streams; a naive owner that offers before its record is confirmed is kept in the tests, and the harness finds its double deliveries.

--- a/internal/coordination/samples/machine.go
+++ b/internal/coordination/samples/machine.go
@@ -188,9 +188,11 @@
 
 // StepSpec is what a trainer opens a step with.
 type StepSpec struct {
-	Step         uint64
-	Groups       int
-	GroupSize    int
+	Step      uint64
+	Groups    int
+	GroupSize int
+	// Needed is the number of groups the trainer needs, 0 for all.
+	Needed       int
 	MaxTokens    int
 	Bound        int
 	Digest       uint64
@@ -216,7 +218,7 @@
 	}
 	rec := ledger.Step{
 		Step: s.Step, Groups: s.Groups, GroupSize: s.GroupSize, MaxTokens: s.MaxTokens,
-		Spare: int(float64(s.Groups) * m.cfg.SpareGroups / (1 + m.cfg.SpareGroups)),
+		Spare: m.spare(s),
 		Bound: s.Bound, Digest: s.Digest, PromptPrefix: s.PromptPrefix, Inline: s.Inline,
 	}
 	for len(m.steps) >= maxOpenSteps {
@@ -229,6 +231,16 @@
 	return actions, nil
 }
 
+// spare is the number of groups the step may end without: what the trainer offers, up
+// to its setting.
+func (m *Machine) spare(s StepSpec) int {
+	if s.Needed <= 0 {
+		return 0
+	}
+	most := int(float64(s.Groups) * m.cfg.SpareGroups / (1 + m.cfg.SpareGroups))
+	return max(0, min(s.Groups-s.Needed, most))
+}
+
 const maxOpenSteps = 2
 
 func newStep(rec ledger.Step) *step {
--- a/internal/coordination/samples/samples_test.go
+++ b/internal/coordination/samples/samples_test.go
@@ -1,10 +1,13 @@
 package samples
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"oleanderfall.example/oleanderfall/internal/state/model"
 )
 
 func smallOptions() simOptions {
@@ -42,3 +45,56 @@
 		}
 	})
 }
+
+func TestAStepEndsWithoutTheSpareGroupsThatTheTrainerOffers(t *testing.T) {
+	m := New(Settings{Bound: 1, SpareGroups: 0.5, StepSamples: 64}, 1)
+	now := time.Unix(0, 0)
+	if _, err := m.Open(now, StepSpec{Step: 1, Groups: 3, GroupSize: 1, Needed: 1, Bound: 1, Version: 1}); err != nil {
+		t.Fatal(err)
+	}
+	starts := m.Plan(now, &anyEngine{})
+	for _, a := range starts[:2] {
+		m.Finished(now, a.Attempt, 10, 1)
+	}
+	p := Pull{Step: 1, Max: 8, Version: 1}
+	_, actions := m.Pull(now, p)
+	if len(actions) != 2 || actions[0].Kind != ActionCancel || actions[0].Attempt != starts[2].Attempt {
+		t.Fatalf("the spare group was not cancelled: %v", actions)
+	}
+	sequence, _ := m.Pending()
+	m.Confirm(sequence)
+	if o, _ := m.Pull(now, p); !o.Done || len(o.Slots) != 2 {
+		t.Fatalf("got %v", o)
+	}
+	if dropped := m.Counts().DroppedBy; dropped.Total() != 1 {
+		t.Fatalf("dropped %v", dropped)
+	}
+}
+
+// TestTheNaiveOwnerDeliversTwice shows that the harness sees the fault it is for: an
+// owner that offers before its record is confirmed delivers slots again after a crash.
+func TestTheNaiveOwnerDeliversTwice(t *testing.T) {
+	opt := smallOptions()
+	opt.crashEvery = 60 * time.Second
+	opt.fresh = func(c Settings, e model.Epoch) policy { return unconfirmed{New(c, e)} }
+	opt.writeDelay = 30 * time.Second
+	for seed := range uint64(20) {
+		opt.seed = seed
+		s := newSim(opt)
+		s.run(time.Hour)
+		if slices.Contains(s.trainer.wrong, "slot delivered again") || slices.Contains(s.trainer.wrong, "cursor refused") {
+			return
+		}
+	}
+	t.Fatal("no run showed the fault")
+}
+
+// unconfirmed is a Machine that does not wait for its record.
+type unconfirmed struct{ *Machine }
+
+func (u unconfirmed) Pull(now time.Time, p Pull) (Offer, []Action) {
+	u.Machine.Confirm(u.sequence + 1)
+	o, actions := u.Machine.Pull(now, p)
+	u.confirmed = 0
+	return o, actions
+}
--- a/internal/coordination/samples/sim_test.go
+++ b/internal/coordination/samples/sim_test.go
@@ -43,6 +43,8 @@
 	breaks, doubts, lostAnswers, lostWrites, failedSwaps float64
 	// crashEvery is the mean time between two deaths of the owner, 0 for none.
 	crashEvery time.Duration
+	// writeDelay is the time of a write of the record, 5 ms when zero.
+	writeDelay time.Duration
 	fresh      func(Settings, model.Epoch) policy
 }
 
@@ -369,7 +371,7 @@
 	}
 	s.writing = true
 	s.writes++
-	delay, epoch := 5*time.Millisecond, s.epoch
+	delay, epoch := max(s.opt.writeDelay, 5*time.Millisecond), s.epoch
 	s.at(delay, func() {
 		if s.epoch != epoch {
 			return
@@ -405,13 +407,13 @@
 	s.at(2*time.Second, func() {
 		s.down, s.writing = false, false
 		s.epoch++
-		m := New(s.opt.settings, s.epoch)
+		m := s.opt.fresh(s.opt.settings, s.epoch)
 		if s.stored != nil {
 			r, err := ledger.Decode(s.stored)
 			if err != nil {
 				panic(err)
 			}
-			m.Restore(r)
+			m.(interface{ Restore(ledger.Record) }).Restore(r)
 		}
 		s.p = m
 		s.at(s.crashDelay(), s.crash)
--- /dev/null
+++ b/internal/coordination/samples/trace_test.go
@@ -0,0 +1,131 @@
+package samples
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"oleanderfall.example/oleanderfall/internal/state/ledger"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+)
+
+// trace replays recorded events against a machine and prints what it decides.
+type trace struct {
+	m       *Machine
+	bound   int
+	version model.WeightVersion
+	free    int
+	stored  ledger.Record
+}
+
+// Pick implements Picker: one engine "e" at the trace's version.
+func (t *trace) Pick(least model.WeightVersion, _ model.EndpointID) (model.EndpointID, bool) {
+	if t.free == 0 || t.version < least {
+		return "", false
+	}
+	t.free--
+	return "e", true
+}
+
+// Newest implements Picker.
+func (t *trace) Newest() model.WeightVersion { return t.version }
+
+func TestTracesEndInTheStatedDecisions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		tr := &trace{version: 1, bound: 1, m: New(Settings{Bound: 1, StepSamples: 64, Scored: true}, 1)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return tr.step(t, d) })
+	})
+}
+
+func (tr *trace) step(t *testing.T, d *datadriven.TestData) string {
+	number := func(key string) int {
+		n := 0
+		d.MaybeScanArgs(t, key, &n)
+		return n
+	}
+	now := time.Unix(int64(number("at")), 0)
+	slot := SlotID{Step: 1, Index: number("slot")}
+	id, tokens, version := AttemptID(number("attempt")), number("tokens"), model.WeightVersion(number("version"))
+	switch d.Cmd {
+	case "engines":
+		tr.version, tr.free = version, number("free")
+		return ""
+	case "open":
+		actions, err := tr.m.Open(now, StepSpec{Step: uint64(number("step")), Groups: number("groups"), GroupSize: number("size"), Bound: tr.bound, Digest: uint64(number("digest")), Version: version})
+		return describe(actions) + fault(err)
+	case "plan":
+		return describe(tr.m.Plan(now, tr))
+	case "progress":
+		return describe(tr.m.Progress(now, id, tokens, version))
+	case "finished":
+		return describe(tr.m.Finished(now, id, tokens, version))
+	case "scored":
+		return describe(tr.m.Scored(slot, id))
+	case "doubtful":
+		return describe(tr.m.Failed(now, id, FailureDoubtful, tokens, version))
+	case "broken":
+		return describe(tr.m.Failed(now, id, FailureBroken, tokens, version))
+	case "trainer":
+		return describe(tr.m.SetVersion(now, version))
+	case "write":
+		sequence, due := tr.m.Pending()
+		tr.stored = tr.m.Record()
+		tr.m.Confirm(sequence)
+		return fmt.Sprintf("sequence %d, due %v, batches %v\n", sequence, due, tr.stored.Steps[0].Batches)
+	case "takeover":
+		tr.m = New(Settings{Bound: 1, StepSamples: 64, Scored: true}, tr.stored.Epoch+1)
+		tr.m.Restore(tr.stored)
+		return ""
+	case "pull":
+		o, actions := tr.m.Pull(now, Pull{Step: 1, Cursor: uint64(number("cursor")), Max: 64, Version: version})
+		return describe(actions) + describeOffer(o)
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func fault(err error) string {
+	switch {
+	case errors.Is(err, ErrStepConflict):
+		return "refused: other contents\n"
+	case err != nil:
+		return "refused: " + err.Error() + "\n"
+	}
+	return ""
+}
+
+func describe(actions []Action) string {
+	names := map[ActionKind]string{ActionStart: "start", ActionCancel: "cancel", ActionScore: "score", ActionDiscard: "discard"}
+	var out strings.Builder
+	for _, a := range actions {
+		fmt.Fprintf(&out, "%s slot %d", names[a.Kind], a.Slot.Index)
+		if a.Kind != ActionDiscard {
+			fmt.Fprintf(&out, " attempt %d", a.Attempt)
+		}
+		if a.Prefix > 0 {
+			fmt.Fprintf(&out, " after %d tokens", a.Prefix)
+		}
+		out.WriteString("\n")
+	}
+	return out.String()
+}
+
+func describeOffer(o Offer) string {
+	switch o.State {
+	case PullWait:
+		return "wait\n"
+	case PullUnknown:
+		return "unknown step\n"
+	case PullConflict:
+		return "conflict\n"
+	}
+	var slots []int
+	for _, s := range o.Slots {
+		slots = append(slots, s.Index)
+	}
+	return fmt.Sprintf("offer slots %v next %d done %v\n", slots, o.Next, o.Done)
+}
--- a/internal/protocol/trainerapi/trainerapi.go
+++ b/internal/protocol/trainerapi/trainerapi.go
@@ -24,6 +24,9 @@
 	// GroupSize is the number of samples a prompt; 0 takes the trainer's setting.
 	GroupSize int `json:"group_size,omitempty"`
 	MaxTokens int `json:"max_tokens"`
+	// NeededGroups is the number of groups after which the step is whole; 0 needs all.
+	// The trainer's setting spare_groups bounds how many of the prompts may be spare.
+	NeededGroups int `json:"needed_groups,omitempty"`
 	// Version is the trainer's weight version as the step opens.
 	Version model.WeightVersion `json:"version"`
 	// StalenessBound overrides the trainer's setting when set; it may only lower it.
--- a/internal/transport/rollout/server.go
+++ b/internal/transport/rollout/server.go
@@ -119,7 +119,7 @@
 		size = t.GroupSize
 	}
 	spec := samples.StepSpec{
-		Step: open.Step, Groups: len(open.Prompts), GroupSize: size, MaxTokens: open.MaxTokens,
+		Step: open.Step, Groups: len(open.Prompts), GroupSize: size, Needed: open.NeededGroups, MaxTokens: open.MaxTokens,
 		Bound: t.StalenessBound, Version: open.Version, Inline: len(open.Prompts) > 0,
 	}
 	if open.StalenessBound != nil {
@@ -138,7 +138,7 @@
 // digest identifies what a step was opened with, but for the version of that moment.
 func digest(open trainerapi.OpenStep, spec samples.StepSpec) uint64 {
 	h := fnv.New64a()
-	for _, n := range []int{spec.Groups, spec.GroupSize, spec.MaxTokens, spec.Bound} {
+	for _, n := range []int{spec.Groups, spec.GroupSize, spec.Needed, spec.MaxTokens, spec.Bound} {
 		_, _ = io.WriteString(h, strconv.Itoa(n)+"|")
 	}
 	_, _ = io.WriteString(h, spec.PromptPrefix)
