--- a/internal/transport/ctl/process_test.go
+++ b/internal/transport/ctl/process_test.go
@@ -43,8 +43,8 @@
 	names := []string{"ana"}
 	for i := range f.size {
 		names = append(names, f.name(i))
-		f.listens = append(f.listens, freePort(t))
 	}
+	f.listens = freePorts(t, size)
 	if err := tlsconf.WriteDevelopmentKeys(f.dir, names...); err != nil {
 		t.Fatal(err)
 	}
@@ -63,15 +63,20 @@
 
 func (f *fleet) name(i int) string { return fmt.Sprintf("h%d", i) }
 
-// freePort finds an address whose UDP port is free now.
-func freePort(t testing.TB) string {
+// freePorts finds addresses whose UDP ports are free now, all at once so that none
+// is found twice.
+func freePorts(t testing.TB, n int) []string {
 	t.Helper()
-	l, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var out []string
+	for range n {
+		l, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.LocalAddr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.LocalAddr().String()
+	return out
 }
 
 func (f *fleet) writeSettings(i int, store string, heartbeat time.Duration) {
@@ -176,10 +181,12 @@
 		_, _, code := f.ctl(0, "apply", folder(t, "[zone.a]\nregion = r\n"), "--note", "start")
 		return code == 0
 	})
-	f.store.SetFaults(standin.Faults{DelayMillis: 30}) // Spreads a commit's steps over the kills below.
 	accepted := map[string]uint64{"start": 1}
 	refused := map[string]bool{}
 	for round := range 8 {
+		// The delay spreads a commit's steps over the kills; every other root is
+		// written without an answer.
+		f.store.SetFaults(standin.Faults{DelayMillis: 30, LoseAnswers: round % 2, LoseKeyPrefix: confgen.RootKey})
 		victim := round % f.size
 		note := "round" + strconv.Itoa(round)
 		type result struct {
@@ -206,6 +213,8 @@
 	f.store.SetFaults(standin.Faults{})
 	t.Logf("accepted %d, refused %d of 9", len(accepted), len(refused))
 	f.checkHistory(accepted, refused)
+	f.checkRace()
+	f.checkOutage(uint64(f.root().Generation))
 }
 
 func (f *fleet) checkHistory(accepted map[string]uint64, refused map[string]bool) {
@@ -234,7 +243,31 @@
 	for i := range f.size {
 		f.eventually("the newest generation on "+f.name(i), func() bool { return f.inForce(i) == uint64(root.Generation) })
 	}
-	f.checkOutage(uint64(root.Generation))
+}
+
+// checkRace lets operators apply at once through all hosts: one of them wins.
+func (f *fleet) checkRace() {
+	f.t.Helper()
+	const operators = 9
+	base := uint64(f.root().Generation)
+	codes := make(chan int, operators)
+	for i := range operators {
+		dir := folder(f.t, fmt.Sprintf("[zone.a]\nregion = race%d\n", i))
+		go func() {
+			_, _, code := f.ctl(i%f.size, "apply", dir, "--base", fmt.Sprint(base), "--operator", fmt.Sprint("op", i))
+			codes <- code
+		}()
+	}
+	counts := map[int]int{}
+	for range operators {
+		counts[<-codes]++
+	}
+	if counts[0] != 1 || counts[int(resultcode.ConfigurationRaced)] != operators-1 {
+		f.t.Fatalf("exit codes of %d operators: %v", operators, counts)
+	}
+	for i := range f.size {
+		f.eventually("the winner's generation on "+f.name(i), func() bool { return f.inForce(i) == base+1 })
+	}
 }
 
 // checkOutage restarts a host while the object API is gone.
