Let explain go on past programs that do not hold the sample

A rollout program answers 421 for another host's trainer and 400 for an id of the other kind; explain took both for a failure of the program and ended as unreachable. They count as not known there now, and the next is asked.

--- a/internal/protocol/settings/bench_test.go
+++ b/internal/protocol/settings/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -91,3 +92,25 @@
 		}
 	}
 }
+
+// BenchmarkHoldTargetConfiguration reports what a held configuration keeps in memory.
+func BenchmarkHoldTargetConfiguration(b *testing.B) {
+	canonical, _ := targetCanonical(b)
+	const copies = 50
+	for b.Loop() {
+		var before, after runtime.MemStats
+		held := make([]*model.Config, 0, copies)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for range copies {
+			c, err := DecodeConfig(canonical)
+			if err != nil {
+				b.Fatal(err)
+			}
+			held = append(held, c)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(held)), "held_bytes")
+	}
+}
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -208,7 +208,7 @@
 	serve := func(known string) string {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != "/v1/explain/"+known {
-				http.NotFound(w, r)
+				w.WriteHeader(http.StatusMisdirectedRequest)
 				return
 			}
 			_, _ = w.Write([]byte(`{"request_id":"q1","target":"orders","caller":"shop","events":[{"after_us":1500,"what":"dispatched","endpoint":"e1"}]}`))
--- a/internal/transport/ctl/explain.go
+++ b/internal/transport/ctl/explain.go
@@ -19,7 +19,7 @@
 
 type explainCommand struct {
 	Admin []string `required:"" help:"Admin address of an entry or rollout program, HOST:PORT; repeat it to ask several." placeholder:"ADDRESS"`
-	ID    string   `arg:"" help:"Id of the request or the sample, as in its answer."`
+	ID    string   `arg:"" help:"Id of a request as in its answer, or a sample as TRAINER.STEP.GROUP.INDEX."`
 }
 
 // explanation is what the programs' pages have in common.
@@ -69,7 +69,8 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return io.ReadAll(io.LimitReader(resp.Body, maxExplanation))
-	case http.StatusNotFound:
+	case http.StatusNotFound, http.StatusMisdirectedRequest, http.StatusBadRequest:
+		// Not remembered, another host's shard, or an id of the other kind.
 		return nil, errNotKnown
 	}
 	return nil, fmt.Errorf("status %d", resp.StatusCode)
