Search the waiting requests less at each arrival and end

The count is taken only when the whole queue would be too much, the search every 5 ms, and the search for training work only while some waits.

--- a/internal/coordination/admission/bench_test.go
+++ b/internal/coordination/admission/bench_test.go
@@ -9,6 +9,34 @@
 
 var epoch = time.Unix(1000, 0)
 
+// BenchmarkAdmissionQueued: requests arrive and leave while 300 others wait.
+func BenchmarkAdmissionQueued(b *testing.B) {
+	const waiting = 300
+	g := NewGate(64, 0.2)
+	now := epoch
+	var running []*Ticket
+	arrive := func() {
+		t := &Ticket{Caller: "lab", Deadline: now.Add(time.Hour), Priority: model.PriorityLive}
+		t.Notify = func(Decision) { running = append(running, t) }
+		if g.Arrive(now, t).Verdict == Run {
+			running = append(running, t)
+		}
+	}
+	for range 64 + waiting {
+		arrive()
+	}
+	for b.Loop() {
+		now = now.Add(100 * time.Microsecond)
+		arrive()
+		t := running[len(running)-1]
+		running = running[:len(running)-1]
+		g.Leave(now, t, Sample{Kind: SampleAnswered, Latency: 6 * time.Millisecond, Took: 6 * time.Millisecond})
+	}
+	if g.Waiting() != waiting {
+		b.Fatalf("%d wait", g.Waiting())
+	}
+}
+
 func BenchmarkAdmission(b *testing.B) {
 	g := NewGate(64, 0.2)
 	var r Rate
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -25,6 +25,8 @@
 	maxRetryAfter = 5 * time.Second
 	// rateWeight is the weight of the last window in the completion rate.
 	rateWeight = 0.3
+	// sweepInterval is the least time between two searches of the queue.
+	sweepInterval = 5 * time.Millisecond
 	// maxSpare bounds the states of callers kept for reuse.
 	maxSpare = 64
 	// fairShare is how many times its equal share of a full gate a caller may use.
@@ -109,6 +111,7 @@
 	trainingFloor float64
 	running       int
 	training      int
+	trainingWaits int
 	queue         queue
 	callers       map[model.CallerID]*callerState
 	// spare holds states of callers that left, for reuse.
@@ -119,6 +122,8 @@
 	rate      float64
 	rateStart time.Time
 	completed int
+	// swept is when the queue was last searched for hopeless requests.
+	swept time.Time
 }
 
 // NewGate returns a gate for endpoints with so many slots together.
@@ -161,7 +166,7 @@
 	if g.overShare(t) {
 		return g.refuse(t, ReasonCaller)
 	}
-	if wait := g.expectedWait(t); wait > g.patience(now, t) {
+	if wait, tooLong := g.tooLong(now, t); tooLong {
 		reason := ReasonLimit
 		if wait < MaxWait {
 			reason = ReasonDeadline
@@ -171,8 +176,7 @@
 	if len(g.queue) >= queuePerSlot*g.Limit() && !g.evictBelow(t) {
 		return g.refuse(t, ReasonLimit)
 	}
-	t.state.waiting++
-	g.queue.push(t)
+	g.enqueue(t)
 	return Decision{Verdict: Wait}
 }
 
@@ -200,8 +204,7 @@
 	if t.place == 0 {
 		return false
 	}
-	g.queue.remove(t)
-	t.state.waiting--
+	g.dequeue(t)
 	g.release(t)
 	return true
 }
@@ -209,6 +212,20 @@
 // Advance starts waiting requests while there is room and refuses those that can
 // no longer meet their deadline. It is also called on a timer.
 func (g *Gate) Advance(now time.Time) {
+	if now.Sub(g.swept) >= sweepInterval {
+		g.swept = now
+		g.sweep(now)
+	}
+	for len(g.queue) > 0 && g.running < g.Limit() {
+		t := g.queue.next(g.trainingWaits > 0 && g.training < g.floorSlots())
+		g.dequeue(t)
+		g.start(t)
+		t.Notify(Decision{Verdict: Run})
+	}
+}
+
+// sweep refuses waiting requests that can no longer meet their deadline.
+func (g *Gate) sweep(now time.Time) {
 	for i := 0; i < len(g.queue); {
 		t := g.queue[i]
 		if t.Deadline.Sub(now) >= g.service/2 {
@@ -218,18 +235,23 @@
 		g.dequeue(t)
 		t.Notify(g.refuse(t, ReasonDeadline))
 	}
-	for len(g.queue) > 0 && g.running < g.Limit() {
-		t := g.queue.next(g.training < g.floorSlots())
-		g.dequeue(t)
-		g.start(t)
-		t.Notify(Decision{Verdict: Run})
-	}
 }
 
 // dequeue takes t out of the queue; its caller state is kept for what follows.
 func (g *Gate) dequeue(t *Ticket) {
 	g.queue.remove(t)
 	t.state.waiting--
+	if t.Priority == model.PriorityTraining {
+		g.trainingWaits--
+	}
+}
+
+func (g *Gate) enqueue(t *Ticket) {
+	g.queue.push(t)
+	t.state.waiting++
+	if t.Priority == model.PriorityTraining {
+		g.trainingWaits++
+	}
 }
 
 func (g *Gate) start(t *Ticket) {
@@ -256,9 +278,19 @@
 	return t.state.running+t.state.waiting >= max(1, share)
 }
 
-// expectedWait is the time until a slot frees for t.
-func (g *Gate) expectedWait(t *Ticket) time.Duration {
-	ahead := g.queue.ahead(t) + 1
+// tooLong reports whether the wait for a slot is longer than t can bear. The queue is
+// searched for what goes before t only when all of it would be too much.
+func (g *Gate) tooLong(now time.Time, t *Ticket) (time.Duration, bool) {
+	patience := g.patience(now, t)
+	wait := g.waitFor(len(g.queue) + 1)
+	if wait > patience {
+		wait = g.waitFor(g.queue.ahead(t) + 1)
+	}
+	return wait, wait > patience
+}
+
+// waitFor is the expected time until so many slots have freed.
+func (g *Gate) waitFor(ahead int) time.Duration {
 	if g.rate > 0 {
 		return time.Duration(float64(ahead) / g.rate * float64(time.Second))
 	}
