--- a/internal/transport/claimduty/takeover_bench_test.go
+++ b/internal/transport/claimduty/takeover_bench_test.go
@@ -63,3 +63,18 @@
 		c.judge(nil)
 	}
 }
+
+// BenchmarkIdleDuty measures what a duty costs that has nothing to do, eight duties
+// with four shards among them.
+func BenchmarkIdleDuty(b *testing.B) {
+	const entries, span = 8, 20 * time.Second
+	for b.Loop() {
+		c := newCluster(b, clusterOptions{entries: entries, shards: 4, timing: shards.DefaultTiming})
+		before, cpu := c.store.Calls(), cpuTime()
+		time.Sleep(span)
+		after := c.store.Calls()
+		b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/entries/span.Seconds(), "cpu-us/duty/s")
+		b.ReportMetric(float64(after.Reads-before.Reads)/entries/span.Seconds(), "reads/duty/s")
+		b.ReportMetric(float64(after.Writes-before.Writes)/entries/span.Seconds(), "writes/duty/s")
+	}
+}
