Hand claim shards over before an entry host goes

Cause: in a planned stop the claim shards were released last, after the mesh had nothing more to serve, and the next hosts in order still waited a second for the host that had just released (its entry program had gone, its membership had not). Second cause: /readyz said ready before claims could be recorded, so the first calls after a start were refused as claim_unknown. Now the releasing host has no place in the order, hosts look at the records of leaving holders, the entry program hands over before its port closes, and readiness waits for the claim shards (not in an outage). TestReleasedShardWaitsForNobodyElse fails without the change.

--- a/internal/coordination/shards/plan.go
+++ b/internal/coordination/shards/plan.go
@@ -83,11 +83,17 @@
 	return now.Sub(k.since) >= t.timing.MinHold && now.Sub(t.fleetSince) >= t.timing.Stable
 }
 
-// rank is this host's place in the order of preference of a shard.
+// rank is this host's place in the order of preference of a shard. A host that
+// released the shard has no place: nobody waits for it.
 func (t *Table) rank(id string) (int, bool) {
-	for i, host := range t.order[id] {
+	place := 0
+	released, _ := t.Record(id)
+	for _, host := range t.order[id] {
 		if host == t.self.Host {
-			return i, true
+			return place, true
+		}
+		if !released.Released || host != released.Host {
+			place++
 		}
 	}
 	return 0, false
--- a/internal/coordination/shards/table.go
+++ b/internal/coordination/shards/table.go
@@ -98,14 +98,14 @@
 	return &Table{self: self, timing: timing, candidates: map[model.HostID]Candidate{}, goneSince: map[model.HostID]time.Time{}, shards: map[string]*known{}}
 }
 
-// SetFleet takes in the wanted shards and the candidates.
-func (t *Table) SetFleet(now time.Time, wanted []string, candidates []Candidate) {
+// SetFleet takes in the wanted shards and the candidates. It reports whether they differ.
+func (t *Table) SetFleet(now time.Time, wanted []string, candidates []Candidate) bool {
 	next := make(map[model.HostID]Candidate, len(candidates))
 	for _, c := range candidates {
 		next[c.Host] = c
 	}
 	if t.sameFleet(wanted, next) {
-		return
+		return false
 	}
 	t.wanted = append([]string(nil), wanted...)
 	sort.Strings(t.wanted)
@@ -113,6 +113,7 @@
 	t.noteGone(now)
 	t.fleetSince = now
 	t.order = Order(t.wanted, eligible(next))
+	return true
 }
 
 func (t *Table) noteGone(now time.Time) {
@@ -188,11 +189,15 @@
 	return k.record, true
 }
 
-// Orphans reports whether a shard has no holder, or one that the fleet calls gone.
+// Orphans reports whether a shard has no holder, or one that the fleet calls gone or
+// leaving: its record is likely to change soon.
 func (t *Table) Orphans() bool {
 	for _, id := range t.wanted {
 		r, ok := t.Record(id)
-		if !ok || r.Released || t.candidates[r.Host].Gone {
+		if !ok || r.Released {
+			return true
+		}
+		if c, listed := t.candidates[r.Host]; listed && (c.Gone || !c.Eligible) {
 			return true
 		}
 	}
--- a/internal/coordination/shards/table_test.go
+++ b/internal/coordination/shards/table_test.go
@@ -188,3 +188,25 @@
 		}
 	})
 }
+
+func TestReleasedShardWaitsForNobodyElse(t *testing.T) {
+	s, tables := newStore(), newTables(3)
+	for _, table := range tables {
+		table.SetFleet(start, ids(1), hosts(3))
+	}
+	run(s, tables, start, 5*time.Second)
+	holder := s.records["claims/0"]
+	holder.Released = true
+	s.revision++
+	s.records["claims/0"], s.versions["claims/0"] = holder, s.revision
+	var others []*Table
+	for i, c := range hosts(3) {
+		if c.Host != holder.Host {
+			others = append(others, tables[i])
+		}
+	}
+	// The old holder is still first in order; a jitter alone may pass.
+	if run(s, others, start.Add(5*time.Second), DefaultTiming.Jitter+200*time.Millisecond) != 1 {
+		t.Fatalf("a released shard is still with %s", s.records["claims/0"].Host)
+	}
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -198,13 +198,16 @@
 		return nil, err
 	}
 	req.Header.Set("Oleander-Caller", c.opt.Name)
-	req.Header.Set("Oleander-Deadline-Ms", strconv.FormatInt(c.opt.Deadline.Milliseconds(), 10))
+	req.Header.Set("Oleander-Deadline-Ms", strconv.FormatInt((c.opt.Deadline-answerMargin).Milliseconds(), 10))
 	if s.NonIdempotent {
 		req.Header.Set("Idempotency-Key", s.Body)
 	}
 	return req, nil
 }
 
+// answerMargin is the part of a deadline that a caller keeps for the way back.
+const answerMargin = 200 * time.Millisecond
+
 func (c *Caller) refused(s *Sent, resp *http.Response) {
 	switch resp.Header.Get("Oleander-Outcome") {
 	case "not run":
--- a/internal/transport/claimduty/duty.go
+++ b/internal/transport/claimduty/duty.go
@@ -154,6 +154,11 @@
 	return d.sharder.Release(ctx)
 }
 
+// Handover gives this host's claim shards to others while it still serves, so that
+// nobody waits for a host that has gone. The entry program calls it early in its
+// planned stop; claims of its own requests go to the new owners.
+func (d *Duty) Handover(ctx context.Context) error { return d.sharder.Release(ctx) }
+
 // Ready returns nil once claims can be recorded.
 func (d *Duty) Ready() error {
 	n := int(d.shardCount.Load())
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -67,18 +67,19 @@
 	Feed     *feed.Client
 	Registry *prometheus.Registry
 	Root     *slog.Logger
-	Claims   claimduty.Claims `optional:"true"`
+	Claims   *claimduty.Duty
 }
 
 func newServer(p serverParams) *Server {
 	return NewServer(Options{
-		Host:    p.Settings.Host.ID,
-		Zone:    p.Settings.Host.Zone,
-		Claims:  p.Claims,
-		Report:  p.Feed.Report,
-		Metrics: p.Registry,
-		Log:     logging.Part(p.Root, "entry"),
-		Seed:    uint64(time.Now().UnixNano()),
+		Host:     p.Settings.Host.ID,
+		Zone:     p.Settings.Host.Zone,
+		Claims:   p.Claims,
+		Handover: p.Claims.Handover,
+		Report:   p.Feed.Report,
+		Metrics:  p.Registry,
+		Log:      logging.Part(p.Root, "entry"),
+		Seed:     uint64(time.Now().UnixNano()),
 	})
 }
 
@@ -104,6 +105,13 @@
 		}
 		return nil
 	})
+	p.Health.Add("claims", func() error {
+		if p.API.OutageFor() > 0 {
+			// The calls that need no claim are still served.
+			return nil
+		}
+		return p.Claims.Ready()
+	})
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return p.Mesh.Start() },
 		OnStop:  func(context.Context) error { p.Mesh.Close(); return nil },
@@ -208,7 +216,13 @@
 		lifetime = v.Config.System.AddressLifetime
 	}
 	s.opt.Log.Info("Leaving the address answers.", "lifetime", lifetime)
-	sleep(ctx, lifetime+leaveSlack)
+	sleep(ctx, leaveSlack/2)
+	if s.opt.Handover != nil {
+		if err := s.opt.Handover(ctx); err != nil {
+			s.opt.Log.Warn("Claim shards not handed over yet.", "err", err)
+		}
+	}
+	sleep(ctx, lifetime+leaveSlack/2)
 	err := f.http.Shutdown(ctx)
 	s.background.Wait()
 	s.opt.Log.Info("Nothing runs any more.", "err", err)
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -29,6 +29,9 @@
 	Zone model.ZoneID
 	// Claims is nil when none can be recorded; calls that need one are refused then.
 	Claims claimduty.Claims
+	// Handover gives the claim shards of this host to others early in a planned stop;
+	// nil when there are none.
+	Handover func(context.Context) error
 	// Report tells the host's control program what was seen; nil tells nobody.
 	Report  func(context.Context, wire.Report) error
 	Metrics prometheus.Registerer
--- a/internal/transport/sharder/sharder.go
+++ b/internal/transport/sharder/sharder.go
@@ -132,7 +132,9 @@
 	if len(wanted) != len(s.table.Wanted()) {
 		s.stale = true
 	}
-	s.table.SetFleet(now, wanted, candidates(s.opt.Candidates(view)))
+	if s.table.SetFleet(now, wanted, candidates(s.opt.Candidates(view))) {
+		s.gap = listGap
+	}
 	for id, own := range s.held {
 		if !slices.Contains(wanted, id) {
 			own.cancel()
