--- a/internal/transport/sharder/sharder.go
+++ b/internal/transport/sharder/sharder.go
@@ -9,7 +9,6 @@
 	"github.com/zeebo/errs"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/shards"
-	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
