Prove batches against kills at each write, paused owners and dead scorers

The owner is killed at the first five writes of its record, each time once before and once after the write takes effect; a paused owner wakes after a takeover; a dead scorer of one trainer stands beside a live one; a record changed by an earlier owner is not overwritten; a lost answer is resolved by reading. Seen failing first: in a trial whose machine offered before its record was confirmed, five of the ten kills left the trainer with a cursor that no record knew.

--- a/internal/transport/rollout/rollout_test.go
+++ b/internal/transport/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -14,13 +15,18 @@
 	"go.uber.org/goleak"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const waitLimit = 60 * time.Second
+const (
+	waitLimit = 60 * time.Second
+	// offerTime is what an owner that did not wait for its record would need to offer.
+	offerTime = 300 * time.Millisecond
+)
 
 // bench is a fleet in one process: stand-ins, and hosts that run Services.
 type bench struct {
@@ -41,6 +47,92 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	dead    bool
+	api     *gatedAPI
+}
+
+// gatedAPI is a host's way to the object API; while shut, calls wait as they do in a
+// process that is paused.
+type gatedAPI struct {
+	objectapi.API
+	mu   sync.Mutex
+	shut chan struct{}
+	// stopAt is the write of a record that never returns, counted from 1; after says
+	// that it takes effect all the same. stopped is closed when it is reached.
+	stopAt  int
+	after   bool
+	stopped chan struct{}
+	writes  int
+}
+
+// stops reports whether this write is the one that never returns.
+func (g *gatedAPI) stops(key string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !strings.HasSuffix(key, "/step") {
+		return false
+	}
+	g.writes++
+	return g.writes == g.stopAt
+}
+
+func (g *gatedAPI) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = make(chan struct{})
+}
+
+func (g *gatedAPI) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.shut)
+	g.shut = nil
+}
+
+func (g *gatedAPI) wait(ctx context.Context) error {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut == nil {
+		return nil
+	}
+	select {
+	case <-shut:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(objectapi.ErrUnavailable, ctx.Err())
+	}
+}
+
+// Get implements objectapi.API.
+func (g *gatedAPI) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if err := g.wait(ctx); err != nil {
+		return objectapi.Object{}, err
+	}
+	return g.API.Get(ctx, key)
+}
+
+// Put implements objectapi.API.
+func (g *gatedAPI) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if err := g.wait(ctx); err != nil {
+		return 0, err
+	}
+	if !g.stops(key) {
+		return g.API.Put(ctx, key, value, expect)
+	}
+	if g.after {
+		_, _ = g.API.Put(ctx, key, value, expect)
+	}
+	close(g.stopped)
+	<-ctx.Done()
+	return 0, errors.Join(objectapi.ErrUnavailable, ctx.Err())
+}
+
+// List implements objectapi.API.
+func (g *gatedAPI) List(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
+	if err := g.wait(ctx); err != nil {
+		return objectapi.Page{}, err
+	}
+	return g.API.List(ctx, prefix, after, limit)
 }
 
 func newBench(t *testing.T, hosts int, opt standin.EngineOptions) *bench {
@@ -101,8 +193,9 @@
 func (b *bench) start(i int) {
 	b.t.Helper()
 	h := b.hosts[i]
+	h.api = &gatedAPI{API: b.store}
 	h.service = NewService(Options{
-		Host: h.id, Incarnation: model.Incarnation(time.Now().UnixNano()), Listen: "127.0.0.1:0", API: b.store,
+		Host: h.id, Incarnation: model.Incarnation(time.Now().UnixNano()), Listen: "127.0.0.1:0", API: h.api,
 		View: b.view, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler),
 	})
 	if err := h.service.Start(); err != nil {
@@ -273,6 +366,29 @@
 	b.judge(tr, 6*24)
 }
 
+func TestAKillAtEachWriteOfABatchDeliversEachSlotOnce(t *testing.T) {
+	for _, after := range []bool{false, true} {
+		for write := 1; write <= 5; write++ {
+			t.Run(fmt.Sprintf("write %d, in effect %v", write, after), func(t *testing.T) {
+				t.Parallel()
+				b := newBench(t, 2, quickEngines())
+				b.start(0)
+				gate := b.hosts[0].api
+				gate.mu.Lock()
+				gate.stopAt, gate.after, gate.stopped = write, after, make(chan struct{})
+				gate.mu.Unlock()
+				waitFor(t, func() bool { return b.hosts[0].service.owned("t") != nil })
+				b.start(1)
+				tr := b.train(standin.TrainerOptions{Steps: 2, Groups: 4, GroupSize: 4})
+				<-gate.stopped
+				time.Sleep(offerTime)
+				b.kill(0)
+				b.judge(tr, 2*16)
+			})
+		}
+	}
+}
+
 func TestHiddenVersionsAndBrokenStreamsAreRunAgain(t *testing.T) {
 	b := newBench(t, 1, quickEngines())
 	b.start(0)
@@ -311,6 +427,50 @@
 	b.judge(tr, 4*24)
 }
 
+func TestAPausedOwnerThatWakesAfterATakeoverDeliversNothingTwice(t *testing.T) {
+	b := newBench(t, 2, quickEngines())
+	b.start(0)
+	waitFor(t, func() bool { return b.hosts[0].service.owned("t") != nil })
+	b.start(1)
+	tr := b.train(standin.TrainerOptions{Steps: 4, Groups: 6, GroupSize: 4})
+	waitFor(t, func() bool { return len(tr.Report().Received) >= 8 })
+	b.hosts[0].api.close()
+	b.mu.Lock()
+	b.hosts[0].dead = true
+	b.mu.Unlock()
+	waitFor(t, func() bool { return b.hosts[1].service.owned("t") != nil })
+	if b.hosts[0].service.owned("t") == nil {
+		t.Fatal("the paused host should still believe that it owns the trainer")
+	}
+	b.mu.Lock()
+	b.hosts[0].dead = false
+	b.mu.Unlock()
+	b.hosts[0].api.open()
+	b.judge(tr, 4*24)
+}
+
+func TestADeadScorerHoldsUpNoOtherTrainer(t *testing.T) {
+	b := newBench(t, 1, quickEngines())
+	dead, err := standin.NewScorer("127.0.0.1:0", "dead")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(dead.Close)
+	dead.SetFaults(standin.Faults{Pause: true})
+	b.config.Scorers["dead"] = model.Scorer{Address: dead.Address(), Timeout: 200 * time.Millisecond}
+	other := b.config.Trainers["t"]
+	other.Scorer = "dead"
+	b.config.Trainers["u"] = other
+	b.start(0)
+	stuck := standin.StartTrainer(standin.TrainerOptions{Name: "u", Rollouts: b.addresses(), Steps: 1, Groups: 6, GroupSize: 4, BatchMax: 8})
+	t.Cleanup(stuck.Close)
+	waitFor(t, func() bool { return len(dead.Runs()) > 0 })
+	b.judge(b.train(standin.TrainerOptions{Steps: 3, Groups: 6, GroupSize: 4}), 3*24)
+	if n := len(stuck.Report().Received); n != 0 {
+		t.Errorf("%d samples came without a score", n)
+	}
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
