Release connections that only served an exchange, and trim memory

A host that others join through kept a connection of 82 KB an end for each for 20 s. The control program also returns unused memory 10 s after its start and every minute.

--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/protocol/platformapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/model"
@@ -85,6 +87,9 @@
 		return err
 	}
 	time.Sleep(time.Second)
+	if err := f.list(); err != nil {
+		return err
+	}
 	for i := range f.n {
 		cmd, err := f.startHost(i)
 		if err != nil {
@@ -95,6 +100,19 @@
 	return f.apply(1)
 }
 
+// list fills the platform's host list.
+func (f *fleet) list() error {
+	var l platformapi.HostList
+	for i := range f.n {
+		l.Hosts = append(l.Hosts, platformapi.ListedHost{Host: model.HostID(hostName(i)), Zone: model.ZoneID(zones[i%len(zones)].zone), Control: f.control(i)})
+	}
+	body, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	return f.put("/hosts", string(body))
+}
+
 func (f *fleet) startHost(i int) (*exec.Cmd, error) {
 	dir := filepath.Join(f.dir, hostName(i))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -150,8 +150,11 @@
 	return f.mesh.Call(ctx, f.control(0), wire.MethodDrain, wire.DrainRequest{Endpoint: id, Operator: "scale"}, &reply)
 }
 
-func (f *fleet) fault(part, faults string) error {
-	req, err := http.NewRequest(http.MethodPut, "http://"+f.address(portWorld)+"/faults/"+part, bytes.NewReader([]byte(faults)))
+func (f *fleet) fault(part, faults string) error { return f.put("/faults/"+part, faults) }
+
+// put sends a body to the stand-in's control port.
+func (f *fleet) put(path, body string) error {
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.address(portWorld)+path, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -161,7 +164,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("fault of %s: status %d", part, resp.StatusCode)
+		return fmt.Errorf("stand-in: %s: status %d", path, resp.StatusCode)
 	}
 	return nil
 }
--- a/internal/transport/control/duty.go
+++ b/internal/transport/control/duty.go
@@ -62,7 +62,7 @@
 func (d *duty) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	for _, run := range []func(context.Context){d.gossip.Run, d.compose, d.observe.Run, d.hosts.Run, d.followDrains} {
+	for _, run := range []func(context.Context){d.gossip.Run, d.compose, d.observe.Run, d.hosts.Run, d.followDrains, trimMemory} {
 		d.running.Add(1)
 		go func() {
 			defer d.running.Done()
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -58,6 +58,26 @@
 	debug.SetGCPercent(gcPercent)
 }
 
+const (
+	firstTrim    = 10 * time.Second
+	trimInterval = time.Minute
+)
+
+// trimMemory gives memory that the start or a burst of news took back to the system.
+func trimMemory(ctx context.Context) {
+	timer := time.NewTimer(firstTrim)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			debug.FreeOSMemory()
+			timer.Reset(trimInterval)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // identity is this life of the control program.
 type identity struct {
 	incarnation model.Incarnation
--- a/internal/transport/gossip/duty.go
+++ b/internal/transport/gossip/duty.go
@@ -243,6 +243,8 @@
 		e.answer <- d.answerExchange(now, e.request)
 	case e.reply != nil:
 		d.finishExchange(now, e.from, e.reply)
+	case e.release != "":
+		d.release(e.release)
 	}
 	if e.done != nil {
 		close(e.done)
--- a/internal/transport/gossip/exchange.go
+++ b/internal/transport/gossip/exchange.go
@@ -45,6 +45,7 @@
 	d.act(now, d.machine.Greet(now, reply.From), reply.From.Host)
 	d.learnNews(now, reply.News, reply.From.Host)
 	if own.Empty() {
+		d.release(address)
 		return
 	}
 	push := exchangeRequest{From: d.machine.Sender(), Generation: d.opt.Generation(), Push: &own}
@@ -57,9 +58,21 @@
 	d.outbox.background(d.ctx, "push "+address, func(ctx context.Context) {
 		var reply exchangeReply
 		_ = d.mesh.Call(ctx, address, wire.MethodExchange, push, &reply)
+		_ = d.requests.Push(ctx, event{release: address})
 	})
 }
 
+// release closes the connection to an address that is no link, so that a host that
+// many join through does not keep a connection for each.
+func (d *Duty) release(address string) {
+	for _, l := range d.machine.Links() {
+		if l.Control == address {
+			return
+		}
+	}
+	d.mesh.Drop(address)
+}
+
 // serveExchange answers a peer's exchange from the duty's loop.
 func (d *Duty) serveExchange(ctx context.Context, _ string, b []byte) (any, error) {
 	var r exchangeRequest
--- a/internal/transport/gossip/messages.go
+++ b/internal/transport/gossip/messages.go
@@ -65,6 +65,7 @@
 	seeds    []string
 	request  *exchangeRequest
 	reply    *exchangeReply
+	release  string
 	// done, when not nil, is closed when the event was handled; answer takes the
 	// reply to request.
 	done   chan struct{}
