--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	f := &fleet{n: n, endpoints: max(4, n*fl.Endpoints/fl.Target), dir: dir, bin: fl.Bin, port: fl.Port,
-		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 	if err := f.start(); err != nil {
 		f.stop()
 		return nil, err
