--- a/internal/state/items/items.go
+++ b/internal/state/items/items.go
@@ -111,7 +111,7 @@
 	case Demand:
 		return Limits{MaxCount: 1024, MaxAge: 2 * time.Minute}, true
 	case Generation:
-		return Limits{MaxCount: 1024, MaxAge: time.Hour}, true
+		return Limits{MaxCount: 1024, MaxAge: time.Hour, Kept: true}, true
 	}
 	return Limits{}, false
 }
--- a/internal/state/items/store.go
+++ b/internal/state/items/store.go
@@ -7,7 +7,7 @@
 )
 
 // Buckets is the number of parts a store's digest has.
-const Buckets = 16
+const Buckets = 64
 
 // Digest summarises the kept items.
 type Digest [Buckets]uint64
--- a/internal/transport/control/duty.go
+++ b/internal/transport/control/duty.go
@@ -12,7 +12,6 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/membership"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
-	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/items"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/confduty"
@@ -55,7 +54,6 @@
 	mu       sync.Mutex
 	stopping map[string]bool
 	listed   []string
-	shards   func() []wire.ShardStatus
 	demands  demandSpread
 }
 
--- a/internal/transport/control/handlers.go
+++ b/internal/transport/control/handlers.go
@@ -2,21 +2,28 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/drains"
+	"oleanderfall.example/oleanderfall/internal/coordination/shards"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/items"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/sharder"
 )
 
-const reportTimeout = 2 * time.Second
+const (
+	reportTimeout     = 2 * time.Second
+	statusReadTimeout = 2 * time.Second
+)
 
 func (d *duty) register(mesh *quicmesh.Mesh) {
 	d.hub.Register(mesh, d.report)
-	mesh.Handle(wire.MethodStatus, func(context.Context, string, []byte) (any, error) { return d.status(), nil })
+	mesh.Handle(wire.MethodStatus, func(ctx context.Context, _ string, _ []byte) (any, error) { return d.status(ctx), nil })
 	mesh.Handle(wire.MethodDrain, func(ctx context.Context, _ string, b []byte) (any, error) {
 		var r wire.DrainRequest
 		if err := wire.Decode(b, &r); err != nil {
@@ -27,7 +34,7 @@
 }
 
 // status returns this program's account of itself and of its view.
-func (d *duty) status() wire.StatusReply {
+func (d *duty) status(ctx context.Context) wire.StatusReply {
 	reply := wire.StatusReply{Host: d.settings.Host.ID}
 	st := d.gossip.State()
 	reply.Hosts = hostGenerations(st.Generations)
@@ -36,14 +43,41 @@
 		reply.View.Config = nil
 		reply.Endpoint = endpointStatus(st, v)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.shards != nil {
-		reply.Shards = d.shards()
-	}
+	reply.Shards = d.listShards(ctx)
 	return reply
 }
 
+// listShards reads who holds the shards. It returns what it could read in time, since
+// the rest of the status is worth having in an outage of the object API.
+func (d *duty) listShards(ctx context.Context) []wire.ShardStatus {
+	const listPage = 500
+	ctx, cancel := context.WithTimeout(ctx, statusReadTimeout)
+	defer cancel()
+	var out []wire.ShardStatus
+	for after := ""; ; {
+		page, err := d.api.List(ctx, sharder.KeyPrefix, after, listPage)
+		if err != nil {
+			return out
+		}
+		for _, o := range page.Objects {
+			after = o.Key
+			var r shards.Record
+			if err := json.Unmarshal(o.Value, &r); err != nil {
+				d.log.Warn("Shard's object not readable.", "key", o.Key, "err", err)
+				continue
+			}
+			status := wire.ShardStatus{Shard: strings.TrimPrefix(o.Key, sharder.KeyPrefix), Epoch: r.Epoch}
+			if !r.Released {
+				status.Holder = r.Host
+			}
+			out = append(out, status)
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return out
+		}
+	}
+}
+
 // report takes what a program of this host saw.
 func (d *duty) report(r wire.Report) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -46,7 +46,7 @@
 const (
 	// memoryLimitBytes leaves room below the 32 MB of a control program for what the
 	// runtime does not count.
-	memoryLimitBytes = 18 << 20
+	memoryLimitBytes = 15 << 20
 	gcPercent        = 50
 	// maxThreads bounds the threads that run Go code at once: the program is idle
 	// most of the time, and waking more threads costs more than it gains.
--- a/internal/transport/control/process_test.go
+++ b/internal/transport/control/process_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -73,6 +74,16 @@
 	os.Exit(code)
 }
 
+var installations atomic.Int64
+
+// loopback returns a loopback address that no other installation of this test process
+// and hardly one of another uses, so that a port found free stays free.
+func loopback() string {
+	const low, span = 1, 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", low+pid/span%span, low+pid%span, low+int(installations.Add(1))%span)
+}
+
 func hostName(i int) string { return fmt.Sprintf("host-%d", i) }
 
 func zoneName(i int) string { return fmt.Sprintf("z%d", i%testZones) }
@@ -84,8 +95,9 @@
 	in.must(tlsconf.WriteDevelopmentKeys(in.dir, "host"))
 	keys, err := tlsconf.Load(tlsconf.Files{Authority: in.path("ca.pem"), Certificate: in.path("host.pem"), Key: in.path("host.key")})
 	in.must(err)
+	ip := loopback()
 	open := func() *quicmesh.Mesh {
-		m, err := quicmesh.New(quicmesh.Options{Listen: "127.0.0.1:0", Server: keys.Server(), Client: keys.Client(), Log: slog.New(slog.DiscardHandler)})
+		m, err := quicmesh.New(quicmesh.Options{Listen: ip + ":0", Server: keys.Server(), Client: keys.Client(), Log: slog.New(slog.DiscardHandler)})
 		in.must(err)
 		return m
 	}
@@ -106,6 +118,7 @@
 	for i := range testHosts {
 		in.hosts = append(in.hosts, in.startHost(i))
 	}
+	t.Cleanup(in.showLogs)
 	t.Cleanup(in.stopHosts)
 	in.follow()
 	in.apply()
@@ -159,6 +172,17 @@
 	_ = in.hosts[i].Wait()
 }
 
+// showLogs prints the hosts' logs of a failed test.
+func (in *installation) showLogs() {
+	if !in.t.Failed() {
+		return
+	}
+	for i := range in.hosts {
+		log, _ := os.ReadFile(in.path(hostName(i) + ".log"))
+		in.t.Logf("%s:\n%s", hostName(i), log)
+	}
+}
+
 func (in *installation) stopHosts() {
 	for i := range in.hosts {
 		in.kill(i)
@@ -259,6 +283,10 @@
 func TestEndpointsWordDrainsItEverywhereUntilItsNextIncarnation(t *testing.T) {
 	in := newInstallation(t)
 	in.everywhere("loads", func(v *model.FleetView) bool { return len(v.Loads) == testHosts })
+	in.eventually("the weights' shard in the status", func() bool {
+		var s wire.StatusReply
+		return in.call(1, wire.MethodStatus, wire.StatusRequest{}, &s) == nil && len(s.Shards) == 1 && s.Shards[0].Holder != "" && len(s.Hosts) == testHosts
+	})
 	in.engines[2].SetFaults(standin.Faults{Leaving: true})
 	in.everywhere("drain", leaving("engine-2"))
 	in.engines[2].SetFaults(standin.Faults{})
--- a/internal/transport/gossip/duty.go
+++ b/internal/transport/gossip/duty.go
@@ -205,7 +205,7 @@
 	if !now.Before(d.nextExchange) {
 		d.startExchange(now)
 	}
-	if d.publish.due(now) {
+	if d.publish.due(now, d.opt.Heartbeat) {
 		d.state.Store(d.snapshot(now))
 		select {
 		case d.changed <- struct{}{}:
--- a/internal/transport/gossip/gossip_test.go
+++ b/internal/transport/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/drains"
+	"oleanderfall.example/oleanderfall/internal/state/items"
 	"oleanderfall.example/oleanderfall/internal/state/members"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
@@ -230,3 +231,26 @@
 	relays.loss.Store(0)
 	n.wait("all alive", func(node *testNode) bool { return alive(node) == 6 })
 }
+
+func TestEveryHostsGenerationReachesEveryHost(t *testing.T) {
+	n := newTestNet(t)
+	const hosts = 8
+	n.startAll(hosts, nil)
+	for round := range 20 {
+		for _, node := range n.nodes {
+			i := items.Item{Kind: items.Generation, Key: string(node.id), Version: uint64(round + 1), Generation: model.Generation(round + 1)}
+			if err := node.duty.Learn(t.Context(), i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n.wait(fmt.Sprintf("round %d", round), func(node *testNode) bool {
+			list := node.duty.State().Generations
+			for _, i := range list {
+				if i.Version != uint64(round+1) {
+					return false
+				}
+			}
+			return len(list) == hosts
+		})
+	}
+}
--- a/internal/transport/gossip/state.go
+++ b/internal/transport/gossip/state.go
@@ -22,8 +22,9 @@
 	At time.Time
 }
 
-// hintInterval is the least time between two states that differ in hints only.
-const hintInterval = 2 * time.Second
+// hintHeartbeats is the least time, in heartbeats, between two states that differ in
+// hints only.
+const hintHeartbeats = 2
 
 // publisher hands states on: those with urgent changes at once, others seldom.
 type publisher struct {
@@ -32,8 +33,8 @@
 	last   time.Time
 }
 
-func (p *publisher) due(now time.Time) bool {
-	if p.urgent || p.hints && now.Sub(p.last) >= hintInterval {
+func (p *publisher) due(now time.Time, heartbeat time.Duration) bool {
+	if p.urgent || p.hints && now.Sub(p.last) >= hintHeartbeats*heartbeat {
 		p.urgent, p.hints, p.last = false, false, now
 		return true
 	}
--- a/internal/transport/sharder/api.go
+++ b/internal/transport/sharder/api.go
@@ -52,3 +52,6 @@
 	// Timing holds the waits of the decisions; zero means shards.DefaultTiming.
 	Timing shards.Timing
 }
+
+// KeyPrefix is where the ownership objects (shards.Record) lie in the object API.
+const KeyPrefix = keyPrefix
