--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -46,7 +46,7 @@
 const (
 	// memoryLimitBytes leaves room below the 32 MB of a control program for what the
 	// runtime does not count.
-	memoryLimitBytes = 18 << 20
+	memoryLimitBytes = 15 << 20
 	gcPercent        = 50
 	// maxThreads bounds the threads that run Go code at once: the program is idle
 	// most of the time, and waking more threads costs more than it gains.
@@ -59,6 +59,26 @@
 	debug.SetGCPercent(gcPercent)
 }
 
+const (
+	firstTrim    = 10 * time.Second
+	trimInterval = time.Minute
+)
+
+// trimMemory gives memory that the start or a burst of news took back to the system.
+func trimMemory(ctx context.Context) {
+	timer := time.NewTimer(firstTrim)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			debug.FreeOSMemory()
+			timer.Reset(trimInterval)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // identity is this life of the control program.
 type identity struct {
 	incarnation model.Incarnation
