--- a/internal/transport/gossip/duty.go
+++ b/internal/transport/gossip/duty.go
@@ -205,7 +205,7 @@
 	if !now.Before(d.nextExchange) {
 		d.startExchange(now)
 	}
-	if d.publish.due(now) {
+	if d.publish.due(now, d.opt.Heartbeat) {
 		d.state.Store(d.snapshot(now))
 		select {
 		case d.changed <- struct{}{}:
@@ -243,6 +243,8 @@
 		e.answer <- d.answerExchange(now, e.request)
 	case e.reply != nil:
 		d.finishExchange(now, e.from, e.reply)
+	case e.release != "":
+		d.release(e.release)
 	}
 	if e.done != nil {
 		close(e.done)
