--- a/internal/coordination/samples/samples_test.go
+++ b/internal/coordination/samples/samples_test.go
@@ -98,3 +98,23 @@
 	u.confirmed = 0
 	return o, actions
 }
+
+func TestASampleWhoseEngineGivesNoTokensIsResumedElsewhere(t *testing.T) {
+	m := New(Settings{Bound: 1, StepSamples: 64}, 1)
+	now := time.Unix(0, 0)
+	if _, err := m.Open(now, StepSpec{Step: 1, Groups: 1, GroupSize: 1, Bound: 1, Version: 1}); err != nil {
+		t.Fatal(err)
+	}
+	first := m.Plan(now, &anyEngine{})[0]
+	m.Progress(now, first.Attempt, 7, 1)
+	if got := m.Tick(now.Add(stallTime - time.Second)); len(got) != 0 {
+		t.Fatalf("moved too early: %v", got)
+	}
+	late := now.Add(stallTime)
+	if got := m.Tick(late); len(got) != 1 || got[0].Kind != ActionCancel {
+		t.Fatalf("not cancelled: %v", got)
+	}
+	if got := m.Plan(late, &anyEngine{}); len(got) != 1 || got[0].Prefix != 7 {
+		t.Fatalf("not resumed after its tokens: %v", got)
+	}
+}
--- a/internal/coordination/weights/wave.go
+++ b/internal/coordination/weights/wave.go
@@ -172,6 +172,12 @@
 	}
 	changed := v != e.version
 	e.version, e.known = v, v != 0
+	if !e.known {
+		e.phase, e.orderedAt = phaseIdle, time.Time{}
+		e.due = now.Add(backoff(unreachDelay, e.failures))
+		e.failures++
+		return
+	}
 	if e.phase != phaseOrdered {
 		return
 	}
--- a/internal/coordination/weights/wave_test.go
+++ b/internal/coordination/weights/wave_test.go
@@ -259,3 +259,17 @@
 		t.Fatalf("planned %v on a newer report", got)
 	}
 }
+
+func TestAnEngineThatHidesItsVersionIsReadAgainOnlyAfterAPause(t *testing.T) {
+	w := NewWave(0)
+	w.SetEngines([]Engine{{ID: "e", Fencing: true}}, 0)
+	now := time.Unix(50, 0)
+	w.SetTarget(now, 2)
+	w.Reported(now, "e", 0, false)
+	if got := w.Plan(now); len(got) != 0 {
+		t.Fatalf("planned %v at once", got)
+	}
+	if got := w.Plan(now.Add(unreachDelay)); len(got) != 1 || got[0].Kind != ActionRead {
+		t.Fatalf("planned %v after the pause", got)
+	}
+}
