--- a/internal/transport/control/duty.go
+++ b/internal/transport/control/duty.go
@@ -12,7 +12,6 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/membership"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
-	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/items"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/confduty"
@@ -55,14 +54,13 @@
 	mu       sync.Mutex
 	stopping map[string]bool
 	listed   []string
-	shards   func() []wire.ShardStatus
 	demands  demandSpread
 }
 
 func (d *duty) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	for _, run := range []func(context.Context){d.gossip.Run, d.compose, d.observe.Run, d.hosts.Run, d.followDrains} {
+	for _, run := range []func(context.Context){d.gossip.Run, d.compose, d.observe.Run, d.hosts.Run, d.followDrains, trimMemory} {
 		d.running.Add(1)
 		go func() {
 			defer d.running.Done()
