Format the rollout's content file

Cause: a removed field left its neighbours' alignment behind, and the linter refused the tree. No behaviour changes; gofmt alone was run. Conclusion: lint is green again.

--- a/internal/transport/rollout/content.go
+++ b/internal/transport/rollout/content.go
@@ -14,7 +14,7 @@
 type content struct {
 	mu        sync.Mutex
 	requestID string
-	attempt samples.AttemptID
+	attempt   samples.AttemptID
 	// held says that the bytes are counted in the owner's sum.
 	held   bool
 	tokens []uint32
