Hold a call to one configuration and say unknown before its claim is read

Cause: a request looked up its target under one view, read its body for up to 30 s, and then asked the newest view whether the call is idempotent. A service that the newer view lacked read as the zero service, so a non-idempotent call ran without a claim. And a refusal made before that point (no view, unknown name, broken upload) said "not run" of a key whose earlier sending may have run on another host.

Now view and target are looked up under one lock, under which they are published together; the request keeps that configuration, and a service missing from it is refused. A keyed request that is refused before its claim was read says unknown.

Ruled out: publishing the view before the targets. The two loads can still straddle a change, in either order.

Before: TestServiceRemovedDuringTheUploadIsStillClaimed "1 runs under 0 claims"; TestKeyedRefusalBeforeItsClaimIsReadSaysUnknown "not run" in all five cases. After: both pass, with the package's other tests under -race. A test that fetched the target by the removed accessor now takes it from the list that it already asked; what it checks is the same.

--- a/internal/transport/entry/call.go
+++ b/internal/transport/entry/call.go
@@ -35,9 +35,23 @@
 		q.record.add("caller left", "", "")
 		panic(http.ErrAbortHandler)
 	}
+	if err != nil && !q.claimRead && r.Header.Get(httpapi.IdempotencyKeyHeader) != "" {
+		err = sayNothingOfEarlier(err)
+	}
 	s.finish(w, q, answer, err)
 }
 
+// sayNothingOfEarlier turns "not run" into unknown for a key whose claim was not
+// read: this host's configuration may lag behind that of an earlier sending's host
+// and says nothing of what that host did with the call.
+func sayNothingOfEarlier(err error) error {
+	f := httpapi.FailureOf(err)
+	if f.Outcome != resultcode.NotRun {
+		return f
+	}
+	return f.Uncertain()
+}
+
 // finish writes the answer or the failure and counts it.
 func (s *Server) finish(w http.ResponseWriter, q *request, answer engineapi.Answer, err error) {
 	name := unknownTarget
@@ -62,7 +76,11 @@
 func (s *Server) answerCall(ctx context.Context, q *request, service model.ServiceID) (engineapi.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if s.view.Load().Config.Services[service].IsNonIdempotent(q.call) {
+	rules, ok := q.config.Services[service]
+	if !ok {
+		return engineapi.Answer{}, httpapi.Fail(resultcode.UnknownService, "No service has this name.")
+	}
+	if rules.IsNonIdempotent(q.call) {
 		return s.answerClaimed(ctx, q, service)
 	}
 	if err := s.checkRate(q); err != nil {
@@ -106,6 +124,7 @@
 	key := claimduty.Key{Caller: q.meta.Caller, Service: service, Idempotency: q.meta.Key}
 	ticket, err := s.opt.Claims.Begin(ctx, key, xxhash.Sum64String(q.call+"|"+string(q.body)))
 	<-q.target.claiming
+	q.claimRead = true
 	if err != nil {
 		return engineapi.Answer{}, err
 	}
--- a/internal/transport/entry/faults_test.go
+++ b/internal/transport/entry/faults_test.go
@@ -208,7 +208,7 @@
 	}
 	_ = resp.Body.Close()
 	eventually(t, "the engine has nothing to run", func() bool {
-		load, err := b.server.target(b.server.allTargets()[0].id).client.Load(context.Background(), e.Address())
+		load, err := b.server.allTargets()[0].client.Load(context.Background(), e.Address())
 		return err == nil && load.Running+load.Queued == 0 && len(e.Runs()) == 1
 	})
 }
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -29,8 +29,10 @@
 
 // request is one caller's request on its way.
 type request struct {
-	id       string
-	target   *target
+	id     string
+	target *target
+	// config is the configuration that the whole request goes by.
+	config   *model.Config
 	meta     httpapi.Meta
 	caller   model.Caller
 	call     string
@@ -39,7 +41,9 @@
 	deadline time.Time
 	record   *record
 	// idempotent requests may be repeated after an attempt that may have run.
-	idempotent   bool
+	idempotent bool
+	// claimRead says that the outcome covers the earlier sendings under its key.
+	claimRead    bool
 	fingerprints []uint64
 }
 
@@ -47,15 +51,16 @@
 func (s *Server) read(w http.ResponseWriter, r *http.Request, id endpoints.Target) (*request, error) {
 	q := &request{id: s.nextID(), start: time.Now(), idempotent: true}
 	q.record = &record{id: q.id, target: id.String(), start: q.start}
-	v := s.view.Load()
+	v, t := s.lookup(id)
 	if v == nil {
 		return q, noView()
 	}
+	q.config = v.Config
 	var err error
 	if q.meta, err = httpapi.ReadMeta(r.Header); err != nil {
 		return q, err
 	}
-	q.target = s.target(id)
+	q.target = t
 	if q.target == nil {
 		return q, httpapi.Fail(resultcode.UnknownService, "No service or deployment has this name.")
 	}
@@ -66,18 +71,18 @@
 	q.caller = caller
 	q.record.caller = q.meta.Caller
 	s.history.begin(q.record)
-	q.setDeadline(v.Config, id)
+	q.setDeadline(id)
 	// A caller that does not read must not hold a slot beyond its deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeGrace))
 	q.body, err = httpapi.ReadBody(w, r)
 	return q, err
 }
 
-func (q *request) setDeadline(c *model.Config, id endpoints.Target) {
+func (q *request) setDeadline(id endpoints.Target) {
 	timeout := q.meta.Timeout
 	if timeout == 0 {
 		timeout = streamTimeout
-		if service, ok := c.Services[id.Service]; ok {
+		if service, ok := q.config.Services[id.Service]; ok {
 			timeout = service.Timeout
 		}
 	}
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -122,9 +122,10 @@
 	now := time.Now()
 	old := s.view.Load()
 	if old == nil || old.Config != v.Config {
-		s.applyConfig(now, v.Config)
+		s.applyConfig(now, v)
+	} else {
+		s.view.Store(v)
 	}
-	s.view.Store(v)
 	for _, t := range s.allTargets() {
 		t.apply(now, v)
 	}
@@ -133,8 +134,9 @@
 	s.quarantineMu.Unlock()
 }
 
-// applyConfig makes the targets those of the configuration.
-func (s *Server) applyConfig(now time.Time, c *model.Config) {
+// applyConfig publishes a view together with the targets of its configuration.
+func (s *Server) applyConfig(now time.Time, v *model.FleetView) {
+	c := v.Config
 	s.metrics.objective.Configure(c)
 	hosts := entryHosts(c)
 	wanted := map[endpoints.Target]float64{}
@@ -160,12 +162,14 @@
 			t.transport.CloseIdleConnections()
 		}
 	}
+	s.view.Store(v)
 }
 
-func (s *Server) target(id endpoints.Target) *target {
+// lookup returns the view and the target of that view's configuration.
+func (s *Server) lookup(id endpoints.Target) (*model.FleetView, *target) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.targets[id]
+	return s.view.Load(), s.targets[id]
 }
 
 func (s *Server) allTargets() []*target {
--- /dev/null
+++ b/internal/transport/entry/snapshot_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+// bodyFunc is a body whose reading has an effect.
+type bodyFunc func() error
+
+func (f bodyFunc) Read([]byte) (int, error) { return 0, f() }
+
+// serve hands a request for a registry call to the server without a connection.
+func (b *bed) serve(call string, body io.Reader, headers ...string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, "/v1/services/registry/"+call, body)
+	req.Header.Set(httpapi.CallerHeader, "lab")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	b.server.Handler().ServeHTTP(w, req)
+	return w
+}
+
+func TestServiceRemovedDuringTheUploadIsStillClaimed(t *testing.T) {
+	b := newBed(t)
+	p := b.plain(standin.PlainOptions{})
+	b.apply(nil)
+	w := b.serve("issue", bodyFunc(func() error {
+		changed := *b.config
+		changed.Services = map[model.ServiceID]model.Service{}
+		b.apply(func(v *model.FleetView) { v.Config = &changed })
+		return io.EOF
+	}), httpapi.IdempotencyKeyHeader, "k1")
+	b.claims.mu.Lock()
+	claimed := len(b.claims.held)
+	b.claims.mu.Unlock()
+	if len(p.Runs()) != claimed {
+		t.Fatalf("%d runs under %d claims, status %d", len(p.Runs()), claimed, w.Code)
+	}
+}
+
+func TestKeyedRefusalBeforeItsClaimIsReadSaysUnknown(t *testing.T) {
+	b := newBed(t)
+	b.plain(standin.PlainOptions{})
+	key := []string{httpapi.IdempotencyKeyHeader, "k1"}
+	check := func(name string, w *httptest.ResponseRecorder) {
+		t.Helper()
+		if got := resultcode.Outcome(w.Header().Get(httpapi.OutcomeHeader)); got != resultcode.Unknown {
+			t.Errorf("%s: outcome %q", name, got)
+		}
+	}
+	check("no view", b.serve("issue", http.NoBody, key...))
+	b.apply(nil)
+	check("broken upload", b.serve("issue", bodyFunc(func() error { return io.ErrUnexpectedEOF }), key...))
+	check("unknown caller", b.serve("issue", http.NoBody, append(key, httpapi.CallerHeader, "stranger")...))
+	check("bad deadline", b.serve("issue", http.NoBody, append(key, httpapi.DeadlineHeader, "x")...))
+	lagging := *b.config
+	lagging.Services = map[model.ServiceID]model.Service{}
+	b.apply(func(v *model.FleetView) { v.Config = &lagging })
+	check("unknown service", b.serve("issue", http.NoBody, key...))
+}
