Keep no tokens of a chunk with a wrong total

Cause: Accept appended a chunk's tokens before it compared the total, so the rejected chunk's tokens counted as passed on and the next attempt resumed after them: the caller got an answer with a gap that looked whole. Ruled out: the offsets of the resuming engine; it resumed where it was told.

Before: TestTokensOfARejectedChunkAreNotKept "resume at 2 after [7 8]". After: it passes, with the rapid test of whole answers in the package.

Conclusion: the total is compared before anything is kept.

--- a/internal/coordination/streams/streams.go
+++ b/internal/coordination/streams/streams.go
@@ -65,10 +65,10 @@
 		c.Tokens = c.Tokens[min(skip, len(c.Tokens)):]
 		c.Offset = len(a.tokens)
 	}
-	a.tokens = append(a.tokens, c.Tokens...)
-	if c.Done && c.Total != len(a.tokens) {
+	if c.Done && c.Total != len(a.tokens)+len(c.Tokens) {
 		return Chunk{}, false, ErrTotal
 	}
+	a.tokens = append(a.tokens, c.Tokens...)
 	a.done = c.Done
 	return c, len(c.Tokens) > 0 || c.Done, nil
 }
--- a/internal/coordination/streams/streams_test.go
+++ b/internal/coordination/streams/streams_test.go
@@ -68,3 +68,14 @@
 		t.Fatalf("total: %v, done %v", err, a.Done())
 	}
 }
+
+func TestTokensOfARejectedChunkAreNotKept(t *testing.T) {
+	var a Assembler
+	attempt, _, _ := a.Begin()
+	if _, _, err := a.Accept(attempt, Chunk{Tokens: []uint32{7, 8}, Done: true, Total: 3}); err != ErrTotal {
+		t.Fatalf("total: %v", err)
+	}
+	if _, offset, prefix := a.Begin(); offset != 0 || len(prefix) != 0 {
+		t.Fatalf("resume at %d after %v, which nobody was given", offset, prefix)
+	}
+}
