Follow no redirect of an endpoint

Cause: the endpoints' client used net/http's own redirects. A 303 made a GET of another page whose body was given to the caller as the answer, as one call with two dispatches. A 307 was ruled out as a second dispatch today, because the request has no GetBody; the rule now holds without it.

Before: TestRedirectsAreNotFollowed "303: status 200, 2 requests"; its 307 case passed before as well. After: one request each, and the endpoint's own status comes back.

Conclusion: NewClient works on a copy, so the given client is not changed.

--- a/internal/protocol/engineapi/client.go
+++ b/internal/protocol/engineapi/client.go
@@ -42,8 +42,13 @@
 	http *http.Client
 }
 
-// NewClient returns a client over the given HTTP client.
-func NewClient(c *http.Client) *Client { return &Client{http: c} }
+// NewClient returns a client over a copy of the given HTTP client that follows no
+// redirect: another page's answer is not the endpoint's, and following repeats calls.
+func NewClient(c *http.Client) *Client {
+	own := *c
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &own}
+}
 
 // Stream is a running token stream.
 type Stream struct {
