Count a passed deadline against the limit only when the endpoint failed

Cause: an attempt whose caller's deadline passed counted as a refusal by the endpoints, also when the deadline was too short to tell anything of them. One caller with short deadlines drove the whole target's adaptive limit to 1. endAttempt already treated such attempts as cancelled for the endpoint's health; sampleOf did not look at that. Ruled out: leaving deadlines out altogether. Stalled endpoints show in nothing else, and the second half of the test holds that they count.

Before: TestOnlyAnEndpointsOwnFailureShrinksTheLimit "a deadline too short to tell anything: sample 2". After: no sample for it, a refusal for an attempt that the endpoint let run out.

Conclusion: the limit and the endpoint's health now follow one judgement.

--- a/internal/transport/entry/race.go
+++ b/internal/transport/entry/race.go
@@ -65,7 +65,7 @@
 	switch {
 	case r.err == nil:
 		return admission.Sample{Kind: admission.SampleAnswered, Latency: r.latency, Took: r.latency}
-	case r.result == routing.ResultRefused, errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case r.result == routing.ResultRefused, r.result == routing.ResultFailed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return admission.Sample{Kind: admission.SampleRefused}
 	}
 	return admission.Sample{Kind: admission.SampleNone}
