Give up on a queued request when its patience has passed

Cause: the gate judged a request's patience (half of the time left, at most MaxWait) only on arrival. The holder's timer was the deadline, and Advance, said to be called on a timer, ran only when a request ended. With the running ones stalled, a queued request was held until its deadline and its caller had no time left to go elsewhere.

Now the Wait decision carries the patience and the holder's timer uses it; the comment on Advance says what is so.

Also: evicting a waiting request released its caller's state to the spare ones even when the arriving request was of the same caller and pointed at it; the next new caller got the same state, and the two were counted as one. The state is fetched again after the eviction.

Before: TestWaitNamesThePatience "Patience:0s"; TestEvictingOwnRequestKeepsTheCallersState "own state 0xbaf8c4fc980, held 0x0, other's 0xbaf8c4fc980".

Conclusion: a request that is given up on is told so with time left.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -62,6 +62,8 @@
 	Verdict    Verdict
 	Reason     Reason
 	RetryAfter time.Duration
+	// Patience is how long a waiting request is held at most.
+	Patience time.Duration
 }
 
 // Ticket is one request at the gate. The holder fills the exported fields.
@@ -176,8 +178,11 @@
 	if len(g.queue) >= queuePerSlot*g.Limit() && !g.evictBelow(t) {
 		return g.refuse(t, ReasonLimit)
 	}
+	// An evicted request may have been the last of the same caller, whose state
+	// then went to the spare ones.
+	t.state = g.caller(t.Caller)
 	g.enqueue(t)
-	return Decision{Verdict: Wait}
+	return Decision{Verdict: Wait, Patience: g.patience(now, t)}
 }
 
 // Leave notes the end of a running request and starts those that may run now.
@@ -210,7 +215,8 @@
 }
 
 // Advance starts waiting requests while there is room and refuses those that can
-// no longer meet their deadline. It is also called on a timer.
+// no longer meet their deadline. When nothing ends, a waiting request's holder
+// abandons it once its patience has passed.
 func (g *Gate) Advance(now time.Time) {
 	if now.Sub(g.swept) >= sweepInterval {
 		g.swept = now
--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -192,3 +192,37 @@
 		}
 	})
 }
+
+// TestEvictingOwnRequestKeepsTheCallersState: a caller whose only request is put out
+// by its own more urgent one goes on with a state that no other caller gets.
+func TestEvictingOwnRequestKeepsTheCallersState(t *testing.T) {
+	now := time.Unix(0, 0)
+	g := NewGate(1, 0)
+	arrive := func(caller model.CallerID, p model.Priority) *Ticket {
+		k := &Ticket{Caller: caller, Priority: p, Deadline: now.Add(time.Minute), Notify: func(Decision) {}}
+		g.Arrive(now, k)
+		return k
+	}
+	for i := range 1 + queuePerSlot*g.Limit() - 1 {
+		arrive(model.CallerID(fmt.Sprintf("c%d", i)), model.PriorityLive)
+	}
+	arrive("own", model.PriorityTraining)
+	urgent := arrive("own", model.PriorityLive)
+	other := arrive("other", model.PriorityTraining)
+	if urgent.place == 0 || g.callers["own"] != urgent.state || urgent.state == other.state {
+		t.Fatalf("place %d, own state %p, held %p, other's %p", urgent.place, urgent.state, g.callers["own"], other.state)
+	}
+}
+
+// TestWaitNamesThePatience: a request that waits is given up on while it has time
+// left to go elsewhere, also when nothing ends meanwhile.
+func TestWaitNamesThePatience(t *testing.T) {
+	now := time.Unix(0, 0)
+	g := NewGate(1, 0)
+	for i, left := range []time.Duration{time.Minute, time.Minute, 400 * time.Millisecond} {
+		d := g.Arrive(now, &Ticket{Caller: "lab", Deadline: now.Add(left), Notify: func(Decision) {}})
+		if i > 0 && (d.Verdict != Wait || d.Patience != min(MaxWait, left/2)) {
+			t.Errorf("%v left: %+v", left, d)
+		}
+	}
+}
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -106,7 +106,7 @@
 	if d.Verdict != admission.Wait {
 		return d
 	}
-	patience := time.NewTimer(min(admission.MaxWait, k.Deadline.Sub(now)))
+	patience := time.NewTimer(d.Patience)
 	defer patience.Stop()
 	select {
 	case d = <-decided:
