Keep what an answer cleared out of the quarantine

Cause: one coincidental crash under popular content is reported to the control program and comes back to every host for its lifetime.

A death seen here, or a report of MaxCrashes, counts as before. Ruled out: withdrawing the report at the control program; it may be another host's, and an answer here says nothing of a death there.

Before (with only the new signature of Answered): TestWhatAnAnswerClearedIsNotHeardAgain "old news after an answer: 1". After: it passes, with the tests that two deaths still refuse.

Conclusion: a cleared content is slow on a host for one trial, not for the lifetime of a suspicion. Answered takes the time, so its calls in the tests changed by that argument only.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package quarantine finds requests that crash the endpoints that run them.
 //
 // Invariant: a fingerprint is refused once two distinct endpoint incarnations died
-// running it and no endpoint answered it in between; every entry expires.
+// running it and no endpoint answered it in between; every entry expires; an answer
+// here outweighs what others tell of one death.
 package quarantine
 
 import (
@@ -51,10 +52,14 @@
 // List holds the suspected fingerprints. It is not safe for concurrent use.
 type List struct {
 	entries map[uint64]*suspicion
+	// cleared holds until when an answered fingerprint is not suspected on hearsay.
+	cleared map[uint64]time.Time
 }
 
 // New returns an empty list.
-func New() *List { return &List{entries: map[uint64]*suspicion{}} }
+func New() *List {
+	return &List{entries: map[uint64]*suspicion{}, cleared: map[uint64]time.Time{}}
+}
 
 // Verdict is what to do with a request.
 type Verdict int
@@ -113,22 +118,59 @@
 		s.deaths = append(s.deaths, seenDeath{endpoint: d.Endpoint, at: now})
 	}
 	s.until = now.Add(Lifetime)
+	delete(l.cleared, fingerprint)
 	return true
 }
 
 // Answered notes that an endpoint answered a fingerprint: it is not what kills.
-func (l *List) Answered(fingerprint uint64) {
-	if s := l.entries[fingerprint]; s != nil && s.crashes() < MaxCrashes {
-		delete(l.entries, fingerprint)
+// Reports of fewer than MaxCrashes deaths do not bring the suspicion back, since
+// they may be of the death that the answer cleared.
+func (l *List) Answered(now time.Time, fingerprint uint64) {
+	s := l.entries[fingerprint]
+	if s == nil || s.crashes() >= MaxCrashes {
+		return
+	}
+	delete(l.entries, fingerprint)
+	delete(l.cleared, fingerprint)
+	if len(l.cleared) >= maxEntries {
+		l.forgetCleared(now)
+	}
+	l.cleared[fingerprint] = now.Add(Lifetime)
+}
+
+// forgetCleared drops the cleared fingerprints that expired and, when there are
+// none, the one that expires first.
+func (l *List) forgetCleared(now time.Time) {
+	var first uint64
+	var until time.Time
+	for f, t := range l.cleared {
+		if !now.Before(t) {
+			delete(l.cleared, f)
+			continue
+		}
+		if until.IsZero() || t.Before(until) {
+			first, until = f, t
+		}
+	}
+	if len(l.cleared) >= maxEntries {
+		delete(l.cleared, first)
 	}
 }
 
+func (l *List) isCleared(now time.Time, fingerprint uint64) bool {
+	until, ok := l.cleared[fingerprint]
+	return ok && now.Before(until)
+}
+
 // Merge takes over what other hosts found.
 func (l *List) Merge(now time.Time, reports []model.QuarantinedRequest) {
 	for _, r := range reports {
 		if r.Remaining <= 0 || r.Crashes <= 0 {
 			continue
 		}
+		if r.Crashes < MaxCrashes && l.isCleared(now, r.Fingerprint) {
+			continue
+		}
 		until := now.Add(min(r.Remaining, Lifetime))
 		s := l.live(now, r.Fingerprint)
 		if s == nil {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -73,12 +73,12 @@
 func TestAnswerClearsSuspicionButNotQuarantine(t *testing.T) {
 	l := New()
 	l.Died(epoch, harmless, Death{Endpoint: "a", Began: epoch})
-	l.Answered(harmless)
+	l.Answered(epoch, harmless)
 	if v := verdict(l, epoch, harmless); v != Clear {
 		t.Fatalf("after an answer: %v", v)
 	}
 	l.Merge(epoch, []model.QuarantinedRequest{{Fingerprint: poison, Crashes: 2, Remaining: time.Hour}})
-	l.Answered(poison)
+	l.Answered(epoch, poison)
 	if v, left := l.Check(epoch, poison); v != Refuse || left > Lifetime {
 		t.Fatalf("heard of two deaths: %v for %v", v, left)
 	}
@@ -96,3 +96,46 @@
 		t.Fatalf("%d entries", len(l.entries))
 	}
 }
+
+func TestWhatAnAnswerClearedIsNotHeardAgain(t *testing.T) {
+	l := New()
+	one := []model.QuarantinedRequest{{Fingerprint: harmless, Crashes: 1, Remaining: Lifetime}}
+	l.Merge(epoch, one)
+	l.Answered(epoch, harmless)
+	l.Merge(epoch, one)
+	if v := verdict(l, epoch, harmless); v != Clear {
+		t.Fatalf("old news after an answer: %v", v)
+	}
+	l.Merge(epoch.Add(Lifetime), one)
+	if v := verdict(l, epoch.Add(Lifetime), harmless); v != Suspect {
+		t.Fatalf("a report after the answer's lifetime: %v", v)
+	}
+}
+
+func TestClearedContentIsStillQuarantinedForItsDeaths(t *testing.T) {
+	l := New()
+	l.Merge(epoch, []model.QuarantinedRequest{{Fingerprint: poison, Crashes: 1, Remaining: Lifetime}})
+	l.Answered(epoch, poison)
+	l.Died(epoch, poison, Death{Endpoint: "a", Began: epoch})
+	l.Merge(epoch, []model.QuarantinedRequest{{Fingerprint: poison, Crashes: 1, Remaining: Lifetime}})
+	if v := verdict(l, epoch, poison); v != Suspect {
+		t.Fatalf("a death after the answer: %v", v)
+	}
+	l.Done(poison)
+	l.Answered(epoch, poison)
+	l.Merge(epoch, []model.QuarantinedRequest{{Fingerprint: poison, Crashes: MaxCrashes, Remaining: Lifetime}})
+	if v := verdict(l, epoch, poison); v != Refuse {
+		t.Fatalf("two deaths elsewhere: %v", v)
+	}
+}
+
+func TestClearedSetIsBounded(t *testing.T) {
+	l := New()
+	for i := range uint64(maxEntries + 10) {
+		l.Died(epoch, i, Death{Endpoint: "a", Began: epoch})
+		l.Answered(epoch.Add(time.Duration(i)), i)
+	}
+	if len(l.cleared) != maxEntries {
+		t.Fatalf("%d cleared", len(l.cleared))
+	}
+}
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -224,6 +224,7 @@
 	if len(t.suspects) == 0 {
 		return
 	}
+	now := time.Now()
 	s.quarantineMu.Lock()
 	defer s.quarantineMu.Unlock()
 	for _, f := range t.suspects {
@@ -233,7 +234,7 @@
 		return
 	}
 	for _, f := range q.fingerprints {
-		s.quarantine.Answered(f)
+		s.quarantine.Answered(now, f)
 	}
 }
 
