Treat an answer over the size limit as an answer

Cause: the client reported an answer over 8 MiB by an untyped error, which counted as a failure of the endpoint: the call was repeated, healthy endpoints were ejected, and a claimed call that had run was settled as unknown.

Now it is a typed error. The endpoint has answered, so its health, the quarantine and the retry budget see an answer; the call gets no further attempt and ends as answer_lost, with the outcome "ran", and its claim is settled as ran without an answer, which a resend reads as answer_lost. Ruled out: endpoint_refused, which stands for the endpoint's own error.

--- a/internal/protocol/engineapi/client.go
+++ b/internal/protocol/engineapi/client.go
@@ -32,6 +32,9 @@
 // ErrBusy: the endpoint refused the request because its queue is full; it did not run.
 var ErrBusy = errors.New("endpoint is busy")
 
+// ErrAnswerTooLarge: the endpoint ran the call and its answer is over the size limit.
+var ErrAnswerTooLarge = errors.New("answer over the size limit")
+
 const (
 	maxLineBytes   = 1 << 20
 	maxAnswerBytes = 8 << 20
@@ -151,7 +154,7 @@
 		return Answer{}, Error.Wrap(err)
 	}
 	if len(body) > maxAnswerBytes {
-		return Answer{}, Error.New("answer over %d bytes", maxAnswerBytes)
+		return Answer{Incarnation: incarnationOf(resp)}, Error.Wrap(ErrAnswerTooLarge)
 	}
 	return Answer{Status: resp.StatusCode, Body: body, Incarnation: incarnationOf(resp)}, nil
 }
--- a/internal/transport/entry/attempt.go
+++ b/internal/transport/entry/attempt.go
@@ -69,7 +69,7 @@
 	if out.result == routing.ResultFailed && out.failure == retries.FailureUnknown && ctx.Err() == nil && s.isDead(q.target, c) {
 		s.died(q, c.ID, started)
 	}
-	s.endTrial(q, t, false)
+	s.endTrial(q, t, out.result == routing.ResultAnswered)
 }
 
 // isDead asks an endpoint that broke a connection whether it lives on. One that
--- a/internal/transport/entry/race.go
+++ b/internal/transport/entry/race.go
@@ -10,6 +10,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/coordination/routing"
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
 )
@@ -49,11 +50,14 @@
 		if err != nil {
 			return engineapi.Answer{}, admission.Sample{Kind: admission.SampleNone}, err
 		}
-		if result.err != nil {
+		if result.err != nil && !errors.Is(result.err, engineapi.ErrAnswerTooLarge) {
 			result = r.orHedge(result)
 		}
-		if result.err == nil {
+		switch {
+		case result.err == nil:
 			return result.answer, sampleOf(ctx, result), nil
+		case errors.Is(result.err, engineapi.ErrAnswerTooLarge):
+			return engineapi.Answer{}, sampleOf(ctx, result), httpapi.Fail(resultcode.AnswerLost, "The request ran; its answer is too large to pass on.")
 		}
 		if err := r.pause(ctx, result.failure); err != nil {
 			return engineapi.Answer{}, sampleOf(ctx, result), err
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -201,6 +201,8 @@
 // failureOf says what a failed attempt tells of its endpoint and of the request.
 func failureOf(ctx context.Context, err error) (routing.Result, retries.Failure) {
 	switch {
+	case errors.Is(err, engineapi.ErrAnswerTooLarge):
+		return routing.ResultAnswered, retries.FailureUnknown
 	case errors.Is(err, engineapi.ErrLeaving), errors.Is(err, engineapi.ErrBusy):
 		return routing.ResultRefused, retries.FailureNotRun
 	case errors.Is(err, engineapi.ErrNotSent) && ctx.Err() != nil:
