Wait for time in one place

Cause: the same sleep that ends with its context stood in entry, rollout, feed and confduty, in two of them without telling whether the time passed.

Before and after: no behaviour changes; the packages' own tests cover the callers. Each call was replaced one for one, in one test as well.

Conclusion: four copies fewer, one is left.

--- a/internal/transport/confduty/duty.go
+++ b/internal/transport/confduty/duty.go
@@ -206,12 +206,3 @@
 	defer d.mu.Unlock()
 	return time.Duration(float64(t) * (0.5 + d.random.Float64()))
 }
-
-func pause(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/transport/confduty/fetch.go
+++ b/internal/transport/confduty/fetch.go
@@ -9,6 +9,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/confstore"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 const (
@@ -55,7 +56,7 @@
 		if d.Generation() > 0 || ctx.Err() != nil {
 			return
 		}
-		pause(ctx, d.jitter(delay))
+		clock.Sleep(ctx, d.jitter(delay))
 		delay = min(2*delay, maxRefetch)
 	}
 }
@@ -114,7 +115,7 @@
 			d.watch(ctx)
 			continue
 		}
-		pause(ctx, min(d.jitter(roleInterval), d.opt.PollInterval))
+		clock.Sleep(ctx, min(d.jitter(roleInterval), d.opt.PollInterval))
 		if d.now().After(nextPoll) {
 			d.pollRoot(ctx)
 			nextPoll = d.now().Add(d.jitter(d.opt.PollInterval))
@@ -239,7 +240,7 @@
 // collect removes garbage from time to time on the first watcher of each region.
 func (d *Duty) collect(ctx context.Context) {
 	for {
-		pause(ctx, d.jitter(collectInterval))
+		clock.Sleep(ctx, d.jitter(collectInterval))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/transport/entry/call.go
+++ b/internal/transport/entry/call.go
@@ -180,15 +180,3 @@
 	}
 	s.opt.Claims.Settle(ctx, ticket, outcome, claimduty.Answer{Status: answer.Status, Body: answer.Body})
 }
-
-// sleep waits for d; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transport/entry/duties.go
+++ b/internal/transport/entry/duties.go
@@ -9,6 +9,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/routing"
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/ring"
 )
 
@@ -102,7 +103,7 @@
 				delete(polling, t)
 			}
 		}
-		if !sleep(ctx, pollInterval) {
+		if !clock.Sleep(ctx, pollInterval) {
 			return
 		}
 	}
--- a/internal/transport/entry/generate.go
+++ b/internal/transport/entry/generate.go
@@ -18,6 +18,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/endpoints"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
 )
 
@@ -120,7 +121,7 @@
 			Idempotent: true,
 			Left:       q.left(),
 		})
-		if verdict != retries.Retry || !sleep(ctx, wait) {
+		if verdict != retries.Retry || !clock.Sleep(ctx, wait) {
 			return r.failure(verdict)
 		}
 	}
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -22,6 +22,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/transport/claimduty"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/feed"
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
@@ -216,13 +217,13 @@
 		lifetime = v.Config.System.AddressLifetime
 	}
 	s.opt.Log.Info("Leaving the address answers.", "lifetime", lifetime)
-	sleep(ctx, leaveSlack/2)
+	clock.Sleep(ctx, leaveSlack/2)
 	if s.opt.Handover != nil {
 		if err := s.opt.Handover(ctx); err != nil {
 			s.opt.Log.Warn("Claim shards not handed over yet.", "err", err)
 		}
 	}
-	sleep(ctx, lifetime+leaveSlack/2)
+	clock.Sleep(ctx, lifetime+leaveSlack/2)
 	err := f.http.Shutdown(ctx)
 	s.background.Wait()
 	s.opt.Log.Info("Nothing runs any more.", "err", err)
--- a/internal/transport/entry/race.go
+++ b/internal/transport/entry/race.go
@@ -12,6 +12,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
 )
 
@@ -168,7 +169,7 @@
 		Idempotent: r.request.idempotent,
 		Left:       r.request.left(),
 	})
-	if verdict == retries.Retry && sleep(ctx, wait) {
+	if verdict == retries.Retry && clock.Sleep(ctx, wait) {
 		return nil
 	}
 	return r.progress.failure(r.request, verdict)
--- a/internal/transport/feed/client.go
+++ b/internal/transport/feed/client.go
@@ -13,6 +13,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
 )
 
@@ -54,7 +55,7 @@
 				c.log.Warn("Control program lost; the last view stays in use.", "err", err)
 			}
 			connected = false
-			pause(ctx, retryDelay)
+			clock.Sleep(ctx, retryDelay)
 			continue
 		}
 		connected = true
@@ -63,15 +64,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *Client) poll(ctx context.Context, incarnation uint64) (wire.FeedReply, error) {
 	request := wire.FeedRequest{ControlIncarnation: incarnation, WaitMillis: feedWait.Milliseconds()}
 	if v := c.View(); v != nil {
--- a/internal/transport/rollout/owner.go
+++ b/internal/transport/rollout/owner.go
@@ -15,6 +15,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/ring"
 	"oleanderfall.example/oleanderfall/internal/transport/sharder"
 )
@@ -157,7 +158,7 @@
 
 func (o *owner) restore(ctx context.Context) error {
 	for !o.takeView() {
-		if !sleep(ctx, tickInterval) {
+		if !clock.Sleep(ctx, tickInterval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/transport/rollout/rollout_test.go
+++ b/internal/transport/rollout/rollout_test.go
@@ -18,6 +18,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -252,7 +253,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for sleep(ctx, 20*time.Millisecond) {
+		for clock.Sleep(ctx, 20*time.Millisecond) {
 			b.order(tr.Report().Version)
 		}
 	}()
--- a/internal/transport/rollout/service.go
+++ b/internal/transport/rollout/service.go
@@ -15,6 +15,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/sharder"
 )
 
@@ -142,7 +143,7 @@
 		}
 		if ctx.Err() == nil {
 			s.opt.Log.Warn("Trainer's work begins anew.", "trainer", trainer, "epoch", shard.Epoch, "err", err)
-			sleep(ctx, restartPause)
+			clock.Sleep(ctx, restartPause)
 		}
 	}
 }
--- a/internal/transport/rollout/store.go
+++ b/internal/transport/rollout/store.go
@@ -11,6 +11,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/ledger"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 // Error is the class of this package's errors.
@@ -65,7 +66,7 @@
 			s.version, s.base = o.Version, idOf(r)
 			return r, err
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return ledger.Record{}, ctx.Err()
 		}
 	}
@@ -97,7 +98,7 @@
 				return errChanged
 			}
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return ctx.Err()
 		}
 	}
@@ -121,7 +122,7 @@
 			}
 			expect = o.Version
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return ctx.Err()
 		}
 	}
@@ -134,7 +135,7 @@
 			var prompts []string
 			return prompts, Error.Wrap(json.Unmarshal(o.Value, &prompts))
 		}
-		if errors.Is(err, objectapi.ErrNotFound) || !sleep(ctx, storeRetry) {
+		if errors.Is(err, objectapi.ErrNotFound) || !clock.Sleep(ctx, storeRetry) {
 			return nil, Error.Wrap(err)
 		}
 	}
--- a/internal/transport/rollout/worker.go
+++ b/internal/transport/rollout/worker.go
@@ -9,6 +9,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/platformapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 const (
@@ -109,7 +110,7 @@
 			o.tell(sampleScored{job: j, score: reply.Score})
 			return
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, maxScorePause)
@@ -134,14 +135,3 @@
 	defer cancel()
 	_ = o.opt.Engines.Cancel(ctx, address, requestID)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
