Remove what nothing uses

Cause: streams.Assembler.Next, routing.Table.Incarnation and the field routing.Choice.Finish were read by no code and no test of the module. Ruled out: routing.Constraints.FreeSlot, which was thought unused as well: the rollout program picks its engines with it.

Before and after: go vet of the whole module passes without them; no test named them, so none changed.

Conclusion: the three are gone, FreeSlot stays.

--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -36,9 +36,7 @@
 	ID          model.EndpointID
 	Address     string
 	Incarnation model.Incarnation
-	// Finish is the estimated time to the end of the request.
-	Finish time.Duration
-	entry  *entry
+	entry       *entry
 }
 
 // Pick chooses an endpoint; false when none can take the request. The candidates
@@ -86,7 +84,7 @@
 			}
 		}
 	}
-	return Choice{ID: best.ID, Address: best.Address, Incarnation: best.health.Incarnation, Finish: bestFinish, entry: best}, true
+	return Choice{ID: best.ID, Address: best.Address, Incarnation: best.health.Incarnation, entry: best}, true
 }
 
 // draw returns a random entry of list that fits and is not the one drawn before, nil
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -185,14 +185,6 @@
 	}
 }
 
-// Incarnation returns the last incarnation that an endpoint reported, 0 for none.
-func (t *Table) Incarnation(id model.EndpointID) model.Incarnation {
-	if e := t.byID[id]; e != nil {
-		return e.health.Incarnation
-	}
-	return 0
-}
-
 // Observe notes the incarnation that an endpoint reported.
 func (t *Table) Observe(now time.Time, id model.EndpointID, i model.Incarnation) {
 	e := t.byID[id]
--- a/internal/coordination/streams/streams.go
+++ b/internal/coordination/streams/streams.go
@@ -45,9 +45,6 @@
 	return a.attempt, len(a.tokens), a.tokens[:len(a.tokens):len(a.tokens)]
 }
 
-// Next is the offset of the next token.
-func (a *Assembler) Next() int { return len(a.tokens) }
-
 // Done reports whether the answer is whole.
 func (a *Assembler) Done() bool { return a.done }
 
