--- a/internal/transport/rollout/server.go
+++ b/internal/transport/rollout/server.go
@@ -128,9 +128,15 @@
 	if open.PromptSource != nil && !spec.Inline {
 		spec.Groups, spec.PromptPrefix = open.PromptSource.Count, open.PromptSource.Prefix
 	}
-	if spec.Groups < 1 || size < 1 || spec.Groups > ledger.MaxSlots || size > ledger.MaxSlots {
+	if spec.Groups < 1 || size < 1 {
 		return spec, resultcode.New(resultcode.BadRequest, "A step needs prompts or a prompt source.")
 	}
+	if most := min(t.StepSamples, ledger.MaxSlots); spec.Groups > most/size {
+		return spec, resultcode.New(resultcode.TooLarge, "The step has more than %d samples.", most)
+	}
+	if spec.MaxTokens < 0 || spec.Needed < 0 || spec.Needed > spec.Groups {
+		return spec, resultcode.New(resultcode.BadRequest, "max_tokens or needed_groups is out of range.")
+	}
 	spec.Digest = digest(open, spec)
 	return spec, nil
 }
