Count every engine out of service before ordering a swap

Cause: a new holder of a weights shard planned after each single read, so it ordered swaps before it had seen those that the dead holder had begun, and leaving engines were not counted: 6 of 10 engines out under a floor of 0.7 (allowed 3) in both cases. Orders to engines without fencing were checked for a fresh ownership when planned, not when sent, after waiting for one of 64 call slots. A half-open watch hid a new version for up to 150 s. Now nothing is ordered before all engines were read, leaving ones count, an order carries the time after which it is not sent, and the wanted version is read every 5 s besides the watch.

--- a/internal/coordination/weights/wave.go
+++ b/internal/coordination/weights/wave.go
@@ -1,8 +1,10 @@
 // Package weights decides which engines load which weight version when.
 //
-// Invariant: at most 1-floor of a deployment's engines are swapping or unreachable by
-// this package's doing at once (one, where that is less than one); an engine's version
-// is what it reported, never what it was ordered; the target never falls.
+// Invariant: nothing is ordered before every engine was read or found unreachable, so
+// that the swaps an earlier holder began are counted; an order never takes the engines
+// that are swapping, unreachable or leaving above 1-floor of the deployment, but for one
+// engine at a time when those that do not swap use that up alone; an engine's version is
+// what it reported, never what it was ordered; the target never falls.
 package weights
 
 import (
@@ -56,6 +58,9 @@
 	Kind    ActionKind
 	Engine  model.EndpointID
 	Version model.WeightVersion
+	// Before is when an order is too late to be sent, zero for never: the ownership
+	// of its sender was not read since.
+	Before time.Time
 }
 
 type phase int
@@ -270,12 +275,27 @@
 		case e.version != w.target && !e.leaving && free > 0 && w.mayOrder(now, e):
 			free--
 			e.asked, e.phase, e.orderedAt = true, phaseOrdered, now
-			actions = append(actions, Action{Kind: ActionOrder, Engine: id, Version: w.target})
+			actions = append(actions, w.orderOf(e))
 		}
 	}
 	return actions
 }
 
+func (w *Wave) orderOf(e *engine) Action {
+	a := Action{Kind: ActionOrder, Engine: e.ID, Version: w.target}
+	if !e.Fencing {
+		a.Before = w.confirmed.Add(freshFor)
+	}
+	return a
+}
+
+// NotSent takes in that an order was too late to be sent.
+func (w *Wave) NotSent(id model.EndpointID) {
+	if e := w.engines[id]; e != nil {
+		e.asked, e.phase, e.orderedAt = false, phaseIdle, time.Time{}
+	}
+}
+
 func (w *Wave) mayOrder(now time.Time, e *engine) bool {
 	return e.Fencing || now.Sub(w.confirmed) < freshFor
 }
@@ -283,19 +303,23 @@
 // Cap is the most engines that may be out of service for their swap at once.
 func (w *Wave) Cap() int { return max(1, int(float64(len(w.engines))*(1-w.floor))) }
 
+// free returns how many more engines may be ordered now.
 func (w *Wave) free() int {
 	out, loading := 0, 0
 	for _, e := range w.engines {
+		if e.readAt.IsZero() && !e.unreachable {
+			return 0
+		}
 		if e.phase == phaseOrdered {
 			loading++
 		}
-		if e.phase == phaseOrdered || e.unreachable {
+		if e.phase == phaseOrdered || e.unreachable || e.leaving {
 			out++
 		}
 	}
 	limit := w.Cap()
 	if len(w.engines) > 1 && out >= limit && loading == 0 {
-		// Unreachable engines alone use up the cap: go on with one at a time.
+		// Unreachable and leaving engines alone use up the cap: go on with one at a time.
 		return 1
 	}
 	return min(limit-out, int(w.window)-loading)
--- a/internal/coordination/weights/wave_test.go
+++ b/internal/coordination/weights/wave_test.go
@@ -273,3 +273,83 @@
 		t.Fatalf("planned %v after the pause", got)
 	}
 }
+
+// readAll reports every engine that the wave asks for, with version 1.
+func readAll(w *Wave, now time.Time, loading map[model.EndpointID]bool) (orders []Action) {
+	for range 10 {
+		for _, a := range w.Plan(now) {
+			if a.Kind == ActionOrder {
+				orders = append(orders, a)
+				continue
+			}
+			w.Reported(now, a.Engine, 1, loading[a.Engine])
+		}
+	}
+	return orders
+}
+
+func tenEngines(floor float64) (*Wave, time.Time) {
+	w, now := NewWave(floor), time.Unix(1000, 0)
+	var list []Engine
+	for i := range 10 {
+		list = append(list, Engine{ID: model.EndpointID(fmt.Sprintf("e%d", i)), Fencing: true})
+	}
+	w.SetEngines(list, floor)
+	w.SetTarget(now, 2)
+	return w, now
+}
+
+func TestASuccessorCountsTheSwapsOfTheHolderBefore(t *testing.T) {
+	w, now := tenEngines(0.7)
+	loading := map[model.EndpointID]bool{"e7": true, "e8": true, "e9": true}
+	if orders := readAll(w, now, loading); len(orders) != 0 {
+		t.Fatalf("%d orders while three of three engines are swapping", len(orders))
+	}
+}
+
+func TestNothingIsOrderedBeforeEveryEngineWasRead(t *testing.T) {
+	w, now := tenEngines(0.7)
+	reads := w.Plan(now)
+	for _, a := range reads[:9] {
+		w.Reported(now, a.Engine, 1, false)
+		for _, next := range w.Plan(now) {
+			if next.Kind == ActionOrder {
+				t.Fatalf("%s was ordered while an engine is unread", next.Engine)
+			}
+		}
+	}
+	w.Failed(now, reads[9].Engine, true)
+	if orders := w.Plan(now); len(orders) != 2 {
+		t.Fatalf("%d orders with one engine unreachable, want 2", len(orders))
+	}
+}
+
+func TestLeavingEnginesCountAgainstTheFloor(t *testing.T) {
+	w, now := tenEngines(0.7)
+	w.SetLeaving(func(id model.EndpointID) bool { return id == "e0" || id == "e1" })
+	if orders := readAll(w, now, nil); len(orders) != 1 {
+		t.Fatalf("%d orders beside two leaving engines, want 1", len(orders))
+	}
+}
+
+func TestAnUnsentOrderMayBeGivenAgain(t *testing.T) {
+	w, now := NewWave(0), time.Unix(1000, 0)
+	w.SetEngines([]Engine{{ID: "e"}}, 0)
+	w.SetTarget(now, 2)
+	w.Plan(now)
+	w.Reported(now, "e", 1, false)
+	w.Confirm(now)
+	orders := w.Plan(now)
+	if len(orders) != 1 || !orders[0].Before.Equal(now.Add(freshFor)) {
+		t.Fatalf("orders %+v", orders)
+	}
+	w.NotSent("e")
+	late := now.Add(freshFor)
+	if got := w.Plan(late); len(got) != 0 {
+		t.Fatalf("ordered without a fresh ownership: %+v", got)
+	}
+	w.Confirm(late)
+	if got := w.Plan(late); len(got) != 1 {
+		t.Fatalf("not ordered again: %+v", got)
+	}
+}
--- a/internal/transport/weightwave/duty.go
+++ b/internal/transport/weightwave/duty.go
@@ -39,6 +39,9 @@
 	callTimeout  = 2 * time.Second
 	maxIdle      = 200 * time.Millisecond
 	confirmEvery = 500 * time.Millisecond
+	// desiredEvery is the interval between two reads of the desired version: the watch
+	// may be cut without either end noticing.
+	desiredEvery = 5 * time.Second
 )
 
 // Options configures a Duty.
@@ -188,22 +191,43 @@
 	}
 }
 
-// confirm has the ownership read while engines that ignore epochs are to be ordered.
+// confirm has the desired version and the ownership read: often while engines that
+// ignore epochs are to be ordered, seldom otherwise.
 func (o *owner) confirm(now time.Time) {
-	if o.asking || !o.wave.Unfenced() || now.Sub(o.asked) < confirmEvery {
+	interval := desiredEvery
+	if o.wave.Unfenced() {
+		interval = confirmEvery
+	}
+	if o.asking || now.Sub(o.asked) < interval {
 		return
 	}
 	o.asking, o.asked = true, now
 	o.workers.Go(func() {
-		object, err := o.duty.opt.API.Get(o.ctx, "shards/"+o.shard.ID)
-		e := ownershipRead{asOf: now, err: err}
-		if err == nil {
-			e.err = json.Unmarshal(object.Value, &e.record)
+		e := ownershipRead{asOf: now}
+		if desired, err := o.duty.opt.API.Get(o.ctx, ledger.DesiredPrefix+string(o.deployment)); err == nil {
+			o.takeDesired(desired)
+		} else if !errors.Is(err, objectapi.ErrNotFound) {
+			e.err = err
+		}
+		if object, err := o.duty.opt.API.Get(o.ctx, sharder.KeyPrefix+o.shard.ID); err != nil {
+			e.err = err
+		} else if err := json.Unmarshal(object.Value, &e.record); err != nil {
+			e.err = err
 		}
 		o.tell(e)
 	})
 }
 
+// takeDesired hands a read or watched desired version to the duty.
+func (o *owner) takeDesired(object objectapi.Object) {
+	desired, err := ledger.DecodeDesired(object.Value)
+	if err != nil {
+		o.duty.opt.Log.Error("Desired version not readable.", "deployment", o.deployment, "err", err)
+		return
+	}
+	o.tell(desiredRead{version: desired.Version})
+}
+
 type ownershipRead struct {
 	asOf   time.Time
 	record shards.Record
@@ -231,6 +255,14 @@
 	defer func() { <-o.duty.slots }()
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
+	if !a.Before.IsZero() {
+		if !time.Now().Before(a.Before) {
+			o.tell(orderLate{engine: a.Engine})
+			return
+		}
+		ctx, cancel = context.WithDeadline(ctx, a.Before)
+		defer cancel()
+	}
 	address := o.address(a.Engine)
 	if a.Kind == weights.ActionOrder {
 		err := o.duty.opt.Engines.Order(ctx, address, engineapi.Order{Fence: o.shard.Epoch, Version: a.Version})
@@ -262,6 +294,11 @@
 	}
 }
 
+// orderLate says that an order waited for its turn until the ownership was no longer fresh.
+type orderLate struct{ engine model.EndpointID }
+
+func (e orderLate) apply(o *owner) { o.wave.NotSent(e.engine) }
+
 type statusRead struct {
 	engine model.EndpointID
 	status engineapi.Status
@@ -322,10 +359,5 @@
 	if e.Deleted || e.Key != ledger.DesiredPrefix+string(f.owner.deployment) {
 		return
 	}
-	desired, err := ledger.DecodeDesired(e.Value)
-	if err != nil {
-		f.owner.duty.opt.Log.Error("Desired version not readable.", "deployment", f.owner.deployment, "err", err)
-		return
-	}
-	f.owner.tell(desiredRead{version: desired.Version})
+	f.owner.takeDesired(e.Object)
 }
--- a/internal/transport/weightwave/weightwave_test.go
+++ b/internal/transport/weightwave/weightwave_test.go
@@ -33,8 +33,26 @@
 	mu      sync.Mutex
 	alive   map[model.HostID]bool
 	seq     uint64
+	// api is the store as the hosts reach it.
+	api objectapi.API
 }
 
+// muteWatch is an object API whose watches stay open and say nothing.
+type muteWatch struct{ objectapi.API }
+
+type muteWatcher struct{}
+
+func (muteWatch) Watch(context.Context, string, uint64) (objectapi.Watcher, error) {
+	return muteWatcher{}, nil
+}
+
+func (muteWatcher) Next(ctx context.Context) (objectapi.Event, error) {
+	<-ctx.Done()
+	return objectapi.Event{}, ctx.Err()
+}
+
+func (muteWatcher) Close() {}
+
 func newBench(t testing.TB, engines int, floor, loadsPerSecond float64, interval time.Duration) *bench {
 	b := &bench{
 		t: t, store: standin.NewObjectStore(standin.ObjectStoreOptions{}), weights: standin.NewWeightStore(loadsPerSecond),
@@ -44,6 +62,7 @@
 			Endpoints:   map[model.EndpointID]model.Endpoint{},
 		},
 	}
+	b.api = b.store
 	for i := range engines {
 		e, err := standin.NewEngine("127.0.0.1:0", standin.EngineOptions{
 			Name: fmt.Sprintf("e%d", i), TokenInterval: interval, SwapTime: 50 * time.Millisecond, Fencing: i%2 == 0,
@@ -87,7 +106,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 1}
 	d := New(Options{
 		Host: id, Incarnation: model.Incarnation(time.Now().UnixNano()), Address: "x",
-		API:     objectapi.NewClient(b.store, objectapi.ClientOptions{AttemptTimeout: time.Second}),
+		API:     objectapi.NewClient(b.api, objectapi.ClientOptions{AttemptTimeout: time.Second}),
 		Engines: engineapi.NewClient(&http.Client{Transport: transport}), View: b.view,
 		Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler),
 	})
@@ -168,6 +187,16 @@
 	}
 }
 
+func TestAWatchThatSaysNothingHidesNoVersion(t *testing.T) {
+	b := newBench(t, 2, 0, 10, 5*time.Millisecond)
+	b.api = muteWatch{b.store}
+	b.host("h0")
+	b.publish(2)
+	b.reach(2)
+	b.publish(3)
+	b.reach(3)
+}
+
 func TestAnotherHostEndsTheWaveOfADeadOne(t *testing.T) {
 	b := newBench(t, 8, 0.5, 10, 5*time.Millisecond)
 	kill := b.host("h0")
