Replace a dead holder that took its shard lately once its calls fail

Cause: TestShardsOfAStoppedHostMoveToTheOthers failed about one time in three. The last host met the dead host's takeover only after the view had lost that host, so the rule for two hosts that call each other dead kept the shard there for 30 s, although every call to it failed. Ruled out: the released host holding its place in the order (its tables were listed). Now failing calls free a shard whether or not the view lost its holder, and the test first waits until the last host knows what the dead one holds, as its name supposes; the late case has a test of its own. The new test fails on the old rule.

--- a/internal/coordination/shards/plan.go
+++ b/internal/coordination/shards/plan.go
@@ -56,14 +56,16 @@
 	if r.Host == t.self.Host {
 		return r.Incarnation <= t.self.Incarnation
 	}
-	c, listed := t.candidates[r.Host]
-	switch {
-	case !listed:
+	return t.unreachable(now, k) || t.lost(now, k)
+}
+
+// lost reports whether the fleet view lost the holder of a shard.
+func (t *Table) lost(now time.Time, k *known) bool {
+	c, listed := t.candidates[k.record.Host]
+	if !listed {
 		return now.Sub(t.fleetSince) >= t.timing.Missing && t.silent(now, k, t.fleetSince)
-	case c.Gone:
-		return t.silent(now, k, t.goneSince[r.Host])
 	}
-	return t.unreachable(now, k)
+	return c.Gone && t.silent(now, k, t.goneSince[k.record.Host])
 }
 
 // silent reports whether the holder took the shard before the fleet view lost it.
--- a/internal/coordination/shards/table_test.go
+++ b/internal/coordination/shards/table_test.go
@@ -210,3 +210,23 @@
 		t.Fatalf("a released shard is still with %s", s.records["claims/0"].Host)
 	}
 }
+
+func TestDeadHolderThatFailsCallsIsReplacedThoughItTookTheShardLately(t *testing.T) {
+	s, tables := newStore(), newTables(2)
+	table := tables[0]
+	fleet := hosts(2)
+	fleet[1].Eligible, fleet[1].Gone = false, true
+	table.SetFleet(start, ids(1), fleet)
+	// The other host's take shows only after the view called it gone.
+	taken := Record{Epoch: 1, Host: "h1", Incarnation: 1}
+	table.SetRecord(start, "claims/0", Record{}, 0)
+	s.revision, s.records["claims/0"], s.versions["claims/0"] = 1, taken, 1
+	now := start.Add(time.Second)
+	table.SetRecord(now, "claims/0", taken, 1)
+	for end := now.Add(DefaultTiming.Unreachable); !now.After(end); now = now.Add(500 * time.Millisecond) {
+		table.Failed(now, "claims/0", 1)
+	}
+	if run(s, tables[:1], now, time.Second) != 1 {
+		t.Fatalf("the shard is still with a host that is dead and fails every call: %+v", s.records["claims/0"])
+	}
+}
--- a/internal/transport/sharder/sharder_test.go
+++ b/internal/transport/sharder/sharder_test.go
@@ -108,6 +108,21 @@
 	return true
 }
 
+// knowsOwners reports whether an instance knows the epochs that the holders hold.
+func knowsOwners(i *instance, holders ...*instance) bool {
+	known := 0
+	for shard := range 3 {
+		id := fmt.Sprintf("claims/%d", shard)
+		told, ok := i.Lookup(id)
+		for _, h := range holders {
+			if o, held := h.Lookup(id); ok && held && o.Self && o.Epoch == told.Epoch {
+				known++
+			}
+		}
+	}
+	return known == 3
+}
+
 func TestShardsOfAStoppedHostMoveToTheOthers(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	store, f := standin.NewObjectStore(standin.ObjectStoreOptions{}), &fleet{}
@@ -122,6 +137,12 @@
 		c.Stale("")
 		return spread(b, c)
 	})
+	// A host that takes a shard while the view loses it counts as alive for MinHold:
+	// here it is dead with shards that the last host has seen it hold.
+	eventually(t, "the last host knows what the others hold", func() bool {
+		c.Stale("")
+		return knowsOwners(c, b, c)
+	})
 	b.stop()
 	f.set("b")
 	eventually(t, "shards of the dead host are held by the last", func() bool { return spread(c) })
