--- a/internal/coordination/claims/commit.go
+++ b/internal/coordination/claims/commit.go
@@ -32,7 +32,7 @@
 
 // Due returns when the staged batch is to be committed, if there is one.
 func (c *Core) Due() (time.Time, bool) {
-	if c.staged.since.IsZero() || c.inflight != nil {
+	if c.staged.since.IsZero() || c.inflight != nil || c.blocked() {
 		return time.Time{}, false
 	}
 	if c.staged.claims {
@@ -55,7 +55,7 @@
 	c.waiting -= len(done.waiters)
 	replies := make([]Reply, 0, len(done.waiters))
 	for _, w := range done.waiters {
-		if w.purpose == toGrant {
+		if c.granting[w.request.Attempt] == w {
 			delete(c.granting, w.request.Attempt)
 		}
 		replies = append(replies, c.afterCommit(*w))
@@ -77,6 +77,9 @@
 		// The claim was withdrawn, or its rival freed the key, in between.
 		return Reply{Call: call, Verdict: Undecided}
 	case present.Attempt == w.request.Attempt && present.State == journal.Running:
+		if present.Seq > c.committed {
+			return Reply{Call: call, Verdict: Undecided}
+		}
 		return Reply{Call: call, Verdict: Granted, Claim: present, Holder: c.table.Holder(present)}
 	case present.Digest != w.request.Digest:
 		return Reply{Call: call, Verdict: Reused}
--- a/internal/coordination/claims/trace_test.go
+++ b/internal/coordination/claims/trace_test.go
@@ -88,3 +88,21 @@
 	Granted: "granted", InUse: "in use", Answered: "answered", NotKnown: "not known",
 	Reused: "reused", Refused: "refused", Undecided: "undecided", Settled: "settled",
 }
+
+// While the next entry's slot holds an unfolded entry nothing is due, so that the
+// owner's loop waits for the fold.
+func TestNothingIsDueWhileTheJournalIsFull(t *testing.T) {
+	var tail []journal.Entry
+	for seq := range uint64(journal.Slots) {
+		tail = append(tail, journal.Entry{Seq: seq + 1, Epoch: 1})
+	}
+	c := New(Options{Epoch: 1, Writer: 1}, journal.NewTable(), tail, nil, journal.Slots, 0)
+	c.Claim(traceStart, Request{Call: 1, Key: journal.Key{1}, Attempt: journal.Attempt{1}})
+	if due, ok := c.Due(); ok || c.NextCommit(traceStart.Add(time.Hour)) != nil {
+		t.Fatalf("due at %v with a full journal", due)
+	}
+	c.Folded(c.NextFold(), true)
+	if _, ok := c.Due(); !ok || c.NextCommit(traceStart.Add(time.Hour)) == nil {
+		t.Fatal("nothing due after the fold")
+	}
+}
