Serve an epoch taken while the former ownership ends

Cause: a newer epoch of this host, learned while its former ownership was still ending, was only started by the next read of the records, which comes after 15 s in a quiet fleet. Ruled out: starting it at once; two ownerships of a shard would run in one process. Before: with the records last read 5 s ago the second epoch is not served by the next round; after, it is. The end of an ownership now asks for a read of the records. Conclusion: such a shard waits for the read's gap at most.

--- a/internal/transport/sharder/sharder.go
+++ b/internal/transport/sharder/sharder.go
@@ -186,6 +186,8 @@
 func (s *Sharder) ended(ctx context.Context, own *ownership, gaveUp bool) {
 	s.mu.Lock()
 	delete(s.held, own.shard.ID)
+	// A newer epoch that this host took meanwhile is started from the records.
+	s.stale = true
 	if gaveUp {
 		s.table.GaveUp(time.Now(), own.shard.ID)
 	}
--- a/internal/transport/sharder/sharder_test.go
+++ b/internal/transport/sharder/sharder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -162,3 +163,48 @@
 		return ok && o.Host == "b" && !o.Self
 	})
 }
+
+// An epoch that this host takes while its former ownership is still ending is served
+// once that one has ended, without waiting for the next regular read of the records.
+func TestEpochTakenWhileTheFormerEndsIsServedNext(t *testing.T) {
+	store, f := standin.NewObjectStore(standin.ObjectStoreOptions{}), &fleet{}
+	f.set("b", "c")
+	let := make(chan struct{})
+	s := New(Options{
+		API: store, Host: "a", Incarnation: 1, View: f.get,
+		Shards:     func(*model.FleetView) []string { return []string{"claims/0"} },
+		Candidates: func(v *model.FleetView) []model.Member { return v.Members },
+		Acquired:   func(ctx context.Context, _ Shard) { <-ctx.Done(); <-let },
+		Log:        slog.New(slog.DiscardHandler), Timing: quick,
+	})
+	defer s.endAll()
+	holds := func(epoch model.Epoch, self bool) func() bool {
+		return func() bool {
+			s.round(t.Context())
+			o, ok := s.Lookup("claims/0")
+			return ok && o.Epoch == epoch && o.Self == self
+		}
+	}
+	eventually(t, "the first epoch is held", holds(1, true))
+	taken, err := json.Marshal(shards.Record{Epoch: 2, Host: "a", Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Put(t.Context(), keyPrefix+"claims/0", taken, s.table.Version("claims/0")); err != nil {
+		t.Fatal(err)
+	}
+	s.Stale("claims/0")
+	eventually(t, "the second epoch is known", holds(2, false))
+	close(let)
+	eventually(t, "the former ownership ended", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.held["claims/0"] == nil
+	})
+	s.mu.Lock()
+	s.listed = time.Now().Add(-listGapMax)
+	s.mu.Unlock()
+	if !holds(2, true)() {
+		t.Fatal("the second epoch is not served")
+	}
+}
