Answer claims of a known outage at once with Retry-After

Cause: without a verdict Begin asked again every 25 ms until the caller's deadline, also in an outage that the owner knew of. An owner whose object API has given no answer for 1 s now answers from memory or says outage; a new claim is then claim_unknown with Retry-After at once, and so it is when the owner is overloaded or 1.5 s brought no verdict. Begin goes on asking only while the holder says that another attempt runs; pauses double from 25 to 400 ms with jitter, and in_progress carries Retry-After. One commit stays in flight in an outage, so its end is noticed. Two faults beside it: a caller that left counted as the owner's failure, so callers of 30 ms moved a healthy shard from epoch 1 to 2; and the missing answers of a holder were counted over the whole call, not in a row. Ruled out: staging outage claims all the same; each would leave a claim to be freed afterwards. The layout moved from owner.go to its own file. Conclusion: no call is held in a known outage; entry's DeadlineExceeded of a claimed request is left to that package.

--- a/internal/coordination/claims/core.go
+++ b/internal/coordination/claims/core.go
@@ -209,6 +209,23 @@
 	return []Reply{c.describe(r.Call, present)}
 }
 
+// Recall answers a request from what is known without a commit; false when only a
+// commit could tell.
+func (c *Core) Recall(r Request) (Reply, bool) {
+	present, ok := c.table.Get(r.Key)
+	switch {
+	case !ok:
+		return Reply{}, false
+	case present.Attempt == r.Attempt && present.State == journal.Running:
+		return Reply{Call: r.Call, Verdict: Granted, Claim: present, Holder: c.table.Holder(present)}, present.Seq <= c.committed
+	case present.Digest == r.Digest:
+		return c.describe(r.Call, present), true
+	case present.State != journal.Running:
+		return Reply{Call: r.Call, Verdict: Reused}, true
+	}
+	return Reply{}, false
+}
+
 func (c *Core) newClaim(now time.Time, r Request) []Reply {
 	if c.waiting > c.opt.MaxWaiting/2 || c.table.Len() >= c.opt.MaxClaims || c.full() {
 		return c.wait(now, waiter{request: r, purpose: toRefuse})
--- a/internal/transport/claimduty/begin.go
+++ b/internal/transport/claimduty/begin.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,8 +26,13 @@
 	// answerShare is the part of a call's timeout after which a living owner answers
 	// in any case, so that a slow platform is not taken for a dead owner.
 	answerShare = 0.7
-	// retryPause is the pause before a claim is asked for again.
-	retryPause = 25 * time.Millisecond
+	// retryPause is the mean pause before a claim is asked for again; it doubles up
+	// to retryPauseMax.
+	retryPause    = 25 * time.Millisecond
+	retryPauseMax = 400 * time.Millisecond
+	// ownerGrace is how long a call without a verdict is asked for again, so that a
+	// takeover or handover of its shard goes unnoticed.
+	ownerGrace = 1500 * time.Millisecond
 	// followWait bounds one wait for an attempt's end at its holder.
 	followWait = time.Second
 	// followTries is how often a holder may fail to answer before its attempt counts
@@ -59,8 +65,9 @@
 	attempt *attempt
 	// asked says that a message about the attempt may have left this process.
 	asked bool
-	// inUse says that the last answer was that another attempt runs.
-	inUse bool
+	// inUse says that the last answer was that another attempt runs, live that its
+	// holder said so too.
+	inUse, live bool
 	// goneOnce is an attempt whose holder was found gone; failures counts its
 	// holder's missing answers.
 	goneOnce journal.Attempt
@@ -90,7 +97,7 @@
 		return Ticket{}, claimUnknown("the claim layout is not known yet")
 	}
 	b := &begin{duty: d, key: key, digest: digest, attempt: &attempt{key: hashKey(key)}}
-	_, _ = rand.Read(b.attempt.id[:])
+	_, _ = crand.Read(b.attempt.id[:])
 	b.attempt.shard = d.shardOf(b.attempt.key)
 	if !d.attempts.begin(b.attempt) {
 		return Ticket{}, claimUnknown("too many requests of this host wait for their end")
@@ -108,13 +115,19 @@
 	return t, err
 }
 
-func claimUnknown(why string) error {
-	return &resultcode.Error{Code: resultcode.ClaimUnknown, Detail: why, RetryAfterMillis: unknownRetryAfter.Milliseconds()}
+func claimUnknown(why string) error { return comeBack(resultcode.ClaimUnknown, why, unknownRetryAfter) }
+
+func comeBack(code resultcode.Code, why string, after time.Duration) error {
+	return &resultcode.Error{Code: code, Detail: why, RetryAfterMillis: after.Milliseconds()}
 }
 
-// run asks until there is a verdict or ctx ends.
+// run asks until there is a verdict or ctx ends. It goes on asking while another
+// attempt runs; without a verdict it gives up after ownerGrace, and at once when the
+// owner says that none is to be had.
 func (b *begin) run(ctx context.Context) (Ticket, error) {
+	since, wait := time.Now(), retryPause
 	for {
+		b.inUse, b.live = false, false
 		reply, err := b.ask(ctx)
 		if err == nil {
 			ticket, done, err := b.decide(ctx, reply)
@@ -122,12 +135,24 @@
 				return ticket, err
 			}
 		}
-		if !pause(ctx, retryPause) {
+		switch {
+		case b.live:
+			since, wait = time.Now(), retryPause
+		case err == nil && reply.Outage:
+			return Ticket{}, claimUnknown("the object API does not answer")
+		case err == nil && reply.Verdict == claims.Undecided && reply.RetryAfterMillis > 0:
+			after := time.Duration(reply.RetryAfterMillis) * time.Millisecond
+			return Ticket{}, comeBack(resultcode.ClaimUnknown, "the owner of the claim shard is overloaded", after)
+		case time.Since(since) >= ownerGrace:
+			return Ticket{}, claimUnknown("no owner of the claim shard decided in time")
+		}
+		if !pause(ctx, wait/2+rand.N(wait)) {
 			if b.inUse {
-				return Ticket{}, resultcode.New(resultcode.InProgress, "a request with this key is still running")
+				return Ticket{}, comeBack(resultcode.InProgress, "a request with this key is still running", unknownRetryAfter)
 			}
 			return Ticket{}, claimUnknown("no owner of the claim shard answered in time")
 		}
+		wait = min(2*wait, retryPauseMax)
 	}
 }
 
@@ -158,7 +183,8 @@
 		d.sharder.Stale(shard)
 		return errNoOwner
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	caller := ctx
+	ctx, cancel := context.WithTimeout(caller, timeout)
 	defer cancel()
 	defer context.AfterFunc(holder.Valid, cancel)()
 	if o, err := d.owner(shard); err == nil && holder.Self {
@@ -169,7 +195,10 @@
 		return errNoOwner
 	}
 	err := call(ctx, nil, holder.Address)
-	d.learn(shard, holder, err)
+	// A caller that left says nothing about the holder.
+	if caller.Err() == nil {
+		d.learn(shard, holder, err)
+	}
 	return err
 }
 
@@ -282,7 +311,10 @@
 		}
 		return Ticket{}, false, nil
 	}
+	b.failures = 0
 	switch reply.State {
+	case followLive:
+		b.live = true
 	case followGone:
 		// Its end may have become durable since the owner answered: ask once more.
 		if b.goneOnce == r.Attempt {
--- a/internal/transport/claimduty/duty.go
+++ b/internal/transport/claimduty/duty.go
@@ -30,7 +30,10 @@
 	// Mesh is the entry program's; New registers handlers, so it precedes Start.
 	Mesh *quicmesh.Mesh
 	API  objectapi.API
-	Host model.HostID
+	// Outage is how long the API has given no answer, 0 when it answers; nil when
+	// nobody knows.
+	Outage func() time.Duration
+	Host   model.HostID
 	// Incarnation is this process's life; it grows with each start.
 	Incarnation model.Incarnation
 	// Address is the mesh's address as others reach it.
@@ -179,6 +182,7 @@
 // acquired serves a shard for as long as this host holds it.
 func (d *Duty) acquired(ctx context.Context, shard sharder.Shard) {
 	o := newOwner(shard, d.opt.API, d.timing, d.metrics, d.opt.Log, d.sharder.Lost)
+	o.outage = d.opt.Outage
 	d.mu.Lock()
 	d.owners[shard.ID] = o
 	d.mu.Unlock()
--- /dev/null
+++ b/internal/transport/claimduty/layout.go
@@ -0,0 +1,41 @@
+package claimduty
+
+import (
+	"context"
+	"errors"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+)
+
+// layoutKey is the object that fixes the number of shards for good.
+const layoutKey = "claims-layout"
+
+type layout struct {
+	Shards int `cbor:"1,keyasint"`
+}
+
+// readLayout returns the number of shards, fixing it at wanted when nobody has.
+func readLayout(ctx context.Context, api objectapi.API, wanted int) (int, error) {
+	o, err := api.Get(ctx, layoutKey)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		value, err := wire.Encode(layout{Shards: wanted})
+		if err != nil {
+			return 0, err
+		}
+		if _, err := api.Put(ctx, layoutKey, value, 0); err != nil && !errors.Is(err, objectapi.ErrConflict) {
+			return 0, err
+		}
+		o, err = api.Get(ctx, layoutKey)
+		if err != nil {
+			return 0, err
+		}
+	} else if err != nil {
+		return 0, err
+	}
+	var l layout
+	if err := wire.Decode(o.Value, &l); err != nil || l.Shards < 1 {
+		return 0, Error.New("layout not readable: %v", err)
+	}
+	return l.Shards, nil
+}
--- a/internal/transport/claimduty/messages.go
+++ b/internal/transport/claimduty/messages.go
@@ -28,6 +28,9 @@
 	RetryAfterMillis int64           `cbor:"8,keyasint"`
 	// AnswerMissing says that the journal's answer could not be read.
 	AnswerMissing bool `cbor:"9,keyasint"`
+	// Outage says that the object API gives the owner no answer, so that nothing new
+	// is decided now.
+	Outage bool `cbor:"10,keyasint"`
 }
 
 // settlement is the end of one attempt.
--- a/internal/transport/claimduty/module.go
+++ b/internal/transport/claimduty/module.go
@@ -34,7 +34,7 @@
 }
 
 func newDuty(p dutyParams) *Duty {
-	d := New(Options{
+	opt := Options{
 		Mesh:        p.Mesh,
 		API:         p.API,
 		Host:        p.Settings.Host.ID,
@@ -43,7 +43,11 @@
 		View:        p.Feed.View,
 		Log:         logging.Part(p.Root, "claims"),
 		Registerer:  p.Registry,
-	})
+	}
+	if client, ok := p.API.(interface{ OutageFor() time.Duration }); ok {
+		opt.Outage = client.OutageFor
+	}
+	d := New(opt)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	p.Lifecycle.Append(fx.Hook{
--- a/internal/transport/claimduty/owner.go
+++ b/internal/transport/claimduty/owner.go
@@ -9,7 +9,6 @@
 
 	"oleanderfall.example/oleanderfall/internal/coordination/claims"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
-	"oleanderfall.example/oleanderfall/internal/protocol/wire"
 	"oleanderfall.example/oleanderfall/internal/state/journal"
 	"oleanderfall.example/oleanderfall/internal/transport/ring"
 	"oleanderfall.example/oleanderfall/internal/transport/sharder"
@@ -21,6 +20,9 @@
 	ownerRing = 4096
 	// idleWake is the longest time between two looks at folding and expiry.
 	idleWake = time.Second
+	// outageKnown is how long the object API gives no answer before an owner stops
+	// keeping new claims waiting for it.
+	outageKnown = time.Second
 )
 
 // event is a call to the owner's goroutine: a request for a claim or a settlement.
@@ -39,9 +41,11 @@
 
 // owner serves one shard under one epoch.
 type owner struct {
-	shard   sharder.Shard
-	store   *store
-	timing  func() (interval, lifetime time.Duration)
+	shard  sharder.Shard
+	store  *store
+	timing func() (interval, lifetime time.Duration)
+	// outage is how long the object API has given no answer, nil when nobody knows.
+	outage  func() time.Duration
 	metrics *metrics
 	log     *slog.Logger
 	lost    func(sharder.Shard)
@@ -93,6 +97,9 @@
 	undecided := ownerReply{Reply: claims.Reply{Verdict: claims.Undecided}}
 	e.reply = make(chan ownerReply, 1)
 	if err := o.events.Push(ctx, e); err != nil {
+		if ctx.Err() == nil {
+			undecided.RetryAfter = unknownRetryAfter
+		}
 		return undecided
 	}
 	select {
@@ -257,6 +264,10 @@
 		e.claim.Call = o.lastID
 		pending.key = e.claim.Key
 		o.calls[o.lastID] = pending
+		if o.inOutage() {
+			o.recall(now, *e.claim)
+			return
+		}
 		o.answer(o.core.Claim(now, *e.claim))
 		return
 	}
@@ -265,6 +276,22 @@
 	o.answer(o.core.Settle(now, *e.settle))
 }
 
+func (o *owner) inOutage() bool { return o.outage != nil && o.outage() >= outageKnown }
+
+// recall answers a claim from memory in an outage; a new one is undecided at once.
+// A commit is kept in flight, which notices the end of the outage.
+func (o *owner) recall(now time.Time, r claims.Request) {
+	reply, ok := o.core.Recall(r)
+	if !ok {
+		reply = claims.Reply{Call: r.Call, Verdict: claims.Undecided}
+	}
+	o.answer([]claims.Reply{reply})
+	if o.core.Stats().Waiting == 0 {
+		o.lastID++
+		o.answer(o.core.Settle(now, claims.Settlement{Call: o.lastID}))
+	}
+}
+
 func (o *owner) answer(replies []claims.Reply) {
 	for _, r := range replies {
 		pending, ok := o.calls[r.Call]
@@ -323,7 +350,7 @@
 	reply := claimReply{
 		Verdict: got.Verdict, Epoch: o.shard.Epoch, Attempt: got.Claim.Attempt, Holder: got.Holder,
 		Status: int(got.Claim.Status), Body: got.body, Held: got.Claim.Held,
-		RetryAfterMillis: got.RetryAfter.Milliseconds(),
+		RetryAfterMillis: got.RetryAfter.Milliseconds(), Outage: o.inOutage(),
 	}
 	if got.Verdict == claims.Answered && !got.Claim.Held && !got.hasBody {
 		body, err := o.store.answer(ctx, got.Claim)
@@ -350,35 +377,3 @@
 	waiting.Wait()
 	return reply
 }
-
-// layoutKey is the object that fixes the number of shards for good.
-const layoutKey = "claims-layout"
-
-type layout struct {
-	Shards int `cbor:"1,keyasint"`
-}
-
-// readLayout returns the number of shards, fixing it at wanted when nobody has.
-func readLayout(ctx context.Context, api objectapi.API, wanted int) (int, error) {
-	o, err := api.Get(ctx, layoutKey)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		value, err := wire.Encode(layout{Shards: wanted})
-		if err != nil {
-			return 0, err
-		}
-		if _, err := api.Put(ctx, layoutKey, value, 0); err != nil && !errors.Is(err, objectapi.ErrConflict) {
-			return 0, err
-		}
-		o, err = api.Get(ctx, layoutKey)
-		if err != nil {
-			return 0, err
-		}
-	} else if err != nil {
-		return 0, err
-	}
-	var l layout
-	if err := wire.Decode(o.Value, &l); err != nil || l.Shards < 1 {
-		return 0, Error.New("layout not readable: %v", err)
-	}
-	return l.Shards, nil
-}
