--- a/internal/transport/claimduty/owner.go
+++ b/internal/transport/claimduty/owner.go
@@ -61,6 +61,8 @@
 	commits chan commitResult
 	folds   chan foldResult
 	removed chan bool
+	// foldRetry and removeRetry pace what failed.
+	foldRetry, removeRetry retryPace
 }
 
 type pendingCall struct {
@@ -137,9 +139,11 @@
 			o.answer(o.core.Committed(time.Now()))
 		case r := <-o.folds:
 			o.core.Folded(r.fold, r.err == nil)
+			o.foldRetry.ended(time.Now(), r.err == nil)
 			o.note("Segment not folded; tried again.", r.err)
 		case ok := <-o.removed:
 			o.core.Removed(ok)
+			o.removeRetry.ended(time.Now(), ok)
 		case <-timer.C:
 		case <-ctx.Done():
 			o.giveUp(ctx.Err())
@@ -322,11 +326,15 @@
 			o.commits <- commitResult{err, time.Since(began)}
 		})
 	}
-	if fold := o.core.NextFold(); fold != nil {
-		o.work(func() { o.folds <- foldResult{fold, o.store.fold(ctx, fold.Segment, fold.Answers)} })
+	if o.foldRetry.due(now) {
+		if fold := o.core.NextFold(); fold != nil {
+			o.work(func() { o.folds <- foldResult{fold, o.store.fold(ctx, fold.Segment, fold.Answers)} })
+		}
 	}
-	if segment := o.core.NextRemoval(now); segment != nil {
-		o.work(func() { o.removed <- o.store.remove(ctx, segment.Number) == nil })
+	if o.removeRetry.due(now) {
+		if segment := o.core.NextRemoval(now); segment != nil {
+			o.work(func() { o.removed <- o.store.remove(ctx, segment.Number) == nil })
+		}
 	}
 }
 
