--- a/internal/coordination/claims/core.go
+++ b/internal/coordination/claims/core.go
@@ -340,7 +340,7 @@
 	if c.staged.since.IsZero() {
 		c.staged.since = now
 	}
-	op.Body = nil
+	op.Body, op.HasBody = nil, len(op.Body) > 0
 	op.Seq = c.next()
 	if op.AtMillis == 0 {
 		op.AtMillis = c.millis(now)
--- a/internal/state/journal/entry.go
+++ b/internal/state/journal/entry.go
@@ -58,6 +58,8 @@
 	// them out, segments and carried claims state them.
 	Seq      uint64 `cbor:"9,keyasint,omitempty"`
 	AtMillis int64  `cbor:"10,keyasint,omitempty"`
+	// HasBody says in segments that the answer has a body, kept apart.
+	HasBody bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Entry is one group commit.
--- a/internal/state/journal/segment.go
+++ b/internal/state/journal/segment.go
@@ -68,7 +68,7 @@
 			}
 			if len(op.Body) > 0 {
 				withBody = append(withBody, op)
-				op.Body = nil
+				op.Body, op.HasBody = nil, true
 			}
 			if op.State == Running {
 				claimed[op.Attempt] = len(all)
--- a/internal/state/journal/table.go
+++ b/internal/state/journal/table.go
@@ -26,6 +26,8 @@
 	State    State
 	// Held says that the answer is with the holder.
 	Held bool
+	// HasBody says that the journal keeps a body that is not empty.
+	HasBody bool
 }
 
 type ending struct {
@@ -71,6 +73,7 @@
 	t.claims[op.Key] = Claim{
 		Digest: op.Digest, Attempt: op.Attempt, Seq: op.Seq, AtMillis: op.AtMillis,
 		Status: int32(op.Status), holder: t.intern(op.Holder), State: op.State, Held: op.Held,
+		HasBody: op.HasBody || len(op.Body) > 0,
 	}
 	if op.State == Running {
 		t.open[op.Key] = struct{}{}
--- a/internal/transport/claimduty/begin.go
+++ b/internal/transport/claimduty/begin.go
@@ -256,6 +256,10 @@
 		if r.AnswerMissing {
 			return Ticket{}, false, nil
 		}
+		if r.AnswerLost {
+			t.Verdict = VerdictAnswerLost
+			return t, true, nil
+		}
 		t.Answer = Answer{Status: r.Status, Body: r.Body}
 		return t, true, nil
 	}
--- a/internal/transport/claimduty/messages.go
+++ b/internal/transport/claimduty/messages.go
@@ -31,6 +31,8 @@
 	// Outage says that the object API gives the owner no answer, so that nothing new
 	// is decided now.
 	Outage bool `cbor:"10,keyasint"`
+	// AnswerLost says that the journal no longer has the answer.
+	AnswerLost bool `cbor:"11,keyasint"`
 }
 
 // settlement is the end of one attempt.
--- a/internal/transport/claimduty/owner.go
+++ b/internal/transport/claimduty/owner.go
@@ -361,12 +361,21 @@
 		RetryAfterMillis: got.RetryAfter.Milliseconds(), Outage: o.inOutage(),
 	}
 	if got.Verdict == claims.Answered && !got.Claim.Held && !got.hasBody {
-		body, err := o.store.answer(ctx, got.Claim)
-		reply.Body, reply.AnswerMissing = body, err != nil && !errors.Is(err, objectapi.ErrNotFound)
+		o.readAnswer(ctx, got.Claim, &reply)
 	}
 	return reply
 }
 
+// readAnswer completes a reply with the answer of a claim whose entry was folded. A
+// segment without answers has no object for them.
+func (o *owner) readAnswer(ctx context.Context, claim journal.Claim, reply *claimReply) {
+	body, err := o.store.answer(ctx, claim)
+	missing := errors.Is(err, objectapi.ErrNotFound) || err == nil && len(body) == 0
+	reply.Body = body
+	reply.AnswerLost = missing && claim.HasBody
+	reply.AnswerMissing = !missing && err != nil
+}
+
 // serveSettle answers MethodSettle at the owner.
 func (o *owner) serveSettle(ctx context.Context, r settleRequest) settleReply {
 	ctx, cancel := context.WithTimeout(ctx, share(SettleTimeout))
--- a/internal/transport/claimduty/store_test.go
+++ b/internal/transport/claimduty/store_test.go
@@ -31,14 +31,16 @@
 type driver struct {
 	t     *testing.T
 	core  *claims.Core
+	table *journal.Table
 	store *store
 	now   time.Time
 }
 
 func newDriver(t *testing.T, api *standin.ObjectStore, opt claims.Options) *driver {
+	table := journal.NewTable()
 	return &driver{
-		t: t, store: &store{api: api, shard: "claims/0"}, now: time.Unix(1_700_000_000, 0),
-		core: claims.New(opt, journal.NewTable(), nil, nil, 0, 0),
+		t: t, table: table, store: &store{api: api, shard: "claims/0"}, now: time.Unix(1_700_000_000, 0),
+		core: claims.New(opt, table, nil, nil, 0, 0),
 	}
 }
 
@@ -126,7 +128,7 @@
 		t.Fatal(err)
 	}
 	for i := 1; i <= 3; i++ {
-		if c, ok := o.core.Lookup(numbered(i)); !ok || c.State != journal.Running {
+		if r, ok := o.core.Recall(claims.Request{Key: numbered(i), Digest: 1}); !ok || r.Verdict != claims.InUse {
 			t.Errorf("the successor does not know claim %d", i)
 		}
 	}
@@ -166,8 +168,8 @@
 	}
 	theirs := claims.New(claims.Options{}, l.table, l.tail, l.segments, l.last, l.lastMillis)
 	for i := range upTo + 1 {
-		mine, ok := d.core.Lookup(numbered(i))
-		got, found := theirs.Lookup(numbered(i))
+		mine, ok := d.table.Get(numbered(i))
+		got, found := l.table.Get(numbered(i))
 		if ok && (!found || got.State != mine.State || got.Attempt != mine.Attempt || got.Digest != mine.Digest) {
 			t.Fatalf("entry %d, key %d: owner has %+v, takeover read %+v (%v)", upTo, i, mine, got, found)
 		}
@@ -193,3 +195,42 @@
 		t.Fatalf("the answer of key %x reads %q", k, body)
 	}
 }
+
+// An answer whose object is gone is lost; a resend is not told of an empty answer.
+func TestFoldedAnswerThatIsGoneIsLostNotEmpty(t *testing.T) {
+	api := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	d := newDriver(t, api, claims.Options{Epoch: 1, Writer: 1, Interval: time.Millisecond})
+	for i, body := range []string{"answer", ""} {
+		k := numbered(i)
+		d.core.Claim(d.now, claims.Request{Key: k, Attempt: journal.Attempt(k), Digest: 1})
+		d.commit()
+		d.core.Settle(d.now, claims.Settlement{Key: k, Attempt: journal.Attempt(k), State: journal.Ran, Status: 200, Body: []byte(body)})
+	}
+	for i := range 2 * journal.SegmentEntries {
+		d.core.Claim(d.now, claims.Request{Key: numbered(10 + i), Attempt: journal.Attempt(numbered(10 + i))})
+		d.commit()
+	}
+	gone, err := api.List(t.Context(), "claims/0/answer/", "", 100)
+	if err != nil || len(gone.Objects) == 0 {
+		t.Fatalf("no folded answers: %v", err)
+	}
+	for _, o := range gone.Objects {
+		if err := api.Delete(t.Context(), o.Key, o.Version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	o := newOwner(sharder.Shard{ID: "claims/0", Epoch: 2}, api, noTiming, newMetrics(nil), slog.New(slog.DiscardHandler), nil)
+	if err := o.takeOver(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []Verdict{VerdictAnswerLost, VerdictAnswered} {
+		r, _ := o.core.Recall(claims.Request{Key: numbered(i), Digest: 1})
+		reply := claimReply{Verdict: r.Verdict, Status: int(r.Claim.Status)}
+		o.readAnswer(t.Context(), r.Claim, &reply)
+		b := &begin{attempt: &attempt{}}
+		ticket, done, err := b.decide(t.Context(), reply)
+		if !done || err != nil || ticket.Verdict != want {
+			t.Errorf("key %d: verdict %v, want %v (%v)", i, ticket.Verdict, want, err)
+		}
+	}
+}
