--- /dev/null
+++ b/internal/transport/entry/oversize_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/claimduty"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+)
+
+// TestOversizeAnswerIsNoFailureOfItsEndpoint: an answer that is too large to pass on
+// is neither asked for again nor held against the endpoint.
+func TestOversizeAnswerIsNoFailureOfItsEndpoint(t *testing.T) {
+	const tooLarge, requests = 8<<20 + 1, 6
+	b := newBed(t)
+	var runs atomic.Int64
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/v1/call/small" {
+			return
+		}
+		_, _ = w.Write(make([]byte, tooLarge))
+	}))
+	t.Cleanup(endpoint.Close)
+	b.endpoint("large", model.Endpoint{
+		Kind: model.EndpointPlain, Service: "registry", Zone: "lj-a", Address: strings.TrimPrefix(endpoint.URL, "http://"),
+	})
+	b.apply(nil)
+	for range requests {
+		if r := b.call("lookup", "x"); r.code != resultcode.AnswerLost || r.outcome != resultcode.Ran {
+			t.Errorf("idempotent: %v, %q", r.code, r.outcome)
+		}
+	}
+	r := b.call("issue", "x", httpapi.IdempotencyKeyHeader, "k1")
+	if r.code != resultcode.AnswerLost || r.outcome != resultcode.Ran {
+		t.Errorf("claimed: %v, %q", r.code, r.outcome)
+	}
+	b.server.background.Wait()
+	b.claims.mu.Lock()
+	for key, c := range b.claims.held {
+		if key != (claimduty.Key{Caller: "lab", Service: "registry", Idempotency: "k1"}) || c.outcome != resultcode.Ran {
+			t.Errorf("claim %v settled as %q", key, c.outcome)
+		}
+	}
+	b.claims.mu.Unlock()
+	if r := b.call("small", "x"); r.code != resultcode.OK {
+		t.Errorf("the endpoint was given up: %v", r.code)
+	}
+	hedges := b.hedgesOf(t, requests+2)
+	if n := runs.Load(); n > requests+2+hedges {
+		t.Errorf("%d runs of %d requests with %d hedges", n, requests+2, hedges)
+	}
+}
+
+// hedgesOf checks that each of so many requests was sent once, not counting its
+// hedges, and returns the hedges. A hedge is made beside an attempt that takes long,
+// not after one that ended.
+func (b *bed) hedgesOf(t *testing.T, requests int) int64 {
+	t.Helper()
+	h := b.server.history
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.byID) != requests {
+		t.Errorf("%d requests in the history", len(h.byID))
+	}
+	var hedges int64
+	for _, r := range h.byID {
+		r.mu.Lock()
+		var sent, hedged int64
+		for _, e := range r.events {
+			switch e.What {
+			case "sent":
+				sent++
+			case "hedged":
+				hedged++
+			}
+		}
+		if sent < 1 || sent > 1+hedged {
+			t.Errorf("request %s: sent %d times with %d hedges", r.id, sent, hedged)
+		}
+		hedges += hedged
+		r.mu.Unlock()
+	}
+	return hedges
+}
