--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -70,6 +70,8 @@
 	NotRun  int `json:"not_run"`
 	Unknown int `json:"unknown"`
 	Broken  int `json:"broken"`
+	// Refusal is the last refusal's text, with the time it came.
+	Refusal string `json:"refusal,omitempty"`
 	// Results counts the result codes got.
 	Results map[string]int `json:"results,omitempty"`
 	Millis  float64        `json:"ms"`
@@ -209,6 +211,8 @@
 const answerMargin = 200 * time.Millisecond
 
 func (c *Caller) refused(s *Sent, resp *http.Response) {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxLoggedBody))
+	s.Refusal = time.Now().UTC().Format("15:04:05.000 ") + string(text)
 	switch resp.Header.Get("Oleander-Outcome") {
 	case "not run":
 		s.NotRun++
--- /dev/null
+++ b/internal/system/fleet_test.go
@@ -0,0 +1,56 @@
+package system
+
+import (
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/standin"
+)
+
+func TestHostsReplacedOneAfterAnotherInterruptNothing(t *testing.T) {
+	c := startCluster(t)
+	lab := c.caller(60, 1800)
+	streams := c.reviewer(5, 150)
+	trainer := c.trainer(3, 10, 0)
+	for i, h := range c.hosts {
+		c.sentAtLeast(lab, 100*(i+1))
+		for _, program := range []string{"entry", "rollout", "control"} {
+			if err := c.terminate(h, program); err != nil {
+				t.Errorf("planned stop of %s on %s: %v", program, h.name, err)
+			}
+		}
+		for _, program := range []string{"control", "entry", "rollout"} {
+			c.start(h, program)
+		}
+		c.until("the replaced host is ready", c.allReady)
+	}
+	c.wait("callers end", lab.Done())
+	c.wait("reviewers end", streams.Done())
+	c.wait("the trainer ends", trainer.Done())
+	v := c.judge(map[string]*standin.Caller{"lab": lab, "reviewer": streams}, map[string]*standin.Trainer{"drafts": trainer})
+	c.nothingInterrupted(v, lab, streams)
+}
+
+func TestZoneLostAtOnceLeavesTheOthersServing(t *testing.T) {
+	c := startCluster(t)
+	lab := c.caller(100, 1500)
+	trainer := c.trainer(2, 20, time.Second)
+	c.sentAtLeast(lab, 150)
+	for _, h := range c.hosts {
+		if h.zone != zones[0] {
+			continue
+		}
+		for _, program := range []string{"control", "entry", "rollout"} {
+			c.kill(h, program)
+		}
+	}
+	c.plains[0].SetFaults(standin.Faults{Down: true})
+	c.engines[0].SetFaults(standin.Faults{Down: true})
+	c.engines[3].SetFaults(standin.Faults{Down: true})
+	c.wait("callers end", lab.Done())
+	c.wait("the trainer ends", trainer.Done())
+	v := c.judge(map[string]*standin.Caller{"lab": lab}, map[string]*standin.Trainer{"drafts": trainer})
+	if v.Answered < v.Requests*95/100 || v.StepsDone["drafts"] != 2 {
+		t.Errorf("%d of %d answered, %d steps", v.Answered, v.Requests, v.StepsDone["drafts"])
+	}
+}
--- a/internal/system/harness_test.go
+++ b/internal/system/harness_test.go
@@ -315,7 +315,7 @@
 	}
 }
 
-const maxPrintedLog = 3000
+const maxPrintedLog = 6000
 
 func (c *cluster) printLogs() {
 	logs, _ := filepath.Glob(c.path("*.log"))
@@ -465,3 +465,19 @@
 	}
 	return string(text)
 }
+
+// nothingInterrupted checks that every request was answered at its first sending.
+func (c *cluster) nothingInterrupted(v standin.Verdict, callers ...*standin.Caller) {
+	c.t.Helper()
+	if v.Answered == v.Requests && v.Broken == 0 && v.Unknown == 0 {
+		return
+	}
+	c.t.Errorf("%d of %d answered, %d broken, %d unknown", v.Answered, v.Requests, v.Broken, v.Unknown)
+	for _, caller := range callers {
+		for _, s := range caller.Sent() {
+			if !s.Answered || s.Broken > 0 || s.Unknown > 0 {
+				c.t.Logf("%s %s: %v, %.0f ms, last refusal %s", s.Call, s.Body, s.Results, s.Millis, s.Refusal)
+			}
+		}
+	}
+}
--- a/internal/system/requests_test.go
+++ b/internal/system/requests_test.go
@@ -98,14 +98,7 @@
 	c.wait("callers end", lab.Done())
 	c.wait("reviewers end", streams.Done())
 	v := c.judge(map[string]*standin.Caller{"lab": lab, "reviewer": streams}, nil)
-	for _, s := range lab.Sent() {
-		if s.Unknown > 0 {
-			t.Logf("%s %v %.0f ms", s.Body, s.Results, s.Millis)
-		}
-	}
-	if v.Answered != v.Requests || v.Broken != 0 || v.Unknown != 0 {
-		t.Errorf("%d of %d answered, %d broken, %d unknown", v.Answered, v.Requests, v.Broken, v.Unknown)
-	}
+	c.nothingInterrupted(v, lab, streams)
 }
 
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
