Keep prompts by opening, until the record without their step is written

Cause: the prompts object was named by its step alone and written before the step's opening was judged, so a refused opening replaced the prompts of the open step; the next owner then had other prompts, or fewer than groups, and panicked. The object was also deleted as soon as the step closed, before the record without it was written; an owner that took over in between never got past its restore. The opening's digest held values taken from the settings, so after a change of them the same opening was refused for ever, and its prompts were joined without their lengths. Ruled out: writing the prompts after the machine's decision; a crash in between would leave a recorded step without prompts. The object is named by step and digest, a refused opening's is deleted unless a step has it, and a closed step's once the record without it is confirmed. A write that fails answers storage_outage or storage_unknown; too_large only if it is. Conclusion: objects of openings that are never judged, and of steps closed by an owner that ends before it deletes them, stay; a record with prompts of the old name can't be taken over.

--- a/internal/transport/rollout/events.go
+++ b/internal/transport/rollout/events.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"errors"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/routing"
@@ -105,13 +106,16 @@
 	actions, err := o.machine.Open(time.Now(), e.spec)
 	o.do(actions)
 	if err != nil {
+		if !errors.Is(err, samples.ErrStepTooLarge) {
+			o.dropRefused(e.spec)
+		}
 		e.reply <- openFailure(err)
 		return
 	}
 	if o.steps[e.spec.Step] == nil {
 		o.steps[e.spec.Step] = &stepContent{
 			prompts: e.prompts, prefix: e.spec.PromptPrefix, groupSize: e.spec.GroupSize, maxTokens: e.spec.MaxTokens,
-			inline: e.spec.Inline, contents: map[int]*content{},
+			digest: e.spec.Digest, inline: e.spec.Inline, contents: map[int]*content{},
 		}
 	}
 	e.sequence, _ = o.machine.Pending()
--- a/internal/transport/rollout/owner.go
+++ b/internal/transport/rollout/owner.go
@@ -60,6 +60,7 @@
 	jobs         map[samples.AttemptID]runningJob
 	waiting      []pullRequest
 	opening      []openRequest
+	closed       []closedStep
 	writing      bool
 	held         int
 	workers      sync.WaitGroup
@@ -77,6 +78,7 @@
 	prefix    string
 	groupSize int
 	maxTokens int
+	digest    uint64
 	inline    bool
 	contents  map[int]*content
 }
@@ -93,6 +95,13 @@
 	cancel context.CancelFunc
 }
 
+// closedStep is a step without content whose prompts are kept until the record without
+// it, of this sequence or a later one, is confirmed.
+type closedStep struct {
+	prompts  promptsID
+	sequence uint64
+}
+
 // event is one message to the owner's duty.
 type event interface{ apply(o *owner) }
 
@@ -168,12 +177,15 @@
 	}
 	for _, st := range record.Steps {
 		content := &stepContent{
-			prefix: st.PromptPrefix, groupSize: st.GroupSize, maxTokens: st.MaxTokens, inline: st.Inline, contents: map[int]*content{},
+			prefix: st.PromptPrefix, groupSize: st.GroupSize, maxTokens: st.MaxTokens, digest: st.Digest, inline: st.Inline, contents: map[int]*content{},
 		}
 		if st.Inline {
-			if content.prompts, err = o.store.readPrompts(ctx, st.Step); err != nil {
+			if content.prompts, err = o.store.readPrompts(ctx, promptsID{step: st.Step, digest: st.Digest}); err != nil {
 				return err
 			}
+			if len(content.prompts) != st.Groups {
+				return Error.New("step %d has %d prompts for %d groups", st.Step, len(content.prompts), st.Groups)
+			}
 		}
 		o.steps[st.Step] = content
 	}
@@ -312,7 +324,8 @@
 	}
 }
 
-// dropClosed forgets the contents of steps that the machine closed.
+// dropClosed forgets the contents of steps that the machine closed. Their prompts stay:
+// an owner that takes over now still finds the steps in the record.
 func (o *owner) dropClosed() {
 	for step, st := range o.steps {
 		if _, open := o.machine.Explain(samples.SlotID{Step: step}); open {
@@ -320,9 +333,37 @@
 		}
 		delete(o.steps, step)
 		if st.inline {
-			o.workers.Go(func() { o.store.dropPrompts(o.ctx, step) })
+			sequence, _ := o.machine.Pending()
+			o.closed = append(o.closed, closedStep{prompts: promptsID{step: step, digest: st.digest}, sequence: sequence})
+		}
+	}
+}
+
+// dropPrompts deletes the prompts of the steps that the confirmed record is without.
+func (o *owner) dropPrompts() {
+	kept := o.closed[:0]
+	for _, c := range o.closed {
+		if c.sequence > o.machine.Confirmed() {
+			kept = append(kept, c)
+			continue
+		}
+		o.workers.Go(func() { o.store.dropPrompts(o.ctx, c.prompts) })
+	}
+	o.closed = kept
+}
+
+// dropRefused deletes the prompts of a refused opening unless a step of the record has them.
+func (o *owner) dropRefused(spec samples.StepSpec) {
+	id := promptsID{step: spec.Step, digest: spec.Digest}
+	if st := o.steps[id.step]; !spec.Inline || st != nil && st.digest == id.digest {
+		return
+	}
+	for _, c := range o.closed {
+		if c.prompts == id {
+			return
 		}
 	}
+	o.workers.Go(func() { o.store.dropPrompts(o.ctx, id) })
 }
 
 // write keeps one write of the record in flight while there is something to write.
@@ -348,5 +389,6 @@
 		return
 	}
 	o.machine.Confirm(e.sequence)
+	o.dropPrompts()
 	o.answerOpens()
 }
--- a/internal/transport/rollout/server.go
+++ b/internal/transport/rollout/server.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"hash/fnv"
@@ -82,8 +83,8 @@
 		return
 	}
 	if spec.Inline {
-		if err := o.store.writePrompts(r.Context(), open.Step, open.Prompts); err != nil {
-			fail(w, resultcode.New(resultcode.TooLarge, "The prompts could not be kept."))
+		if err := keepPrompts(r.Context(), o.store, spec, open.Prompts); err != nil {
+			fail(w, err)
 			return
 		}
 	}
@@ -96,6 +97,24 @@
 	httpapi.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
+// keepPrompts writes the prompts before the step is opened; nothing is open when it fails.
+func keepPrompts(ctx context.Context, s *store, spec samples.StepSpec, prompts []string) error {
+	ctx, cancel := context.WithTimeout(ctx, openWait)
+	defer cancel()
+	err := s.writePrompts(ctx, promptsID{step: spec.Step, digest: spec.Digest}, prompts)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, objectapi.ErrTooLarge):
+		return resultcode.New(resultcode.TooLarge, "The prompts are larger than an object may be.")
+	case errors.Is(err, errOtherPrompts):
+		return resultcode.New(resultcode.StepConflict, "The step was opened with other contents.")
+	case objectapi.Unresolved(err):
+		return resultcode.New(resultcode.StorageUnknown, "The prompts may not be kept yet; send the same again.")
+	}
+	return resultcode.New(resultcode.StorageOutage, "The prompts are not kept; send the same again.")
+}
+
 // await waits for the duty's answer; an unanswered opening may still take effect.
 func await(r *http.Request, o *owner, reply <-chan error) error {
 	timer := time.NewTimer(openWait)
@@ -137,19 +156,34 @@
 	if spec.MaxTokens < 0 || spec.Needed < 0 || spec.Needed > spec.Groups {
 		return spec, resultcode.New(resultcode.BadRequest, "max_tokens or needed_groups is out of range.")
 	}
-	spec.Digest = digest(open, spec)
+	spec.Digest = digest(open)
 	return spec, nil
 }
 
-// digest identifies what a step was opened with, but for the version of that moment.
-func digest(open trainerapi.OpenStep, spec samples.StepSpec) uint64 {
+// digest identifies an opening as it was sent, but for the version of that moment. No
+// setting is part of it, so that the same opening can be sent again after a change.
+func digest(open trainerapi.OpenStep) uint64 {
 	h := fnv.New64a()
-	for _, n := range []int{spec.Groups, spec.GroupSize, spec.Needed, spec.MaxTokens, spec.Bound} {
-		_, _ = io.WriteString(h, strconv.Itoa(n)+"|")
+	number := func(n int) { _, _ = io.WriteString(h, strconv.Itoa(n)+"|") }
+	text := func(s string) {
+		number(len(s))
+		_, _ = io.WriteString(h, s)
+	}
+	number(open.GroupSize)
+	number(open.NeededGroups)
+	number(open.MaxTokens)
+	if open.StalenessBound != nil {
+		text("bound")
+		number(*open.StalenessBound)
+	}
+	if open.PromptSource != nil {
+		text("source")
+		number(open.PromptSource.Count)
+		text(open.PromptSource.Prefix)
 	}
-	_, _ = io.WriteString(h, spec.PromptPrefix)
+	number(len(open.Prompts))
 	for _, p := range open.Prompts {
-		_, _ = io.WriteString(h, "|"+p)
+		text(p)
 	}
 	return h.Sum64()
 }
--- a/internal/transport/rollout/store.go
+++ b/internal/transport/rollout/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -23,6 +24,9 @@
 // on the old record must be given up.
 var errChanged = errors.New("the record changed since it was read")
 
+// errOtherPrompts: the object of an opening holds other prompts of the same digest.
+var errOtherPrompts = errors.New("other prompts have the same digest")
+
 const storeRetry = 100 * time.Millisecond
 
 // store reads and writes one trainer's objects. Its calls go on until the object API
@@ -45,8 +49,15 @@
 
 func (s *store) stepKey() string { return "trainer/" + string(s.trainer) + "/step" }
 
-func (s *store) promptsKey(step uint64) string {
-	return "trainer/" + string(s.trainer) + "/prompts/" + itoa(step)
+// promptsID names the prompts of one opening: openings with other contents have other
+// objects, so that none replaces the prompts of an open step.
+type promptsID struct {
+	step   uint64
+	digest uint64
+}
+
+func (s *store) promptsKey(id promptsID) string {
+	return "trainer/" + string(s.trainer) + "/prompts/" + itoa(id.step) + "-" + strconv.FormatUint(id.digest, 16)
 }
 
 // load reads the record an earlier owner left; the zero Record when there is none.
@@ -103,33 +114,33 @@
 	}
 }
 
-// writePrompts keeps the prompts of a step that did not come from a prompt source.
-func (s *store) writePrompts(ctx context.Context, step uint64, prompts []string) error {
+// writePrompts keeps the prompts of a step that did not come from a prompt source. The
+// error is that of the last write when ctx ends before one succeeds.
+func (s *store) writePrompts(ctx context.Context, id promptsID, prompts []string) error {
 	value, err := json.Marshal(prompts)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	expect := uint64(0)
 	for {
-		_, err := s.api.Put(ctx, s.promptsKey(step), value, expect)
-		if err == nil || errors.Is(err, objectapi.ErrTooLarge) {
-			return err
+		_, failure := s.api.Put(ctx, s.promptsKey(id), value, 0)
+		if failure == nil || errors.Is(failure, objectapi.ErrTooLarge) {
+			return failure
 		}
-		if o, err := s.api.Get(ctx, s.promptsKey(step)); err == nil {
-			if string(o.Value) == string(value) {
-				return nil
+		if o, err := s.api.Get(ctx, s.promptsKey(id)); err == nil {
+			if string(o.Value) != string(value) {
+				return errOtherPrompts
 			}
-			expect = o.Version
+			return nil
 		}
 		if !sleep(ctx, storeRetry) {
-			return ctx.Err()
+			return failure
 		}
 	}
 }
 
-func (s *store) readPrompts(ctx context.Context, step uint64) ([]string, error) {
+func (s *store) readPrompts(ctx context.Context, id promptsID) ([]string, error) {
 	for {
-		o, err := s.api.Get(ctx, s.promptsKey(step))
+		o, err := s.api.Get(ctx, s.promptsKey(id))
 		if err == nil {
 			var prompts []string
 			return prompts, Error.Wrap(json.Unmarshal(o.Value, &prompts))
@@ -140,9 +151,9 @@
 	}
 }
 
-func (s *store) dropPrompts(ctx context.Context, step uint64) {
-	if o, err := s.api.Get(ctx, s.promptsKey(step)); err == nil {
-		_ = s.api.Delete(ctx, s.promptsKey(step), o.Version)
+func (s *store) dropPrompts(ctx context.Context, id promptsID) {
+	if o, err := s.api.Get(ctx, s.promptsKey(id)); err == nil {
+		_ = s.api.Delete(ctx, s.promptsKey(id), o.Version)
 	}
 }
 
