Follow the present bound, scorer and content limit in open steps

Cause: three decisions were fixed too early. Once 64 MB of samples were held nothing at all was started, also not the slots of the batch that the trainer waited for, so neither went on. A lowered staleness_bound had no effect on open steps, as only the bound recorded at the opening was read. A sample in scoring asked the address that its scorer had when it ended, for ever, and none at all when no scorer was configured any more. Ruled out: a second limit of content for asked batches; a batch is small beside 64 MB. Plan is told whether there is room, the bound in force is the lower one of step and settings, and each try asks the scorer configured at that moment, with the score 0 when there is none. Conclusion: a first start still waits for room; the 64 MB don't count samples under way.

--- a/internal/coordination/samples/attempts.go
+++ b/internal/coordination/samples/attempts.go
@@ -54,7 +54,7 @@
 	if st.made++; st.made == st.rec.Needed() {
 		m.pace.stepTime = average(m.pace.stepTime, now.Sub(st.began))
 	}
-	if !st.fresh(s, m.version) {
+	if !m.fresh(st, s) {
 		return m.rerun(st, a.slot.Index)
 	}
 	if m.cfg.Scored {
@@ -74,7 +74,7 @@
 	if s.state != slotScoring || s.attempt != id {
 		return nil
 	}
-	if !st.fresh(s, m.version) {
+	if !m.fresh(st, s) {
 		return m.rerun(st, slot.Index)
 	}
 	m.markReady(st, slot.Index)
@@ -134,7 +134,7 @@
 		s.failures++
 	}
 	s.prefix, s.oldest, s.tokens = kept, oldest, 0
-	if kept > 0 && !st.fresh(s, m.version) {
+	if kept > 0 && !m.fresh(st, s) {
 		s.prefix = 0
 		actions = append(actions, Action{Kind: ActionDiscard, Slot: a.slot})
 	}
@@ -149,21 +149,6 @@
 	return min(firstRetryDelay<<failures, maxRetryDelay)
 }
 
-// ContentLost tells that the content of a slot is no longer held.
-func (m *Machine) ContentLost(id SlotID) {
-	st := m.find(id.Step)
-	if st == nil {
-		return
-	}
-	s := &st.slots[id.Index]
-	switch s.state {
-	case slotScoring, slotReady:
-		m.rerun(st, id.Index)
-	case slotPending:
-		s.prefix = 0
-	}
-}
-
 const (
 	stallTime = 10 * time.Second
 	// moveAfter is the least age of an attempt that is moved for its engine's speed.
--- a/internal/coordination/samples/baseline_test.go
+++ b/internal/coordination/samples/baseline_test.go
@@ -54,7 +54,7 @@
 	return nil
 }
 
-func (b *baseline) Plan(_ time.Time, pick Picker) []Action {
+func (b *baseline) Plan(_ time.Time, pick Picker, _ bool) []Action {
 	var actions []Action
 	for len(b.steps) > 0 {
 		st := b.steps[0]
--- a/internal/coordination/samples/explain.go
+++ b/internal/coordination/samples/explain.go
@@ -29,7 +29,7 @@
 	s := &st.slots[id.Index]
 	out := Explanation{
 		State: stateNames[s.state], Batch: -1, Attempt: s.attempt, Tokens: s.tokens, Oldest: s.oldest,
-		Trainer: m.version, Bound: st.rec.Bound, Failures: int(s.failures),
+		Trainer: m.version, Bound: int(m.bound(st)), Failures: int(s.failures),
 	}
 	if a := m.attempts[s.attempt]; a != nil {
 		out.Engine, out.Tokens, out.Oldest = a.engine, a.tokens, a.oldest
--- a/internal/coordination/samples/machine.go
+++ b/internal/coordination/samples/machine.go
@@ -162,8 +162,12 @@
 	return &Machine{cfg: cfg, epoch: epoch, attempts: map[AttemptID]*attempt{}, lengths: stragglers.NewLengths()}
 }
 
-// Configure replaces the settings; open steps keep their bound.
-func (m *Machine) Configure(cfg Settings) { m.cfg = cfg }
+// Configure replaces the settings and gives up what a lower bound makes too old. A
+// higher bound does not raise that of open steps.
+func (m *Machine) Configure(cfg Settings) []Action {
+	m.cfg = cfg
+	return m.dropAllStale()
+}
 
 // Restore takes over the record an earlier owner left.
 func (m *Machine) Restore(r ledger.Record) {
@@ -264,10 +268,13 @@
 // whole reports whether every needed slot is in a batch.
 func (st *step) whole() bool { return st.inBatch >= st.rec.Needed() }
 
-func (st *step) fresh(s *slot, version model.WeightVersion) bool {
-	return s.oldest+model.WeightVersion(st.rec.Bound) >= version
+// bound is the step's staleness bound in force.
+func (m *Machine) bound(st *step) model.WeightVersion {
+	return model.WeightVersion(max(0, min(st.rec.Bound, m.cfg.Bound)))
 }
 
+func (m *Machine) fresh(st *step, s *slot) bool { return s.oldest+m.bound(st) >= m.version }
+
 // Pending returns the last sequence and whether its record is still to be written.
 func (m *Machine) Pending() (sequence uint64, unwritten bool) {
 	return m.sequence, m.sequence > m.confirmed
@@ -357,63 +364,7 @@
 	}
 	m.pace.versions(now, int(v-m.version))
 	m.version = v
-	var actions []Action
-	for _, st := range m.steps {
-		for i := range st.slots {
-			actions = append(actions, m.dropStale(st, i)...)
-		}
-	}
-	return actions
-}
-
-// dropStale queues a slot again when its content, or what runs of it, is too old. A
-// slot in a batch is left until the trainer asks for that batch again.
-func (m *Machine) dropStale(st *step, i int) []Action {
-	s := &st.slots[i]
-	if s.inBatch && s.state != slotRunning && s.state != slotPending {
-		return nil
-	}
-	switch s.state {
-	case slotRunning:
-		a := m.attempts[s.attempt]
-		if a.oldest == 0 || a.oldest+model.WeightVersion(st.rec.Bound) >= m.version {
-			return nil
-		}
-		cancelled := m.cancel(s)
-		return append([]Action{cancelled}, m.rerun(st, i)...)
-	case slotScoring, slotReady:
-		if st.fresh(s, m.version) {
-			return nil
-		}
-		return m.rerun(st, i)
-	case slotPending:
-		if s.prefix > 0 && !st.fresh(s, m.version) {
-			s.prefix = 0
-			return []Action{{Kind: ActionDiscard, Slot: SlotID{Step: st.rec.Step, Index: i}}}
-		}
-	}
-	return nil
-}
-
-// rerun discards a slot's content and queues it.
-func (m *Machine) rerun(st *step, i int) []Action {
-	s := &st.slots[i]
-	if s.state == slotReady && !s.inBatch {
-		st.unready(i)
-	}
-	s.prefix, s.tokens, s.oldest = 0, 0, 0
-	m.counts.Rerun++
-	m.enqueue(st, i)
-	return []Action{{Kind: ActionDiscard, Slot: SlotID{Step: st.rec.Step, Index: i}}}
-}
-
-// unready is called for a ready slot outside batches.
-func (st *step) unready(i int) {
-	g := i / st.rec.GroupSize
-	if st.groupWhole(g) {
-		st.deliverable -= st.rec.GroupSize
-	}
-	st.groupReady[g]--
+	return m.dropAllStale()
 }
 
 func (st *step) groupWhole(g int) bool { return int(st.groupReady[g]) == st.rec.GroupSize }
--- a/internal/coordination/samples/measure_test.go
+++ b/internal/coordination/samples/measure_test.go
@@ -186,7 +186,7 @@
 	}
 	for !done {
 		now = now.Add(10 * time.Millisecond)
-		for _, a := range m.Plan(now, engines) {
+		for _, a := range m.Plan(now, engines, true) {
 			m.Progress(now, a.Attempt, 1, 1)
 			m.Finished(now, a.Attempt, 200, 1)
 			m.Scored(a.Slot, a.Attempt)
--- a/internal/coordination/samples/plan.go
+++ b/internal/coordination/samples/plan.go
@@ -128,8 +128,10 @@
 	m.delayed = kept
 }
 
-// Plan starts pending slots while pick finds engines for them.
-func (m *Machine) Plan(now time.Time, pick Picker) []Action {
+// Plan starts pending slots while pick finds engines for them. Without room for more
+// content it starts only slots that ran before or are in the batch asked for: the trainer
+// may wait for just these, and takes content away only once it has them.
+func (m *Machine) Plan(now time.Time, pick Picker, room bool) []Action {
 	m.wakeDelayed(now)
 	var actions []Action
 	for len(m.pending) > 0 {
@@ -139,6 +141,9 @@
 			heap.Pop(&m.pending)
 			continue
 		}
+		if !room && top.class == classFirst {
+			break
+		}
 		least, allowed := m.minVersion(now, st, pick.Newest())
 		if !allowed {
 			break
@@ -179,7 +184,8 @@
 	}
 	wait := max(m.pace.sampleTime, until)
 	margin := int(math.Round(m.cfg.Freshness * m.pace.advance(wait)))
-	wanted := m.version - min(m.version, model.WeightVersion(max(0, st.rec.Bound-margin)))
-	oldest := m.version - min(m.version, model.WeightVersion(st.rec.Bound))
+	bound := m.bound(st)
+	wanted := m.version - min(m.version, model.WeightVersion(max(0, int(bound)-margin)))
+	oldest := m.version - min(m.version, bound)
 	return max(1, oldest, min(wanted, newest)), true
 }
--- a/internal/coordination/samples/pull.go
+++ b/internal/coordination/samples/pull.go
@@ -149,7 +149,7 @@
 		s := &st.slots[i]
 		id := SlotID{Step: st.rec.Step, Index: int(i)}
 		o.Slots = append(o.Slots, id)
-		if s.state == slotReady && st.fresh(s, m.version) {
+		if s.state == slotReady && m.fresh(st, s) {
 			continue
 		}
 		o.State = PullWait
--- a/internal/coordination/samples/samples_test.go
+++ b/internal/coordination/samples/samples_test.go
@@ -52,7 +52,7 @@
 	if _, err := m.Open(now, StepSpec{Step: 1, Groups: 3, GroupSize: 1, Needed: 1, Bound: 1, Version: 1}); err != nil {
 		t.Fatal(err)
 	}
-	starts := m.Plan(now, &anyEngine{})
+	starts := m.Plan(now, &anyEngine{}, true)
 	for _, a := range starts[:2] {
 		m.Finished(now, a.Attempt, 10, 1)
 	}
@@ -105,7 +105,7 @@
 	if _, err := m.Open(now, StepSpec{Step: 1, Groups: 1, GroupSize: 1, Bound: 1, Version: 1}); err != nil {
 		t.Fatal(err)
 	}
-	first := m.Plan(now, &anyEngine{})[0]
+	first := m.Plan(now, &anyEngine{}, true)[0]
 	m.Progress(now, first.Attempt, 7, 1)
 	if got := m.Tick(now.Add(stallTime - time.Second)); len(got) != 0 {
 		t.Fatalf("moved too early: %v", got)
@@ -114,7 +114,7 @@
 	if got := m.Tick(late); len(got) != 1 || got[0].Kind != ActionCancel {
 		t.Fatalf("not cancelled: %v", got)
 	}
-	if got := m.Plan(late, &anyEngine{}); len(got) != 1 || got[0].Prefix != 7 {
+	if got := m.Plan(late, &anyEngine{}, true); len(got) != 1 || got[0].Prefix != 7 {
 		t.Fatalf("not resumed after its tokens: %v", got)
 	}
 }
--- a/internal/coordination/samples/sim_test.go
+++ b/internal/coordination/samples/sim_test.go
@@ -16,7 +16,7 @@
 	Open(now time.Time, s StepSpec) ([]Action, error)
 	SetVersion(now time.Time, v model.WeightVersion) []Action
 	Pull(now time.Time, p Pull) (Offer, []Action)
-	Plan(now time.Time, pick Picker) []Action
+	Plan(now time.Time, pick Picker, room bool) []Action
 	Progress(now time.Time, id AttemptID, tokens int, oldest model.WeightVersion) []Action
 	Finished(now time.Time, id AttemptID, tokens int, oldest model.WeightVersion) []Action
 	Failed(now time.Time, id AttemptID, f Failure, kept int, oldest model.WeightVersion) []Action
@@ -183,7 +183,7 @@
 		return
 	}
 	s.pull()
-	s.do(s.p.Plan(s.now, s))
+	s.do(s.p.Plan(s.now, s, true))
 	s.write()
 }
 
--- a/internal/coordination/samples/trace_test.go
+++ b/internal/coordination/samples/trace_test.go
@@ -58,7 +58,7 @@
 		actions, err := tr.m.Open(now, StepSpec{Step: uint64(number("step")), Groups: number("groups"), GroupSize: number("size"), Bound: tr.bound, Digest: uint64(number("digest")), Version: version})
 		return describe(actions) + fault(err)
 	case "plan":
-		return describe(tr.m.Plan(now, tr))
+		return describe(tr.m.Plan(now, tr, true))
 	case "progress":
 		return describe(tr.m.Progress(now, id, tokens, version))
 	case "finished":
--- a/internal/transport/rollout/engines.go
+++ b/internal/transport/rollout/engines.go
@@ -13,13 +13,12 @@
 // engines is the trainer's view of its deployment's engines. Only the owner's duty
 // uses it.
 type engines struct {
-	now      func() time.Time
-	rng      *rand.Rand
-	table    *routing.Table
-	newest   model.WeightVersion
-	versions map[model.EndpointID]model.WeightVersion
-	picked   map[model.EndpointID]routing.Choice
-	running  map[samples.AttemptID]started
+	now     func() time.Time
+	rng     *rand.Rand
+	table   *routing.Table
+	newest  model.WeightVersion
+	picked  map[model.EndpointID]routing.Choice
+	running map[samples.AttemptID]started
 }
 
 type started struct {
@@ -29,12 +28,11 @@
 
 func newEngines(zone model.ZoneID, seed uint64) *engines {
 	return &engines{
-		now:      time.Now,
-		rng:      rand.New(rand.NewPCG(seed, 0)),
-		table:    routing.NewTable(time.Now(), zone),
-		versions: map[model.EndpointID]model.WeightVersion{},
-		picked:   map[model.EndpointID]routing.Choice{},
-		running:  map[samples.AttemptID]started{},
+		now:     time.Now,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		table:   routing.NewTable(time.Now(), zone),
+		picked:  map[model.EndpointID]routing.Choice{},
+		running: map[samples.AttemptID]started{},
 	}
 }
 
--- a/internal/transport/rollout/owner.go
+++ b/internal/transport/rollout/owner.go
@@ -22,8 +22,8 @@
 const (
 	eventCapacity = 4096
 	tickInterval  = 100 * time.Millisecond
-	// maxContentBytes bounds the samples a trainer's owner holds; nothing is started
-	// beyond it until the trainer takes some.
+	// maxContentBytes bounds the samples a trainer's owner holds; beyond it no slot is
+	// started for the first time until the trainer takes some.
 	maxContentBytes       = 64 << 20
 	scoringAtOnce         = 32
 	scoreRetriesPerSecond = 20
@@ -209,7 +209,7 @@
 	o.view, o.trainer = view, trainer
 	o.engines.update(view, trainer)
 	if o.machine != nil {
-		o.machine.Configure(o.settings())
+		o.do(o.machine.Configure(o.settings()))
 	}
 	return true
 }
@@ -225,9 +225,7 @@
 func (o *owner) settle() {
 	now := time.Now()
 	o.answerPulls(now)
-	if o.held < maxContentBytes {
-		o.do(o.machine.Plan(now, o.engines))
-	}
+	o.do(o.machine.Plan(now, o.engines, o.held < maxContentBytes))
 	o.dropClosed()
 	o.write()
 	counts := o.machine.Counts()
@@ -296,9 +294,9 @@
 }
 
 func (o *owner) startScore(a samples.Action) {
-	scorer, ok := o.view.Config.Scorers[o.trainer.Scorer]
 	j, running := o.jobs[a.Attempt]
-	if !ok || !running {
+	if !running {
+		o.opt.Log.Error("A finished sample has no job and waits for its score for ever.", "trainer", o.opt.Trainer, "attempt", a.Attempt)
 		return
 	}
 	st := o.steps[a.Slot.Step]
@@ -307,7 +305,7 @@
 	j.cancel()
 	j.cancel = cancel
 	o.jobs[a.Attempt] = j
-	o.workers.Go(func() { o.score(ctx, j.job, scorer, prompt) })
+	o.workers.Go(func() { o.score(ctx, j.job, prompt) })
 }
 
 func (o *owner) discard(slot samples.SlotID) {
--- a/internal/transport/rollout/reopen_test.go
+++ b/internal/transport/rollout/reopen_test.go
@@ -38,7 +38,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b.t.Cleanup(cancel)
 	o := newOwner(ctx, ownerOptions{
-		Trainer: "t", Shard: sharder.Shard{ID: "trainer/t", Epoch: 1 << 20}, API: b.store, View: b.view,
+		Trainer: "t", Shard: sharder.Shard{ID: "trainer/t", Epoch: 1 << 20}, API: b.store, View: b.view, Engines: b.client,
 		Metrics: newMetrics(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	})
 	if err := o.restore(ctx); err != nil {
--- a/internal/transport/rollout/worker.go
+++ b/internal/transport/rollout/worker.go
@@ -96,14 +96,20 @@
 }
 
 // score asks the scorer until it answers or ctx ends. First calls are bounded by the
-// slots for scoring, repeats by a budget besides.
-func (o *owner) score(ctx context.Context, j job, scorer model.Scorer, prompt string) {
+// slots for scoring, repeats by a budget besides. Each try asks the scorer that the
+// configuration of that moment names; without one the score is 0.
+func (o *owner) score(ctx context.Context, j job, prompt string) {
 	pause := scoreBackoff
 	request := platformapi.ScoreRequest{SampleID: j.request.RequestID, Prompt: prompt, Tokens: j.content.tokens}
 	for try := 0; ; try++ {
 		if try > 0 && o.scoreRetries.Wait(ctx) != nil {
 			return
 		}
+		scorer, scored := o.scorer()
+		if !scored {
+			o.tell(sampleScored{job: j})
+			return
+		}
 		reply, err := o.scoreOnce(ctx, scorer, request)
 		if err == nil {
 			o.tell(sampleScored{job: j, score: reply.Score})
@@ -116,6 +122,13 @@
 	}
 }
 
+// scorer returns the trainer's scorer as configured now; false when it has none.
+func (o *owner) scorer() (model.Scorer, bool) {
+	c := o.opt.View().Config
+	scorer, ok := c.Scorers[c.Trainers[o.opt.Trainer].Scorer]
+	return scorer, ok
+}
+
 func (o *owner) scoreOnce(ctx context.Context, scorer model.Scorer, r platformapi.ScoreRequest) (platformapi.ScoreReply, error) {
 	select {
 	case o.scoreSlots <- struct{}{}:
