Refuse bad cursors and third steps, and report samples that never end

Cause: a cursor below the acknowledged one was answered "not ready" for ever; a pull with a cursor that doesn't exist closed the lower steps first; a third opening silently closed the step that was being pulled. A sample longer than its bound allows, and a slot that breaks every engine, ran again and again and nothing told of it. The time in an engine's queue counted as slowness, so that a queued attempt was moved every 5 s. Ruled out: giving up the sample that is too long; its step could then never be whole. Both cursors are conflicts that change nothing, a third step is refused until the first is whole, and the results over_bound and suspect are counted, with one warning a step for each. Speed is judged from the first token; the 10 s stall time stays. The four flags of an attempt's end became one typed outcome. Conclusion: a trainer that opens three steps ahead now gets step_conflict with the reason.

--- a/internal/coordination/samples/attempts.go
+++ b/internal/coordination/samples/attempts.go
@@ -35,6 +35,9 @@
 	}
 	if tokens > a.tokens {
 		a.progress = now
+		if a.first.IsZero() {
+			a.first = now
+		}
 	}
 	a.tokens, a.oldest = tokens, oldest
 	return m.dropStale(st, a.slot.Index)
@@ -83,7 +86,7 @@
 
 func (m *Machine) markReady(st *step, i int) {
 	s := &st.slots[i]
-	s.state = slotReady
+	s.state, s.tooOld = slotReady, 0
 	if s.inBatch {
 		return
 	}
@@ -130,8 +133,12 @@
 	case FailureRefused:
 		kept, oldest = s.prefix, s.oldest
 	}
-	if f == FailureBroken && kept <= a.from && s.failures < suspectFailures {
-		s.failures++
+	if f == FailureBroken && kept <= a.from {
+		s.failures = min(s.failures+1, suspectFailures)
+		if s.failures == suspectFailures {
+			m.counts.Suspect++
+			actions = append(actions, st.report(a.slot.Index, ReportSuspect)...)
+		}
 	}
 	s.prefix, s.oldest, s.tokens = kept, oldest, 0
 	if kept > 0 && !m.fresh(st, s) {
@@ -179,9 +186,11 @@
 	return actions
 }
 
+// slow judges the engine from the attempt's first token on; before that the attempt may
+// wait in the engine's queue.
 func (m *Machine) slow(now time.Time, a *attempt) bool {
-	age := now.Sub(a.started)
-	if age < moveAfter {
+	age := now.Sub(a.first)
+	if a.first.IsZero() || age < moveAfter {
 		return false
 	}
 	rate := float64(a.tokens-a.from) / age.Seconds()
--- a/internal/coordination/samples/machine.go
+++ b/internal/coordination/samples/machine.go
@@ -25,6 +25,7 @@
 var (
 	ErrStepOver     = errors.New("the step is over")
 	ErrStepConflict = errors.New("the step was opened with other contents")
+	ErrStepsOpen    = errors.New("two steps are open and the first is not whole")
 	ErrStepTooLarge = errors.New("the step has too many samples")
 )
 
@@ -60,6 +61,20 @@
 	ActionScore
 	// ActionDiscard: the content of the slot is not needed any more.
 	ActionDiscard
+	// ActionReport: tell the operators what Report says of the slot.
+	ActionReport
+)
+
+// Report says what an ActionReport is about.
+type Report int
+
+// The reports, each given once a step.
+const (
+	// ReportOverBound: the sample takes longer than its bound allows.
+	ReportOverBound Report = iota
+	// ReportSuspect: the slot's attempts break at every engine.
+	ReportSuspect
+	reportKinds
 )
 
 // Action is something the machine wants done.
@@ -69,6 +84,7 @@
 	Attempt AttemptID
 	Engine  model.EndpointID
 	Prefix  int
+	Report  Report
 }
 
 type slotState uint8
@@ -96,6 +112,8 @@
 	// ticket invalidates older entries of the queue.
 	ticket uint32
 	avoid  model.EndpointID
+	// tooOld counts the ends in a row for which the sample was too old before it was ready.
+	tooOld uint8
 }
 
 type attempt struct {
@@ -103,9 +121,11 @@
 	engine   model.EndpointID
 	started  time.Time
 	progress time.Time
-	from     int
-	tokens   int
-	oldest   model.WeightVersion
+	// first is when the first token of this attempt came, zero before.
+	first  time.Time
+	from   int
+	tokens int
+	oldest model.WeightVersion
 }
 
 type step struct {
@@ -122,6 +142,7 @@
 	// were whole, in that order, and deliverable counts the slots of those that are
 	// whole and in no batch.
 	groupReady  []uint16
+	reported    [reportKinds]bool
 	queued      []bool
 	queue       []int
 	deliverable int
@@ -153,6 +174,7 @@
 	Doubtful    uint64
 	Moved       uint64
 	OverBound   uint64
+	Suspect     uint64
 	DroppedBy   stragglers.Dropped
 	Outstanding int
 }
@@ -220,6 +242,9 @@
 	if s.Groups < 1 || s.GroupSize < 1 || s.Groups*s.GroupSize > min(m.cfg.StepSamples, ledger.MaxSlots) {
 		return actions, ErrStepTooLarge
 	}
+	if len(m.steps) >= maxOpenSteps && !m.steps[0].whole() {
+		return actions, ErrStepsOpen
+	}
 	rec := ledger.Step{
 		Step: s.Step, Groups: s.Groups, GroupSize: s.GroupSize, MaxTokens: s.MaxTokens,
 		Spare: m.spare(s),
--- a/internal/coordination/samples/pull.go
+++ b/internal/coordination/samples/pull.go
@@ -28,8 +28,8 @@
 	PullOffer
 	// PullUnknown: no such step is open.
 	PullUnknown
-	// PullConflict: the cursor is beyond the batches that exist, or the trainer takes
-	// fewer samples than a group has.
+	// PullConflict: the cursor is beyond the batches that exist or below one that was
+	// acknowledged, or the trainer takes fewer samples than a group has.
 	PullConflict
 )
 
@@ -49,13 +49,13 @@
 	if st == nil {
 		return Offer{State: PullUnknown}, actions
 	}
+	if p.Cursor < uint64(st.received) || p.Cursor > uint64(len(st.rec.Batches)) || p.Max < st.rec.GroupSize {
+		return Offer{State: PullConflict}, actions
+	}
 	for m.steps[0] != st {
 		actions = append(actions, m.closeFirst()...)
 	}
 	m.pace.pulling(now, p.Step)
-	if p.Cursor > uint64(len(st.rec.Batches)) || p.Max < st.rec.GroupSize {
-		return Offer{State: PullConflict}, actions
-	}
 	actions = append(actions, m.acknowledge(st, p.Cursor)...)
 	if p.Cursor == uint64(len(st.rec.Batches)) {
 		if st.whole() {
--- a/internal/coordination/samples/trace_test.go
+++ b/internal/coordination/samples/trace_test.go
@@ -99,11 +99,11 @@
 }
 
 func describe(actions []Action) string {
-	names := map[ActionKind]string{ActionStart: "start", ActionCancel: "cancel", ActionScore: "score", ActionDiscard: "discard"}
+	names := map[ActionKind]string{ActionStart: "start", ActionCancel: "cancel", ActionScore: "score", ActionDiscard: "discard", ActionReport: "report"}
 	var out strings.Builder
 	for _, a := range actions {
 		fmt.Fprintf(&out, "%s slot %d", names[a.Kind], a.Slot.Index)
-		if a.Kind != ActionDiscard {
+		if a.Kind != ActionDiscard && a.Kind != ActionReport {
 			fmt.Fprintf(&out, " attempt %d", a.Attempt)
 		}
 		if a.Prefix > 0 {
--- a/internal/transport/rollout/events.go
+++ b/internal/transport/rollout/events.go
@@ -24,11 +24,37 @@
 
 // attemptEnded tells that an attempt is over.
 type attemptEnded struct {
-	job      job
-	failed   bool
-	refused  bool
-	busy     bool
-	doubtful bool
+	job     job
+	outcome outcome
+}
+
+// outcome says how an attempt ended.
+type outcome int
+
+const (
+	// outcomeWhole: the whole sample came with all its versions.
+	outcomeWhole outcome = iota
+	// outcomeRefused: the engine did not run it.
+	outcomeRefused
+	// outcomeBusy: the engine did not run it for lack of a free slot.
+	outcomeBusy
+	// outcomeBroken: the stream was cut; the tokens so far are good.
+	outcomeBroken
+	// outcomeDoubtful: the versions of the tokens are not certain.
+	outcomeDoubtful
+)
+
+// failure returns the outcome as the machine and the engines' table take it.
+func (f outcome) failure() (samples.Failure, routing.Result) {
+	switch f {
+	case outcomeRefused:
+		return samples.FailureRefused, routing.ResultFailed
+	case outcomeBusy:
+		return samples.FailureRefused, routing.ResultRefused
+	case outcomeDoubtful:
+		return samples.FailureDoubtful, routing.ResultFailed
+	}
+	return samples.FailureBroken, routing.ResultFailed
 }
 
 func (e attemptEnded) apply(o *owner) {
@@ -37,7 +63,7 @@
 	}
 	now := time.Now()
 	tokens, oldest := e.job.content.progress()
-	if !e.failed {
+	if e.outcome == outcomeWhole {
 		o.engines.end(e.job.id, routing.ResultAnswered)
 		o.held += e.job.content.bytes()
 		e.job.content.held = true
@@ -47,16 +73,7 @@
 		}
 		return
 	}
-	kind, result := samples.FailureBroken, routing.ResultFailed
-	switch {
-	case e.refused:
-		kind = samples.FailureRefused
-		if e.busy {
-			result = routing.ResultRefused
-		}
-	case e.doubtful:
-		kind = samples.FailureDoubtful
-	}
+	kind, result := e.outcome.failure()
 	o.engines.end(e.job.id, result)
 	o.forget(e.job.id)
 	o.do(o.machine.Failed(now, e.job.id, kind, tokens, oldest))
@@ -106,7 +123,7 @@
 	actions, err := o.machine.Open(time.Now(), e.spec)
 	o.do(actions)
 	if err != nil {
-		if !errors.Is(err, samples.ErrStepTooLarge) {
+		if errors.Is(err, samples.ErrStepConflict) || errors.Is(err, samples.ErrStepOver) {
 			o.dropRefused(e.spec)
 		}
 		e.reply <- openFailure(err)
@@ -127,6 +144,8 @@
 	switch err {
 	case samples.ErrStepTooLarge:
 		return resultcode.New(resultcode.TooLarge, "The step has no samples or more than the trainer's limit.")
+	case samples.ErrStepsOpen:
+		return resultcode.New(resultcode.StepConflict, "Two steps are open and the first is not whole; take its batches before the next opening.")
 	case samples.ErrStepOver:
 		return resultcode.New(resultcode.StepUnknown, "The step is over.")
 	}
@@ -177,7 +196,7 @@
 		case samples.PullUnknown:
 			p.reply <- pullReply{err: resultcode.New(resultcode.StepUnknown, "The step is not open.")}
 		case samples.PullConflict:
-			p.reply <- pullReply{err: resultcode.New(resultcode.StepConflict, "No batch has this cursor, or max is below the group size.")}
+			p.reply <- pullReply{err: resultcode.New(resultcode.StepConflict, "No batch has this cursor, a later one was asked for, or max is below the group size.")}
 		case samples.PullWait:
 			if now.Before(p.deadline) {
 				kept = append(kept, p)
@@ -228,6 +247,21 @@
 	}
 }
 
+// report logs what the operators can mend.
+func (o *owner) report(a samples.Action) {
+	st := o.steps[a.Slot.Step]
+	e, open := o.machine.Explain(a.Slot)
+	if st == nil || !open {
+		return
+	}
+	text := "Sample became too old again before it was ready; its bound is too low for its length."
+	if a.Report == samples.ReportSuspect {
+		text = "Sample's attempts break at every engine; it is tried again once a minute."
+	}
+	o.opt.Log.Warn(text, "sample", sampleID(o.opt.Trainer, a.Slot.Step, a.Slot.Index/st.groupSize, a.Slot.Index%st.groupSize),
+		"bound", e.Bound, "version", e.Trainer)
+}
+
 // explainRequest asks where a sample stands.
 type explainRequest struct {
 	step         uint64
--- a/internal/transport/rollout/metrics.go
+++ b/internal/transport/rollout/metrics.go
@@ -48,6 +48,8 @@
 	add("rerun", before.Rerun, now.Rerun)
 	add("cancelled", before.Cancelled, now.Cancelled)
 	add("doubtful", before.Doubtful, now.Doubtful)
+	add("over_bound", before.OverBound, now.OverBound)
+	add("suspect", before.Suspect, now.Suspect)
 	add("moved", before.Moved, now.Moved)
 	add("dropped", before.DroppedBy.Total(), now.DroppedBy.Total())
 	for b, n := range now.DroppedBy {
--- a/internal/transport/rollout/owner.go
+++ b/internal/transport/rollout/owner.go
@@ -244,6 +244,8 @@
 			o.startScore(a)
 		case samples.ActionDiscard:
 			o.discard(a.Slot)
+		case samples.ActionReport:
+			o.report(a)
 		}
 	}
 }
--- a/internal/transport/rollout/worker.go
+++ b/internal/transport/rollout/worker.go
@@ -37,31 +37,41 @@
 	defer idle.Stop()
 	stream, err := o.opt.Engines.Generate(ctx, j.address, j.request)
 	if err != nil {
-		refused := errors.Is(err, engineapi.ErrNotSent) || errors.Is(err, engineapi.ErrBusy) || errors.Is(err, engineapi.ErrLeaving)
-		o.tell(attemptEnded{job: j, refused: refused, failed: true, busy: errors.Is(err, engineapi.ErrBusy)})
+		o.tell(attemptEnded{job: j, outcome: outcomeOf(err)})
 		return
 	}
 	defer stream.Close()
 	o.tell(o.read(j, stream, idle))
 }
 
+// outcomeOf tells from the error of a call whether the engine ran the attempt.
+func outcomeOf(err error) outcome {
+	switch {
+	case errors.Is(err, engineapi.ErrBusy):
+		return outcomeBusy
+	case errors.Is(err, engineapi.ErrNotSent), errors.Is(err, engineapi.ErrLeaving):
+		return outcomeRefused
+	}
+	return outcomeBroken
+}
+
 // read takes in the stream until it ends.
 func (o *owner) read(j job, stream *engineapi.Stream, idle *time.Timer) attemptEnded {
 	told, toldVersion := time.Time{}, model.WeightVersion(0)
 	for {
 		c, err := stream.Next()
 		if err != nil || c.Error != "" {
-			return attemptEnded{job: j, failed: true}
+			return attemptEnded{job: j, outcome: outcomeBroken}
 		}
 		idle.Reset(idleStream)
 		if c.Done {
 			if j.content.end(c.Total) != nil {
-				return attemptEnded{job: j, failed: true, doubtful: true}
+				return attemptEnded{job: j, outcome: outcomeDoubtful}
 			}
-			return attemptEnded{job: j}
+			return attemptEnded{job: j, outcome: outcomeWhole}
 		}
 		if j.content.add(c) != nil {
-			return attemptEnded{job: j, failed: true, doubtful: true}
+			return attemptEnded{job: j, outcome: outcomeDoubtful}
 		}
 		if now := time.Now(); c.Version != toldVersion || now.Sub(told) >= progressInterval {
 			told, toldVersion = now, c.Version
