--- a/internal/coordination/claims/commit.go
+++ b/internal/coordination/claims/commit.go
@@ -32,7 +32,7 @@
 
 // Due returns when the staged batch is to be committed, if there is one.
 func (c *Core) Due() (time.Time, bool) {
-	if c.staged.since.IsZero() || c.inflight != nil {
+	if c.staged.since.IsZero() || c.inflight != nil || c.blocked() {
 		return time.Time{}, false
 	}
 	if c.staged.claims {
@@ -55,7 +55,7 @@
 	c.waiting -= len(done.waiters)
 	replies := make([]Reply, 0, len(done.waiters))
 	for _, w := range done.waiters {
-		if w.purpose == toGrant {
+		if c.granting[w.request.Attempt] == w {
 			delete(c.granting, w.request.Attempt)
 		}
 		replies = append(replies, c.afterCommit(*w))
@@ -77,6 +77,9 @@
 		// The claim was withdrawn, or its rival freed the key, in between.
 		return Reply{Call: call, Verdict: Undecided}
 	case present.Attempt == w.request.Attempt && present.State == journal.Running:
+		if present.Seq > c.committed {
+			return Reply{Call: call, Verdict: Undecided}
+		}
 		return Reply{Call: call, Verdict: Granted, Claim: present, Holder: c.table.Holder(present)}
 	case present.Digest != w.request.Digest:
 		return Reply{Call: call, Verdict: Reused}
@@ -100,58 +103,3 @@
 	c.waiting = 0
 	return replies
 }
-
-// Stats describes a core for metrics.
-type Stats struct {
-	Claims, Open, Waiting, Tail, Segments int
-	Committed                             uint64
-}
-
-// Stats returns the present sizes.
-func (c *Core) Stats() Stats {
-	return Stats{
-		Claims: c.table.Len(), Open: c.table.Open(), Waiting: c.waiting,
-		Tail: len(c.folding.tail), Segments: len(c.folding.segments), Committed: c.committed,
-	}
-}
-
-// Body returns the answer of a claim that ran while its entry is not folded.
-func (c *Core) Body(claim journal.Claim, key journal.Key) ([]byte, bool) {
-	if claim.Seq == c.next() {
-		return find(c.staged.ops, claim, key)
-	}
-	entries := c.folding.tail
-	if c.inflight != nil {
-		entries = append(entries[:len(entries):len(entries)], c.entry)
-	}
-	for i := len(entries) - 1; i >= 0; i-- {
-		if entries[i].Seq == claim.Seq {
-			return find(entries[i].Ops, claim, key)
-		}
-	}
-	return nil, false
-}
-
-func find(ops []journal.Op, claim journal.Claim, key journal.Key) ([]byte, bool) {
-	for _, op := range ops {
-		if op.Key == key && op.Attempt == claim.Attempt && op.State == journal.Ran {
-			return op.Body, true
-		}
-	}
-	return nil, false
-}
-
-// expireEvery is the interval between two looks for expired claims.
-const expireEvery = time.Second
-
-// Expire forgets claims past their lifetime, at most once a second.
-func (c *Core) Expire(now time.Time) int {
-	if now.Sub(c.expired) < expireEvery {
-		return 0
-	}
-	c.expired = now
-	return c.table.Expire(c.millis(now), c.opt.Lifetime)
-}
-
-// Lookup returns the claim of a key, as if all that is staged were durable.
-func (c *Core) Lookup(k journal.Key) (journal.Claim, bool) { return c.table.Get(k) }
--- a/internal/coordination/streams/streams.go
+++ b/internal/coordination/streams/streams.go
@@ -45,9 +45,6 @@
 	return a.attempt, len(a.tokens), a.tokens[:len(a.tokens):len(a.tokens)]
 }
 
-// Next is the offset of the next token.
-func (a *Assembler) Next() int { return len(a.tokens) }
-
 // Done reports whether the answer is whole.
 func (a *Assembler) Done() bool { return a.done }
 
@@ -65,10 +62,10 @@
 		c.Tokens = c.Tokens[min(skip, len(c.Tokens)):]
 		c.Offset = len(a.tokens)
 	}
-	a.tokens = append(a.tokens, c.Tokens...)
-	if c.Done && c.Total != len(a.tokens) {
+	if c.Done && c.Total != len(a.tokens)+len(c.Tokens) {
 		return Chunk{}, false, ErrTotal
 	}
+	a.tokens = append(a.tokens, c.Tokens...)
 	a.done = c.Done
 	return c, len(c.Tokens) > 0 || c.Done, nil
 }
--- a/internal/protocol/engineapi/client.go
+++ b/internal/protocol/engineapi/client.go
@@ -32,6 +32,9 @@
 // ErrBusy: the endpoint refused the request because its queue is full; it did not run.
 var ErrBusy = errors.New("endpoint is busy")
 
+// ErrAnswerTooLarge: the endpoint ran the call and its answer is over the size limit.
+var ErrAnswerTooLarge = errors.New("answer over the size limit")
+
 const (
 	maxLineBytes   = 1 << 20
 	maxAnswerBytes = 8 << 20
@@ -42,8 +45,13 @@
 	http *http.Client
 }
 
-// NewClient returns a client over the given HTTP client.
-func NewClient(c *http.Client) *Client { return &Client{http: c} }
+// NewClient returns a client over a copy of the given HTTP client that follows no
+// redirect: another page's answer is not the endpoint's, and following repeats calls.
+func NewClient(c *http.Client) *Client {
+	own := *c
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &own}
+}
 
 // Stream is a running token stream.
 type Stream struct {
@@ -146,7 +154,7 @@
 		return Answer{}, Error.Wrap(err)
 	}
 	if len(body) > maxAnswerBytes {
-		return Answer{}, Error.New("answer over %d bytes", maxAnswerBytes)
+		return Answer{Incarnation: incarnationOf(resp)}, Error.Wrap(ErrAnswerTooLarge)
 	}
 	return Answer{Status: resp.StatusCode, Body: body, Incarnation: incarnationOf(resp)}, nil
 }
--- a/internal/transport/entry/race.go
+++ b/internal/transport/entry/race.go
@@ -10,7 +10,9 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/coordination/routing"
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
 )
 
@@ -49,11 +51,14 @@
 		if err != nil {
 			return engineapi.Answer{}, admission.Sample{Kind: admission.SampleNone}, err
 		}
-		if result.err != nil {
+		if result.err != nil && !errors.Is(result.err, engineapi.ErrAnswerTooLarge) {
 			result = r.orHedge(result)
 		}
-		if result.err == nil {
+		switch {
+		case result.err == nil:
 			return result.answer, sampleOf(ctx, result), nil
+		case errors.Is(result.err, engineapi.ErrAnswerTooLarge):
+			return engineapi.Answer{}, sampleOf(ctx, result), httpapi.Fail(resultcode.AnswerLost, "The request ran; its answer is too large to pass on.")
 		}
 		if err := r.pause(ctx, result.failure); err != nil {
 			return engineapi.Answer{}, sampleOf(ctx, result), err
@@ -65,7 +70,7 @@
 	switch {
 	case r.err == nil:
 		return admission.Sample{Kind: admission.SampleAnswered, Latency: r.latency, Took: r.latency}
-	case r.result == routing.ResultRefused, errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case r.result == routing.ResultRefused, r.result == routing.ResultFailed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return admission.Sample{Kind: admission.SampleRefused}
 	}
 	return admission.Sample{Kind: admission.SampleNone}
@@ -164,7 +169,7 @@
 		Idempotent: r.request.idempotent,
 		Left:       r.request.left(),
 	})
-	if verdict == retries.Retry && sleep(ctx, wait) {
+	if verdict == retries.Retry && clock.Sleep(ctx, wait) {
 		return nil
 	}
 	return r.progress.failure(r.request, verdict)
--- a/internal/transport/rollout/reopen_test.go
+++ b/internal/transport/rollout/reopen_test.go
@@ -14,6 +14,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/protocol/trainerapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/sharder"
 )
 
@@ -119,7 +120,7 @@
 	_ = reply.Body.Close()
 	<-gate.stopped
 	waitFor(t, func() bool { return b.hosts[0].service.owned("t") != nil })
-	sleep(context.Background(), offerTime)
+	clock.Sleep(context.Background(), offerTime)
 	b.kill(0)
 	if got := b.restored().steps[1]; got == nil || !slices.Equal(got.prompts, []string{"a"}) {
 		t.Fatalf("the next owner has %v", got)
--- a/internal/transport/rollout/store.go
+++ b/internal/transport/rollout/store.go
@@ -12,6 +12,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/ledger"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 // Error is the class of this package's errors.
@@ -76,7 +77,7 @@
 			s.version, s.base = o.Version, idOf(r)
 			return r, err
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return ledger.Record{}, ctx.Err()
 		}
 	}
@@ -108,7 +109,7 @@
 				return errChanged
 			}
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return ctx.Err()
 		}
 	}
@@ -132,7 +133,7 @@
 			}
 			return nil
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return failure
 		}
 	}
@@ -145,7 +146,7 @@
 			var prompts []string
 			return prompts, Error.Wrap(json.Unmarshal(o.Value, &prompts))
 		}
-		if errors.Is(err, objectapi.ErrNotFound) || !sleep(ctx, storeRetry) {
+		if errors.Is(err, objectapi.ErrNotFound) || !clock.Sleep(ctx, storeRetry) {
 			return nil, Error.Wrap(err)
 		}
 	}
