Test the answers to prompts that can't be kept

Before: with the old answer put back the outage case fails, "got 15 too_large". After: an outage of the object API answers storage_unknown, an oversize object too_large. Conclusion: storage_outage, for writes that surely had no effect, has no test of its own.

--- a/internal/transport/rollout/reopen_test.go
+++ b/internal/transport/rollout/reopen_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -12,7 +13,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/samples"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/protocol/trainerapi"
+	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/sharder"
@@ -141,3 +145,26 @@
 		}
 	}
 }
+
+func TestPromptsThatCantBeKeptAreRefusedWithTheReason(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults standin.Faults
+		prompt string
+		want   resultcode.Code
+	}{
+		"outage":    {faults: standin.Faults{Outage: true}, prompt: "a", want: resultcode.StorageUnknown},
+		"too large": {prompt: strings.Repeat("a", 8<<20), want: resultcode.TooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			objects := standin.NewObjectStore(standin.ObjectStoreOptions{})
+			objects.SetFaults(c.faults)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*storeRetry)
+			defer cancel()
+			err := keepPrompts(ctx, &store{api: objects, trainer: "t"}, samples.StepSpec{Step: 1, Digest: 2}, []string{c.prompt})
+			var refused *resultcode.Error
+			if !errors.As(err, &refused) || refused.Code != c.want {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
