--- a/internal/coordination/samples/machine.go
+++ b/internal/coordination/samples/machine.go
@@ -25,6 +25,7 @@
 var (
 	ErrStepOver     = errors.New("the step is over")
 	ErrStepConflict = errors.New("the step was opened with other contents")
+	ErrStepsOpen    = errors.New("two steps are open and the first is not whole")
 	ErrStepTooLarge = errors.New("the step has too many samples")
 )
 
@@ -60,6 +61,20 @@
 	ActionScore
 	// ActionDiscard: the content of the slot is not needed any more.
 	ActionDiscard
+	// ActionReport: tell the operators what Report says of the slot.
+	ActionReport
+)
+
+// Report says what an ActionReport is about.
+type Report int
+
+// The reports, each given once a step.
+const (
+	// ReportOverBound: the sample takes longer than its bound allows.
+	ReportOverBound Report = iota
+	// ReportSuspect: the slot's attempts break at every engine.
+	ReportSuspect
+	reportKinds
 )
 
 // Action is something the machine wants done.
@@ -69,6 +84,7 @@
 	Attempt AttemptID
 	Engine  model.EndpointID
 	Prefix  int
+	Report  Report
 }
 
 type slotState uint8
@@ -96,6 +112,8 @@
 	// ticket invalidates older entries of the queue.
 	ticket uint32
 	avoid  model.EndpointID
+	// tooOld counts the ends in a row for which the sample was too old before it was ready.
+	tooOld uint8
 }
 
 type attempt struct {
@@ -103,9 +121,11 @@
 	engine   model.EndpointID
 	started  time.Time
 	progress time.Time
-	from     int
-	tokens   int
-	oldest   model.WeightVersion
+	// first is when the first token of this attempt came, zero before.
+	first  time.Time
+	from   int
+	tokens int
+	oldest model.WeightVersion
 }
 
 type step struct {
@@ -122,6 +142,7 @@
 	// were whole, in that order, and deliverable counts the slots of those that are
 	// whole and in no batch.
 	groupReady  []uint16
+	reported    [reportKinds]bool
 	queued      []bool
 	queue       []int
 	deliverable int
@@ -153,6 +174,7 @@
 	Doubtful    uint64
 	Moved       uint64
 	OverBound   uint64
+	Suspect     uint64
 	DroppedBy   stragglers.Dropped
 	Outstanding int
 }
@@ -162,8 +184,12 @@
 	return &Machine{cfg: cfg, epoch: epoch, attempts: map[AttemptID]*attempt{}, lengths: stragglers.NewLengths()}
 }
 
-// Configure replaces the settings; open steps keep their bound.
-func (m *Machine) Configure(cfg Settings) { m.cfg = cfg }
+// Configure replaces the settings and gives up what a lower bound makes too old. A
+// higher bound does not raise that of open steps.
+func (m *Machine) Configure(cfg Settings) []Action {
+	m.cfg = cfg
+	return m.dropAllStale()
+}
 
 // Restore takes over the record an earlier owner left.
 func (m *Machine) Restore(r ledger.Record) {
@@ -216,6 +242,9 @@
 	if s.Groups < 1 || s.GroupSize < 1 || s.Groups*s.GroupSize > min(m.cfg.StepSamples, ledger.MaxSlots) {
 		return actions, ErrStepTooLarge
 	}
+	if len(m.steps) >= maxOpenSteps && !m.steps[0].whole() {
+		return actions, ErrStepsOpen
+	}
 	rec := ledger.Step{
 		Step: s.Step, Groups: s.Groups, GroupSize: s.GroupSize, MaxTokens: s.MaxTokens,
 		Spare: m.spare(s),
@@ -264,10 +293,13 @@
 // whole reports whether every needed slot is in a batch.
 func (st *step) whole() bool { return st.inBatch >= st.rec.Needed() }
 
-func (st *step) fresh(s *slot, version model.WeightVersion) bool {
-	return s.oldest+model.WeightVersion(st.rec.Bound) >= version
+// bound is the step's staleness bound in force.
+func (m *Machine) bound(st *step) model.WeightVersion {
+	return model.WeightVersion(max(0, min(st.rec.Bound, m.cfg.Bound)))
 }
 
+func (m *Machine) fresh(st *step, s *slot) bool { return s.oldest+m.bound(st) >= m.version }
+
 // Pending returns the last sequence and whether its record is still to be written.
 func (m *Machine) Pending() (sequence uint64, unwritten bool) {
 	return m.sequence, m.sequence > m.confirmed
@@ -357,63 +389,7 @@
 	}
 	m.pace.versions(now, int(v-m.version))
 	m.version = v
-	var actions []Action
-	for _, st := range m.steps {
-		for i := range st.slots {
-			actions = append(actions, m.dropStale(st, i)...)
-		}
-	}
-	return actions
-}
-
-// dropStale queues a slot again when its content, or what runs of it, is too old. A
-// slot in a batch is left until the trainer asks for that batch again.
-func (m *Machine) dropStale(st *step, i int) []Action {
-	s := &st.slots[i]
-	if s.inBatch && s.state != slotRunning && s.state != slotPending {
-		return nil
-	}
-	switch s.state {
-	case slotRunning:
-		a := m.attempts[s.attempt]
-		if a.oldest == 0 || a.oldest+model.WeightVersion(st.rec.Bound) >= m.version {
-			return nil
-		}
-		cancelled := m.cancel(s)
-		return append([]Action{cancelled}, m.rerun(st, i)...)
-	case slotScoring, slotReady:
-		if st.fresh(s, m.version) {
-			return nil
-		}
-		return m.rerun(st, i)
-	case slotPending:
-		if s.prefix > 0 && !st.fresh(s, m.version) {
-			s.prefix = 0
-			return []Action{{Kind: ActionDiscard, Slot: SlotID{Step: st.rec.Step, Index: i}}}
-		}
-	}
-	return nil
-}
-
-// rerun discards a slot's content and queues it.
-func (m *Machine) rerun(st *step, i int) []Action {
-	s := &st.slots[i]
-	if s.state == slotReady && !s.inBatch {
-		st.unready(i)
-	}
-	s.prefix, s.tokens, s.oldest = 0, 0, 0
-	m.counts.Rerun++
-	m.enqueue(st, i)
-	return []Action{{Kind: ActionDiscard, Slot: SlotID{Step: st.rec.Step, Index: i}}}
-}
-
-// unready is called for a ready slot outside batches.
-func (st *step) unready(i int) {
-	g := i / st.rec.GroupSize
-	if st.groupWhole(g) {
-		st.deliverable -= st.rec.GroupSize
-	}
-	st.groupReady[g]--
+	return m.dropAllStale()
 }
 
 func (st *step) groupWhole(g int) bool { return int(st.groupReady[g]) == st.rec.GroupSize }
--- a/internal/coordination/samples/trace_test.go
+++ b/internal/coordination/samples/trace_test.go
@@ -58,7 +58,7 @@
 		actions, err := tr.m.Open(now, StepSpec{Step: uint64(number("step")), Groups: number("groups"), GroupSize: number("size"), Bound: tr.bound, Digest: uint64(number("digest")), Version: version})
 		return describe(actions) + fault(err)
 	case "plan":
-		return describe(tr.m.Plan(now, tr))
+		return describe(tr.m.Plan(now, tr, true))
 	case "progress":
 		return describe(tr.m.Progress(now, id, tokens, version))
 	case "finished":
@@ -99,11 +99,11 @@
 }
 
 func describe(actions []Action) string {
-	names := map[ActionKind]string{ActionStart: "start", ActionCancel: "cancel", ActionScore: "score", ActionDiscard: "discard"}
+	names := map[ActionKind]string{ActionStart: "start", ActionCancel: "cancel", ActionScore: "score", ActionDiscard: "discard", ActionReport: "report"}
 	var out strings.Builder
 	for _, a := range actions {
 		fmt.Fprintf(&out, "%s slot %d", names[a.Kind], a.Slot.Index)
-		if a.Kind != ActionDiscard {
+		if a.Kind != ActionDiscard && a.Kind != ActionReport {
 			fmt.Fprintf(&out, " attempt %d", a.Attempt)
 		}
 		if a.Prefix > 0 {
--- a/internal/transport/rollout/owner.go
+++ b/internal/transport/rollout/owner.go
@@ -23,8 +23,8 @@
 const (
 	eventCapacity = 4096
 	tickInterval  = 100 * time.Millisecond
-	// maxContentBytes bounds the samples a trainer's owner holds; nothing is started
-	// beyond it until the trainer takes some.
+	// maxContentBytes bounds the samples a trainer's owner holds; beyond it no slot is
+	// started for the first time until the trainer takes some.
 	maxContentBytes       = 64 << 20
 	scoringAtOnce         = 32
 	scoreRetriesPerSecond = 20
@@ -61,6 +61,7 @@
 	jobs         map[samples.AttemptID]runningJob
 	waiting      []pullRequest
 	opening      []openRequest
+	closed       []closedStep
 	writing      bool
 	held         int
 	workers      sync.WaitGroup
@@ -78,6 +79,7 @@
 	prefix    string
 	groupSize int
 	maxTokens int
+	digest    uint64
 	inline    bool
 	contents  map[int]*content
 }
@@ -94,6 +96,13 @@
 	cancel context.CancelFunc
 }
 
+// closedStep is a step without content whose prompts are kept until the record without
+// it, of this sequence or a later one, is confirmed.
+type closedStep struct {
+	prompts  promptsID
+	sequence uint64
+}
+
 // event is one message to the owner's duty.
 type event interface{ apply(o *owner) }
 
@@ -169,12 +178,15 @@
 	}
 	for _, st := range record.Steps {
 		content := &stepContent{
-			prefix: st.PromptPrefix, groupSize: st.GroupSize, maxTokens: st.MaxTokens, inline: st.Inline, contents: map[int]*content{},
+			prefix: st.PromptPrefix, groupSize: st.GroupSize, maxTokens: st.MaxTokens, digest: st.Digest, inline: st.Inline, contents: map[int]*content{},
 		}
 		if st.Inline {
-			if content.prompts, err = o.store.readPrompts(ctx, st.Step); err != nil {
+			if content.prompts, err = o.store.readPrompts(ctx, promptsID{step: st.Step, digest: st.Digest}); err != nil {
 				return err
 			}
+			if len(content.prompts) != st.Groups {
+				return Error.New("step %d has %d prompts for %d groups", st.Step, len(content.prompts), st.Groups)
+			}
 		}
 		o.steps[st.Step] = content
 	}
@@ -198,7 +210,7 @@
 	o.view, o.trainer = view, trainer
 	o.engines.update(view, trainer)
 	if o.machine != nil {
-		o.machine.Configure(o.settings())
+		o.do(o.machine.Configure(o.settings()))
 	}
 	return true
 }
@@ -214,9 +226,7 @@
 func (o *owner) settle() {
 	now := time.Now()
 	o.answerPulls(now)
-	if o.held < maxContentBytes {
-		o.do(o.machine.Plan(now, o.engines))
-	}
+	o.do(o.machine.Plan(now, o.engines, o.held < maxContentBytes))
 	o.dropClosed()
 	o.write()
 	counts := o.machine.Counts()
@@ -235,6 +245,8 @@
 			o.startScore(a)
 		case samples.ActionDiscard:
 			o.discard(a.Slot)
+		case samples.ActionReport:
+			o.report(a)
 		}
 	}
 }
@@ -285,9 +297,9 @@
 }
 
 func (o *owner) startScore(a samples.Action) {
-	scorer, ok := o.view.Config.Scorers[o.trainer.Scorer]
 	j, running := o.jobs[a.Attempt]
-	if !ok || !running {
+	if !running {
+		o.opt.Log.Error("A finished sample has no job and waits for its score for ever.", "trainer", o.opt.Trainer, "attempt", a.Attempt)
 		return
 	}
 	st := o.steps[a.Slot.Step]
@@ -296,7 +308,7 @@
 	j.cancel()
 	j.cancel = cancel
 	o.jobs[a.Attempt] = j
-	o.workers.Go(func() { o.score(ctx, j.job, scorer, prompt) })
+	o.workers.Go(func() { o.score(ctx, j.job, prompt) })
 }
 
 func (o *owner) discard(slot samples.SlotID) {
@@ -313,7 +325,8 @@
 	}
 }
 
-// dropClosed forgets the contents of steps that the machine closed.
+// dropClosed forgets the contents of steps that the machine closed. Their prompts stay:
+// an owner that takes over now still finds the steps in the record.
 func (o *owner) dropClosed() {
 	for step, st := range o.steps {
 		if _, open := o.machine.Explain(samples.SlotID{Step: step}); open {
@@ -321,9 +334,37 @@
 		}
 		delete(o.steps, step)
 		if st.inline {
-			o.workers.Go(func() { o.store.dropPrompts(o.ctx, step) })
+			sequence, _ := o.machine.Pending()
+			o.closed = append(o.closed, closedStep{prompts: promptsID{step: step, digest: st.digest}, sequence: sequence})
+		}
+	}
+}
+
+// dropPrompts deletes the prompts of the steps that the confirmed record is without.
+func (o *owner) dropPrompts() {
+	kept := o.closed[:0]
+	for _, c := range o.closed {
+		if c.sequence > o.machine.Confirmed() {
+			kept = append(kept, c)
+			continue
+		}
+		o.workers.Go(func() { o.store.dropPrompts(o.ctx, c.prompts) })
+	}
+	o.closed = kept
+}
+
+// dropRefused deletes the prompts of a refused opening unless a step of the record has them.
+func (o *owner) dropRefused(spec samples.StepSpec) {
+	id := promptsID{step: spec.Step, digest: spec.Digest}
+	if st := o.steps[id.step]; !spec.Inline || st != nil && st.digest == id.digest {
+		return
+	}
+	for _, c := range o.closed {
+		if c.prompts == id {
+			return
 		}
 	}
+	o.workers.Go(func() { o.store.dropPrompts(o.ctx, id) })
 }
 
 // write keeps one write of the record in flight while there is something to write.
@@ -349,5 +390,6 @@
 		return
 	}
 	o.machine.Confirm(e.sequence)
+	o.dropPrompts()
 	o.answerOpens()
 }
