--- a/internal/transport/claimduty/begin.go
+++ b/internal/transport/claimduty/begin.go
@@ -93,7 +93,7 @@
 }
 
 func (d *Duty) begin(ctx context.Context, key Key, digest uint64) (Ticket, error) {
-	if !d.awaitLayout(ctx) {
+	if !d.layoutKnown(ctx) {
 		return Ticket{}, claimUnknown("the claim layout is not known yet")
 	}
 	b := &begin{duty: d, key: key, digest: digest, attempt: &attempt{key: hashKey(key)}}
@@ -115,9 +115,9 @@
 	return t, err
 }
 
-// awaitLayout waits, at most ownerGrace, until the number of shards is known: a caller
+// layoutKnown waits, at most ownerGrace, until the number of shards is known: a caller
 // may reach a process that has just started.
-func (d *Duty) awaitLayout(ctx context.Context) bool {
+func (d *Duty) layoutKnown(ctx context.Context) bool {
 	for since := time.Now(); d.shardCount.Load() == 0; {
 		if time.Since(since) >= ownerGrace || !pause(ctx, retryPause) {
 			return false
