--- a/internal/transport/rollout/worker.go
+++ b/internal/transport/rollout/worker.go
@@ -38,31 +38,41 @@
 	defer idle.Stop()
 	stream, err := o.opt.Engines.Generate(ctx, j.address, j.request)
 	if err != nil {
-		refused := errors.Is(err, engineapi.ErrNotSent) || errors.Is(err, engineapi.ErrBusy) || errors.Is(err, engineapi.ErrLeaving)
-		o.tell(attemptEnded{job: j, refused: refused, failed: true, busy: errors.Is(err, engineapi.ErrBusy)})
+		o.tell(attemptEnded{job: j, outcome: outcomeOf(err)})
 		return
 	}
 	defer stream.Close()
 	o.tell(o.read(j, stream, idle))
 }
 
+// outcomeOf tells from the error of a call whether the engine ran the attempt.
+func outcomeOf(err error) outcome {
+	switch {
+	case errors.Is(err, engineapi.ErrBusy):
+		return outcomeBusy
+	case errors.Is(err, engineapi.ErrNotSent), errors.Is(err, engineapi.ErrLeaving):
+		return outcomeRefused
+	}
+	return outcomeBroken
+}
+
 // read takes in the stream until it ends.
 func (o *owner) read(j job, stream *engineapi.Stream, idle *time.Timer) attemptEnded {
 	told, toldVersion := time.Time{}, model.WeightVersion(0)
 	for {
 		c, err := stream.Next()
 		if err != nil || c.Error != "" {
-			return attemptEnded{job: j, failed: true}
+			return attemptEnded{job: j, outcome: outcomeBroken}
 		}
 		idle.Reset(idleStream)
 		if c.Done {
 			if j.content.end(c.Total) != nil {
-				return attemptEnded{job: j, failed: true, doubtful: true}
+				return attemptEnded{job: j, outcome: outcomeDoubtful}
 			}
-			return attemptEnded{job: j}
+			return attemptEnded{job: j, outcome: outcomeWhole}
 		}
 		if j.content.add(c) != nil {
-			return attemptEnded{job: j, failed: true, doubtful: true}
+			return attemptEnded{job: j, outcome: outcomeDoubtful}
 		}
 		if now := time.Now(); c.Version != toldVersion || now.Sub(told) >= progressInterval {
 			told, toldVersion = now, c.Version
@@ -97,14 +107,20 @@
 }
 
 // score asks the scorer until it answers or ctx ends. First calls are bounded by the
-// slots for scoring, repeats by a budget besides.
-func (o *owner) score(ctx context.Context, j job, scorer model.Scorer, prompt string) {
+// slots for scoring, repeats by a budget besides. Each try asks the scorer that the
+// configuration of that moment names; without one the score is 0.
+func (o *owner) score(ctx context.Context, j job, prompt string) {
 	pause := scoreBackoff
 	request := platformapi.ScoreRequest{SampleID: j.request.RequestID, Prompt: prompt, Tokens: j.content.tokens}
 	for try := 0; ; try++ {
 		if try > 0 && o.scoreRetries.Wait(ctx) != nil {
 			return
 		}
+		scorer, scored := o.scorer()
+		if !scored {
+			o.tell(sampleScored{job: j})
+			return
+		}
 		reply, err := o.scoreOnce(ctx, scorer, request)
 		if err == nil {
 			o.tell(sampleScored{job: j, score: reply.Score})
@@ -117,6 +133,13 @@
 	}
 }
 
+// scorer returns the trainer's scorer as configured now; false when it has none.
+func (o *owner) scorer() (model.Scorer, bool) {
+	c := o.opt.View().Config
+	scorer, ok := c.Scorers[c.Trainers[o.opt.Trainer].Scorer]
+	return scorer, ok
+}
+
 func (o *owner) scoreOnce(ctx context.Context, scorer model.Scorer, r platformapi.ScoreRequest) (platformapi.ScoreReply, error) {
 	select {
 	case o.scoreSlots <- struct{}{}:
