Refuse a second trainer's versions at a deployment; state the last figures

Cause: two trainers that publish to one deployment shared one line of versions. The lower publication was answered as published and never loaded, so its trainer took samples made by the other's weights as fresh. Now the second is refused with publisher_conflict (64) while the first is configured there, and may follow it only with a higher number afterwards.

--- a/internal/protocol/resultcode/resultcode.go
+++ b/internal/protocol/resultcode/resultcode.go
@@ -60,6 +60,7 @@
 	StepUnknown          Code = 61
 	BatchNotReady        Code = 62
 	TooStale             Code = 63
+	PublisherConflict    Code = 64
 	Internal             Code = 90
 )
 
@@ -111,6 +112,7 @@
 	{StepUnknown, "step_unknown", NotRun, http.StatusNotFound, false, "The trainer has no such step open."},
 	{BatchNotReady, "batch_not_ready", NotRun, http.StatusAccepted, true, "No batch is ready yet; ask again."},
 	{TooStale, "too_stale", NotRun, http.StatusConflict, false, "The sample is over the staleness bound and was dropped."},
+	{PublisherConflict, "publisher_conflict", NotRun, http.StatusConflict, false, "Another trainer's versions are in force at the deployment; nothing was published."},
 	{Internal, "internal", Unknown, http.StatusInternalServerError, false, "A fault of this system; see the log."},
 }
 
--- a/internal/transport/rollout/server.go
+++ b/internal/transport/rollout/server.go
@@ -258,8 +258,10 @@
 		return
 	}
 	if report.Published {
-		deployment := s.opt.View().Config.Trainers[o.opt.Trainer].Deployment
-		err := publish(r.Context(), s.opt.API, deployment, ledger.Desired{Version: report.Version, Trainer: o.opt.Trainer})
+		trainers := s.opt.View().Config.Trainers
+		deployment := trainers[o.opt.Trainer].Deployment
+		active := func(id model.TrainerID) bool { return trainers[id].Deployment == deployment }
+		err := publish(r.Context(), s.opt.API, deployment, ledger.Desired{Version: report.Version, Trainer: o.opt.Trainer}, active)
 		if err != nil {
 			fail(w, publishFailure(err))
 			return
@@ -269,6 +271,9 @@
 }
 
 func publishFailure(err error) error {
+	if errors.Is(err, errOtherPublisher) {
+		return resultcode.New(resultcode.PublisherConflict, "Another trainer's versions are in force at this deployment.")
+	}
 	if objectapi.Unresolved(err) {
 		return resultcode.New(resultcode.StorageUnknown, "The version may not be published yet; send it again.")
 	}
--- a/internal/transport/rollout/store.go
+++ b/internal/transport/rollout/store.go
@@ -158,8 +158,13 @@
 	}
 }
 
-// publish raises a deployment's desired version.
-func publish(ctx context.Context, api objectapi.API, d model.DeploymentID, want ledger.Desired) error {
+// errOtherPublisher: the deployment's versions are another trainer's.
+var errOtherPublisher = errors.New("another trainer publishes to the deployment")
+
+// publish raises a deployment's desired version. Versions of two trainers are never
+// mixed: a trainer follows another one only with a higher version, once that one is no
+// longer configured for the deployment (active).
+func publish(ctx context.Context, api objectapi.API, d model.DeploymentID, want ledger.Desired, active func(model.TrainerID) bool) error {
 	value, err := ledger.EncodeDesired(want)
 	if err != nil {
 		return err
@@ -172,9 +177,15 @@
 		}
 		if err == nil {
 			held, err := ledger.DecodeDesired(o.Value)
-			if err != nil || held.Version >= want.Version {
+			if err != nil {
 				return err
 			}
+			if foreign(held, want, active) {
+				return Error.Wrap(errOtherPublisher)
+			}
+			if held.Version >= want.Version {
+				return nil
+			}
 		}
 		_, err = api.Put(ctx, key, value, o.Version)
 		if err == nil || !errors.Is(err, objectapi.ErrConflict) {
@@ -182,3 +193,11 @@
 		}
 	}
 }
+
+// foreign reports whether the version held is another trainer's and stays in force.
+func foreign(held, want ledger.Desired, active func(model.TrainerID) bool) bool {
+	if held.Trainer == "" || held.Trainer == want.Trainer {
+		return false
+	}
+	return active(held.Trainer) || held.Version >= want.Version
+}
--- a/internal/transport/rollout/store_test.go
+++ b/internal/transport/rollout/store_test.go
@@ -59,7 +59,7 @@
 	ctx := context.Background()
 	objects := standin.NewObjectStore(standin.ObjectStoreOptions{})
 	for _, v := range []model.WeightVersion{3, 2, 5} {
-		if err := publish(ctx, objects, "d", ledger.Desired{Version: v}); err != nil {
+		if err := publish(ctx, objects, "d", ledger.Desired{Version: v, Trainer: "a"}, never); err != nil {
 			t.Fatal(err)
 		}
 		o, err := objects.Get(ctx, ledger.DesiredPrefix+"d")
@@ -71,3 +71,26 @@
 		}
 	}
 }
+
+func never(model.TrainerID) bool { return false }
+
+func TestTwoTrainersNeverMixVersionsOfOneDeployment(t *testing.T) {
+	objects := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	put := func(trainer model.TrainerID, v model.WeightVersion, active bool) error {
+		return publish(t.Context(), objects, "d", ledger.Desired{Version: v, Trainer: trainer}, func(model.TrainerID) bool { return active })
+	}
+	if err := put("a", 5, true); err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []model.WeightVersion{3, 9} {
+		if err := put("b", v, true); !errors.Is(err, errOtherPublisher) {
+			t.Fatalf("version %d beside an active trainer: %v", v, err)
+		}
+	}
+	if err := put("b", 5, false); !errors.Is(err, errOtherPublisher) {
+		t.Fatalf("a version already used by the trainer before: %v", err)
+	}
+	if err := put("b", 6, false); err != nil {
+		t.Fatalf("a higher version after the other trainer has gone: %v", err)
+	}
+}
