Say when to ask again when a claimed call outlives its deadline

Cause: a caller whose deadline passed while its claimed request was running got deadline_exceeded, which the table says not to send again, with a text that says to send it again and no time for it. The request goes on and its claim is settled, so the truthful result is in_progress with a Retry-After. Conclusion: every refusal on this path tells the caller when to come back.

--- a/internal/transport/entry/call.go
+++ b/internal/transport/entry/call.go
@@ -21,6 +21,9 @@
 // that its answer is kept for the caller's next sending.
 const claimedGrace = 10 * time.Second
 
+// claimedRetryAfter is when a caller whose deadline passed may ask for the answer.
+const claimedRetryAfter = time.Second
+
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	vars := mux.Vars(r)
 	service := model.ServiceID(vars["service"])
@@ -167,7 +170,9 @@
 	case r := <-done:
 		return r.answer, r.err
 	case <-ctx.Done():
-		return engineapi.Answer{}, httpapi.Fail(resultcode.DeadlineExceeded, "The deadline passed; ask again with the same key.").Uncertain()
+		failure := httpapi.Fail(resultcode.InProgress, "The deadline passed while the request runs; ask again with the same key.")
+		failure.RetryAfter = claimedRetryAfter
+		return engineapi.Answer{}, failure
 	}
 }
 
--- a/internal/transport/entry/call_test.go
+++ b/internal/transport/entry/call_test.go
@@ -55,6 +55,22 @@
 	}
 }
 
+func TestDeadlineOfARunningClaimedCallSaysWhenToAskAgain(t *testing.T) {
+	b := newBed(t)
+	p := b.plain(standin.PlainOptions{})
+	p.SetFaults(standin.Faults{Pause: true})
+	b.apply(nil)
+	r := b.call("issue", "c2", httpapi.IdempotencyKeyHeader, "k2", httpapi.DeadlineHeader, "200")
+	if r.code != resultcode.InProgress || r.outcome != resultcode.Unknown || r.header.Get(httpapi.RetryAfterMsHeader) == "" {
+		t.Fatalf("at the deadline: %+v", r)
+	}
+	p.SetFaults(standin.Faults{})
+	r = b.call("issue", "c2", httpapi.IdempotencyKeyHeader, "k2")
+	if r.body != standin.PlainAnswer("issue", "c2") || len(p.Runs()) != 1 {
+		t.Fatalf("resend got %+v after %d runs", r, len(p.Runs()))
+	}
+}
+
 func TestUnknownNamesAreRefusedAsNotRun(t *testing.T) {
 	b := newBed(t)
 	b.plain(standin.PlainOptions{})
