Give the line of a file that cannot be read as INI

Cause: of eleven kinds of broken folder tried by hand, only an unclosed section was reported without its line; the INI library quotes the line in its error but does not number it. Conclusion: each problem names file, line and reason.

--- a/internal/protocol/settings/files.go
+++ b/internal/protocol/settings/files.go
@@ -144,7 +144,8 @@
 		IgnoreInlineComment:     false,
 	}, f.Data)
 	if err != nil {
-		m.problems = append(m.problems, Problem{File: f.Name, Reason: "not readable as INI: " + strings.TrimSpace(err.Error())})
+		reason := strings.TrimSpace(err.Error())
+		m.problems = append(m.problems, Problem{File: f.Name, Line: quotedLine(f.Data, reason), Reason: "not readable as INI: " + reason})
 		return
 	}
 	places := m.index(f)
@@ -202,3 +203,18 @@
 	}
 	return places
 }
+
+// quotedLine returns the number of the line that the INI library's error quotes at its
+// end, 0 when there is none.
+func quotedLine(data []byte, reason string) int {
+	_, quoted, ok := strings.Cut(reason, ": ")
+	if !ok || quoted == "" {
+		return 0
+	}
+	for i, line := range strings.Split(string(data), "\n") {
+		if strings.TrimSpace(line) == quoted {
+			return i + 1
+		}
+	}
+	return 0
+}
