--- /dev/null
+++ b/internal/coordination/placement/placement.go
@@ -0,0 +1,372 @@
+// Package placement chooses the endpoint for a request or a sample from what this
+// host sends itself, what its peers say they send, and how fast endpoints have been.
+//
+// It answers these load patterns: a burst that fills every slot (work waits at this
+// host instead of at one endpoint's queue), endpoints that turn slow (their pace is
+// learnt from their streams and they are chosen last), and endpoints that stop
+// answering (they are left out for a growing time, never all of a service at once).
+//
+// Invariant: an endpoint that is draining, or that is gone from the catalog, is never
+// chosen.
+package placement
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+const (
+	// firstEjection is how long an endpoint is left out after repeated failures; it
+	// doubles with each further one up to maxEjection, about the time of a restart.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 4 * time.Second
+	// failuresToEject is the number of failures in a row that eject an endpoint: one
+	// alone may be the request's own.
+	failuresToEject = 2
+	// paceWeight is the share of a new measurement in an endpoint's pace.
+	paceWeight = 0.3
+	// otherZoneCost is added for an endpoint in another zone, in shares of a request.
+	otherZoneCost = 0.05
+	// paceLife is how long an unusually slow pace is believed without a new measurement.
+	paceLife = 6 * time.Second
+)
+
+// Failure says how an attempt at an endpoint ended.
+type Failure int
+
+// The ends of attempts.
+const (
+	// OK: the endpoint answered.
+	OK Failure = iota
+	// Refused: the endpoint did not run the request for lack of room.
+	Refused
+	// Broke: no connection, no answer or a broken one.
+	Broke
+	// Cancelled: this host gave the attempt up; it says nothing of the endpoint.
+	Cancelled
+)
+
+type entry struct {
+	endpoint     catalog.Endpoint
+	own          int
+	peers        map[string]int
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	// pace is the time for one event of a stream, or for one answer; zero is unknown.
+	pace    time.Duration
+	pacedAt time.Time
+	// floor holds versions seen in the endpoint's own answers that were lower than
+	// what the catalog says, until the catalog changes.
+	seen map[string]int
+}
+
+// Table is what a host knows of its endpoints. It is not safe for concurrent use.
+type Table struct {
+	zone    string
+	entries map[string]*entry
+	byKey   map[uint32]*entry
+}
+
+// NewTable returns an empty table for a host in zone.
+func NewTable(zone string) *Table {
+	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32]*entry{}}
+}
+
+// Key is the short name of an endpoint in the hosts' messages.
+func Key(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// Put adds an endpoint or replaces what is known of it. A new incarnation starts with
+// a clean record.
+func (t *Table) Put(e catalog.Endpoint) {
+	old, ok := t.entries[e.ID]
+	if ok && old.endpoint.Same(&e) {
+		old.endpoint = e
+		old.seen = nil
+		return
+	}
+	n := &entry{endpoint: e, peers: map[string]int{}}
+	t.entries[e.ID] = n
+	t.byKey[Key(e.ID)] = n
+}
+
+// Remove forgets an endpoint.
+func (t *Table) Remove(id string) {
+	delete(t.entries, id)
+	delete(t.byKey, Key(id))
+}
+
+// Get returns an endpoint as it is known.
+func (t *Table) Get(id string) (catalog.Endpoint, bool) {
+	e, ok := t.entries[id]
+	if !ok {
+		return catalog.Endpoint{}, false
+	}
+	return e.endpoint, true
+}
+
+// All returns the endpoints in the order of their ids.
+func (t *Table) All() []catalog.Endpoint {
+	out := make([]catalog.Endpoint, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.endpoint)
+	}
+	slices.SortFunc(out, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Query says what an endpoint must offer.
+type Query struct {
+	Service string
+	// Model and MinVersion, when Model is set, ask for weights of at least a version.
+	Model      string
+	MinVersion int
+	// ExactVersion, when not zero, is the only version that will do.
+	ExactVersion int
+	// FreeSlot asks for an endpoint that has room at once.
+	FreeSlot bool
+	// Prefer is an endpoint to keep to unless it is much worse.
+	Prefer string
+	// Avoid lists endpoints that were tried before.
+	Avoid []string
+}
+
+// preferBonus is how much worse, in shares of a request, a preferred endpoint may be.
+const preferBonus = 0.6
+
+// Pick returns the best endpoint for a query. random breaks ties.
+func (t *Table) Pick(now time.Time, q Query, random uint64) (catalog.Endpoint, bool) {
+	var best *entry
+	bestCost := math.Inf(1)
+	usual := t.usualPace(q.Service)
+	for _, e := range t.entries {
+		if !e.offers(&q) {
+			continue
+		}
+		cost := e.cost(now, t.zone, usual, random)
+		if e.endpoint.ID == q.Prefer {
+			cost -= preferBonus
+		}
+		if now.Before(e.ejectedUntil) {
+			// Chosen only when every other one is out too, the soonest back first.
+			cost += ejectedCost + e.ejectedUntil.Sub(now).Seconds()
+		}
+		if cost < bestCost || cost == bestCost && e.endpoint.ID < best.endpoint.ID {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil || q.FreeSlot && bestCost >= ejectedCost {
+		return catalog.Endpoint{}, false
+	}
+	return best.endpoint, true
+}
+
+// ejectedCost is above any cost of an endpoint that is not left out.
+const ejectedCost = 1000
+
+func (e *entry) offers(q *Query) bool {
+	ep := &e.endpoint
+	if ep.Draining || ep.Service != q.Service || slices.Contains(q.Avoid, ep.ID) {
+		return false
+	}
+	if q.FreeSlot && e.load() >= ep.Slots {
+		return false
+	}
+	if q.Model == "" {
+		return true
+	}
+	v := e.version(q.Model)
+	return v >= q.MinVersion && (q.ExactVersion == 0 || v == q.ExactVersion)
+}
+
+func (e *entry) version(model string) int {
+	v, ok := e.endpoint.Versions[model]
+	if !ok {
+		return -1
+	}
+	if seen, ok := e.seen[model]; ok {
+		return min(v, seen)
+	}
+	return v
+}
+
+func (e *entry) load() int {
+	n := e.own
+	for _, p := range e.peers {
+		n += p
+	}
+	return n
+}
+
+// cost is the endpoint's expected time relative to the service's usual pace.
+func (e *entry) cost(now time.Time, zone string, usual time.Duration, random uint64) float64 {
+	cost := 1.0
+	if usual > 0 {
+		cost = float64(e.paceAt(now, usual)) / float64(usual)
+	}
+	used := float64(e.load()) / float64(max(e.endpoint.Slots, 1))
+	if used >= 1 {
+		cost *= 1 + used
+	}
+	cost += used * loadCost
+	if zone != e.endpoint.Zone {
+		cost += otherZoneCost
+	}
+	spread := (uint64(Key(e.endpoint.ID)) ^ random) * 0x9e3779b97f4a7c15 >> 54
+	return cost + float64(spread)/1024*tieCost
+}
+
+const (
+	// loadCost is the cost of a full endpoint over an idle one.
+	loadCost = 0.5
+	// tieCost spreads the choices among endpoints that are equally good.
+	tieCost = 0.04
+)
+
+// paceAt lets an old slow measurement fade, so that a recovered endpoint is tried again.
+func (e *entry) paceAt(now time.Time, usual time.Duration) time.Duration {
+	if e.pace == 0 {
+		return usual
+	}
+	if e.pace > usual && now.Sub(e.pacedAt) > paceLife {
+		return usual + (e.pace-usual)/4
+	}
+	return e.pace
+}
+
+// usualPace is the median pace of a service's endpoints.
+func (t *Table) usualPace(service string) time.Duration {
+	var paces []time.Duration
+	for _, e := range t.entries {
+		if e.endpoint.Service == service && e.pace > 0 {
+			paces = append(paces, e.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// Pace returns an endpoint's pace and the usual one of its service; zero is unknown.
+func (t *Table) Pace(now time.Time, id string) (own, usual time.Duration) {
+	e, ok := t.entries[id]
+	if !ok {
+		return 0, 0
+	}
+	usual = t.usualPace(e.endpoint.Service)
+	return e.paceAt(now, usual), usual
+}
+
+// Begin counts a request sent to an endpoint.
+func (t *Table) Begin(id string) {
+	if e, ok := t.entries[id]; ok {
+		e.own++
+	}
+}
+
+// End counts its end. A request that outlived its endpoint's entry is not counted.
+func (t *Table) End(now time.Time, id string, f Failure) {
+	e, ok := t.entries[id]
+	if !ok {
+		return
+	}
+	e.own = max(e.own-1, 0)
+	switch f {
+	case OK:
+		e.failures, e.ejections = 0, 0
+		e.ejectedUntil = time.Time{}
+	case Broke:
+		e.failures++
+		if e.failures >= failuresToEject {
+			e.ejectedUntil = now.Add(min(firstEjection<<min(e.ejections, 8), maxEjection))
+			e.ejections++
+		}
+	}
+}
+
+// Eject leaves an endpoint out at once, when it certainly does not answer.
+func (t *Table) Eject(now time.Time, id string) {
+	if e, ok := t.entries[id]; ok {
+		e.failures = max(e.failures, failuresToEject)
+		e.ejectedUntil = now.Add(min(firstEjection<<min(e.ejections, 8), maxEjection))
+		e.ejections++
+	}
+}
+
+// Measured takes an endpoint's time for one event or answer.
+func (t *Table) Measured(now time.Time, id string, d time.Duration) {
+	e, ok := t.entries[id]
+	if !ok || d <= 0 {
+		return
+	}
+	if e.pace == 0 {
+		e.pace = d
+	} else {
+		e.pace = time.Duration((1-paceWeight)*float64(e.pace) + paceWeight*float64(d))
+	}
+	e.pacedAt = now
+}
+
+// SeenVersion records a version that an endpoint's own answer named.
+func (t *Table) SeenVersion(id, model string, version int) {
+	e, ok := t.entries[id]
+	if !ok {
+		return
+	}
+	if e.seen == nil {
+		e.seen = map[string]int{}
+	}
+	e.seen[model] = version
+}
+
+// Own returns how many requests this host has at each endpoint, by Key.
+func (t *Table) Own() map[uint32]uint16 {
+	out := map[uint32]uint16{}
+	for id, e := range t.entries {
+		if e.own > 0 {
+			out[Key(id)] = uint16(min(e.own, math.MaxUint16))
+		}
+	}
+	return out
+}
+
+// SetPeer replaces what a peer says it has at the endpoints; nil forgets the peer.
+func (t *Table) SetPeer(host string, loads map[uint32]uint16) {
+	for k, e := range t.byKey {
+		if n := loads[k]; n > 0 {
+			e.peers[host] = int(n)
+		} else {
+			delete(e.peers, host)
+		}
+	}
+}
+
+// Running returns the requests of all hosts at an endpoint.
+func (t *Table) Running(id string) int {
+	if e, ok := t.entries[id]; ok {
+		return e.load()
+	}
+	return 0
+}
+
+// Free returns the free slots of a service's endpoints that are in use.
+func (t *Table) Free(service string) (free, slots int) {
+	for _, e := range t.entries {
+		if e.endpoint.Service == service && !e.endpoint.Draining {
+			slots += e.endpoint.Slots
+			free += max(e.endpoint.Slots-e.load(), 0)
+		}
+	}
+	return free, slots
+}
--- /dev/null
+++ b/internal/coordination/upgrades/upgrades.go
@@ -0,0 +1,160 @@
+// Package upgrades plans which endpoints load a new weight version next.
+//
+// It answers this load pattern: a version arrives every few seconds, a load blocks an
+// endpoint for about a second, and loads slow each other down when many run at once.
+// So only a share of the fleet loads at a time; endpoints that can serve no open step
+// go first, and among the others the idle ones.
+//
+// Invariant: at most one load of a model is in progress at an endpoint, and a load is
+// never ordered to a version below the one that the endpoint reported.
+package upgrades
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+const (
+	// loadingShare is the part of a model's endpoints that load at once; the weight
+	// store serves more only at a slower pace each.
+	loadingShare = 0.22
+	// reportLag is how long an accepted order may go unseen in the catalog before it
+	// is taken as lost. Loads take about a second, and the catalog shows them later.
+	reportLag = 4 * time.Second
+	// retryAfter is the pause after an order that got no clear answer.
+	retryAfter = 400 * time.Millisecond
+)
+
+// Plan holds the orders in progress. It is not safe for concurrent use.
+type Plan struct {
+	targets map[string]int
+	sent    map[key]sent
+}
+
+type key struct {
+	endpoint string
+	model    string
+}
+
+type sent struct {
+	version     int
+	incarnation int64
+	until       time.Time
+	accepted    bool
+}
+
+// NewPlan returns a plan without targets.
+func NewPlan() *Plan { return &Plan{targets: map[string]int{}, sent: map[key]sent{}} }
+
+// SetTarget takes the newest version of a model; older ones are ignored.
+func (p *Plan) SetTarget(model string, version int) bool {
+	if version <= p.targets[model] {
+		return false
+	}
+	p.targets[model] = version
+	return true
+}
+
+// Step is one order to send.
+type Step struct {
+	Endpoint catalog.Endpoint
+	Model    string
+	Version  int
+}
+
+// Next returns the orders to send now. running tells the requests at an endpoint.
+func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, running func(id string) int) []Step {
+	p.settle(now, endpoints)
+	models := make([]string, 0, len(p.targets))
+	for m := range p.targets {
+		models = append(models, m)
+	}
+	slices.Sort(models)
+	var steps []Step
+	for _, m := range models {
+		steps = append(steps, p.nextOf(now, m, endpoints, running)...)
+	}
+	return steps
+}
+
+func (p *Plan) nextOf(now time.Time, model string, endpoints []catalog.Endpoint, running func(id string) int) []Step {
+	target := p.targets[model]
+	serving, loading := 0, p.loading(now)
+	var behind []catalog.Endpoint
+	for _, e := range endpoints {
+		v, ok := e.Versions[model]
+		if !ok {
+			continue
+		}
+		serving++
+		if v >= target || e.Draining {
+			continue
+		}
+		if s, ok := p.sent[key{e.ID, model}]; ok && now.Before(s.until) {
+			continue
+		}
+		behind = append(behind, e)
+	}
+	slices.SortFunc(behind, func(a, b catalog.Endpoint) int {
+		return cmp.Or(
+			cmp.Compare(a.Versions[model], b.Versions[model]),
+			cmp.Compare(running(a.ID), running(b.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	room := max(int(loadingShare*float64(serving)+0.5), 1) - loading
+	var steps []Step
+	for _, e := range behind {
+		if len(steps) >= room {
+			break
+		}
+		steps = append(steps, Step{Endpoint: e, Model: model, Version: target})
+	}
+	return steps
+}
+
+// settle forgets orders that the catalog shows as carried out or as given to an
+// earlier incarnation.
+func (p *Plan) settle(now time.Time, endpoints []catalog.Endpoint) {
+	present := make(map[string]*catalog.Endpoint, len(endpoints))
+	for i := range endpoints {
+		present[endpoints[i].ID] = &endpoints[i]
+	}
+	for k, s := range p.sent {
+		e, ok := present[k.endpoint]
+		if !ok || e.Versions[k.model] >= s.version || e.Incarnation != s.incarnation || !now.Before(s.until) {
+			delete(p.sent, k)
+		}
+	}
+}
+
+func (p *Plan) loading(now time.Time) int {
+	n := 0
+	for _, s := range p.sent {
+		if s.accepted && now.Before(s.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Accepted records that an endpoint carries the order out.
+func (p *Plan) Accepted(now time.Time, s Step) {
+	p.sent[key{s.Endpoint.ID, s.Model}] = sent{
+		version: s.Version, incarnation: s.Endpoint.Incarnation, until: now.Add(reportLag), accepted: true,
+	}
+}
+
+// Unclear records that an order got no answer or met another state: it is sent again
+// after a pause, with the count of orders that the endpoint then reports.
+func (p *Plan) Unclear(now time.Time, s Step) {
+	p.sent[key{s.Endpoint.ID, s.Model}] = sent{
+		version: s.Version, incarnation: s.Endpoint.Incarnation, until: now.Add(retryAfter), accepted: false,
+	}
+}
+
+// Targets returns the newest version of each model.
+func (p *Plan) Targets() map[string]int { return p.targets }
--- a/internal/protocol/objectapi/client.go
+++ b/internal/protocol/objectapi/client.go
@@ -198,7 +198,7 @@
 // Next implements Watcher.
 func (w *openedWatcher) Next(ctx context.Context) (Event, error) {
 	e, err := w.Watcher.Next(ctx)
-	if err == nil && !e.Deleted {
+	if err == nil && !e.Deleted && e.Key != "" {
 		w.client.open(&e.Object)
 	}
 	return e, err
@@ -218,7 +218,7 @@
 
 // again reports whether the same call may fare better later.
 func again(err error) bool {
-	return Unresolved(err) || errors.Is(err, ErrThrottled)
+	return Unresolved(err) || errors.Is(err, ErrThrottled) || errors.Is(err, ErrRefused)
 }
 
 // attempt sends one call within its budget and records how it went. A timeout of
@@ -242,6 +242,8 @@
 	case errors.Is(err, ErrThrottled):
 		b.throttled(now)
 		c.outage.answered()
+	case errors.Is(err, ErrRefused):
+		c.outage.failed(now)
 	case !Unresolved(err):
 		b.answered(now)
 		c.outage.answered()
--- a/internal/protocol/objectapi/envelope.go
+++ b/internal/protocol/objectapi/envelope.go
@@ -61,3 +61,10 @@
 	}
 	return e.Payload, h
 }
+
+// Payload returns the value that a Client stored, without its envelope. A value that
+// another writer stored is returned as it is.
+func Payload(value []byte) []byte {
+	payload, _ := unseal(value)
+	return payload
+}
--- a/internal/protocol/objectapi/follow.go
+++ b/internal/protocol/objectapi/follow.go
@@ -82,7 +82,7 @@
 
 func (f *follower) change(e Event) {
 	f.last = max(f.last, e.Version)
-	if e.Version <= f.versions[e.Key] {
+	if e.Key == "" || e.Version <= f.versions[e.Key] {
 		return
 	}
 	f.handler.Change(e)
--- a/internal/standin/objectstore_http.go
+++ b/internal/protocol/objectapi/handler.go
@@ -1,4 +1,4 @@
-package standin
+package objectapi
 
 import (
 	"encoding/json"
@@ -8,18 +8,20 @@
 	"strconv"
 
 	"github.com/gorilla/mux"
-
-	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 )
 
-// Handler serves the store over HTTP:
+// handler serves an API over HTTP, as HTTPClient speaks it:
 //
 //	GET    /v1/objects/KEY                      value, version in X-Object-Version
 //	PUT    /v1/objects/KEY   X-Expect-Version   conditional write, 412 on conflict
 //	DELETE /v1/objects/KEY   X-Expect-Version   conditional delete
-//	GET    /v1/list?prefix=&after=&limit=       objectapi.Page as JSON
-//	GET    /v1/watch?prefix=&from=              objectapi.Event lines, 410 when compacted
-func (s *ObjectStore) Handler() http.Handler {
+//	GET    /v1/list?prefix=&after=&limit=       Page as JSON
+//	GET    /v1/watch?prefix=&from=              Event lines, 410 when compacted
+type handler struct{ api API }
+
+// NewHandler returns a handler that passes each call on to api once.
+func NewHandler(api API) http.Handler {
+	s := &handler{api: api}
 	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/objects/{key:.+}", s.serveGet).Methods(http.MethodGet)
 	r.HandleFunc("/v1/objects/{key:.+}", s.servePut).Methods(http.MethodPut)
@@ -29,50 +31,50 @@
 	return r
 }
 
-func (s *ObjectStore) serveGet(w http.ResponseWriter, r *http.Request) {
-	o, err := s.Get(r.Context(), mux.Vars(r)["key"])
+func (s *handler) serveGet(w http.ResponseWriter, r *http.Request) {
+	o, err := s.api.Get(r.Context(), mux.Vars(r)["key"])
 	if err != nil {
 		storeError(w, err)
 		return
 	}
-	w.Header().Set(objectapi.VersionHeader, strconv.FormatUint(o.Version, 10))
+	w.Header().Set(VersionHeader, strconv.FormatUint(o.Version, 10))
 	_, _ = w.Write(o.Value)
 }
 
-func (s *ObjectStore) servePut(w http.ResponseWriter, r *http.Request) {
-	expect, err := strconv.ParseUint(r.Header.Get(objectapi.ExpectHeader), 10, 64)
+func (s *handler) servePut(w http.ResponseWriter, r *http.Request) {
+	expect, err := strconv.ParseUint(r.Header.Get(ExpectHeader), 10, 64)
 	if err != nil {
-		http.Error(w, "missing "+objectapi.ExpectHeader, http.StatusBadRequest)
+		http.Error(w, "missing "+ExpectHeader, http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, objectapi.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, "short body", http.StatusBadRequest)
 		return
 	}
-	version, err := s.Put(r.Context(), mux.Vars(r)["key"], value, expect)
+	version, err := s.api.Put(r.Context(), mux.Vars(r)["key"], value, expect)
 	if err != nil {
 		storeError(w, err)
 		return
 	}
-	w.Header().Set(objectapi.VersionHeader, strconv.FormatUint(version, 10))
+	w.Header().Set(VersionHeader, strconv.FormatUint(version, 10))
 }
 
-func (s *ObjectStore) serveDelete(w http.ResponseWriter, r *http.Request) {
-	expect, err := strconv.ParseUint(r.Header.Get(objectapi.ExpectHeader), 10, 64)
+func (s *handler) serveDelete(w http.ResponseWriter, r *http.Request) {
+	expect, err := strconv.ParseUint(r.Header.Get(ExpectHeader), 10, 64)
 	if err != nil {
-		http.Error(w, "missing "+objectapi.ExpectHeader, http.StatusBadRequest)
+		http.Error(w, "missing "+ExpectHeader, http.StatusBadRequest)
 		return
 	}
-	if err := s.Delete(r.Context(), mux.Vars(r)["key"], expect); err != nil {
+	if err := s.api.Delete(r.Context(), mux.Vars(r)["key"], expect); err != nil {
 		storeError(w, err)
 	}
 }
 
-func (s *ObjectStore) serveList(w http.ResponseWriter, r *http.Request) {
+func (s *handler) serveList(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, _ := strconv.Atoi(q.Get("limit"))
-	page, err := s.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
+	page, err := s.api.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
 	if err != nil {
 		storeError(w, err)
 		return
@@ -80,9 +82,9 @@
 	writeJSON(w, page)
 }
 
-func (s *ObjectStore) serveWatch(w http.ResponseWriter, r *http.Request) {
+func (s *handler) serveWatch(w http.ResponseWriter, r *http.Request) {
 	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-	watcher, err := s.Watch(r.Context(), r.URL.Query().Get("prefix"), from)
+	watcher, err := s.api.Watch(r.Context(), r.URL.Query().Get("prefix"), from)
 	if err != nil {
 		storeError(w, err)
 		return
@@ -103,15 +105,17 @@
 func storeError(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
 	switch {
-	case errors.Is(err, objectapi.ErrNotFound):
+	case errors.Is(err, ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, objectapi.ErrConflict):
+	case errors.Is(err, ErrConflict):
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, objectapi.ErrThrottled):
+	case errors.Is(err, ErrThrottled):
 		status = http.StatusTooManyRequests
-	case errors.Is(err, objectapi.ErrCompacted):
+	case errors.Is(err, ErrRefused):
+		status = http.StatusLocked
+	case errors.Is(err, ErrCompacted):
 		status = http.StatusGone
-	case errors.Is(err, objectapi.ErrTooLarge):
+	case errors.Is(err, ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
 	http.Error(w, err.Error(), status)
--- a/internal/protocol/objectapi/http.go
+++ b/internal/protocol/objectapi/http.go
@@ -133,6 +133,8 @@
 		return ErrConflict
 	case http.StatusTooManyRequests:
 		return ErrThrottled
+	case http.StatusLocked:
+		return ErrRefused
 	case http.StatusGone:
 		return ErrCompacted
 	case http.StatusRequestEntityTooLarge:
--- a/internal/protocol/objectapi/objectapi.go
+++ b/internal/protocol/objectapi/objectapi.go
@@ -27,6 +27,8 @@
 	ErrConflict = errors.New("version conflict")
 	// ErrThrottled: the platform refused the call for its rate; nothing was written.
 	ErrThrottled = errors.New("throttled")
+	// ErrRefused: the platform does not serve this host now; nothing was written.
+	ErrRefused = errors.New("refused by the object API")
 	// ErrUnavailable: no answer; a write may have taken effect.
 	ErrUnavailable = errors.New("object API unavailable")
 	// ErrCompacted: the watch's starting revision is no longer kept; list again.
@@ -40,7 +42,7 @@
 	if err == nil {
 		return false
 	}
-	for _, sure := range []error{ErrNotFound, ErrConflict, ErrThrottled, ErrCompacted, ErrTooLarge} {
+	for _, sure := range []error{ErrNotFound, ErrConflict, ErrThrottled, ErrRefused, ErrCompacted, ErrTooLarge} {
 		if errors.Is(err, sure) {
 			return false
 		}
@@ -66,7 +68,8 @@
 	Revision uint64 `json:"revision"`
 }
 
-// Event is one change seen by a watch.
+// Event is one change seen by a watch. An event without a key is a bookmark: all
+// changes up to its version were delivered.
 type Event struct {
 	Object
 	// Deleted says the key was removed; Value is empty.
--- a/internal/protocol/objectapi/write.go
+++ b/internal/protocol/objectapi/write.go
@@ -100,7 +100,7 @@
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, ErrThrottled):
+		case errors.Is(err, ErrThrottled), errors.Is(err, ErrRefused):
 		case !Unresolved(err) && !lost:
 			return 0, err
 		default:
--- a/internal/standin/objectstore.go
+++ b/internal/standin/objectstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sort"
 	"strings"
 	"sync"
@@ -294,3 +295,6 @@
 		w.store.mu.Unlock()
 	})
 }
+
+// Handler serves the store over HTTP.
+func (s *ObjectStore) Handler() http.Handler { return objectapi.NewHandler(s) }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -118,3 +119,8 @@
 	}).Methods(http.MethodGet)
 	return r
 }
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/transport/front/batchstore.go
@@ -0,0 +1,232 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+)
+
+// maxPartBytes bounds a part of a batch's content or an entry of its log. Stored as
+// text it grows by a third, which must stay under the store's limit for a value.
+const maxPartBytes = 640 << 10
+
+// batchStore reads and writes the objects of batches.
+type batchStore struct {
+	api *objectapi.Client
+	// cache remembers manifests; what is cached only grows older, so it says who to ask
+	// first and never that something does not exist.
+	mu    sync.Mutex
+	cache map[string]storedManifest
+	// starts are the first positions of each batch's log entries, which never change.
+	starts map[string][]int
+}
+
+type storedManifest struct {
+	batches.Manifest
+	version uint64
+}
+
+func newBatchStore(api *objectapi.Client) *batchStore {
+	return &batchStore{api: api, cache: map[string]storedManifest{}, starts: map[string][]int{}}
+}
+
+// canonical encodes the same content to the same bytes, which the digest needs.
+var canonical = func() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the library's own options
+	}
+	return mode
+}()
+
+// encodeBatch returns a batch's stored content and its digest.
+func encodeBatch(b *batches.Batch) (content []byte, digest string, err error) {
+	if content, err = canonical.Marshal(b); err != nil {
+		return nil, "", batches.Error.Wrap(err)
+	}
+	sum := sha256.Sum256(content)
+	return content, hex.EncodeToString(sum[:]), nil
+}
+
+// putContent writes the parts of a batch's content. Parts are named by the content, so
+// one that exists already is the same.
+func (s *batchStore) putContent(ctx context.Context, id, digest string, content []byte) (parts int, err error) {
+	for at := 0; at < len(content) || parts == 0; at += maxPartBytes {
+		part := content[at:min(at+maxPartBytes, len(content))]
+		_, err := s.api.Put(ctx, batches.PartKey(id, digest, parts), part, 0)
+		if err != nil && !errors.Is(err, objectapi.ErrConflict) {
+			return 0, err
+		}
+		parts++
+	}
+	return parts, nil
+}
+
+func (s *batchStore) content(ctx context.Context, m *batches.Manifest) (*batches.Batch, error) {
+	var content []byte
+	for n := range m.Parts {
+		o, err := s.api.Get(ctx, batches.PartKey(m.ID, m.Digest, n))
+		if err != nil {
+			return nil, fmt.Errorf("part %d: %w", n, err)
+		}
+		content = append(content, o.Value...)
+	}
+	var b batches.Batch
+	if err := cbor.Unmarshal(content, &b); err != nil {
+		return nil, batches.Error.Wrap(err)
+	}
+	return &b, nil
+}
+
+func (s *batchStore) remember(m storedManifest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.cache[m.ID]; !ok || old.version < m.version {
+		s.cache[m.ID] = m
+	}
+}
+
+// cached returns the manifest as it was last seen.
+func (s *batchStore) cached(id string) (storedManifest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.cache[id]
+	return m, ok
+}
+
+// openManifests returns the cached manifests of batches that are not known to be ended.
+func (s *batchStore) openManifests() []storedManifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []storedManifest
+	for _, m := range s.cache {
+		if !m.Ended {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// manifest reads the manifest; objectapi.ErrNotFound says that no such batch exists.
+func (s *batchStore) manifest(ctx context.Context, id string) (storedManifest, error) {
+	o, err := s.api.Get(ctx, batches.ManifestKey(id))
+	if err != nil {
+		return storedManifest{}, err
+	}
+	return s.decodeManifest(o)
+}
+
+func (s *batchStore) decodeManifest(o objectapi.Object) (storedManifest, error) {
+	m := storedManifest{version: o.Version}
+	if err := batches.Decode(o.Value, &m.Manifest); err != nil {
+		return storedManifest{}, err
+	}
+	s.remember(m)
+	return m, nil
+}
+
+// putManifest writes a manifest if it is still at version expect.
+func (s *batchStore) putManifest(ctx context.Context, m batches.Manifest, expect uint64) (storedManifest, error) {
+	value, err := batches.Encode(m)
+	if err != nil {
+		return storedManifest{}, err
+	}
+	version, err := s.api.Put(ctx, batches.ManifestKey(m.ID), value, expect)
+	if err != nil {
+		return storedManifest{}, err
+	}
+	stored := storedManifest{Manifest: m, version: version}
+	s.remember(stored)
+	return stored, nil
+}
+
+// listManifests reads all manifests.
+func (s *batchStore) listManifests(ctx context.Context) ([]storedManifest, error) {
+	var out []storedManifest
+	after := ""
+	for {
+		page, err := s.api.List(ctx, batches.ManifestPrefix, after, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range page.Objects {
+			m, err := s.decodeManifest(o)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", o.Key, err)
+			}
+			out = append(out, m)
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return out, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Key
+	}
+}
+
+// entry reads the nth entry of a batch's log.
+func (s *batchStore) entry(ctx context.Context, id string, n int) (batches.LogEntry, error) {
+	o, err := s.api.Get(ctx, batches.LogKey(id, n))
+	if err != nil {
+		return batches.LogEntry{}, err
+	}
+	var e batches.LogEntry
+	if err := cbor.Unmarshal(o.Value, &e); err != nil {
+		return batches.LogEntry{}, batches.Error.Wrap(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.starts[id]) == n {
+		s.starts[id] = append(s.starts[id], e.First)
+	}
+	return e, nil
+}
+
+// append creates the nth entry; objectapi.ErrConflict says that another writer did.
+func (s *batchStore) append(ctx context.Context, id string, n int, e batches.LogEntry) error {
+	value, err := cbor.Marshal(e)
+	if err != nil {
+		return batches.Error.Wrap(err)
+	}
+	_, err = s.api.Put(ctx, batches.LogKey(id, n), value, 0)
+	return err
+}
+
+// read returns the results from position after on, up to maxBytes of them.
+func (s *batchStore) read(ctx context.Context, id string, after, maxBytes int) ([]batches.Result, error) {
+	s.mu.Lock()
+	starts := s.starts[id]
+	n := 0
+	for n+1 < len(starts) && starts[n+1] <= after {
+		n++
+	}
+	s.mu.Unlock()
+	var out []batches.Result
+	size := 0
+	for ; ; n++ {
+		e, err := s.entry(ctx, id, n)
+		if errors.Is(err, objectapi.ErrNotFound) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		for i := range e.Results {
+			if e.First+i < after {
+				continue
+			}
+			size += e.Results[i].Size()
+			if size > maxBytes && len(out) > 0 {
+				return out, nil
+			}
+			out = append(out, e.Results[i])
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/front/forward.go
@@ -0,0 +1,361 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+const (
+	// hedgeShare is when a second endpoint is asked for an idempotent request, in
+	// shares of its latency objective: late enough that few healthy ones are doubled.
+	hedgeShare = 1.2
+	// minHedge keeps very short objectives from doubling the load.
+	minHedge = 100 * time.Millisecond
+	// noEndpointPause is the pause before endpoints are looked at again when none can
+	// be used.
+	noEndpointPause = 40 * time.Millisecond
+	// answerReserve is kept back from a caller's deadline for the way back.
+	answerReserve = 20 * time.Millisecond
+	// defaultDeadline bounds a request that names no deadline on a route without one.
+	defaultDeadline = 30 * time.Second
+	// retryAfter is what a refused caller is told: a new endpoint is usually there by then.
+	retryAfter = 200 * time.Millisecond
+	// refuseAfter is the share of the objective for which a request may wait for an
+	// endpoint before it is refused.
+	refuseAfter = 0.2
+)
+
+// Inbound is a caller's request.
+type Inbound struct {
+	ID     string
+	Host   string
+	Method string
+	// URI is the path and query as received, Path the path alone.
+	URI    string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Budget is how long the caller waits, zero when it did not say.
+	Budget time.Duration
+	// ResumeAfter is the last event that the caller has of a stream, zero for none.
+	ResumeAfter int
+}
+
+// StreamWriter takes the answer to a streaming request.
+type StreamWriter interface {
+	Head(a *backend.Answer) error
+	Piece(b []byte) error
+}
+
+// Forwarder sends callers' requests to endpoints.
+type Forwarder struct {
+	catalog *Catalog
+	fleet   *Fleet
+	client  backend.Client
+	log     *slog.Logger
+	metrics *Metrics
+}
+
+func refusal(code resultcode.Code, detail string) error {
+	e := &resultcode.Error{Code: code, Detail: detail}
+	if code.Info().Retry {
+		e.RetryAfterMillis = retryAfter.Milliseconds()
+	}
+	return e
+}
+
+// Route returns the route of a request.
+func (f *Forwarder) Route(host, path string) (*catalog.Route, error) {
+	config := f.catalog.Config()
+	if config == nil {
+		return nil, refusal(resultcode.StorageOutage, "no configuration is known yet")
+	}
+	route := config.Match(host, path)
+	if route == nil {
+		return nil, refusal(resultcode.UnknownService, "no route")
+	}
+	return route, nil
+}
+
+// Forward serves a request of a route whose answers are held whole.
+func (f *Forwarder) Forward(ctx context.Context, route *catalog.Route, in *Inbound) (*backend.Answer, error) {
+	began := time.Now()
+	deadline := f.deadline(began, route, in)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.Pick(rand.Uint64())}
+	answer, err := c.run(ctx)
+	f.report(c, answer, err)
+	return answer, err
+}
+
+// deadline is when the final answer must be out.
+func (f *Forwarder) deadline(now time.Time, route *catalog.Route, in *Inbound) time.Time {
+	wait := in.Budget
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	return now.Add(wait - min(answerReserve, wait/10))
+}
+
+func (f *Forwarder) report(c *call, answer *backend.Answer, err error) {
+	took := time.Since(c.began)
+	status, code := 0, resultcode.OK
+	if answer != nil {
+		status = answer.Status
+	}
+	var e *resultcode.Error
+	if errors.As(err, &e) {
+		code = e.Code
+	}
+	f.metrics.request(c.route.Name, code, took)
+	f.log.Info("A request ended.", "request", c.in.ID, "route", c.route.Name, "service", c.service,
+		"endpoint", c.last, "attempts", c.sent, "status", status, "result", int(code), "took_ms", took.Milliseconds(),
+		"last_error", c.lastError())
+}
+
+// call is one request on its way.
+type call struct {
+	f        *Forwarder
+	route    *catalog.Route
+	in       *Inbound
+	service  string
+	began    time.Time
+	deadline time.Time
+	tried    []string
+	sent     int
+	last     string
+	// mayHaveRun says that an attempt's effect is open.
+	mayHaveRun bool
+	err        error
+}
+
+func (c *call) lastError() string {
+	if c.err == nil {
+		return ""
+	}
+	return c.err.Error()
+}
+
+type attemptResult struct {
+	endpoint catalog.Endpoint
+	answer   *backend.Answer
+	err      error
+	took     time.Duration
+}
+
+// run sends the request until an answer can be given. Idempotent requests are sent to
+// a second endpoint when the first one is late or fails; others only after an attempt
+// that certainly did not run.
+func (c *call) run(ctx context.Context) (*backend.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the attempts that lost
+	idempotent := c.route.Kind == catalog.KindSafe
+	results := make(chan attemptResult, c.route.MaxAttempts)
+	pending := 0
+	hedge := time.NewTimer(c.hedgeDelay())
+	defer hedge.Stop()
+	var failure *backend.Answer
+	for {
+		if pending == 0 {
+			if c.sent >= c.route.MaxAttempts {
+				return c.giveUp(failure)
+			}
+			if err := c.start(ctx, results); err != nil {
+				if failure != nil {
+					return failure, nil
+				}
+				return nil, err
+			}
+			pending++
+		}
+		select {
+		case <-ctx.Done():
+			return nil, c.expired()
+		case <-hedge.C:
+			if idempotent && c.sent < c.route.MaxAttempts && c.tryStart(ctx, results) {
+				pending++
+			}
+		case r := <-results:
+			pending--
+			answer, again := c.judge(r, idempotent)
+			if answer != nil && !again {
+				return answer, nil
+			}
+			if answer != nil {
+				failure = answer
+			}
+			if !again && pending == 0 {
+				return c.giveUp(failure)
+			}
+		}
+	}
+}
+
+func (c *call) hedgeDelay() time.Duration {
+	return max(time.Duration(hedgeShare*float64(c.route.Objective)), minHedge)
+}
+
+// start sends the request to an endpoint, waiting a little for one.
+func (c *call) start(ctx context.Context, results chan<- attemptResult) error {
+	for !c.tryStart(ctx, results) {
+		waited := time.Since(c.began)
+		if c.sent == 0 && waited > time.Duration(refuseAfter*float64(c.route.Objective)) {
+			return c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
+		}
+		select {
+		case <-ctx.Done():
+			return c.expired()
+		case <-time.After(noEndpointPause):
+		}
+	}
+	return nil
+}
+
+func (c *call) tryStart(ctx context.Context, results chan<- attemptResult) bool {
+	e, ok := c.f.fleet.Pick(placement.Query{Service: c.service, Avoid: c.tried})
+	if !ok {
+		if len(c.tried) > 0 {
+			c.tried = nil // every endpoint was tried; the best one is tried again
+		}
+		return false
+	}
+	c.tried = append(c.tried, e.ID)
+	c.sent++
+	c.last = e.ID
+	go func() {
+		began := time.Now()
+		answer, err := c.f.client.Do(ctx, backend.Request{
+			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
+			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
+		})
+		took := time.Since(began)
+		c.f.settle(e, err, ctx.Err() != nil, took)
+		results <- attemptResult{endpoint: e, answer: answer, err: err, took: took}
+	}()
+	return true
+}
+
+// settle records an attempt's end in the fleet.
+func (f *Forwarder) settle(e catalog.Endpoint, err error, gaveUp bool, took time.Duration) {
+	switch {
+	case err == nil:
+		f.fleet.End(e.ID, placement.OK, took)
+	case errors.Is(err, backend.ErrReplaced), errors.Is(err, backend.ErrUnreachable) && !gaveUp:
+		f.fleet.With(func(t *placement.Table) { t.Eject(time.Now(), e.ID) })
+		f.fleet.End(e.ID, placement.Refused, 0)
+	case errors.Is(err, backend.ErrNotRun) && !gaveUp:
+		f.fleet.End(e.ID, placement.Refused, 0)
+	case gaveUp:
+		f.fleet.End(e.ID, placement.Cancelled, 0)
+	default:
+		f.fleet.End(e.ID, placement.Broke, 0)
+	}
+}
+
+// judge returns the answer to give, or whether to try again.
+func (c *call) judge(r attemptResult, idempotent bool) (answer *backend.Answer, again bool) {
+	switch {
+	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
+		return r.answer, false
+	case r.err == nil:
+		c.mayHaveRun = true
+		return r.answer, idempotent
+	}
+	c.err = r.err
+	if errors.Is(r.err, backend.ErrNotRun) {
+		return nil, true
+	}
+	c.mayHaveRun = true
+	return nil, idempotent
+}
+
+func (c *call) giveUp(failure *backend.Answer) (*backend.Answer, error) {
+	if failure != nil {
+		return failure, nil
+	}
+	if c.mayHaveRun {
+		return nil, refusal(resultcode.EndpointFailed, c.lastError())
+	}
+	return nil, c.refuse(resultcode.RetryBudgetExhausted, c.lastError())
+}
+
+// expired is the answer once the deadline has passed or the caller is gone.
+func (c *call) expired() error {
+	if c.mayHaveRun || c.sent > 0 {
+		return refusal(resultcode.DeadlineExceeded, c.lastError())
+	}
+	return c.refuse(resultcode.DeadlineTooShort, "no endpoint took the request in time")
+}
+
+// refuse says that the request did not run, unless an attempt leaves that open.
+func (c *call) refuse(code resultcode.Code, detail string) error {
+	if c.mayHaveRun {
+		return refusal(resultcode.EndpointFailed, detail)
+	}
+	return refusal(code, detail)
+}
+
+// Stream serves a streaming request. Before the first byte it may be sent to another
+// endpoint as other requests may; afterwards the stream ends with its endpoint's.
+func (f *Forwarder) Stream(ctx context.Context, route *catalog.Route, in *Inbound, out StreamWriter) error {
+	began := time.Now()
+	deadline := began.Add(defaultDeadline)
+	if in.Budget > 0 {
+		deadline = began.Add(in.Budget)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.Pick(rand.Uint64())}
+	err := c.stream(ctx, out)
+	f.report(c, nil, err)
+	return err
+}
+
+func (c *call) stream(ctx context.Context, out StreamWriter) error {
+	for c.sent < c.route.MaxAttempts {
+		e, ok := c.f.fleet.Pick(placement.Query{Service: c.service, Avoid: c.tried})
+		if !ok {
+			return c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
+		}
+		c.tried = append(c.tried, e.ID)
+		c.sent++
+		c.last = e.ID
+		started := false
+		head := func(a *backend.Answer) error { started = true; return out.Head(a) }
+		err := c.f.client.Stream(ctx, backend.Generate{Request: backend.Request{
+			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
+			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
+		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Priority, lowestUrgency)}, head, out.Piece)
+		c.f.settle(e, err, ctx.Err() != nil, 0)
+		if err == nil {
+			return nil
+		}
+		c.err = err
+		if started {
+			return refusal(resultcode.StreamBroken, err.Error())
+		}
+		if !errors.Is(err, backend.ErrNotRun) {
+			c.mayHaveRun = true
+			if !c.route.Resumable {
+				return refusal(resultcode.EndpointFailed, err.Error())
+			}
+		}
+	}
+	return c.refuse(resultcode.RetryBudgetExhausted, c.lastError())
+}
+
+// lowestUrgency is the last rank that engines know.
+const lowestUrgency = 9
--- /dev/null
+++ b/internal/transport/front/metrics.go
@@ -0,0 +1,45 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+)
+
+// Metrics are a host's counters and latencies.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	batches  *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleander_front_requests_total", Help: "Requests by route and result code.",
+		}, []string{"route", "code"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "oleander_front_request_seconds", Help: "Time from a request's arrival to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"route"}),
+		batches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleander_front_batch_calls_total", Help: "Calls about batches by call and result code.",
+		}, []string{"call", "code"}),
+	}
+	reg.MustRegister(m.requests, m.latency, m.batches)
+	return m
+}
+
+func (m *Metrics) request(route string, code resultcode.Code, took time.Duration) {
+	m.requests.WithLabelValues(route, strconv.Itoa(int(code))).Inc()
+	m.latency.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// BatchCall counts a call about a batch.
+func (m *Metrics) BatchCall(call string, code resultcode.Code) {
+	m.batches.WithLabelValues(call, strconv.Itoa(int(code))).Inc()
+}
--- /dev/null
+++ b/internal/transport/front/peers.go
@@ -0,0 +1,178 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gorilla/mux"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+)
+
+const (
+	// peerDialTimeout bounds a new connection between hosts; it takes some ms.
+	peerDialTimeout = 400 * time.Millisecond
+	// peerCallTimeout bounds a call between hosts, on top of the wait that it asks for.
+	peerCallTimeout = 800 * time.Millisecond
+	// maxPeerBody bounds a body between hosts: a page of results or one object.
+	maxPeerBody = 4 << 20
+)
+
+// errNotHere is a peer's answer when it does not run the batch.
+var errNotHere = errors.New("the peer does not run the batch")
+
+// PeerCalls are the calls that hosts make to each other.
+type PeerCalls struct {
+	peers *Peers
+	http  *http.Client
+}
+
+// NewPeerCalls returns a client of the hosts in peers.
+func NewPeerCalls(peers *Peers) *PeerCalls {
+	return &PeerCalls{peers: peers, http: &http.Client{Transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		IdleConnTimeout: 10 * time.Second,
+	}}}
+}
+
+func (c *PeerCalls) call(ctx context.Context, host, method, path string, body []byte, extra time.Duration) ([]byte, error) {
+	p, ok := c.peers.Get(host)
+	if !ok {
+		return nil, fmt.Errorf("host %q is not alive", host)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout+extra)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.PeerAddress+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBody))
+	switch {
+	case err != nil:
+		return nil, err
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, errNotHere
+	case resp.StatusCode/100 != 2:
+		return nil, fmt.Errorf("host %q answered with status %d", host, resp.StatusCode)
+	}
+	return raw, nil
+}
+
+// Config reads a peer's configuration as it was stored.
+func (c *PeerCalls) Config(ctx context.Context, host string) ([]byte, error) {
+	return c.call(ctx, host, http.MethodGet, "/config", nil, 0)
+}
+
+// Results reads results from the batch's owner.
+func (c *PeerCalls) Results(ctx context.Context, host, id string, after int, wait time.Duration) (Page, error) {
+	q := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	raw, err := c.call(ctx, host, http.MethodGet, "/batches/"+id+"/results?"+q.Encode(), nil, wait)
+	if err != nil {
+		return Page{}, err
+	}
+	var page Page
+	return page, cbor.Unmarshal(raw, &page)
+}
+
+// Body reads a sample's body from the batch's owner.
+func (c *PeerCalls) Body(ctx context.Context, host, id, sample string) ([]byte, error) {
+	return c.call(ctx, host, http.MethodGet, "/batches/"+id+"/samples/"+url.PathEscape(sample), nil, 0)
+}
+
+// End tells the batch's owner that the trainer wants no more of it.
+func (c *PeerCalls) End(ctx context.Context, host, id string) error {
+	_, err := c.call(ctx, host, http.MethodPost, "/batches/"+id+"/end", nil, 0)
+	return err
+}
+
+// Adopt asks a peer to take over a batch.
+func (c *PeerCalls) Adopt(ctx context.Context, host, id string) error {
+	_, err := c.call(ctx, host, http.MethodPost, "/batches/"+id+"/adopt", nil, 0)
+	return err
+}
+
+// peerHandler serves PeerCalls, and the store to hosts that it turns away.
+func peerHandler(direct objectapi.API, catalog *Catalog, b *Batches) http.Handler {
+	r := mux.NewRouter().SkipClean(true)
+	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
+	r.HandleFunc("/config", func(w http.ResponseWriter, _ *http.Request) {
+		raw := catalog.Raw()
+		if raw == nil {
+			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write(raw)
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/batches/{id}/results", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.Atoi(r.URL.Query().Get("after"))
+		if err != nil {
+			http.Error(w, "after is no number", http.StatusBadRequest)
+			return
+		}
+		waitMs, err := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+		if err != nil {
+			http.Error(w, "wait_ms is no number", http.StatusBadRequest)
+			return
+		}
+		page, err := b.ownResults(r.Context(), mux.Vars(r)["id"], after, time.Duration(waitMs)*time.Millisecond)
+		if err != nil {
+			peerError(w, err)
+			return
+		}
+		raw, err := cbor.Marshal(page)
+		if err != nil {
+			peerError(w, err)
+			return
+		}
+		_, _ = w.Write(raw)
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/batches/{id}/samples/{sample}", func(w http.ResponseWriter, r *http.Request) {
+		body, err := b.ownBody(mux.Vars(r)["id"], mux.Vars(r)["sample"])
+		if err != nil {
+			peerError(w, err)
+			return
+		}
+		_, _ = w.Write(body)
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/batches/{id}/end", func(_ http.ResponseWriter, r *http.Request) {
+		b.stop(mux.Vars(r)["id"], "ended by the trainer")
+	}).Methods(http.MethodPost)
+	r.HandleFunc("/batches/{id}/adopt", func(_ http.ResponseWriter, r *http.Request) {
+		go b.adopt(context.WithoutCancel(r.Context()), mux.Vars(r)["id"], "handed over")
+	}).Methods(http.MethodPost)
+	return r
+}
+
+func peerError(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	var coded *resultcode.Error
+	if errors.Is(err, errNotHere) || errors.As(err, &coded) && coded.Code == resultcode.NotFound {
+		status = http.StatusNotFound
+	}
+	http.Error(w, err.Error(), status)
+}
+
+// Page is a part of a batch's results.
+type Page struct {
+	// Total is the number of samples in the batch.
+	Total   int              `json:"total"`
+	Results []batches.Result `json:"results"`
+	// Next is the position after the last of Results.
+	Next int `json:"next"`
+}
--- /dev/null
+++ b/internal/transport/front/state.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+// Fleet is the host's table of endpoints, shared by its duties.
+type Fleet struct {
+	mu      sync.Mutex
+	table   *placement.Table
+	changed chan struct{}
+}
+
+// NewFleet returns an empty fleet for a host in zone.
+func NewFleet(zone string) *Fleet {
+	return &Fleet{table: placement.NewTable(zone), changed: make(chan struct{})}
+}
+
+// With runs f on the table.
+func (f *Fleet) With(run func(t *placement.Table)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	run(f.table)
+}
+
+// Pick chooses an endpoint and counts the request that will be sent to it.
+func (f *Fleet) Pick(q placement.Query) (catalog.Endpoint, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.table.Pick(time.Now(), q, rand.Uint64())
+	if ok {
+		f.table.Begin(e.ID)
+	}
+	return e, ok
+}
+
+// End records the end of a request; took is the time for an answer or event, zero
+// when it was not measured.
+func (f *Fleet) End(id string, how placement.Failure, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.table.End(now, id, how)
+	f.table.Measured(now, id, took)
+	f.wake()
+}
+
+// Changed returns a channel that is closed when work may start that could not before.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *Fleet) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Put takes an endpoint's newest report.
+func (f *Fleet) Put(e catalog.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Put(e)
+	f.wake()
+}
+
+// Peers is the host's view of the other hosts.
+type Peers struct {
+	mu    sync.Mutex
+	table *presence.Table
+}
+
+// NewPeers returns the view of host self.
+func NewPeers(self string) *Peers { return &Peers{table: presence.NewTable(self)} }
+
+// Alive returns the peers that are alive.
+func (p *Peers) Alive() []presence.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Peers(time.Now())
+}
+
+// Get returns a peer that is alive.
+func (p *Peers) Get(host string) (presence.Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Get(time.Now(), host)
+}
+
+// Catalog holds the configuration in force.
+type Catalog struct {
+	mu     sync.RWMutex
+	config *catalog.Config
+	raw    []byte
+}
+
+// Config returns the configuration in force, nil before the first one.
+func (c *Catalog) Config() *catalog.Config {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.config
+}
+
+// Generation returns that of the configuration in force, zero before the first one.
+func (c *Catalog) Generation() uint64 {
+	if config := c.Config(); config != nil {
+		return config.Generation
+	}
+	return 0
+}
+
+// Raw returns the configuration in force as it was stored.
+func (c *Catalog) Raw() []byte {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.raw
+}
+
+// Apply puts a configuration in force unless it is not newer than the present one.
+func (c *Catalog) Apply(config *catalog.Config, raw []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config != nil && config.Generation <= c.config.Generation {
+		return false
+	}
+	c.config, c.raw = config, raw
+	return true
+}
--- /dev/null
+++ b/internal/transport/front/weights.go
@@ -0,0 +1,384 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/coordination/upgrades"
+	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+const (
+	// weightsLeaseKey is the object that names the host that orders engines.
+	weightsLeaseKey = "leases/weights"
+	// weightsSubject ranks the hosts as successors of the holder.
+	weightsSubject = "weights"
+	// weightsTick is the pause between looks at the plan.
+	weightsTick = 100 * time.Millisecond
+	// leaseValidity is how long a confirmed renewal allows orders. A new holder waits
+	// for it too, on top of the distance that two holders' orders must keep.
+	leaseValidity = 600 * time.Millisecond
+	// leaseSettle is how long a lease whose holder is alive must stay unclaimed before
+	// another host takes it: its holder may have taken it just now.
+	leaseSettle = 1500 * time.Millisecond
+	// statusRetry is the pause before a status that could not be written is tried again.
+	statusRetry = 500 * time.Millisecond
+)
+
+// leaseRecord is the weights lease.
+type leaseRecord struct {
+	Holder string `json:"holder"`
+	// FencingToken grows with each change of the holder or of its process.
+	FencingToken uint64 `json:"fencing_token"`
+}
+
+// StatusWriter writes the status of objects that others made.
+type StatusWriter interface {
+	PutStatus(ctx context.Context, key string, status any) error
+}
+
+// Weights brings the engines to the versions that trainers name, while this host
+// holds the lease for it.
+type Weights struct {
+	settings Settings
+	store    *objectapi.Client
+	statuses StatusWriter
+	decoder  Decoder
+	fleet    *Fleet
+	peers    *Peers
+	catalog  *Catalog
+	client   backend.Client
+	ready    func() bool
+	// reachable reports whether the store serves this host directly.
+	reachable func() bool
+	log       *slog.Logger
+
+	mu      sync.Mutex
+	plan    *upgrades.Plan
+	lease   leaseRecord
+	version uint64
+	// proved is the boot time at which the last confirmed renewal was sent.
+	proved    time.Duration
+	notBefore time.Time
+	cancel    context.CancelFunc
+	seen      uint64
+	seenAt    time.Time
+}
+
+// sinceBoot is a clock that goes on while the host is suspended, unlike time.Since: a
+// lease must not look fresh after a suspension.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano())
+	}
+	return time.Duration(t.Nano())
+}
+
+// FencingToken returns the lease's when this host holds it, else zero.
+func (w *Weights) FencingToken() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancel == nil {
+		return 0
+	}
+	return w.lease.FencingToken
+}
+
+// Run takes the lease when it falls to this host, and orders versions while it holds
+// it, until ctx ends.
+func (w *Weights) Run(ctx context.Context) {
+	began := time.Now()
+	ticker := time.NewTicker(weightsTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			w.lose("the host is stopping")
+			return
+		case <-ticker.C:
+		}
+		switch {
+		case w.FencingToken() != 0 && !w.ready():
+			w.lose("the host is stopping")
+		case w.FencingToken() != 0:
+			w.order(ctx)
+		case time.Since(began) > takeoverStart && w.falls():
+			w.acquire(ctx)
+		}
+	}
+}
+
+// falls reports whether the lease should be this host's.
+func (w *Weights) falls() bool {
+	if !w.ready() {
+		return false
+	}
+	candidates := []presence.Heartbeat{{Host: w.settings.Host, Ready: true, StoreReachable: w.reachable()}}
+	for _, p := range w.peers.Alive() {
+		if p.FencingToken != 0 && !p.Draining {
+			return false
+		}
+		candidates = append(candidates, p.Heartbeat)
+	}
+	return presence.Successor(weightsSubject, candidates) == w.settings.Host
+}
+
+func (w *Weights) acquire(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
+	var present leaseRecord
+	o, err := w.store.Get(ctx, weightsLeaseKey)
+	if err == nil {
+		err = batches.Decode(o.Value, &present)
+	}
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		w.log.Warn("The weights lease cannot be read.", "err", err)
+		return
+	}
+	if _, alive := w.peers.Get(present.Holder); alive && !w.unclaimed(o.Version) {
+		return
+	}
+	next := leaseRecord{Holder: w.settings.Host, FencingToken: present.FencingToken + 1}
+	value, err := batches.Encode(next)
+	if err != nil {
+		w.log.Error("The weights lease cannot be encoded.", "err", err)
+		return
+	}
+	sent := sinceBoot()
+	version, err := w.store.Put(ctx, weightsLeaseKey, value, o.Version)
+	if err != nil {
+		w.log.Warn("The weights lease could not be taken.", "err", err)
+		return
+	}
+	wait := time.Duration(0)
+	if present.Holder != "" && present.Holder != w.settings.Host {
+		wait = w.settings.Lease + leaseValidity
+	}
+	w.hold(next, version, sent, wait)
+	w.log.Info("The weights lease is taken.", "fencing_token", next.FencingToken, "former", present.Holder, "wait_ms", wait.Milliseconds())
+}
+
+// unclaimed reports whether the lease has had this version for a while.
+func (w *Weights) unclaimed(version uint64) bool {
+	if w.seen != version {
+		w.seen, w.seenAt = version, time.Now()
+		return false
+	}
+	return time.Since(w.seenAt) > leaseSettle
+}
+
+func (w *Weights) hold(l leaseRecord, version uint64, sent, wait time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.mu.Lock()
+	w.lease, w.version, w.proved = l, version, sent
+	w.notBefore = time.Now().Add(wait)
+	w.plan, w.cancel = upgrades.NewPlan(), cancel
+	w.mu.Unlock()
+	go func() { _ = w.store.Follow(ctx, w.decoder.ModelPrefix(), targetFollower{w}) }()
+	go func() { _ = w.store.Follow(ctx, w.decoder.StoreRemovalPrefix(), removalFollower{w, ctx}) }()
+}
+
+func (w *Weights) lose(why string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancel == nil {
+		return
+	}
+	w.cancel()
+	w.cancel = nil
+	w.log.Info("The weights lease is given up.", "fencing_token", w.lease.FencingToken, "reason", why)
+}
+
+// order sends what the plan asks for now.
+func (w *Weights) order(ctx context.Context) {
+	var endpoints []catalog.Endpoint
+	running := map[string]int{}
+	w.fleet.With(func(t *placement.Table) {
+		endpoints = t.All()
+		for _, e := range endpoints {
+			running[e.ID] = t.Running(e.ID)
+		}
+	})
+	w.mu.Lock()
+	if time.Now().Before(w.notBefore) {
+		w.mu.Unlock()
+		return
+	}
+	steps := w.plan.Next(time.Now(), endpoints, func(id string) int { return running[id] })
+	w.mu.Unlock()
+	if len(steps) == 0 || !w.renew(ctx) {
+		return
+	}
+	var sends sync.WaitGroup
+	for _, s := range steps {
+		sends.Add(1)
+		go func() {
+			defer sends.Done()
+			w.send(ctx, s)
+		}()
+	}
+	sends.Wait()
+}
+
+// renew makes sure that this host still holds the lease.
+func (w *Weights) renew(ctx context.Context) bool {
+	w.mu.Lock()
+	lease, version, fresh := w.lease, w.version, sinceBoot()-w.proved < leaseValidity/2
+	w.mu.Unlock()
+	if fresh {
+		return true
+	}
+	value, err := batches.Encode(lease)
+	if err != nil {
+		w.log.Error("The weights lease cannot be encoded.", "err", err)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
+	sent := sinceBoot()
+	next, err := w.store.Put(ctx, weightsLeaseKey, value, version)
+	switch {
+	case err == nil:
+		w.mu.Lock()
+		w.version, w.proved = next, sent
+		w.mu.Unlock()
+		return true
+	case objectapi.Unresolved(err), errors.Is(err, objectapi.ErrConflict):
+		w.lose("it could not be renewed: " + err.Error())
+	default:
+		w.log.Warn("The weights lease could not be renewed.", "err", err)
+	}
+	return false
+}
+
+func (w *Weights) send(ctx context.Context, s upgrades.Step) {
+	w.mu.Lock()
+	lease, valid := w.lease, w.cancel != nil && sinceBoot()-w.proved < leaseValidity
+	w.mu.Unlock()
+	if !valid {
+		return
+	}
+	state, err := w.client.Order(ctx, backend.Order{
+		Endpoint: s.Endpoint, Model: s.Model, Version: s.Version, KeepRunning: w.keepRunning(s.Endpoint.Service),
+		Holder: lease.Holder, FencingToken: lease.FencingToken, ExpectOrders: s.Endpoint.Orders,
+	})
+	w.log.Info("An engine is ordered to a version.", "endpoint", s.Endpoint.ID, "model", s.Model, "version", s.Version,
+		"from", s.Endpoint.Versions[s.Model], "fencing_token", lease.FencingToken, "expect", s.Endpoint.Orders,
+		"holds", err == nil && state == backend.OrderHolds, "err", err)
+	w.mu.Lock()
+	if err == nil {
+		w.plan.Accepted(time.Now(), s)
+	} else {
+		w.plan.Unclear(time.Now(), s)
+	}
+	w.mu.Unlock()
+	switch {
+	case errors.Is(err, backend.ErrFenced):
+		w.lose("an engine has seen a higher fencing token")
+	case errors.Is(err, backend.ErrConflict), err == nil && state == backend.OrderHolds:
+		w.observe(ctx, s.Endpoint)
+	}
+}
+
+// observe reads the engine's own report, which is newer than the catalog's.
+func (w *Weights) observe(ctx context.Context, e catalog.Endpoint) {
+	got, err := w.client.Observe(ctx, e)
+	if err != nil {
+		w.log.Warn("An engine's report cannot be read.", "endpoint", e.ID, "err", err)
+		return
+	}
+	w.fleet.With(func(t *placement.Table) {
+		if present, ok := t.Get(e.ID); ok && present.Same(&got) && present.Orders <= got.Orders {
+			got.Draining = present.Draining
+			t.Put(got)
+		}
+	})
+}
+
+// keepRunning reports whether samples may continue under a new version: not where a
+// route of the service needs one version for each sample.
+func (w *Weights) keepRunning(service string) bool {
+	config := w.catalog.Config()
+	if config == nil {
+		return false
+	}
+	for i := range config.Routes {
+		if r := &config.Routes[i]; r.SingleVersion && r.Serves(service) {
+			return false
+		}
+	}
+	return true
+}
+
+// targetFollower takes the versions that trainers name.
+type targetFollower struct{ w *Weights }
+
+// Reset implements objectapi.Handler.
+func (f targetFollower) Reset(objects []objectapi.Object) {
+	for _, o := range objects {
+		f.Change(objectapi.Event{Object: o})
+	}
+}
+
+// Change implements objectapi.Handler.
+func (f targetFollower) Change(e objectapi.Event) {
+	if e.Deleted {
+		return
+	}
+	model, version, err := f.w.decoder.ModelVersion(e.Key, e.Value)
+	if err != nil {
+		f.w.log.Error("A model's version cannot be read.", "key", e.Key, "err", err)
+		return
+	}
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	if f.w.plan.SetTarget(model, version) {
+		f.w.log.Info("A version is named.", "model", model, "version", version)
+	}
+}
+
+// removalFollower answers requests to empty a store host: it holds nothing of ours.
+type removalFollower struct {
+	w   *Weights
+	ctx context.Context
+}
+
+// Reset implements objectapi.Handler.
+func (f removalFollower) Reset(objects []objectapi.Object) {
+	for _, o := range objects {
+		f.Change(objectapi.Event{Object: o})
+	}
+}
+
+// Change implements objectapi.Handler.
+func (f removalFollower) Change(e objectapi.Event) {
+	if e.Deleted {
+		return
+	}
+	host := strings.TrimPrefix(e.Key, f.w.decoder.StoreRemovalPrefix())
+	go func() {
+		for f.ctx.Err() == nil {
+			err := f.w.statuses.PutStatus(f.ctx, e.Key, f.w.decoder.RemovalDone())
+			f.w.log.Info("A store host may be removed.", "host", host, "err", err)
+			if err == nil || errors.Is(err, objectapi.ErrNotFound) {
+				return
+			}
+			select {
+			case <-f.ctx.Done():
+			case <-time.After(statusRetry):
+			}
+		}
+	}()
+}
