Order engines by their own count of accepted orders

Cause: the registry's sequence numbers an endpoint's reports; only the engine's own report counts orders, so every order met 409 (679 of 679).

--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -102,6 +102,15 @@
 	OrderHolds
 )
 
+// Report is what an engine says of itself; it may be some hundred milliseconds old.
+type Report struct {
+	// Incarnation is zero when the engine did not say it.
+	Incarnation int64
+	Versions    map[string]int
+	// Orders counts the orders that this incarnation has accepted.
+	Orders int64
+}
+
 // Client calls endpoints.
 type Client interface {
 	// Do sends a request and returns the whole answer, whatever its status.
@@ -114,5 +123,5 @@
 	Stream(ctx context.Context, g Generate, head func(*Answer) error, piece func([]byte) error) error
 	Order(ctx context.Context, o Order) (OrderState, error)
 	// Observe reads an engine's own report.
-	Observe(ctx context.Context, e catalog.Endpoint) (catalog.Endpoint, error)
+	Observe(ctx context.Context, e catalog.Endpoint) (Report, error)
 }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -153,8 +153,6 @@
 	Draining bool
 	// Versions are the weight versions of the models that the endpoint serves.
 	Versions map[string]int
-	// Orders counts the orders that this incarnation accepted.
-	Orders int64
 	// Incarnation is the time of the endpoint's start in Unix milliseconds, zero when
 	// it was not reported.
 	Incarnation int64
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -43,6 +43,12 @@
 	FencingToken uint64 `json:"fencing_token"`
 }
 
+// orderCount is the number of orders that an incarnation of an engine has accepted.
+type orderCount struct {
+	incarnation int64
+	count       int64
+}
+
 // StatusWriter writes the status of objects that others made.
 type StatusWriter interface {
 	PutStatus(ctx context.Context, key string, status any) error
@@ -72,8 +78,10 @@
 	proved    time.Duration
 	notBefore time.Time
 	cancel    context.CancelFunc
-	seen      uint64
-	seenAt    time.Time
+	// orders are the counts of engines that this host has ordered.
+	orders map[string]orderCount
+	seen   uint64
+	seenAt time.Time
 }
 
 // sinceBoot is a clock that goes on while the host is suspended, unlike time.Since: a
@@ -184,7 +192,7 @@
 	w.mu.Lock()
 	w.lease, w.version, w.proved = l, version, sent
 	w.notBefore = time.Now().Add(wait)
-	w.plan, w.cancel = upgrades.NewPlan(), cancel
+	w.plan, w.cancel, w.orders = upgrades.NewPlan(), cancel, map[string]orderCount{}
 	w.mu.Unlock()
 	go func() { _ = w.store.Follow(ctx, w.decoder.ModelPrefix(), targetFollower{w}) }()
 	go func() { _ = w.store.Follow(ctx, w.decoder.StoreRemovalPrefix(), removalFollower{w, ctx}) }()
@@ -264,6 +272,14 @@
 }
 
 func (w *Weights) send(ctx context.Context, s upgrades.Step) {
+	orders, err := w.ordersOf(ctx, s.Endpoint)
+	if err != nil {
+		w.log.Warn("An engine's report cannot be read.", "endpoint", s.Endpoint.ID, "err", err)
+		w.mu.Lock()
+		w.plan.Unclear(time.Now(), s)
+		w.mu.Unlock()
+		return
+	}
 	w.mu.Lock()
 	lease, valid := w.lease, w.cancel != nil && sinceBoot()-w.proved < leaseValidity
 	w.mu.Unlock()
@@ -272,39 +288,50 @@
 	}
 	state, err := w.client.Order(ctx, backend.Order{
 		Endpoint: s.Endpoint, Model: s.Model, Version: s.Version, KeepRunning: w.keepRunning(s.Endpoint.Service),
-		Holder: lease.Holder, FencingToken: lease.FencingToken, ExpectOrders: s.Endpoint.Orders,
+		Holder: lease.Holder, FencingToken: lease.FencingToken, ExpectOrders: orders,
 	})
 	w.log.Info("An engine is ordered to a version.", "endpoint", s.Endpoint.ID, "model", s.Model, "version", s.Version,
-		"from", s.Endpoint.Versions[s.Model], "fencing_token", lease.FencingToken, "expect", s.Endpoint.Orders,
+		"from", s.Endpoint.Versions[s.Model], "fencing_token", lease.FencingToken, "expect", orders,
 		"holds", err == nil && state == backend.OrderHolds, "err", err)
-	w.mu.Lock()
-	if err == nil {
-		w.plan.Accepted(time.Now(), s)
-	} else {
-		w.plan.Unclear(time.Now(), s)
+	w.settle(s, orders, state, err)
+	if errors.Is(err, backend.ErrFenced) {
+		w.lose("an engine has seen a higher fencing token")
 	}
-	w.mu.Unlock()
+}
+
+// settle records an engine's answer to an order.
+func (w *Weights) settle(s upgrades.Step, orders int64, state backend.OrderState, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.orders, s.Endpoint.ID)
 	switch {
-	case errors.Is(err, backend.ErrFenced):
-		w.lose("an engine has seen a higher fencing token")
-	case errors.Is(err, backend.ErrConflict), err == nil && state == backend.OrderHolds:
-		w.observe(ctx, s.Endpoint)
+	case err != nil:
+		w.plan.Unclear(time.Now(), s)
+	case state == backend.OrderAccepted:
+		w.plan.Accepted(time.Now(), s)
+		w.orders[s.Endpoint.ID] = orderCount{incarnation: s.Endpoint.Incarnation, count: orders + 1}
+	default:
+		w.plan.Accepted(time.Now(), s)
 	}
 }
 
-// observe reads the engine's own report, which is newer than the catalog's.
-func (w *Weights) observe(ctx context.Context, e catalog.Endpoint) {
-	got, err := w.client.Observe(ctx, e)
+// ordersOf returns how many orders an engine has accepted, from its own report unless
+// this host gave the last one.
+func (w *Weights) ordersOf(ctx context.Context, e catalog.Endpoint) (int64, error) {
+	w.mu.Lock()
+	known, ok := w.orders[e.ID]
+	w.mu.Unlock()
+	if ok && known.incarnation == e.Incarnation {
+		return known.count, nil
+	}
+	report, err := w.client.Observe(ctx, e)
 	if err != nil {
-		w.log.Warn("An engine's report cannot be read.", "endpoint", e.ID, "err", err)
-		return
+		return 0, err
 	}
-	w.fleet.With(func(t *placement.Table) {
-		if present, ok := t.Get(e.ID); ok && present.Same(&got) && present.Orders <= got.Orders {
-			got.Draining = present.Draining
-			t.Put(got)
-		}
-	})
+	if report.Incarnation != 0 && report.Incarnation != e.Incarnation {
+		return 0, backend.ErrReplaced
+	}
+	return report.Orders, nil
 }
 
 // keepRunning reports whether samples may continue under a new version: not where a
