Read the store at one host for all, by polling

One host now polls both and tells the others in heartbeats; any host reads itself when nobody's reading is fresh.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -45,6 +45,12 @@
 	Loads map[uint32]uint16 `cbor:"12,keyasint"`
 	// Batches are the open batches that the host runs.
 	Batches []string `cbor:"13,keyasint"`
+	// EndpointsDigest tells what the host knows of the endpoints. EndpointsAgeMs and
+	// ConfigAgeMs are how long ago that and the configuration were read from the store,
+	// in milliseconds; negative is never.
+	EndpointsDigest uint64 `cbor:"15,keyasint"`
+	EndpointsAgeMs  int64  `cbor:"16,keyasint"`
+	ConfigAgeMs     int64  `cbor:"17,keyasint"`
 	// Hello asks the receiver for a heartbeat at once.
 	Hello bool `cbor:"14,keyasint,omitempty"`
 }
@@ -142,20 +148,30 @@
 // see the same candidates name the same one. Hosts that reach the store come first,
 // and draining ones are left out.
 func Successor(subject string, candidates []Heartbeat) string {
-	best, bestRank := "", uint64(0)
+	order := Order(subject, candidates)
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0]
+}
+
+// Order returns the hosts in the order in which the duty named subject falls to them.
+func Order(subject string, candidates []Heartbeat) []string {
+	weight := map[string]uint64{}
+	var out []string
 	for _, c := range candidates {
 		if c.Draining || !c.Ready {
 			continue
 		}
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(subject + "\x00" + c.Host))
-		rank := h.Sum64() >> 1
+		w := h.Sum64() >> 1
 		if c.StoreReachable {
-			rank |= 1 << 63
-		}
-		if best == "" || rank > bestRank {
-			best, bestRank = c.Host, rank
+			w |= 1 << 63
 		}
+		weight[c.Host] = w
+		out = append(out, c.Host)
 	}
-	return best
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(weight[b], weight[a]), cmp.Compare(a, b)) })
+	return out
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -88,8 +88,7 @@
 	path       *StorePath
 	membership *Membership
 	weights    *Weights
-	config     *ConfigFollower
-	endpoints  *EndpointFollower
+	feed       *Feed
 	ports      Ports
 
 	draining atomic.Bool
@@ -126,8 +125,10 @@
 		catalog: n.Catalog, log: part("batches"), active: map[string]*activeBatch{}, adopting: map[string]bool{},
 		runner: &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder, storeReachable: n.path.Reachable},
 	}
-	n.config = &ConfigFollower{store: store, decoder: p.Decoder, catalog: n.Catalog, peers: n.peers, calls: calls, log: part("config")}
-	n.endpoints = &EndpointFollower{store: store, path: n.path, decoder: p.Decoder, fleet: fleet, log: part("endpoints")}
+	n.feed = NewFeed(feedDeps{
+		store: store, path: n.path, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, calls: calls,
+		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedSubject) }, log: part("feed"),
+	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, reachable: n.path.Reachable, log: part("weights"),
@@ -164,6 +165,16 @@
 	h.Generation = n.Catalog.Generation()
 	h.FencingToken = n.weights.FencingToken()
 	h.Batches = n.Batches.Owned()
+	n.feed.Describe(h)
+}
+
+// rank returns this host's place in the order of the duty named subject.
+func (n *Node) rank(subject string) int {
+	candidates := []presence.Heartbeat{{Host: n.Settings.Host, Ready: true, StoreReachable: n.path.Reachable()}}
+	for _, p := range n.peers.Alive() {
+		candidates = append(candidates, p.Heartbeat)
+	}
+	return slices.Index(presence.Order(subject, candidates), n.Settings.Host)
 }
 
 // Ready reports whether this host takes requests.
@@ -199,7 +210,7 @@
 	n.cancel = cancel
 	n.Batches.base = ctx
 	n.membership.heard = func(h presence.Heartbeat, _ bool) {
-		n.config.Heard(ctx, h.Host, h.Generation)
+		n.feed.Heard(ctx, h)
 		n.Batches.Heard(h)
 	}
 	s := n.Settings
@@ -213,7 +224,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.PeerAddress, peerHandler(n.ports.Store, n.Catalog, n.Batches)},
+		{s.PeerAddress, peerHandler(n.ports.Store, n.feed, n.Batches)},
 		{s.ReadyAddress, n.ports.Handlers.Readiness(n)},
 		{s.DirectoryAddress, n.ports.Handlers.Directory(n)},
 		{s.CallerAddress, n.ports.Handlers.Callers(n)},
@@ -226,7 +237,7 @@
 	if err := n.membership.Run(ctx); err != nil {
 		return err
 	}
-	for _, duty := range []func(context.Context){n.config.Run, n.endpoints.Run, n.weights.Run, n.Batches.Watch} {
+	for _, duty := range []func(context.Context){n.feed.Run, n.weights.Run, n.Batches.Watch} {
 		n.duties.Add(1)
 		go func() {
 			defer n.duties.Done()
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -74,9 +74,14 @@
 	return raw, nil
 }
 
-// Config reads a peer's configuration as it was stored.
-func (c *PeerCalls) Config(ctx context.Context, host string) ([]byte, error) {
-	return c.call(ctx, host, http.MethodGet, "/config", nil, 0)
+// Feed reads what a peer knows of the store.
+func (c *PeerCalls) Feed(ctx context.Context, host string) (feedState, error) {
+	raw, err := c.call(ctx, host, http.MethodGet, "/feed", nil, 0)
+	if err != nil {
+		return feedState{}, err
+	}
+	var s feedState
+	return s, cbor.Unmarshal(raw, &s)
 }
 
 // Results reads results from the batch's owner.
@@ -108,13 +113,13 @@
 }
 
 // peerHandler serves PeerCalls, and the store to hosts that it turns away.
-func peerHandler(direct objectapi.API, catalog *Catalog, b *Batches) http.Handler {
+func peerHandler(direct objectapi.API, feed *Feed, b *Batches) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
 	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
-	r.HandleFunc("/config", func(w http.ResponseWriter, _ *http.Request) {
-		raw := catalog.Raw()
-		if raw == nil {
-			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	r.HandleFunc("/feed", func(w http.ResponseWriter, _ *http.Request) {
+		raw, err := cbor.Marshal(feed.State())
+		if err != nil {
+			peerError(w, err)
 			return
 		}
 		_, _ = w.Write(raw)
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -32,6 +32,8 @@
 	// leaseSettle is how long a lease whose holder is alive must stay unclaimed before
 	// another host takes it: its holder may have taken it just now.
 	leaseSettle = 1500 * time.Millisecond
+	// targetPoll is the pause between readings of the named versions.
+	targetPoll = time.Second
 	// statusRetry is the pause before a status that could not be written is tried again.
 	statusRetry = 500 * time.Millisecond
 )
@@ -195,9 +197,26 @@
 	w.plan, w.cancel, w.orders = upgrades.NewPlan(), cancel, map[string]orderCount{}
 	w.mu.Unlock()
 	go func() { _ = w.store.Follow(ctx, w.decoder.ModelPrefix(), targetFollower{w}) }()
+	go w.pollTargets(ctx)
 	go func() { _ = w.store.Follow(ctx, w.decoder.StoreRemovalPrefix(), removalFollower{w, ctx}) }()
 }
 
+// pollTargets reads the named versions besides the watch, which may stay without
+// events for seconds when the store drops its history.
+func (w *Weights) pollTargets(ctx context.Context) {
+	for ctx.Err() == nil {
+		page, err := w.store.List(ctx, w.decoder.ModelPrefix(), "", 0)
+		if err != nil && ctx.Err() == nil {
+			w.log.Warn("The named versions cannot be listed.", "err", err)
+		}
+		targetFollower{w}.Reset(page.Objects)
+		select {
+		case <-ctx.Done():
+		case <-time.After(targetPoll):
+		}
+	}
+}
+
 func (w *Weights) lose(why string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
