--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// keptBytesMax bounds the listings that are kept after their batches, in bytes.
+	keptBytesMax = 6 << 20
 	// maxPageBytes bounds the results of one answer.
 	maxPageBytes = 900 << 10
 	// storePatience bounds how long a caller's call may wait for the store.
@@ -46,12 +48,17 @@
 	runner   *runnerDeps
 	log      *slog.Logger
 
-	mu       sync.Mutex
-	active   map[string]*activeBatch
-	adopting map[string]bool
-	stopping bool
-	base     context.Context
-	running  sync.WaitGroup
+	mu     sync.Mutex
+	active map[string]*activeBatch
+	// kept are the listings of batches that this host has run, the oldest first in
+	// keptOrder, so that most later readings need no call to the store.
+	kept      map[string]*listing
+	keptOrder []string
+	keptBytes int
+	adopting  map[string]bool
+	stopping  bool
+	base      context.Context
+	running   sync.WaitGroup
 }
 
 // Submit accepts a batch once: a repeated submission of the same content succeeds
@@ -169,7 +176,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	if m.Owner != s.settings.Host && !m.Ended {
+	if m.Owner != s.settings.Host {
 		page, err := s.calls.Results(ctx, m.Owner, id, after, wait)
 		if err == nil {
 			return page, nil
@@ -199,7 +206,7 @@
 func (s *Batches) ownResults(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
 	b := s.owned(id)
 	if b == nil {
-		return Page{}, errNotHere
+		return s.keptResults(id, after)
 	}
 	page := b.results.page(ctx, after, wait)
 	if len(page.Results) > 0 || time.Since(b.results.proved()) < ownerCheckAge {
@@ -338,9 +345,41 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.active, m.ID)
+		s.keep(m.ID, active.results)
 	}()
 }
 
+// keep holds a listing after its batch; the oldest ones make room.
+func (s *Batches) keep(id string, l *listing) {
+	if _, ok := s.kept[id]; ok {
+		return
+	}
+	s.kept[id] = l
+	s.keptOrder = append(s.keptOrder, id)
+	s.keptBytes += l.size()
+	for s.keptBytes > keptBytesMax && len(s.keptOrder) > 0 {
+		oldest := s.keptOrder[0]
+		s.keptOrder = s.keptOrder[1:]
+		s.keptBytes -= s.kept[oldest].size()
+		delete(s.kept, oldest)
+	}
+}
+
+// keptResults answers from a listing that was kept. It may lack what another host
+// listed later, so it never says that there is nothing at a position.
+func (s *Batches) keptResults(id string, after int) (Page, error) {
+	s.mu.Lock()
+	l := s.kept[id]
+	s.mu.Unlock()
+	if l == nil {
+		return Page{}, errNotHere
+	}
+	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 {
+		return page, nil
+	}
+	return Page{}, errNotHere
+}
+
 // Heard notes the batches that a peer runs, so that they can be taken over.
 func (s *Batches) Heard(h presence.Heartbeat) {
 	for _, id := range h.Batches {
--- a/internal/transport/front/listing.go
+++ b/internal/transport/front/listing.go
@@ -132,3 +132,14 @@
 	defer l.mu.Unlock()
 	return len(l.results) >= l.total
 }
+
+// size approximates the memory that the results take, in bytes.
+func (l *listing) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for i := range l.results {
+		n += l.results[i].Size()
+	}
+	return n
+}
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -24,7 +24,7 @@
 	runnerTick = 100 * time.Millisecond
 	// proveEvery is how often an owner makes sure that it still owns an open batch and
 	// that the trainer has not ended it.
-	proveEvery = time.Second
+	proveEvery = 1500 * time.Millisecond
 	// stallLimit is how long a stream may be silent: longer than a load of weights
 	// during which samples stand still.
 	stallLimit = 2200 * time.Millisecond
