--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -32,6 +32,9 @@
 	paceWeight = 0.3
 	// otherZoneCost is added for an endpoint in another zone, in shares of a request.
 	otherZoneCost = 0.05
+	// refusedPause is how long an endpoint that refused a sample is left alone: it is
+	// full or loads weights, which lasts some hundred milliseconds more.
+	refusedPause = 250 * time.Millisecond
 	// paceLife is how long an unusually slow pace is believed without a new measurement.
 	paceLife = 6 * time.Second
 )
@@ -52,9 +55,11 @@
 )
 
 type entry struct {
-	endpoint     catalog.Endpoint
-	own          int
-	peers        map[string]int
+	endpoint catalog.Endpoint
+	own      int
+	peers    map[string]int
+	// refusedUntil is the end of the pause after a refusal.
+	refusedUntil time.Time
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -149,7 +154,7 @@
 	bestCost := math.Inf(1)
 	usual := t.usualPace(q.Service)
 	for _, e := range t.entries {
-		if !e.offers(&q) {
+		if !e.offers(&q) || q.FreeSlot && now.Before(e.refusedUntil) {
 			continue
 		}
 		cost := e.cost(now, t.zone, usual, random)
@@ -286,6 +291,8 @@
 	case OK:
 		e.failures, e.ejections = 0, 0
 		e.ejectedUntil = time.Time{}
+	case Refused:
+		e.refusedUntil = now.Add(refusedPause)
 	case Broke:
 		e.failures++
 		if e.failures >= failuresToEject {
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -79,11 +79,14 @@
 	scores   chan scoreEnd
 	pending  chan []batches.Result
 	adopted  chan struct{}
-	proving  atomic.Bool
-	proved   time.Time
-	stopped  atomic.Bool
-	cancel   context.CancelFunc
-	ctx      context.Context
+	// urgent says that the trainer has all groups that it waits for once the pending
+	// results are listed.
+	urgent  atomic.Bool
+	proving atomic.Bool
+	proved  time.Time
+	stopped atomic.Bool
+	cancel  context.CancelFunc
+	ctx     context.Context
 }
 
 type attempt struct {
@@ -92,7 +95,9 @@
 	events   atomic.Int64
 	// lastEvent is the Unix time of the last event in nanoseconds.
 	lastEvent atomic.Int64
-	cancel    context.CancelFunc
+	// longestGapMs is the longest pause between two events in milliseconds.
+	longestGapMs atomic.Int64
+	cancel       context.CancelFunc
 }
 
 type attemptEnd struct {
@@ -236,9 +241,14 @@
 }
 
 func (a *activeBatch) flush() {
-	if results := a.run.TakeResults(); len(results) > 0 {
-		a.pending <- results // has room for every sample's result
+	results := a.run.TakeResults()
+	if len(results) == 0 {
+		return
+	}
+	if a.run.CompleteGroups() >= a.batch.DesiredGroups {
+		a.urgent.Store(true)
 	}
+	a.pending <- results // has room for every sample's result
 }
 
 // startSamples starts what can be started now.
@@ -306,7 +316,7 @@
 func (a *activeBatch) attempt(ctx context.Context, at *attempt, i int, g backend.Generate, p batchrun.Partial) attemptEnd {
 	fleet := a.owner.runner.fleet
 	single := a.single()
-	first, measured := 0, time.Time{}
+	first, measured, last := 0, time.Time{}, time.Now()
 	err := a.owner.runner.client.Generate(ctx, g, func(e backend.Event) error {
 		if e.Version < a.batch.MinVersion || single && p.Events > 0 && p.Versions[0] != e.Version {
 			fleet.With(func(t *placement.Table) { t.SeenVersion(g.Endpoint.ID, a.batch.Model, e.Version) })
@@ -317,6 +327,10 @@
 		at.events.Add(1)
 		at.lastEvent.Store(now.UnixNano())
 		first++
+		if gap := now.Sub(last).Milliseconds(); first > 1 && gap > at.longestGapMs.Load() {
+			at.longestGapMs.Store(gap)
+		}
+		last = now
 		if first == 1 {
 			measured = now
 		} else if (first-1)%paceEvents == 0 {
@@ -365,12 +379,9 @@
 	delete(a.attempts, e.sample)
 	a.run.Ended(time.Now(), e.sample, e.end, e.partial)
 	sample := a.run.Sample(e.sample)
-	level := slog.LevelDebug
-	if e.err != nil {
-		level = slog.LevelInfo
-	}
-	a.log.Log(a.ctx, level, "A sample's attempt ended.", "sample", sample.ID, "endpoint", at.endpoint.ID,
-		"events", e.partial.Events, "versions", e.partial.Versions, "took_ms", time.Since(at.began).Milliseconds(), "err", e.err)
+	a.log.Info("A sample's attempt ended.", "sample", sample.ID, "endpoint", at.endpoint.ID,
+		"events", e.partial.Events, "versions", e.partial.Versions, "took_ms", time.Since(at.began).Milliseconds(),
+		"longest_gap_ms", at.longestGapMs.Load(), "expected_tokens", sample.ExpectedTokens, "err", e.err)
 	if e.end == batchrun.Complete && sample.Scoring != nil {
 		go a.score(e.sample, sample.Scoring)
 	}
@@ -516,7 +527,7 @@
 func (a *activeBatch) gather(queue []batches.Result) []batches.Result {
 	timer := time.NewTimer(flushEvery)
 	defer timer.Stop()
-	for {
+	for !a.urgent.Load() {
 		select {
 		case more, ok := <-a.pending:
 			if !ok {
@@ -527,6 +538,7 @@
 			return queue
 		}
 	}
+	return queue
 }
 
 // appendSome appends as many results as fit in one entry and returns the rest.
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -110,6 +110,7 @@
 // it, until ctx ends.
 func (w *Weights) Run(ctx context.Context) {
 	began := time.Now()
+	w.resume(ctx)
 	ticker := time.NewTicker(weightsTick)
 	defer ticker.Stop()
 	for {
@@ -130,6 +131,21 @@
 	}
 }
 
+// resume takes the lease at once when this host held it before its restart.
+func (w *Weights) resume(ctx context.Context) {
+	o, err := w.store.Get(ctx, weightsLeaseKey)
+	var present leaseRecord
+	if err == nil {
+		err = batches.Decode(o.Value, &present)
+	}
+	switch {
+	case err == nil && present.Holder == w.settings.Host:
+		w.acquire(ctx)
+	case err != nil && !errors.Is(err, objectapi.ErrNotFound):
+		w.log.Warn("The weights lease cannot be read.", "err", err)
+	}
+}
+
 // falls reports whether the lease should be this host's.
 func (w *Weights) falls() bool {
 	if !w.ready() {
