--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -46,10 +46,15 @@
 
 // Partial is what an engine has generated of a sample so far.
 type Partial struct {
-	Text   []byte
-	Events int
+	Text   []byte `json:"text"`
+	Events int    `json:"events"`
 	// Versions are those that made an event, ascending and without repeats.
-	Versions []int
+	Versions []int `json:"versions"`
+}
+
+// Clone returns a copy that shares nothing with p.
+func (p *Partial) Clone() Partial {
+	return Partial{Text: slices.Clone(p.Text), Events: p.Events, Versions: slices.Clone(p.Versions)}
 }
 
 // Add appends an event's data.
@@ -228,6 +233,21 @@
 // Sample returns a sample of the batch.
 func (r *Run) Sample(i int) *batches.Sample { return &r.samples[i].Sample }
 
+// Restore gives a sample that was not started yet the text that an earlier owner saved.
+// Text that the batch does not allow is dropped.
+func (r *Run) Restore(id string, p Partial) bool {
+	i, ok := r.byID[id]
+	if !ok || len(p.Versions) == 0 || p.Versions[0] < r.batch.MinVersion {
+		return false
+	}
+	s := r.samples[i]
+	if s.phase != waiting || s.partial.Events >= p.Events || r.opt.SingleVersion && len(p.Versions) > 1 {
+		return false
+	}
+	s.partial = p
+	return true
+}
+
 // Spare reports whether the trainer does not wait for the sample's group.
 func (r *Run) Spare(i int) bool { return r.samples[i].class == classSpare }
 
@@ -242,10 +262,13 @@
 	if r.opt.SingleVersion && s.partial.Events > 0 && (len(s.partial.Versions) > 1 || s.partial.Versions[0] != version) {
 		s.partial = Partial{}
 	}
-	p := s.partial
-	p.Text = slices.Clone(p.Text)
-	p.Versions = slices.Clone(p.Versions)
-	return p
+	return s.partial.Clone()
+}
+
+// Waiting returns the kept text of a sample that is not running.
+func (r *Run) Waiting(i int) (Partial, bool) {
+	s := r.samples[i]
+	return s.partial, s.phase == waiting && s.partial.Events > 0
 }
 
 // Started records that a sample runs at an endpoint.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -158,6 +158,9 @@
 			continue
 		}
 		cost := e.cost(now, t.zone, usual, random)
+		if q.Model != "" {
+			cost += versionCost * float64(min(e.version(q.Model)-q.MinVersion, maxVersionSteps))
+		}
 		if e.endpoint.ID == q.Prefer {
 			cost -= preferBonus
 		}
@@ -233,6 +236,10 @@
 const (
 	// loadCost is the cost of a full endpoint over an idle one.
 	loadCost = 0.5
+	// versionCost leaves endpoints with newer weights than needed to the steps that need
+	// them, for each of up to maxVersionSteps versions.
+	versionCost     = 0.3
+	maxVersionSteps = 2
 	// tieCost spreads the choices among endpoints that are equally good.
 	tieCost = 0.04
 )
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -3,7 +3,8 @@
 // It answers this load pattern: a version arrives every few seconds, a load blocks an
 // endpoint for about a second, and loads slow each other down when many run at once.
 // So only a share of the fleet loads at a time; endpoints that can serve no open step
-// go first, and among the others the idle ones.
+// go first, and among the others the fullest: a load keeps new samples out but lets
+// running ones go on, so it costs least where nothing could start anyway.
 //
 // Invariant: at most one load of a model is in progress at an endpoint, and a load is
 // never ordered to a version below the one that the endpoint reported.
@@ -101,7 +102,7 @@
 	slices.SortFunc(behind, func(a, b catalog.Endpoint) int {
 		return cmp.Or(
 			cmp.Compare(a.Versions[model], b.Versions[model]),
-			cmp.Compare(running(a.ID), running(b.ID)),
+			cmp.Compare(running(b.ID), running(a.ID)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
--- a/internal/state/batches/batches.go
+++ b/internal/state/batches/batches.go
@@ -113,6 +113,7 @@
 	manifestPrefix = "batches/"
 	partPrefix     = "batchparts/"
 	logPrefix      = "batchlogs/"
+	partialsPrefix = "batchpartials/"
 )
 
 // ManifestPrefix is the prefix of all manifests' keys.
@@ -129,6 +130,9 @@
 // LogKey is the key of the nth entry of a batch's log.
 func LogKey(id string, n int) string { return fmt.Sprintf("%s%s-%d", logPrefix, id, n) }
 
+// PartialsKey is the key of what a batch's owner saved of its unfinished samples.
+func PartialsKey(id string) string { return partialsPrefix + id }
+
 // maxIDBytes bounds the ids that can be part of a key.
 const maxIDBytes = 128
 
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -327,7 +327,8 @@
 	}
 }
 
-// start runs a batch at this host. entries are the log's present entries.
+// start runs a batch at this host. entries are the log's present entries, nil for a
+// batch that was accepted just now.
 func (s *Batches) start(m storedManifest, b *batches.Batch, entries []batches.LogEntry) {
 	s.mu.Lock()
 	if _, ok := s.active[m.ID]; ok || s.stopping {
@@ -473,7 +474,7 @@
 	if err != nil {
 		return err
 	}
-	var entries []batches.LogEntry
+	entries := []batches.LogEntry{} // not nil: the batch was run before
 	for n := 0; ; n++ {
 		e, err := s.store.entry(ctx, id, n)
 		if errors.Is(err, objectapi.ErrNotFound) {
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/batchrun"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
@@ -230,3 +231,35 @@
 		}
 	}
 }
+
+// savedSample is what an owner saved of an unfinished sample.
+type savedSample struct {
+	ID      string           `json:"id"`
+	Partial batchrun.Partial `json:"partial"`
+}
+
+// savePartials replaces what is saved of a batch's unfinished samples, if it is still
+// at version expect.
+func (s *batchStore) savePartials(ctx context.Context, id string, samples []savedSample, expect uint64) (uint64, error) {
+	value, err := cbor.Marshal(samples)
+	if err != nil {
+		return 0, batches.Error.Wrap(err)
+	}
+	return s.api.Put(ctx, batches.PartialsKey(id), value, expect)
+}
+
+// partials reads what is saved; none is no error.
+func (s *batchStore) partials(ctx context.Context, id string) ([]savedSample, uint64, error) {
+	o, err := s.api.Get(ctx, batches.PartialsKey(id))
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var out []savedSample
+	if err := cbor.Unmarshal(o.Value, &out); err != nil {
+		return nil, 0, batches.Error.Wrap(err)
+	}
+	return out, o.Version, nil
+}
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -1,12 +1,14 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +51,15 @@
 	// usefulEvents is the number of events that must be expected still for a sample to
 	// be worth moving.
 	usefulEvents = 3
+	// saveEvery is the pause between savings of the text of unfinished samples, so that
+	// their next owner need not generate it again.
+	saveEvery = 1500 * time.Millisecond
+	// savedEvents is the number of events from which a sample's text is worth saving.
+	savedEvents = 25
+	// lastFlush replaces flushEvery once no more than lastSamples are unfinished: from
+	// then on the trainer waits for single samples.
+	lastFlush   = 50 * time.Millisecond
+	lastSamples = 16
 	// spareUrgency is added to the rank of samples that the trainer does not wait for.
 	spareUrgency = 1
 )
@@ -81,7 +92,15 @@
 	adopted  chan struct{}
 	// urgent says that the trainer has all groups that it waits for once the pending
 	// results are listed.
-	urgent  atomic.Bool
+	urgent atomic.Bool
+	// open is the number of unfinished samples.
+	open atomic.Int64
+	// savedAt, saving and savedVersion belong to the saving of unfinished samples.
+	savedAt      time.Time
+	saving       atomic.Bool
+	savedVersion uint64
+	// resumed says that another process has run the batch before.
+	resumed bool
 	proving atomic.Bool
 	proved  time.Time
 	stopped atomic.Bool
@@ -98,6 +117,9 @@
 	// longestGapMs is the longest pause between two events in milliseconds.
 	longestGapMs atomic.Int64
 	cancel       context.CancelFunc
+
+	mu      sync.Mutex
+	partial batchrun.Partial
 }
 
 type attemptEnd struct {
@@ -123,6 +145,8 @@
 		pending: make(chan []batches.Result, len(b.Samples)+1),
 		adopted: make(chan struct{}, 1),
 		proved:  time.Now(),
+		savedAt: time.Now(),
+		resumed: entries != nil,
 	}
 	a.ctx, a.cancel = context.WithCancel(owner.base)
 	return a
@@ -180,6 +204,8 @@
 func (a *activeBatch) runUntilDone(base context.Context) {
 	defer a.cancel()
 	a.run = batchrun.New(a.batch, a.options(), a.results.ids())
+	a.open.Store(int64(a.run.Open()))
+	a.restore()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -203,6 +229,9 @@
 		}
 		a.flush()
 	}
+	if a.stopped.Load() && a.owner.draining() {
+		a.save()
+	}
 	for _, at := range a.attempts {
 		at.cancel()
 	}
@@ -245,6 +274,7 @@
 	if len(results) == 0 {
 		return
 	}
+	a.open.Store(int64(a.run.Open()))
 	if a.run.CompleteGroups() >= a.batch.DesiredGroups {
 		a.urgent.Store(true)
 	}
@@ -280,7 +310,7 @@
 // begin sends a sample to an endpoint that Pick has counted it at.
 func (a *activeBatch) begin(i int, e catalog.Endpoint, route *catalog.Route, partial batchrun.Partial) {
 	ctx, cancel := context.WithCancel(a.ctx)
-	at := &attempt{endpoint: e, began: time.Now(), cancel: cancel}
+	at := &attempt{endpoint: e, began: time.Now(), cancel: cancel, partial: partial}
 	at.lastEvent.Store(at.began.UnixNano())
 	a.attempts[i] = at
 	a.run.Started(i, e.ID)
@@ -293,7 +323,7 @@
 	a.log.Debug("A sample starts.", "sample", g.ID, "endpoint", e.ID, "resume_after", partial.Events)
 	go func() {
 		defer cancel()
-		a.ends <- a.attempt(ctx, at, i, g, partial)
+		a.ends <- a.attempt(ctx, at, i, g)
 	}()
 }
 
@@ -313,16 +343,19 @@
 }
 
 // attempt runs a sample at an endpoint and returns how that ended.
-func (a *activeBatch) attempt(ctx context.Context, at *attempt, i int, g backend.Generate, p batchrun.Partial) attemptEnd {
+func (a *activeBatch) attempt(ctx context.Context, at *attempt, i int, g backend.Generate) attemptEnd {
 	fleet := a.owner.runner.fleet
 	single := a.single()
 	first, measured, last := 0, time.Time{}, time.Now()
+	p := &at.partial
 	err := a.owner.runner.client.Generate(ctx, g, func(e backend.Event) error {
 		if e.Version < a.batch.MinVersion || single && p.Events > 0 && p.Versions[0] != e.Version {
 			fleet.With(func(t *placement.Table) { t.SeenVersion(g.Endpoint.ID, a.batch.Model, e.Version) })
 			return errStaleVersion
 		}
+		at.mu.Lock()
 		p.Add(e.Data, e.Version)
+		at.mu.Unlock()
 		now := time.Now()
 		at.events.Add(1)
 		at.lastEvent.Store(now.UnixNano())
@@ -345,7 +378,7 @@
 		fleet.With(func(t *placement.Table) { t.Eject(time.Now(), g.Endpoint.ID) })
 	}
 	fleet.End(g.Endpoint.ID, failure, 0)
-	return attemptEnd{sample: i, end: end, partial: p, err: err}
+	return attemptEnd{sample: i, end: end, partial: *p, err: err}
 }
 
 func (a *activeBatch) single() bool {
@@ -445,6 +478,10 @@
 		a.proved = now
 		go a.proveOwnership()
 	}
+	if now.Sub(a.savedAt) > saveEvery {
+		a.savedAt = now
+		a.save()
+	}
 	var stalled []string
 	for _, at := range a.attempts {
 		if now.Sub(time.Unix(0, at.lastEvent.Load())) > stallLimit && !slices.Contains(stalled, at.endpoint.ID) {
@@ -463,6 +500,67 @@
 	}
 }
 
+// save writes the text of unfinished samples to the store, the longest first.
+func (a *activeBatch) save() {
+	var samples []savedSample
+	for i, at := range a.attempts {
+		at.mu.Lock()
+		if at.partial.Events >= savedEvents {
+			samples = append(samples, savedSample{ID: a.run.Sample(i).ID, Partial: at.partial.Clone()})
+		}
+		at.mu.Unlock()
+	}
+	for i := range a.batch.Samples {
+		if p, ok := a.run.Waiting(i); ok && p.Events >= savedEvents {
+			samples = append(samples, savedSample{ID: a.run.Sample(i).ID, Partial: p})
+		}
+	}
+	if len(samples) == 0 || !a.saving.CompareAndSwap(false, true) {
+		return
+	}
+	slices.SortFunc(samples, func(x, y savedSample) int { return cmp.Compare(y.Partial.Events, x.Partial.Events) })
+	size := 0
+	for n := range samples {
+		if size += len(samples[n].Partial.Text); size > maxPartBytes {
+			samples = samples[:n]
+			break
+		}
+	}
+	go func() {
+		defer a.saving.Store(false)
+		ctx, cancel := context.WithTimeout(a.owner.base, storePatience)
+		defer cancel()
+		version, err := a.owner.store.savePartials(ctx, a.manifest.ID, samples, a.savedVersion)
+		if err != nil {
+			a.log.Warn("Unfinished samples could not be saved.", "count", len(samples), "err", err)
+			return
+		}
+		a.savedVersion = version
+	}()
+}
+
+// restore takes up what an earlier owner saved.
+func (a *activeBatch) restore() {
+	if a.manifest.Epoch == 1 && !a.resumed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, storePatience)
+	defer cancel()
+	samples, version, err := a.owner.store.partials(ctx, a.manifest.ID)
+	if err != nil {
+		a.log.Warn("Saved samples could not be read.", "err", err)
+		return
+	}
+	a.savedVersion = version
+	restored := 0
+	for _, s := range samples {
+		if a.run.Restore(s.ID, s.Partial) {
+			restored++
+		}
+	}
+	a.log.Info("Saved samples are continued.", "saved", len(samples), "continued", restored)
+}
+
 // worthMoving reports whether a sample runs at a slow endpoint while a faster one has
 // room.
 func (a *activeBatch) worthMoving(now time.Time, i int, at *attempt) bool {
@@ -525,7 +623,11 @@
 
 // gather waits a little for more results, so that one entry takes them all.
 func (a *activeBatch) gather(queue []batches.Result) []batches.Result {
-	timer := time.NewTimer(flushEvery)
+	pause := flushEvery
+	if a.open.Load() <= lastSamples {
+		pause = lastFlush
+	}
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	for !a.urgent.Load() {
 		select {
