Run groups that an earlier step left unfinished first

Cause: the trainer waits for carried groups in particular, but they were ranked by length like the others, mostly last.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -46,6 +46,7 @@
 	calls    *PeerCalls
 	catalog  *Catalog
 	runner   *runnerDeps
+	groups   *recentGroups
 	log      *slog.Logger
 
 	mu     sync.Mutex
@@ -92,7 +93,9 @@
 	case err == nil:
 		s.log.Info("A batch is accepted.", "batch", b.ID, "step", b.Step, "model", b.Model,
 			"min_version", b.MinVersion, "samples", len(b.Samples), "desired_groups", b.DesiredGroups)
-		s.start(m, b, nil)
+		carried := s.groups.carried(b)
+		s.tellGroups(s.base, b)
+		s.start(m, b, carried, nil)
 		return nil
 	case errors.Is(err, objectapi.ErrConflict):
 		present, err := s.store.manifest(ctx, b.ID)
@@ -329,13 +332,13 @@
 
 // start runs a batch at this host. entries are the log's present entries, nil for a
 // batch that was accepted just now.
-func (s *Batches) start(m storedManifest, b *batches.Batch, entries []batches.LogEntry) {
+func (s *Batches) start(m storedManifest, b *batches.Batch, carried map[string]bool, entries []batches.LogEntry) {
 	s.mu.Lock()
 	if _, ok := s.active[m.ID]; ok || s.stopping {
 		s.mu.Unlock()
 		return
 	}
-	active := newActiveBatch(m, b, entries, s)
+	active := newActiveBatch(m, b, carried, entries, s)
 	s.active[m.ID] = active
 	s.running.Add(1)
 	base := s.base
@@ -486,7 +489,7 @@
 		entries = append(entries, e)
 	}
 	s.log.Info("A batch is taken over.", "batch", id, "epoch", m.Epoch, "entries", len(entries), "reason", why)
-	s.start(m, b, entries)
+	s.start(m, b, nil, entries)
 	return nil
 }
 
--- /dev/null
+++ b/internal/transport/front/groups.go
@@ -0,0 +1,81 @@
+package front
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+)
+
+// maxRecentGroups bounds the groups that are remembered: some tens of steps.
+const maxRecentGroups = 4096
+
+// recentGroups remembers the groups of earlier batches of all hosts, by hash. A group
+// that comes again was left unfinished, and its trainer waits for it in particular.
+type recentGroups struct {
+	mu    sync.Mutex
+	known map[uint64]bool
+	order []uint64
+}
+
+func newRecentGroups() *recentGroups { return &recentGroups{known: map[uint64]bool{}} }
+
+// add remembers groups; the oldest make room.
+func (g *recentGroups) add(hashes []uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range hashes {
+		if g.known[h] {
+			continue
+		}
+		g.known[h] = true
+		g.order = append(g.order, h)
+	}
+	for len(g.order) > maxRecentGroups {
+		delete(g.known, g.order[0])
+		g.order = g.order[1:]
+	}
+}
+
+// carried returns the groups of a batch that an earlier one had.
+func (g *recentGroups) carried(b *batches.Batch) map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]bool{}
+	for i := range b.Samples {
+		if g.known[xxhash.Sum64String(b.Samples[i].Group)] {
+			out[b.Samples[i].Group] = true
+		}
+	}
+	return out
+}
+
+// groupHashes returns a batch's groups as they are told to other hosts.
+func groupHashes(b *batches.Batch) []uint64 {
+	seen := map[uint64]bool{}
+	var out []uint64
+	for i := range b.Samples {
+		h := xxhash.Sum64String(b.Samples[i].Group)
+		if !seen[h] {
+			seen[h] = true
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// tellGroups makes a batch's groups known to all hosts. A host that misses them only
+// orders a later batch less well.
+func (s *Batches) tellGroups(ctx context.Context, b *batches.Batch) {
+	hashes := groupHashes(b)
+	s.groups.add(hashes)
+	for _, p := range s.peers.Alive() {
+		go func() {
+			if err := s.calls.Groups(ctx, p.Host, hashes); err != nil {
+				s.log.Debug("A batch's groups could not be told.", "batch", b.ID, "host", p.Host, "err", err)
+			}
+		}()
+	}
+}
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -112,6 +112,16 @@
 	return err
 }
 
+// Groups tells a peer the groups of an accepted batch.
+func (c *PeerCalls) Groups(ctx context.Context, host string, hashes []uint64) error {
+	raw, err := cbor.Marshal(hashes)
+	if err != nil {
+		return err
+	}
+	_, err = c.call(ctx, host, http.MethodPost, "/groups", raw, 0)
+	return err
+}
+
 // peerHandler serves PeerCalls, and the store to hosts that it turns away.
 func peerHandler(direct objectapi.API, feed *Feed, b *Batches) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
@@ -155,6 +165,14 @@
 		}
 		_, _ = w.Write(body)
 	}).Methods(http.MethodGet)
+	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
+		var hashes []uint64
+		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
+			http.Error(w, "no list of hashes", http.StatusBadRequest)
+			return
+		}
+		b.groups.add(hashes)
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/batches/{id}/end", func(_ http.ResponseWriter, r *http.Request) {
 		b.stop(mux.Vars(r)["id"], "ended by the trainer")
 	}).Methods(http.MethodPost)
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -99,6 +99,8 @@
 	savedAt      time.Time
 	saving       atomic.Bool
 	savedVersion uint64
+	// carried are the groups that an earlier batch left unfinished, as far as known.
+	carried map[string]bool
 	// resumed says that another process has run the batch before.
 	resumed bool
 	proving atomic.Bool
@@ -136,7 +138,7 @@
 	failed bool
 }
 
-func newActiveBatch(m storedManifest, b *batches.Batch, entries []batches.LogEntry, owner *Batches) *activeBatch {
+func newActiveBatch(m storedManifest, b *batches.Batch, carried map[string]bool, entries []batches.LogEntry, owner *Batches) *activeBatch {
 	a := &activeBatch{
 		owner: owner, manifest: m.Manifest, batch: b, results: newListing(len(b.Samples), entries),
 		log: owner.log.With("batch", m.ID), attempts: map[int]*attempt{},
@@ -147,6 +149,7 @@
 		proved:  time.Now(),
 		savedAt: time.Now(),
 		resumed: entries != nil,
+		carried: carried,
 	}
 	a.ctx, a.cancel = context.WithCancel(owner.base)
 	return a
@@ -167,6 +170,7 @@
 func (a *activeBatch) options() batchrun.Options {
 	opt := batchrun.Options{
 		GiveUpAt: a.manifest.Accepted().Add(defaultSampleTTL), MaxFailures: defaultFailures, MaxScoreFailures: defaultFailures,
+		Carried: a.carried,
 	}
 	if route := a.route(a.batch.Host, a.batch.Path); route != nil {
 		if route.SampleTTL > 0 {
