--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -66,6 +66,7 @@
 	// pace is the time for one event of a stream, or for one answer; zero is unknown.
 	pace    time.Duration
 	pacedAt time.Time
+	usedAt  time.Time
 	// floor holds versions seen in the endpoint's own answers that were lower than
 	// what the catalog says, until the catalog changes.
 	seen map[string]int
@@ -229,6 +230,9 @@
 	if zone != e.endpoint.Zone {
 		cost += otherZoneCost
 	}
+	if now.Sub(e.usedAt) < warmFor {
+		cost -= warmBonus
+	}
 	spread := (uint64(Key(e.endpoint.ID)) ^ random) * 0x9e3779b97f4a7c15 >> 54
 	return cost + float64(spread)/1024*tieCost
 }
@@ -240,6 +244,10 @@
 	// them, for each of up to maxVersionSteps versions.
 	versionCost     = 0.3
 	maxVersionSteps = 2
+	// warmBonus prefers endpoints that this host has an open connection to, which it
+	// keeps for warmFor after a request.
+	warmBonus = 0.15
+	warmFor   = 8 * time.Second
 	// tieCost spreads the choices among endpoints that are equally good.
 	tieCost = 0.04
 )
@@ -281,9 +289,10 @@
 }
 
 // Begin counts a request sent to an endpoint.
-func (t *Table) Begin(id string) {
+func (t *Table) Begin(now time.Time, id string) {
 	if e, ok := t.entries[id]; ok {
 		e.own++
+		e.usedAt = now
 	}
 }
 
--- a/internal/state/batches/batches.go
+++ b/internal/state/batches/batches.go
@@ -106,6 +106,8 @@
 	// First is the position of the first result.
 	First   int      `json:"first"`
 	Results []Result `json:"results"`
+	// Sealed says that no entry follows: what is listed is final.
+	Sealed bool `json:"sealed,omitempty"`
 }
 
 // The kinds of objects that hold batches.
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -26,13 +26,17 @@
 	// ownerCheckAge is how old an owner's proof of ownership may be when it says that a
 	// position has no result yet; it is below the time in which all hosts must agree.
 	ownerCheckAge = 700 * time.Millisecond
+	// endTries is how often a batch's owner is told of its end.
+	endTries = 2
 	// takeoverTick is the pause between looks for batches whose owner is gone.
 	takeoverTick = 250 * time.Millisecond
 	// takeoverStart is how long a new process waits for its peers' heartbeats first.
 	takeoverStart = 1500 * time.Millisecond
 	// relistEvery is the pause between readings of all manifests, which find batches
 	// whose owner died before a peer heard of them.
-	relistEvery = 15 * time.Second
+	relistEvery = 8 * time.Second
+	// listSubject ranks the hosts as listers of the manifests.
+	listSubject = "batches"
 	// relistRetry is that pause while the store does not answer.
 	relistRetry = 500 * time.Millisecond
 )
@@ -47,6 +51,8 @@
 	catalog  *Catalog
 	runner   *runnerDeps
 	groups   *recentGroups
+	// announce tells the other hosts at once what this host runs.
+	announce func()
 	log      *slog.Logger
 
 	mu     sync.Mutex
@@ -96,6 +102,7 @@
 		carried := s.groups.carried(b)
 		s.tellGroups(s.base, b)
 		s.start(m, b, carried, nil)
+		s.announce()
 		return nil
 	case errors.Is(err, objectapi.ErrConflict):
 		present, err := s.store.manifest(ctx, b.ID)
@@ -142,14 +149,7 @@
 	return out
 }
 
-// known returns the manifest, from the cache or the store.
-func (s *Batches) known(ctx context.Context, id string) (storedManifest, error) {
-	if m, ok := s.store.cached(id); ok && m.Total > 0 {
-		return m, nil
-	}
-	return s.fresh(ctx, id)
-}
-
+// fresh reads the manifest.
 func (s *Batches) fresh(ctx context.Context, id string) (storedManifest, error) {
 	if !batches.ValidID(id) {
 		return storedManifest{}, refusal(resultcode.NotFound, "no batch can have this id")
@@ -175,19 +175,16 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+storePatience)
 	defer cancel()
-	m, err := s.known(ctx, id)
-	if err != nil {
-		return Page{}, err
-	}
-	if m.Owner != s.settings.Host {
+	if m, ok := s.store.cached(id); ok && m.Owner != s.settings.Host {
 		page, err := s.calls.Results(ctx, m.Owner, id, after, wait)
 		if err == nil {
 			return page, nil
 		}
 		s.log.Debug("A batch's owner does not answer.", "batch", id, "owner", m.Owner, "err", err)
-		if m, err = s.fresh(ctx, id); err != nil {
-			return Page{}, err
-		}
+	}
+	m, err := s.fresh(ctx, id)
+	if err != nil {
+		return Page{}, err
 	}
 	for {
 		results, err := s.store.read(ctx, id, after, maxPageBytes)
@@ -212,7 +209,7 @@
 		return s.keptResults(id, after)
 	}
 	page := b.results.page(ctx, after, wait)
-	if len(page.Results) > 0 || time.Since(b.results.proved()) < ownerCheckAge {
+	if len(page.Results) > 0 || b.results.final() || time.Since(b.results.proved()) < ownerCheckAge {
 		return page, nil
 	}
 	if err := s.prove(ctx, b); err != nil {
@@ -232,7 +229,7 @@
 		s.stop(m.ID, "another host owns the batch")
 		return errNotHere
 	case m.Ended:
-		s.stop(m.ID, "ended by the trainer")
+		s.stopEnded(m.ID)
 	}
 	b.results.setProved(began)
 	return nil
@@ -245,15 +242,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storePatience)
 	defer cancel()
-	m, err := s.known(ctx, id)
-	if err != nil {
-		return nil, err
-	}
-	if m.Owner != s.settings.Host && !m.Ended {
+	m, ok := s.store.cached(id)
+	if ok && m.Owner != s.settings.Host && !m.Ended {
 		if body, err := s.calls.Body(ctx, m.Owner, id, sample); err == nil {
 			return body, nil
 		}
 	}
+	if !ok || m.Parts == 0 {
+		var err error
+		if m, err = s.fresh(ctx, id); err != nil {
+			return nil, err
+		}
+	}
 	b, err := s.store.content(ctx, &m.Manifest)
 	if err != nil {
 		return nil, refusal(resultcode.StorageOutage, err.Error())
@@ -282,16 +282,13 @@
 func (s *Batches) End(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storePatience)
 	defer cancel()
-	if m, ok := s.store.cached(id); ok {
-		go s.tellEnd(context.WithoutCancel(ctx), m.Owner, id)
-	}
 	for {
 		m, err := s.fresh(ctx, id)
 		if err != nil {
 			return err
 		}
 		if m.Ended {
-			s.stop(id, "ended by the trainer")
+			s.stopEnded(id)
 			return nil
 		}
 		next := m.Manifest
@@ -311,10 +308,16 @@
 
 func (s *Batches) tellEnd(ctx context.Context, owner, id string) {
 	if owner == s.settings.Host {
-		s.stop(id, "ended by the trainer")
+		s.stopEnded(id)
 		return
 	}
-	if err := s.calls.End(ctx, owner, id); err != nil {
+	var err error
+	for range endTries {
+		if err = s.calls.End(ctx, owner, id); err == nil {
+			return
+		}
+	}
+	if err != nil {
 		// The owner finds out when it next proves its ownership.
 		s.log.Warn("A batch's owner could not be told of its end.", "batch", id, "owner", owner, "err", err)
 	}
@@ -330,6 +333,14 @@
 	}
 }
 
+// stopEnded ends the work on a batch that the trainer has ended.
+func (s *Batches) stopEnded(id string) {
+	if b := s.owned(id); b != nil {
+		b.ended.Store(true)
+		b.halt("ended by the trainer")
+	}
+}
+
 // start runs a batch at this host. entries are the log's present entries, nil for a
 // batch that was accepted just now.
 func (s *Batches) start(m storedManifest, b *batches.Batch, carried map[string]bool, entries []batches.LogEntry) {
@@ -369,8 +380,8 @@
 	}
 }
 
-// keptResults answers from a listing that was kept. It may lack what another host
-// listed later, so it never says that there is nothing at a position.
+// keptResults answers from a listing that was kept. Unless it is final it may lack what
+// another host listed later, so then it never says that there is nothing at a position.
 func (s *Batches) keptResults(id string, after int) (Page, error) {
 	s.mu.Lock()
 	l := s.kept[id]
@@ -378,7 +389,8 @@
 	if l == nil {
 		return Page{}, errNotHere
 	}
-	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 {
+	final := l.final()
+	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 || final {
 		return page, nil
 	}
 	return Page{}, errNotHere
@@ -400,7 +412,7 @@
 	ticker := time.NewTicker(takeoverTick)
 	defer ticker.Stop()
 	for {
-		if pause := time.Since(listed); listed.IsZero() || pause > relistEvery {
+		if listed.IsZero() || time.Since(listed) > relistEvery && s.lists() {
 			if _, err := s.store.listManifests(ctx); err == nil {
 				listed = time.Now()
 			} else {
@@ -422,6 +434,11 @@
 	}
 }
 
+// lists reports whether this host lists the manifests for all.
+func (s *Batches) lists() bool {
+	return s.successor(storedManifest{Manifest: batches.Manifest{ID: listSubject}})
+}
+
 // successor reports whether this host takes over a batch from an owner that is gone.
 func (s *Batches) successor(m storedManifest) bool {
 	if _, alive := s.peers.Get(m.Owner); alive || s.draining() {
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -34,14 +34,14 @@
 	// endpointPoll is the pause between readings of the endpoints by the host that
 	// reads for all: draining endpoints must get no new work within some seconds, and a
 	// store that drops its history leaves watches without events for that long.
-	endpointPoll = 350 * time.Millisecond
+	endpointPoll = 450 * time.Millisecond
 	// configPoll is that pause for the configuration, well below the time in which an
 	// accepted one must be in force.
-	configPoll = 700 * time.Millisecond
+	configPoll = 900 * time.Millisecond
 	// staleAfter is the age of the newest known reading at which any host reads itself;
 	// staleStep spreads the hosts that do.
-	staleAfter = 900 * time.Millisecond
-	staleStep  = 150 * time.Millisecond
+	staleAfter = 1100 * time.Millisecond
+	staleStep  = 100 * time.Millisecond
 	// feedTick is the pause between looks at the age of what is known.
 	feedTick = 50 * time.Millisecond
 	// fetchSlack is how much newer a peer's reading must be to be of use.
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -122,7 +122,7 @@
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: part("forward"), metrics: n.Metrics}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store), outage: store.OutageFor, peers: n.peers, calls: calls,
-		catalog: n.Catalog, log: part("batches"), active: map[string]*activeBatch{}, kept: map[string]*listing{}, groups: newRecentGroups(), adopting: map[string]bool{},
+		catalog: n.Catalog, log: part("batches"), active: map[string]*activeBatch{}, kept: map[string]*listing{}, groups: newRecentGroups(), announce: func() { n.membership.Announce() }, adopting: map[string]bool{},
 		runner: &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder, storeReachable: n.path.Reachable},
 	}
 	n.feed = NewFeed(feedDeps{
--- a/internal/transport/front/listing.go
+++ b/internal/transport/front/listing.go
@@ -19,6 +19,7 @@
 	provedAt time.Time
 	grown    chan struct{}
 	closed   bool
+	sealed   bool
 }
 
 func newListing(total int, entries []batches.LogEntry) *listing {
@@ -34,6 +35,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries++
+	l.sealed = l.sealed || e.Sealed
 	for _, r := range e.Results {
 		l.results = append(l.results, r)
 		l.listed[r.ID] = true
@@ -133,6 +135,13 @@
 	return len(l.results) >= l.total
 }
 
+// final reports whether nothing can be listed any more.
+func (l *listing) final() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sealed || len(l.results) >= l.total
+}
+
 // size approximates the memory that the results take, in bytes.
 func (l *listing) size() int {
 	l.mu.Lock()
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -174,7 +174,7 @@
 		b.groups.add(hashes)
 	}).Methods(http.MethodPost)
 	r.HandleFunc("/batches/{id}/end", func(_ http.ResponseWriter, r *http.Request) {
-		b.stop(mux.Vars(r)["id"], "ended by the trainer")
+		b.stopEnded(mux.Vars(r)["id"])
 	}).Methods(http.MethodPost)
 	r.HandleFunc("/batches/{id}/adopt", func(_ http.ResponseWriter, r *http.Request) {
 		go b.adopt(context.WithoutCancel(r.Context()), mux.Vars(r)["id"], "handed over")
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -26,7 +26,7 @@
 	runnerTick = 100 * time.Millisecond
 	// proveEvery is how often an owner makes sure that it still owns an open batch and
 	// that the trainer has not ended it.
-	proveEvery = 1500 * time.Millisecond
+	proveEvery = 2200 * time.Millisecond
 	// stallLimit is how long a stream may be silent: longer than a load of weights
 	// during which samples stand still.
 	stallLimit = 2200 * time.Millisecond
@@ -41,7 +41,7 @@
 	// paceEvents is the number of events over which an endpoint's pace is measured.
 	paceEvents = 6
 	// flushEvery is the least pause between two entries of a log.
-	flushEvery = 200 * time.Millisecond
+	flushEvery = 500 * time.Millisecond
 	// appendPause is the pause before an append that failed is tried again.
 	appendPause = 250 * time.Millisecond
 	// scoreTimeout bounds one try of a scoring request.
@@ -56,10 +56,9 @@
 	saveEvery = 1500 * time.Millisecond
 	// savedEvents is the number of events from which a sample's text is worth saving.
 	savedEvents = 25
-	// lastFlush replaces flushEvery once no more than lastSamples are unfinished: from
-	// then on the trainer waits for single samples.
-	lastFlush   = 50 * time.Millisecond
-	lastSamples = 16
+	// lastGroups is the number of groups that the trainer still waits for from which on
+	// each one is listed at once.
+	lastGroups = 4
 	// spareUrgency is added to the rank of samples that the trainer does not wait for.
 	spareUrgency = 1
 )
@@ -89,12 +88,10 @@
 	ends     chan attemptEnd
 	scores   chan scoreEnd
 	pending  chan []batches.Result
-	adopted  chan struct{}
-	// urgent says that the trainer has all groups that it waits for once the pending
-	// results are listed.
-	urgent atomic.Bool
-	// open is the number of unfinished samples.
-	open atomic.Int64
+	// complete is the number of complete groups when results were last passed on, and
+	// urgent asks for the pending ones to be listed now.
+	complete int
+	urgent   chan struct{}
 	// savedAt, saving and savedVersion belong to the saving of unfinished samples.
 	savedAt      time.Time
 	saving       atomic.Bool
@@ -106,8 +103,10 @@
 	proving atomic.Bool
 	proved  time.Time
 	stopped atomic.Bool
-	cancel  context.CancelFunc
-	ctx     context.Context
+	// ended says that the trainer wants no more.
+	ended  atomic.Bool
+	cancel context.CancelFunc
+	ctx    context.Context
 }
 
 type attempt struct {
@@ -145,7 +144,7 @@
 		ends:    make(chan attemptEnd, len(b.Samples)+1),
 		scores:  make(chan scoreEnd, len(b.Samples)+1),
 		pending: make(chan []batches.Result, len(b.Samples)+1),
-		adopted: make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
 		proved:  time.Now(),
 		savedAt: time.Now(),
 		resumed: entries != nil,
@@ -208,7 +207,6 @@
 func (a *activeBatch) runUntilDone(base context.Context) {
 	defer a.cancel()
 	a.run = batchrun.New(a.batch, a.options(), a.results.ids())
-	a.open.Store(int64(a.run.Open()))
 	a.restore()
 	written := make(chan struct{})
 	go func() {
@@ -223,7 +221,7 @@
 		select {
 		case <-a.ctx.Done():
 		case e := <-a.ends:
-			a.ended(e)
+			a.attemptEnded(e)
 			a.drainEnds()
 		case s := <-a.scores:
 			a.scored(s)
@@ -242,6 +240,9 @@
 	a.flush()
 	close(a.pending)
 	<-written
+	if a.ended.Load() {
+		a.seal(base)
+	}
 	a.results.close()
 	a.log.Info("A batch is done at this host.", "listed", len(a.results.ids()), "total", a.results.total,
 		"age_ms", time.Since(a.manifest.Accepted()).Milliseconds())
@@ -266,7 +267,7 @@
 	for {
 		select {
 		case e := <-a.ends:
-			a.ended(e)
+			a.attemptEnded(e)
 		default:
 			return
 		}
@@ -278,10 +279,14 @@
 	if len(results) == 0 {
 		return
 	}
-	a.open.Store(int64(a.run.Open()))
-	if a.run.CompleteGroups() >= a.batch.DesiredGroups {
-		a.urgent.Store(true)
+	complete := a.run.CompleteGroups()
+	if complete > a.complete && complete+lastGroups >= a.batch.DesiredGroups {
+		select {
+		case a.urgent <- struct{}{}:
+		default:
+		}
 	}
+	a.complete = complete
 	a.pending <- results // has room for every sample's result
 }
 
@@ -411,7 +416,7 @@
 	return batchrun.Interrupted, placement.Broke
 }
 
-func (a *activeBatch) ended(e attemptEnd) {
+func (a *activeBatch) attemptEnded(e attemptEnd) {
 	at := a.attempts[e.sample]
 	delete(a.attempts, e.sample)
 	a.run.Ended(time.Now(), e.sample, e.end, e.partial)
@@ -627,13 +632,9 @@
 
 // gather waits a little for more results, so that one entry takes them all.
 func (a *activeBatch) gather(queue []batches.Result) []batches.Result {
-	pause := flushEvery
-	if a.open.Load() <= lastSamples {
-		pause = lastFlush
-	}
-	timer := time.NewTimer(pause)
+	timer := time.NewTimer(flushEvery)
 	defer timer.Stop()
-	for !a.urgent.Load() {
+	for {
 		select {
 		case more, ok := <-a.pending:
 			if !ok {
@@ -642,15 +643,51 @@
 			queue = append(queue, more...)
 		case <-timer.C:
 			return queue
+		case <-a.urgent:
+			return a.drainPending(queue)
 		}
 	}
-	return queue
+}
+
+// drainPending takes the results that are there.
+func (a *activeBatch) drainPending(queue []batches.Result) []batches.Result {
+	for {
+		select {
+		case more, ok := <-a.pending:
+			if !ok {
+				return queue
+			}
+			queue = append(queue, more...)
+		default:
+			return queue
+		}
+	}
+}
+
+// seal appends the entry after which the log takes no more, once the batch is ended.
+func (a *activeBatch) seal(ctx context.Context) {
+	for !a.results.final() && ctx.Err() == nil {
+		number, first := a.results.next()
+		entry := batches.LogEntry{First: first, Sealed: true}
+		err := a.owner.store.append(ctx, a.manifest.ID, number, entry)
+		if errors.Is(err, objectapi.ErrConflict) {
+			if entry, err = a.owner.store.entry(ctx, a.manifest.ID, number); err == nil {
+				a.results.add(entry)
+				continue
+			}
+		}
+		if err != nil {
+			a.log.Warn("The log could not be sealed; readings go to the store.", "entry", number, "err", err)
+			return
+		}
+		a.results.add(entry)
+	}
 }
 
 // appendSome appends as many results as fit in one entry and returns the rest.
 func (a *activeBatch) appendSome(ctx context.Context, queue []batches.Result) []batches.Result {
 	queue = slices.DeleteFunc(queue, func(r batches.Result) bool { return a.results.has(r.ID) })
-	if len(queue) == 0 {
+	if len(queue) == 0 || a.results.final() {
 		return nil
 	}
 	n, size := 0, 0
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -33,9 +33,10 @@
 func (f *Fleet) Pick(q placement.Query) (catalog.Endpoint, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e, ok := f.table.Pick(time.Now(), q, rand.Uint64())
+	now := time.Now()
+	e, ok := f.table.Pick(now, q, rand.Uint64())
 	if ok {
-		f.table.Begin(e.ID)
+		f.table.Begin(now, e.ID)
 	}
 	return e, ok
 }
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -33,7 +33,7 @@
 	// another host takes it: its holder may have taken it just now.
 	leaseSettle = 1500 * time.Millisecond
 	// targetPoll is the pause between readings of the named versions.
-	targetPoll = time.Second
+	targetPoll = 2 * time.Second
 	// statusRetry is the pause before a status that could not be written is tried again.
 	statusRetry = 500 * time.Millisecond
 )
