List results in larger groups, the decisive ones at once

Cause: a trainer that is answered with a few results asks again only after about half a second, so the entry that completed its step was read up to 0.7 s late when a smaller one had just been listed.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -390,6 +390,20 @@
 	return n
 }
 
+// Satisfied reports whether the trainer has all that it waits for: as many complete
+// groups as it asked for, and every carried one.
+func (r *Run) Satisfied() bool {
+	if r.CompleteGroups() < r.batch.DesiredGroups {
+		return false
+	}
+	for name, g := range r.groups {
+		if g.open > 0 && r.opt.Carried[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // Open returns the number of samples that have not ended.
 func (r *Run) Open() int { return r.open }
 
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -40,7 +40,9 @@
 	minStay = 500 * time.Millisecond
 	// paceEvents is the number of events over which an endpoint's pace is measured.
 	paceEvents = 6
-	// flushEvery is the least pause between two entries of a log.
+	// flushEvery is how long results are gathered for one entry of a log, unless they are
+	// the last that the trainer waits for. A trainer that is answered with a few results
+	// asks again only after a pause, so fewer and larger entries reach it sooner.
 	flushEvery = 500 * time.Millisecond
 	// appendPause is the pause before an append that failed is tried again.
 	appendPause = 250 * time.Millisecond
@@ -56,9 +58,6 @@
 	saveEvery = 1500 * time.Millisecond
 	// savedEvents is the number of events from which a sample's text is worth saving.
 	savedEvents = 25
-	// lastGroups is the number of groups that the trainer still waits for from which on
-	// each one is listed at once.
-	lastGroups = 4
 	// spareUrgency is added to the rank of samples that the trainer does not wait for.
 	spareUrgency = 1
 )
@@ -88,10 +87,8 @@
 	ends     chan attemptEnd
 	scores   chan scoreEnd
 	pending  chan []batches.Result
-	// complete is the number of complete groups when results were last passed on, and
-	// urgent asks for the pending ones to be listed now.
-	complete int
-	urgent   chan struct{}
+	// urgent asks for the pending results to be listed now: the trainer waits for them.
+	urgent chan struct{}
 	// savedAt, saving and savedVersion belong to the saving of unfinished samples.
 	savedAt      time.Time
 	saving       atomic.Bool
@@ -279,14 +276,12 @@
 	if len(results) == 0 {
 		return
 	}
-	complete := a.run.CompleteGroups()
-	if complete > a.complete && complete+lastGroups >= a.batch.DesiredGroups {
+	if a.run.Satisfied() {
 		select {
 		case a.urgent <- struct{}{}:
 		default:
 		}
 	}
-	a.complete = complete
 	a.pending <- results // has room for every sample's result
 }
 
