Doubt a vanished endpoint only when nobody could read the store

Entries lapse only while the store is away for everybody. The trigger now is a gap of 2.2 s in all hosts' readings.

--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -46,10 +46,13 @@
 	feedTick = 50 * time.Millisecond
 	// fetchSlack is how much newer a peer's reading must be to be of use.
 	fetchSlack = 100 * time.Millisecond
-	// lapseHold is how long an entry that vanished around a disturbance of the store
+	// lapseAfter is the time without any host's reading after which entries may have
+	// lapsed: endpoints report every 1.2 s and lapse after three reports.
+	lapseAfter = 2200 * time.Millisecond
+	// lapseHold is how long an endpoint whose entry vanished while the store was away
 	// is still used: living endpoints are back about two seconds after its return.
 	lapseHold = 2500 * time.Millisecond
-	// lapseWindow is how long after a disturbance a removal may be such a lapse.
+	// lapseWindow is how long after the store's return a removal may be such a lapse.
 	lapseWindow = 3 * time.Second
 	// feedSubject ranks the hosts as readers of the store.
 	feedSubject = "feed"
@@ -90,6 +93,8 @@
 	endpointsAt time.Duration
 	configAt    time.Duration
 	digest      uint64
+	// lapsesUntil is the end of the time in which a missing entry may have lapsed.
+	lapsesUntil time.Time
 	// held are endpoints whose entries may only have lapsed, with the end of that doubt.
 	held map[string]time.Time
 	// foreign are entries that are no endpoints' own, each logged once.
@@ -203,7 +208,7 @@
 	return out
 }
 
-// take puts a reading in force. An endpoint that vanished around a disturbance of the
+// take puts a reading in force. An endpoint that vanished while nobody could read the
 // store stays for a while: its entry may only have lapsed.
 func (f *Feed) take(endpoints []catalog.Endpoint, readAt time.Duration) {
 	listed := make(map[string]bool, len(endpoints))
@@ -212,8 +217,11 @@
 	}
 	var known []catalog.Endpoint
 	f.fleet.With(func(t *placement.Table) { known = t.All() })
-	disturbed := f.path.DisturbedWithin(lapseWindow)
 	f.mu.Lock()
+	if f.endpointsAt != 0 && readAt-f.endpointsAt > lapseAfter {
+		f.lapsesUntil = time.Now().Add(lapseWindow)
+	}
+	mayLapse := time.Now().Before(f.lapsesUntil)
 	for id := range listed {
 		delete(f.held, id)
 	}
@@ -222,7 +230,7 @@
 			continue
 		}
 		until, ok := f.held[e.ID]
-		if !ok && disturbed {
+		if !ok && mayLapse {
 			until, ok = time.Now().Add(lapseHold), true
 			f.held[e.ID] = until
 		}
--- a/internal/transport/front/storepath.go
+++ b/internal/transport/front/storepath.go
@@ -36,8 +36,6 @@
 	probing   bool
 	probedAt  time.Time
 	next      int
-	// disturbedAt is the time of the last failure on either path.
-	disturbedAt time.Time
 }
 
 var _ objectapi.API = (*StorePath)(nil)
@@ -59,13 +57,6 @@
 	return !p.failing
 }
 
-// DisturbedWithin reports whether a call failed in the last d.
-func (p *StorePath) DisturbedWithin(d time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.failing || !p.disturbedAt.IsZero() && time.Since(p.disturbedAt) < d
-}
-
 // choose returns the path for the next call.
 func (p *StorePath) choose() (api objectapi.API, direct bool) {
 	p.mu.Lock()
@@ -110,9 +101,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if failed(err) {
-		p.disturbedAt = time.Now()
-	}
 	if !direct {
 		return
 	}
