--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -51,6 +51,9 @@
 	EndpointsDigest uint64 `cbor:"15,keyasint"`
 	EndpointsAgeMs  int64  `cbor:"16,keyasint"`
 	ConfigAgeMs     int64  `cbor:"17,keyasint"`
+	// Peers are the addresses of the hosts that the sender knows; only greetings
+	// have them.
+	Peers []string `cbor:"18,keyasint,omitempty"`
 	// Hello asks the receiver for a heartbeat at once.
 	Hello bool `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -103,12 +103,15 @@
 	m.peers.mu.Unlock()
 	targets = append(targets, *m.seeds.Load()...)
 	slices.Sort(targets)
-	m.sendTo(slices.Compact(targets), false)
+	m.sendTo(slices.Compact(targets), nil)
 }
 
-func (m *Membership) sendTo(targets []string, hello bool) {
+// sendTo sends a heartbeat, changed as alter says, to the hosts at the targets.
+func (m *Membership) sendTo(targets []string, alter func(*presence.Heartbeat)) {
 	h := m.heartbeat()
-	h.Hello = hello
+	if alter != nil {
+		alter(&h)
+	}
 	b, err := cbor.Marshal(h)
 	if err != nil || len(b) > maxHeartbeatBytes {
 		// Loads only improve choices; the rest must get through.
@@ -162,10 +165,25 @@
 	if appeared {
 		m.log.Info("A host is alive.", "host", h.Host, "address", h.PeerAddress, "incarnation", h.Incarnation)
 	}
+	m.greet(h, appeared)
+	m.heard(h, appeared)
+}
+
+func hello(h *presence.Heartbeat) { h.Hello = true }
+
+// greet answers a host that appeared or asks for an answer, and greets the hosts that
+// it names and that this host does not know.
+func (m *Membership) greet(h presence.Heartbeat, appeared bool) {
+	m.peers.mu.Lock()
+	known := m.peers.table.Addresses(time.Now())
+	m.peers.mu.Unlock()
 	if appeared || h.Hello {
-		m.sendTo([]string{h.PeerAddress}, false)
+		m.sendTo([]string{h.PeerAddress}, func(own *presence.Heartbeat) { own.Peers, own.Hello = known, appeared })
+	}
+	unknown := slices.DeleteFunc(slices.Clone(h.Peers), func(a string) bool { return slices.Contains(known, a) })
+	if len(unknown) > 0 {
+		m.sendTo(unknown, hello)
 	}
-	m.heard(h, appeared)
 }
 
 // expire forgets the load of hosts that are silent.
@@ -241,6 +259,6 @@
 		seeds := append(slices.Clone(m.settings.Seeds), found...)
 		m.seeds.Store(&seeds)
 	}
-	m.sendTo(found, true)
+	m.sendTo(found, hello)
 	return true
 }
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -135,6 +135,28 @@
 	}
 }
 
+// Hosts that know only a common seed learn of each other from it, without the store.
+// Found by the incident inc-5741: two hosts that did not know each other both took the
+// weights lease.
+func TestHostsLearnOfEachOtherFromASeed(t *testing.T) {
+	w := newWorld(t)
+	seed := w.settings("h1")
+	w.startWith(seed)
+	var nodes []*testNode
+	for _, h := range []string{"h2", "h3"} {
+		s := w.settings(h)
+		s.Seeds = []string{seed.PeerAddress}
+		n := w.startWith(s)
+		n.path.refusing.Store(true) // no list of hosts
+		nodes = append(nodes, n)
+	}
+	w.until("the two know each other", func() bool {
+		_, a := nodes[0].peers.Get("h3")
+		_, b := nodes[1].peers.Get("h2")
+		return a && b
+	})
+}
+
 func TestAHostThatTheStoreTurnsAwayWorksThroughAPeer(t *testing.T) {
 	w := newWorld(t)
 	hosts := w.start("h1", "h2")
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -123,6 +123,8 @@
 		switch {
 		case w.FencingToken() != 0 && !w.ready():
 			w.lose("the host is stopping")
+		case w.FencingToken() != 0 && w.superseded():
+			w.lose("another host has a higher fencing token")
 		case w.FencingToken() != 0:
 			w.order(ctx)
 		case time.Since(began) > takeoverStart && w.falls():
@@ -131,6 +133,17 @@
 	}
 }
 
+// superseded reports whether a peer holds the lease with a higher fencing token.
+func (w *Weights) superseded() bool {
+	own := w.FencingToken()
+	for _, p := range w.peers.Alive() {
+		if p.FencingToken > own {
+			return true
+		}
+	}
+	return false
+}
+
 // resume takes the lease at once when this host held it before its restart.
 func (w *Weights) resume(ctx context.Context) {
 	o, err := w.store.Get(ctx, weightsLeaseKey)
