Tell all hosts which engines load weights

The holder of the weights lease names the loads in its heartbeats. Kept: engines get no requests that they must refuse.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -77,11 +77,13 @@
 	zone    string
 	entries map[string]*entry
 	byKey   map[uint32]*entry
+	// loading holds the ends of the loads in progress, by LoadKey.
+	loading map[uint32]time.Time
 }
 
 // NewTable returns an empty table for a host in zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32]*entry{}}
+	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32]*entry{}, loading: map[uint32]time.Time{}}
 }
 
 // Key is the short name of an endpoint in the hosts' messages.
@@ -91,6 +93,22 @@
 	return h.Sum32()
 }
 
+// LoadKey is the short name of a model's weights at an endpoint.
+func LoadKey(id, model string) uint32 { return Key(id + "\x00" + model) }
+
+// SetLoading says that an endpoint loads weights until then, and starts no sample of
+// the model meanwhile.
+func (t *Table) SetLoading(now time.Time, key uint32, until time.Time) {
+	for k, end := range t.loading {
+		if now.After(end) {
+			delete(t.loading, k)
+		}
+	}
+	if until.After(t.loading[key]) {
+		t.loading[key] = until
+	}
+}
+
 // Put adds an endpoint or replaces what is known of it. A new incarnation starts with
 // a clean record.
 func (t *Table) Put(e catalog.Endpoint) {
@@ -155,7 +173,7 @@
 	bestCost := math.Inf(1)
 	usual := t.usualPace(q.Service)
 	for _, e := range t.entries {
-		if !e.offers(&q) || q.FreeSlot && now.Before(e.refusedUntil) {
+		if !e.offers(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.loads(now, e, q.Model)) {
 			continue
 		}
 		cost := e.cost(now, t.zone, usual, random)
@@ -179,6 +197,13 @@
 	return best.endpoint, true
 }
 
+func (t *Table) loads(now time.Time, e *entry, model string) bool {
+	if len(t.loading) == 0 {
+		return false
+	}
+	return now.Before(t.loading[LoadKey(e.endpoint.ID, model)])
+}
+
 // ejectedCost is above any cost of an endpoint that is not left out.
 const ejectedCost = 1000
 
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -44,6 +44,10 @@
 		s.table.Measured(s.now, id, span)
 	case "eject":
 		s.table.Eject(s.now, id)
+	case "loading":
+		var model string
+		d.ScanArgs(t, "model", &model)
+		s.table.SetLoading(s.now, LoadKey(id, model), s.now.Add(span))
 	case "end":
 		ends := map[string]Failure{"ok": OK, "refused": Refused, "broke": Broke, "cancelled": Cancelled}
 		var how string
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -51,6 +51,9 @@
 	EndpointsDigest uint64 `cbor:"15,keyasint"`
 	EndpointsAgeMs  int64  `cbor:"16,keyasint"`
 	ConfigAgeMs     int64  `cbor:"17,keyasint"`
+	// LoadingMs says how much longer engines load weights, in milliseconds, by
+	// placement.LoadKey.
+	LoadingMs map[uint32]uint16 `cbor:"19,keyasint,omitempty"`
 	// Peers are the addresses of the hosts that the sender knows; only greetings
 	// have them.
 	Peers []string `cbor:"18,keyasint,omitempty"`
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -25,6 +25,9 @@
 	// reportLag is how long an accepted order may go unseen in the catalog before it
 	// is taken as lost. Loads take about a second, and the catalog shows them later.
 	reportLag = 4 * time.Second
+	// loadTime is how long an engine starts no samples of the model after it accepted an
+	// order.
+	loadTime = 900 * time.Millisecond
 	// retryAfter is the pause after an order that got no clear answer.
 	retryAfter = 400 * time.Millisecond
 )
@@ -42,6 +45,25 @@
 	model    string
 }
 
+// Load is a load in progress.
+type Load struct {
+	Endpoint string
+	Model    string
+	// Until is when it should be over.
+	Until time.Time
+}
+
+// Loads returns the loads in progress.
+func (p *Plan) Loads(now time.Time) []Load {
+	var out []Load
+	for k, s := range p.sent {
+		if until := s.until.Add(loadTime - reportLag); s.accepted && now.Before(until) {
+			out = append(out, Load{Endpoint: k.endpoint, Model: k.model, Until: until})
+		}
+	}
+	return out
+}
+
 type sent struct {
 	version     int
 	incarnation int64
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
@@ -129,7 +130,7 @@
 	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
-		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, reachable: n.path.Reachable, log: part("weights"),
+		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, announce: func() { n.membership.Announce() }, reachable: n.path.Reachable, log: part("weights"),
 	}
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, fleet: fleet, store: store, stale: p.Stale,
@@ -164,6 +165,13 @@
 	h.FencingToken = n.weights.FencingToken()
 	h.Batches = n.Batches.Owned()
 	n.feed.Describe(h)
+	now := time.Now()
+	for _, l := range n.weights.Loads(now) {
+		if h.LoadingMs == nil {
+			h.LoadingMs = map[uint32]uint16{}
+		}
+		h.LoadingMs[placement.LoadKey(l.Endpoint, l.Model)] = uint16(l.Until.Sub(now).Milliseconds())
+	}
 }
 
 // rank returns this host's place in the order of the duty named subject.
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -161,7 +161,13 @@
 	if !accepted {
 		return
 	}
-	m.fleet.With(func(t *placement.Table) { t.SetPeer(h.Host, h.Loads) })
+	m.fleet.With(func(t *placement.Table) {
+		now := time.Now()
+		t.SetPeer(h.Host, h.Loads)
+		for key, ms := range h.LoadingMs {
+			t.SetLoading(now, key, now.Add(time.Duration(ms)*time.Millisecond))
+		}
+	})
 	if appeared {
 		m.log.Info("A host is alive.", "host", h.Host, "address", h.PeerAddress, "incarnation", h.Incarnation)
 	}
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -68,6 +68,8 @@
 	catalog  *Catalog
 	client   backend.Client
 	ready    func() bool
+	// announce tells the other hosts at once what engines load.
+	announce func()
 	// reachable reports whether the store serves this host directly.
 	reachable func() bool
 	log       *slog.Logger
@@ -286,6 +288,17 @@
 		}()
 	}
 	sends.Wait()
+	w.announce()
+}
+
+// Loads returns the loads that this host has ordered and that should still be going on.
+func (w *Weights) Loads(now time.Time) []upgrades.Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancel == nil {
+		return nil
+	}
+	return w.plan.Loads(now)
 }
 
 // renew makes sure that this host still holds the lease.
@@ -357,6 +370,9 @@
 		w.plan.Unclear(time.Now(), s)
 	case state == backend.OrderAccepted:
 		w.plan.Accepted(time.Now(), s)
+		for _, l := range w.plan.Loads(time.Now()) {
+			w.fleet.With(func(t *placement.Table) { t.SetLoading(time.Now(), placement.LoadKey(l.Endpoint, l.Model), l.Until) })
+		}
 		w.orders[s.Endpoint.ID] = orderCount{incarnation: s.Endpoint.Incarnation, count: orders + 1}
 	default:
 		w.plan.Accepted(time.Now(), s)
