Release the weights lease at a planned stop

Cause: after a planned stop of the holder the next host waited for 1.5 s to be sure that the lease was unclaimed and for 3.6 s more, so engines got no orders for 5.2 s; a rolling stop of all hosts did that twice. A stopping holder now releases the lease and says how long ago its last order was.

--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -317,6 +317,64 @@
 	checkOrders(t, w.engines.received, 300*time.Millisecond)
 }
 
+func TestAStoppingHolderReleasesTheWeightsLease(t *testing.T) {
+	w := newWorld(t)
+	w.engines.loaded = w.report
+	hosts := w.start("h1", "h2")
+	w.put("models/m", 2)
+	w.until("an engine is ordered", func() bool {
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		return len(w.engines.received) > 0
+	})
+	holder, other := hosts[0], hosts[1]
+	if holder.weights.FencingToken() == 0 {
+		holder, other = other, holder
+	}
+	delete(w.nodes, holder.Settings.Host)
+	stopped := make(chan error, 1)
+	go func() { stopped <- holder.Stop(background) }()
+	w.until("the other host holds it while the first still drains", func() bool { return other.weights.FencingToken() != 0 })
+	if holder.weights.FencingToken() != 0 {
+		t.Error("both hosts hold the lease")
+	}
+	w.put("models/m", 3)
+	w.until("version 3 is loaded", func() bool {
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		return w.engines.versions["e0"] == 3 && w.engines.versions["e1"] == 3 && w.engines.versions["e2"] == 3
+	})
+	w.engines.mu.Lock()
+	checkOrders(t, w.engines.received, other.Settings.Lease)
+	w.engines.mu.Unlock()
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A holder that never ordered passes on the distance that it had to keep itself.
+func TestAReleaseCountsTheOrdersOfFormerHolders(t *testing.T) {
+	lease := 3 * time.Second
+	w := &Weights{settings: Settings{Host: "h2", Lease: lease}}
+	for _, c := range []struct {
+		former leaseRecord
+		want   time.Duration
+	}{
+		{leaseRecord{}, 0},
+		{leaseRecord{Holder: "h2"}, 0},
+		{leaseRecord{Holder: "h1"}, lease + leaseValidity},
+		{leaseRecord{Holder: "h1", Released: true}, lease},
+		{leaseRecord{Holder: "h1", Released: true, LastOrderAgoMs: 1000}, 2 * time.Second},
+		{leaseRecord{Holder: "h1", Released: true, LastOrderAgoMs: 9000}, 0},
+		// The former holder took the lease just before and was still waiting itself.
+		{leaseRecord{Holder: "h1", Released: true, LastOrderAgoMs: -500}, lease + 500*time.Millisecond},
+	} {
+		if got := w.distance(c.former); got != c.want {
+			t.Errorf("%+v: waits %v, not %v", c.former, got, c.want)
+		}
+	}
+}
+
 // checkOrders fails when two holders share a fencing token, a token goes back, or the
 // orders of two holders are closer than the lease.
 func checkOrders(t *testing.T, orders []order, lease time.Duration) {
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -43,6 +43,10 @@
 	Holder string `json:"holder"`
 	// FencingToken grows with each change of the holder or of its process.
 	FencingToken uint64 `json:"fencing_token"`
+	// Released says that the holder sends no more orders, and LastOrderAgoMs how long
+	// before the release it sent the last one, in milliseconds.
+	Released       bool  `json:"released,omitempty"`
+	LastOrderAgoMs int64 `json:"last_order_ago_ms,omitempty"`
 }
 
 // orderCount is the number of orders that an incarnation of an engine has accepted.
@@ -82,6 +86,9 @@
 	proved    time.Duration
 	notBefore time.Time
 	cancel    context.CancelFunc
+	// orderedAt is the boot time of the last order that this or a former holder may have
+	// sent.
+	orderedAt time.Duration
 	// orders are the counts of engines that this host has ordered.
 	orders map[string]orderCount
 	seen   uint64
@@ -118,13 +125,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			w.lose("the host is stopping")
+			w.lose("the process ends")
 			return
 		case <-ticker.C:
 		}
 		switch {
 		case w.FencingToken() != 0 && !w.ready():
-			w.lose("the host is stopping")
+			w.release(ctx)
 		case w.FencingToken() != 0 && w.superseded():
 			w.lose("another host has a higher fencing token")
 		case w.FencingToken() != 0:
@@ -188,7 +195,7 @@
 		w.log.Warn("The weights lease cannot be read.", "err", err)
 		return
 	}
-	if _, alive := w.peers.Get(present.Holder); alive && !w.unclaimed(o.Version) {
+	if _, alive := w.peers.Get(present.Holder); alive && !present.Released && !w.unclaimed(o.Version) {
 		return
 	}
 	next := leaseRecord{Holder: w.settings.Host, FencingToken: present.FencingToken + 1}
@@ -203,14 +210,23 @@
 		w.log.Warn("The weights lease could not be taken.", "err", err)
 		return
 	}
-	wait := time.Duration(0)
-	if present.Holder != "" && present.Holder != w.settings.Host {
-		wait = w.settings.Lease + leaseValidity
-	}
-	w.hold(next, version, sent, wait)
+	wait := w.distance(present)
+	w.hold(next, version, sent, wait, present.Holder)
 	w.log.Info("The weights lease is taken.", "fencing_token", next.FencingToken, "former", present.Holder, "wait_ms", wait.Milliseconds())
 }
 
+// distance returns how long this host must wait before its first order, so that it is
+// far enough from the last one that the former holder may have sent.
+func (w *Weights) distance(former leaseRecord) time.Duration {
+	switch {
+	case former.Holder == "" || former.Holder == w.settings.Host:
+		return 0
+	case former.Released:
+		return max(w.settings.Lease-time.Duration(former.LastOrderAgoMs)*time.Millisecond, 0)
+	}
+	return w.settings.Lease + leaseValidity
+}
+
 // unclaimed reports whether the lease has had this version for a while.
 func (w *Weights) unclaimed(version uint64) bool {
 	if w.seen != version {
@@ -220,12 +236,17 @@
 	return time.Since(w.seenAt) > leaseSettle
 }
 
-func (w *Weights) hold(l leaseRecord, version uint64, sent, wait time.Duration) {
+// hold starts the duties of the holder. Its first order is sent after wait.
+func (w *Weights) hold(l leaseRecord, version uint64, sent, wait time.Duration, former string) {
+	formerOrder := sinceBoot() + wait - w.settings.Lease
+	if former == w.settings.Host {
+		formerOrder = sinceBoot() // this host's former process may have ordered just now
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
 	w.lease, w.version, w.proved = l, version, sent
 	w.notBefore = time.Now().Add(wait)
-	w.plan, w.cancel, w.orders = upgrades.NewPlan(), cancel, map[string]orderCount{}
+	w.plan, w.cancel, w.orders, w.orderedAt = upgrades.NewPlan(), cancel, map[string]orderCount{}, formerOrder
 	w.mu.Unlock()
 	go func() { _ = w.store.Follow(ctx, w.decoder.ModelPrefix(), targetFollower{w}) }()
 	go w.pollTargets(ctx)
@@ -248,6 +269,26 @@
 	}
 }
 
+// release gives the lease up for good, so that its next holder need not doubt it.
+func (w *Weights) release(ctx context.Context) {
+	w.lose("the host is stopping")
+	w.mu.Lock()
+	last, version := w.lease, w.version
+	last.LastOrderAgoMs = (sinceBoot() - w.orderedAt).Milliseconds()
+	w.mu.Unlock()
+	last.Released = true
+	value, err := batches.Encode(last)
+	if err != nil {
+		w.log.Error("The weights lease cannot be encoded.", "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
+	if _, err := w.store.Put(ctx, weightsLeaseKey, value, version); err != nil {
+		w.log.Warn("The weights lease could not be released; its next holder waits for its end.", "err", err)
+	}
+}
+
 func (w *Weights) lose(why string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -347,6 +388,9 @@
 	if !valid {
 		return
 	}
+	w.mu.Lock()
+	w.orderedAt = sinceBoot()
+	w.mu.Unlock()
 	state, err := w.client.Order(ctx, backend.Order{
 		Endpoint: s.Endpoint, Model: s.Model, Version: s.Version, KeepRunning: w.keepRunning(s.Endpoint.Service),
 		Holder: lease.Holder, FencingToken: lease.FencingToken, ExpectOrders: orders,
