--- a/cmd/oleanderfall/main.go
+++ b/cmd/oleanderfall/main.go
@@ -26,7 +26,7 @@
 const (
 	exitSettings = 2
 	// gcPercent trades processor time for memory, which is the dearer of the two.
-	gcPercent = 50
+	gcPercent = 25
 	// memoryShare is the part of the host's memory at which the collector runs as often
 	// as it must.
 	memoryShare = 0.7
--- a/internal/protocol/objectapi/envelope.go
+++ b/internal/protocol/objectapi/envelope.go
@@ -40,11 +40,13 @@
 	for _, r := range h.Replaced {
 		e.Replaced = append(e.Replaced, replaced{Version: r.Version, Writer: r.Stamp.Writer, Sequence: r.Stamp.Sequence})
 	}
-	b, err := cbor.Marshal(e)
-	if err != nil {
+	// One buffer of the right size: values are large.
+	out := bytes.NewBuffer(make([]byte, 0, len(payload)+envelopeBytes))
+	out.Write(envelopeMark)
+	if err := cbor.NewEncoder(out).Encode(e); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return append(bytes.Clone(envelopeMark), b...), nil
+	return out.Bytes(), nil
 }
 
 // unseal splits a stored value. A value that another program wrote without an
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -15,7 +15,7 @@
 
 const (
 	// keptBytesMax bounds the listings that are kept after their batches, in bytes.
-	keptBytesMax = 6 << 20
+	keptBytesMax = 3 << 20
 	// maxPageBytes bounds the results of one answer.
 	maxPageBytes = 900 << 10
 	// storePatience bounds how long a caller's call may wait for the store.
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -56,8 +56,9 @@
 	// saveEvery is the pause between savings of the text of unfinished samples, so that
 	// their next owner need not generate it again.
 	saveEvery = 1500 * time.Millisecond
-	// savedEvents is the number of events from which a sample's text is worth saving.
-	savedEvents = 25
+	// savedEvents is the number of events from which a sample's text is worth saving:
+	// about two seconds of an engine's work.
+	savedEvents = 50
 	// spareUrgency is added to the rank of samples that the trainer does not wait for.
 	spareUrgency = 1
 )
