Save everything under way before a batch is handed over

A planned stop now saves from 5 events on and waits for it. After a lost answer the saved object's version is read again.

--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -59,6 +59,8 @@
 	// savedEvents is the number of events from which a sample's text is worth saving:
 	// about two seconds of an engine's work.
 	savedEvents = 50
+	// handedEvents is the same when the batch is handed over, which happens once.
+	handedEvents = 5
 	// spareUrgency is added to the rank of samples that the trainer does not wait for.
 	spareUrgency = 1
 )
@@ -92,7 +94,7 @@
 	urgent chan struct{}
 	// savedAt, saving and savedVersion belong to the saving of unfinished samples.
 	savedAt      time.Time
-	saving       atomic.Bool
+	saving       sync.Mutex
 	savedVersion uint64
 	// carried are the groups that an earlier batch left unfinished, as far as known.
 	carried map[string]bool
@@ -230,7 +232,7 @@
 		a.flush()
 	}
 	if a.stopped.Load() && a.owner.draining() {
-		a.save()
+		a.saveNow()
 	}
 	for _, at := range a.attempts {
 		at.cancel()
@@ -485,7 +487,7 @@
 	}
 	if now.Sub(a.savedAt) > saveEvery {
 		a.savedAt = now
-		a.save()
+		a.saveSoon()
 	}
 	var stalled []string
 	for _, at := range a.attempts {
@@ -505,43 +507,72 @@
 	}
 }
 
-// save writes the text of unfinished samples to the store, the longest first.
-func (a *activeBatch) save() {
+// saveSoon saves unfinished samples without waiting for the store. It does nothing while
+// an earlier saving is under way.
+func (a *activeBatch) saveSoon() {
+	samples := a.unfinished(savedEvents)
+	if len(samples) == 0 || !a.saving.TryLock() {
+		return
+	}
+	go func() {
+		defer a.saving.Unlock()
+		a.save(samples)
+	}()
+}
+
+// saveNow saves unfinished samples before the batch is handed over.
+func (a *activeBatch) saveNow() {
+	samples := a.unfinished(handedEvents)
+	a.saving.Lock()
+	defer a.saving.Unlock()
+	a.save(samples)
+}
+
+// unfinished returns the text of unfinished samples of some length, the longest first
+// and as many as one object holds.
+func (a *activeBatch) unfinished(minEvents int) []savedSample {
 	var samples []savedSample
 	for i, at := range a.attempts {
 		at.mu.Lock()
-		if at.partial.Events >= savedEvents {
+		if at.partial.Events >= minEvents {
 			samples = append(samples, savedSample{ID: a.run.Sample(i).ID, Partial: at.partial.Clone()})
 		}
 		at.mu.Unlock()
 	}
 	for i := range a.batch.Samples {
-		if p, ok := a.run.Waiting(i); ok && p.Events >= savedEvents {
+		if p, ok := a.run.Waiting(i); ok && p.Events >= minEvents {
 			samples = append(samples, savedSample{ID: a.run.Sample(i).ID, Partial: p})
 		}
 	}
-	if len(samples) == 0 || !a.saving.CompareAndSwap(false, true) {
-		return
-	}
 	slices.SortFunc(samples, func(x, y savedSample) int { return cmp.Compare(y.Partial.Events, x.Partial.Events) })
 	size := 0
 	for n := range samples {
 		if size += len(samples[n].Partial.Text); size > maxPartBytes {
-			samples = samples[:n]
-			break
+			return samples[:n]
 		}
 	}
-	go func() {
-		defer a.saving.Store(false)
-		ctx, cancel := context.WithTimeout(a.owner.base, storePatience)
-		defer cancel()
-		version, err := a.owner.store.savePartials(ctx, a.manifest.ID, samples, a.savedVersion)
-		if err != nil {
-			a.log.Warn("Unfinished samples could not be saved.", "count", len(samples), "err", err)
-			return
+	return samples
+}
+
+// save replaces what is saved. The caller holds saving.
+func (a *activeBatch) save(samples []savedSample) {
+	if len(samples) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.owner.base, storePatience)
+	defer cancel()
+	version, err := a.owner.store.savePartials(ctx, a.manifest.ID, samples, a.savedVersion)
+	if errors.Is(err, objectapi.ErrConflict) {
+		// An earlier write whose answer was lost, or a former owner's.
+		if _, a.savedVersion, err = a.owner.store.partials(ctx, a.manifest.ID); err == nil {
+			version, err = a.owner.store.savePartials(ctx, a.manifest.ID, samples, a.savedVersion)
 		}
-		a.savedVersion = version
-	}()
+	}
+	if err != nil {
+		a.log.Warn("Unfinished samples could not be saved.", "count", len(samples), "err", err)
+		return
+	}
+	a.savedVersion = version
 }
 
 // restore takes up what an earlier owner saved.
