Remove ended batches after their retention

Nothing of ours in the store expires by itself: the host that lists the manifests deletes batches that ended and whose retention has passed, the manifest first.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -35,6 +35,8 @@
 	// relistEvery is the pause between readings of all manifests, which find batches
 	// whose owner died before a peer heard of them.
 	relistEvery = 8 * time.Second
+	// removeSlack is kept on top of the retention, since hosts' times of day differ.
+	removeSlack = 20 * time.Second
 	// listSubject ranks the hosts as listers of the manifests.
 	listSubject = "batches"
 	// relistRetry is that pause while the store does not answer.
@@ -413,8 +415,9 @@
 	defer ticker.Stop()
 	for {
 		if listed.IsZero() || time.Since(listed) > relistEvery && s.lists() {
-			if _, err := s.store.listManifests(ctx); err == nil {
+			if all, err := s.store.listManifests(ctx); err == nil {
 				listed = time.Now()
+				s.removeOld(ctx, all)
 			} else {
 				s.log.Warn("The batches cannot be listed.", "err", err)
 				listed = time.Now().Add(relistRetry - relistEvery)
@@ -434,6 +437,20 @@
 	}
 }
 
+// removeOld deletes ended batches that nobody can ask for any more. One host does it.
+func (s *Batches) removeOld(ctx context.Context, all []storedManifest) {
+	for _, m := range all {
+		if !m.Ended || time.Since(m.Accepted()) < s.settings.Retention+removeSlack || !s.lists() {
+			continue
+		}
+		if err := s.store.remove(ctx, m); err != nil {
+			s.log.Warn("An old batch could not be removed whole.", "batch", m.ID, "err", err)
+			continue
+		}
+		s.log.Info("An old batch is removed.", "batch", m.ID, "accepted", m.Accepted())
+	}
+}
+
 // lists reports whether this host lists the manifests for all.
 func (s *Batches) lists() bool {
 	return s.successor(storedManifest{Manifest: batches.Manifest{ID: listSubject}})
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -263,3 +263,41 @@
 	}
 	return out, o.Version, nil
 }
+
+// remove deletes an ended batch. The manifest goes first: a batch without one does not
+// exist, while one with half a log would show less than it did before.
+func (s *batchStore) remove(ctx context.Context, m storedManifest) error {
+	if err := s.api.Delete(ctx, batches.ManifestKey(m.ID), m.version); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	delete(s.cache, m.ID)
+	delete(s.starts, m.ID)
+	s.mu.Unlock()
+	keys := []string{batches.PartialsKey(m.ID)}
+	for n := range m.Parts {
+		keys = append(keys, batches.PartKey(m.ID, m.Digest, n))
+	}
+	for _, key := range keys {
+		if _, err := s.removeObject(ctx, key); err != nil {
+			return err
+		}
+	}
+	for n := 0; ; n++ {
+		if found, err := s.removeObject(ctx, batches.LogKey(m.ID, n)); err != nil || !found {
+			return err
+		}
+	}
+}
+
+// removeObject deletes an object as it is; found tells whether there was one.
+func (s *batchStore) removeObject(ctx context.Context, key string) (found bool, err error) {
+	o, err := s.api.Get(ctx, key)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, s.api.Delete(ctx, key, o.Version)
+}
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -191,6 +192,42 @@
 	}
 }
 
+func TestAnOldBatchIsRemovedWholeAndAnOpenOneIsKept(t *testing.T) {
+	w := newWorld(t)
+	n := w.start("h1")[0]
+	for _, id := range []string{"old", "open"} {
+		if err := n.Batches.Submit(background, batch(id, 2, 3)); err != nil {
+			t.Fatal(err)
+		}
+		w.readAll(n, id)
+	}
+	if err := n.Batches.End(background, "old"); err != nil {
+		t.Fatal(err)
+	}
+	all, err := n.Batches.store.listManifests(background)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range all {
+		all[i].AcceptedUnixMs -= (n.Settings.Retention + removeSlack).Milliseconds()
+	}
+	n.Batches.removeOld(background, all)
+	if _, err := n.Batches.Results(background, "open", 0, 0); err != nil {
+		t.Errorf("the open batch reads as %v", err)
+	}
+	for _, prefix := range []string{"batches/", "batchparts/", "batchlogs/", "batchpartials/"} {
+		page, err := w.store.List(background, prefix, "", 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, o := range page.Objects {
+			if strings.Contains(o.Key, "old") {
+				t.Errorf("%s is left", o.Key)
+			}
+		}
+	}
+}
+
 func TestAPlannedStopHandsABatchOver(t *testing.T) {
 	w := newWorld(t)
 	hosts := w.start("h1", "h2")
