--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -177,16 +177,9 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+storePatience)
 	defer cancel()
-	if m, ok := s.store.cached(id); ok && m.Owner != s.settings.Host {
-		page, err := s.calls.Results(ctx, m.Owner, id, after, wait)
-		if err == nil {
-			return page, nil
-		}
-		s.log.Debug("A batch's owner does not answer.", "batch", id, "owner", m.Owner, "err", err)
-	}
-	m, err := s.fresh(ctx, id)
-	if err != nil {
-		return Page{}, err
+	m, page, err := s.askOwner(ctx, id, after, wait)
+	if err != nil || page != nil {
+		return orEmpty(page), err
 	}
 	for {
 		results, err := s.store.read(ctx, id, after, maxPageBytes)
@@ -204,6 +197,36 @@
 	}
 }
 
+func orEmpty(p *Page) Page {
+	if p == nil {
+		return Page{}
+	}
+	return *p
+}
+
+// askOwner asks the batch's owner for results, first the one that this host knows and
+// then the one that the store names. No page means that no owner answered.
+func (s *Batches) askOwner(ctx context.Context, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
+	m, known := s.store.cached(id)
+	asked := ""
+	if known && m.Owner != s.settings.Host {
+		asked = m.Owner
+		if page, err := s.calls.Results(ctx, asked, id, after, wait); err == nil {
+			return m, &page, nil
+		}
+	}
+	m, err := s.fresh(ctx, id)
+	if err != nil || m.Owner == s.settings.Host || m.Owner == asked {
+		return m, nil, err
+	}
+	page, err := s.calls.Results(ctx, m.Owner, id, after, wait)
+	if err != nil {
+		s.log.Debug("A batch's owner does not answer.", "batch", id, "owner", m.Owner, "err", err)
+		return m, nil, nil
+	}
+	return m, &page, nil
+}
+
 // ownResults answers for a batch that this host owns.
 func (s *Batches) ownResults(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
 	b := s.owned(id)
