--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -6,9 +6,11 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
@@ -16,10 +18,12 @@
 
 const (
 	// hedgeShare is when a second endpoint is asked for an idempotent request, in
-	// shares of its latency objective: late enough that few healthy ones are doubled.
-	hedgeShare = 1.2
+	// shares of its latency objective: early enough that its answer is in time, as a
+	// long run at one endpoint is seldom long at another. A budget keeps hedges to a
+	// share of the requests when all are slow.
+	hedgeShare = 0.6
 	// minHedge keeps very short objectives from doubling the load.
-	minHedge = 100 * time.Millisecond
+	minHedge = 60 * time.Millisecond
 	// noEndpointPause is the pause before endpoints are looked at again when none can
 	// be used.
 	noEndpointPause = 40 * time.Millisecond
@@ -63,8 +67,29 @@
 	client  backend.Client
 	log     *slog.Logger
 	metrics *Metrics
+
+	mu sync.Mutex
+	// hedges are the budgets of the services for asking a second endpoint.
+	hedges map[string]*retries.Budget
+}
+
+// hedgeBudget runs f on a service's budget.
+func (f *Forwarder) hedgeBudget(service string, use func(*retries.Budget) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.hedges[service]
+	if b == nil {
+		b = retries.NewBudget()
+		if f.hedges == nil {
+			f.hedges = map[string]*retries.Budget{}
+		}
+		f.hedges[service] = b
+	}
+	return use(b)
 }
 
+func earn(b *retries.Budget) bool { b.Earn(); return true }
+
 func refusal(code resultcode.Code, detail string) error {
 	e := &resultcode.Error{Code: code, Detail: detail}
 	if code.Info().Retry {
@@ -149,6 +174,9 @@
 	return c.err.Error()
 }
 
+// errOutrun ends an attempt when another endpoint, asked later, has answered.
+var errOutrun = errors.New("another endpoint answered first")
+
 type attemptResult struct {
 	endpoint catalog.Endpoint
 	answer   *backend.Answer
@@ -160,8 +188,8 @@
 // a second endpoint when the first one is late or fails; others only after an attempt
 // that certainly did not run.
 func (c *call) run(ctx context.Context) (*backend.Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the attempts that lost
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	idempotent := c.route.Kind == catalog.KindSafe
 	results := make(chan attemptResult, c.route.MaxAttempts)
 	pending := 0
@@ -185,13 +213,15 @@
 		case <-ctx.Done():
 			return nil, c.expired()
 		case <-hedge.C:
-			if idempotent && c.sent < c.route.MaxAttempts && c.tryStart(ctx, results) {
+			if idempotent && c.sent < c.route.MaxAttempts && c.f.hedgeBudget(c.service, (*retries.Budget).Spend) &&
+				c.tryStart(ctx, results, true) {
 				pending++
 			}
 		case r := <-results:
 			pending--
 			answer, again := c.judge(r, idempotent)
 			if answer != nil && !again {
+				cancel(errOutrun)
 				return answer, nil
 			}
 			if answer != nil {
@@ -210,7 +240,7 @@
 
 // start sends the request to an endpoint, waiting a little for one.
 func (c *call) start(ctx context.Context, results chan<- attemptResult) error {
-	for !c.tryStart(ctx, results) {
+	for !c.tryStart(ctx, results, false) {
 		waited := time.Since(c.began)
 		if c.sent == 0 && waited > time.Duration(refuseAfter*float64(c.route.Objective)) {
 			return c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
@@ -224,10 +254,12 @@
 	return nil
 }
 
-func (c *call) tryStart(ctx context.Context, results chan<- attemptResult) bool {
-	e, ok := c.f.fleet.Pick(placement.Query{Service: c.service, Avoid: c.tried})
+// tryStart sends the request to an endpoint if there is one, for a hedge only to one
+// that has room at once.
+func (c *call) tryStart(ctx context.Context, results chan<- attemptResult, hedge bool) bool {
+	e, ok := c.f.fleet.Pick(placement.Query{Service: c.service, Avoid: c.tried, FreeSlot: hedge})
 	if !ok {
-		if len(c.tried) > 0 {
+		if len(c.tried) > 0 && !hedge {
 			c.tried = nil // every endpoint was tried; the best one is tried again
 		}
 		return false
@@ -242,7 +274,12 @@
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
 		})
 		took := time.Since(began)
-		c.f.settle(e, err, ctx.Err() != nil, took)
+		if errors.Is(context.Cause(ctx), errOutrun) && err != nil {
+			// A silent endpoint shows only by this; two in a row leave it out for a while.
+			c.f.fleet.End(e.ID, placement.Broke, 0)
+		} else {
+			c.f.settle(e, err, ctx.Err() != nil, took)
+		}
 		results <- attemptResult{endpoint: e, answer: answer, err: err, took: took}
 	}()
 	return true
@@ -252,6 +289,7 @@
 func (f *Forwarder) settle(e catalog.Endpoint, err error, gaveUp bool, took time.Duration) {
 	switch {
 	case err == nil:
+		f.hedgeBudget(e.Service, earn)
 		f.fleet.End(e.ID, placement.OK, took)
 	case errors.Is(err, backend.ErrReplaced), errors.Is(err, backend.ErrUnreachable) && !gaveUp:
 		f.fleet.With(func(t *placement.Table) { t.Eject(time.Now(), e.ID) })
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
@@ -490,6 +492,52 @@
 	}
 }
 
+// A burst in which every endpoint is slow must not double itself.
+func TestHedgesStayAShareOfTheRequests(t *testing.T) {
+	w := newWorld(t)
+	w.put("endpoints/p1", catalog.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Zone: "a", Slots: 8})
+	n := w.start("h1")[0]
+	w.until("the endpoints are known", func() bool { return len(n.feed.State().Endpoints) == 5 })
+	release := make(chan struct{})
+	w.engines.do = func(backend.Request) (*backend.Answer, error) {
+		<-release
+		return &backend.Answer{Status: 200, Signature: "s"}, nil
+	}
+	route, err := n.Forwarder.Route("h", "/plain/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const requests = 60
+	ended := make(chan error, requests)
+	for i := range requests {
+		go func() {
+			_, err := n.Forwarder.Forward(background, route, &Inbound{ID: fmt.Sprint("r", i), Host: "h", Method: "POST", URI: "/plain/x", Path: "/plain/x"})
+			ended <- err
+		}()
+	}
+	w.until("all are sent", func() bool {
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		return len(w.engines.runs) == requests
+	})
+	time.Sleep(2 * time.Duration(hedgeShare*float64(route.Objective)))
+	w.engines.mu.Lock()
+	sent := 0
+	for _, n := range w.engines.runs {
+		sent += n
+	}
+	w.engines.mu.Unlock()
+	close(release)
+	if extra := sent - requests; extra > int(retries.Reserve) {
+		t.Errorf("%d extra attempts for %d requests", extra, requests)
+	}
+	for range requests {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestARefusalSaysNotRunOnlyWhenNothingWasSent(t *testing.T) {
 	w := newWorld(t)
 	n := w.start("h1")[0]
