Hold off requests that crash endpoints, with the product's quarantine

The forwarder asks the product's quarantine before each request and each further attempt; an endpoint that broke an answer off and takes no connection counts as a death, and heartbeats carry the suspicions.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -54,6 +54,8 @@
 	// LoadingMs says how much longer engines load weights, in milliseconds, by
 	// placement.LoadKey.
 	LoadingMs map[uint32]uint16 `cbor:"19,keyasint,omitempty"`
+	// Quarantine lists requests that crashed endpoints.
+	Quarantine []Suspicion `cbor:"20,keyasint,omitempty"`
 	// Peers are the addresses of the hosts that the sender knows; only greetings
 	// have them.
 	Peers []string `cbor:"18,keyasint,omitempty"`
@@ -61,6 +63,14 @@
 	Hello bool `cbor:"14,keyasint,omitempty"`
 }
 
+// Suspicion tells of a request that crashed endpoints.
+type Suspicion struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	Crashes     int    `cbor:"2,keyasint"`
+	// RemainingMs is how long the suspicion lasts, in milliseconds.
+	RemainingMs int64 `cbor:"3,keyasint"`
+}
+
 // Peer is a host as last heard.
 type Peer struct {
 	Heartbeat
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -122,6 +122,8 @@
 	// piece gets the bytes as they come.
 	Stream(ctx context.Context, g Generate, head func(*Answer) error, piece func([]byte) error) error
 	Order(ctx context.Context, o Order) (OrderState, error)
+	// Reach returns nil when the endpoint's address takes a connection.
+	Reach(ctx context.Context, e catalog.Endpoint) error
 	// Observe reads an engine's own report.
 	Observe(ctx context.Context, e catalog.Endpoint) (Report, error)
 }
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/quarantine"
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
@@ -67,6 +68,10 @@
 	client  backend.Client
 	log     *slog.Logger
 	metrics *Metrics
+	// quarantine holds back requests that crash endpoints.
+	quarantine *Quarantine
+	// announce tells the other hosts at once of such a request.
+	announce func()
 
 	mu sync.Mutex
 	// hedges are the budgets of the services for asking a second endpoint.
@@ -118,11 +123,29 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.Pick(rand.Uint64())}
-	answer, err := c.run(ctx)
+	answer, err := c.guarded(ctx)
 	f.report(c, answer, err)
 	return answer, err
 }
 
+// guarded runs the request unless one like it crashes endpoints.
+func (c *call) guarded(ctx context.Context) (*backend.Answer, error) {
+	c.print = fingerprint(c.in)
+	switch verdict, _ := c.f.quarantine.check(c.print); verdict {
+	case quarantine.Refuse:
+		return nil, refusal(resultcode.Quarantined, "requests like this one crashed endpoints")
+	case quarantine.Busy:
+		return nil, refusal(resultcode.Overloaded, "a request like this one, which may crash endpoints, is running")
+	case quarantine.Suspect:
+		defer c.f.quarantine.done(c.print)
+	}
+	answer, err := c.run(ctx)
+	if err == nil && answer.Status/100 == 2 {
+		c.f.quarantine.answered(c.print)
+	}
+	return answer, err
+}
+
 // deadline is when the final answer must be out.
 func (f *Forwarder) deadline(now time.Time, route *catalog.Route, in *Inbound) time.Time {
 	wait := in.Budget
@@ -162,6 +185,8 @@
 	tried    []string
 	sent     int
 	last     string
+	// print is the request's fingerprint.
+	print uint64
 	// mayHaveRun says that an attempt's effect is open.
 	mayHaveRun bool
 	err        error
@@ -198,7 +223,7 @@
 	var failure *backend.Answer
 	for {
 		if pending == 0 {
-			if c.sent >= c.route.MaxAttempts {
+			if c.sent >= c.route.MaxAttempts || c.sent > 0 && c.crashes() {
 				return c.giveUp(failure)
 			}
 			if err := c.start(ctx, results); err != nil {
@@ -234,6 +259,15 @@
 	}
 }
 
+// crashes reports whether the request has turned out to crash endpoints.
+func (c *call) crashes() bool {
+	verdict, _ := c.f.quarantine.check(c.print)
+	if verdict == quarantine.Suspect {
+		c.f.quarantine.done(c.print)
+	}
+	return verdict == quarantine.Refuse
+}
+
 func (c *call) hedgeDelay() time.Duration {
 	return max(time.Duration(hedgeShare*float64(c.route.Objective)), minHedge)
 }
@@ -280,6 +314,9 @@
 		} else {
 			c.f.settle(e, err, ctx.Err() != nil, took)
 		}
+		if ctx.Err() == nil {
+			c.f.suspect(c.print, e, began, err)
+		}
 		results <- attemptResult{endpoint: e, answer: answer, err: err, took: took}
 	}()
 	return true
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -118,7 +118,8 @@
 		AttemptTimeout: storeAttemptTimeout, CallTimeout: storeCallTimeout,
 		Seed: uint64(time.Now().UnixNano()) ^ seedOf(p.Settings.Host), Registerer: p.Registry,
 	})
-	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: part("forward"), metrics: n.Metrics}
+	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: part("forward"), metrics: n.Metrics,
+		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store), outage: store.OutageFor, peers: n.peers, calls: calls,
 		catalog: n.Catalog, log: part("batches"), active: map[string]*activeBatch{}, kept: map[string]*listing{}, groups: newRecentGroups(), announce: func() { n.membership.Announce() }, adopting: map[string]bool{},
@@ -165,6 +166,7 @@
 	h.FencingToken = n.weights.FencingToken()
 	h.Batches = n.Batches.Owned()
 	n.feed.Describe(h)
+	n.Forwarder.quarantine.Describe(h)
 	now := time.Now()
 	for _, l := range n.weights.Loads(now) {
 		if h.LoadingMs == nil {
@@ -218,6 +220,7 @@
 	n.membership.heard = func(h presence.Heartbeat, _ bool) {
 		n.feed.Heard(ctx, h)
 		n.Batches.Heard(h)
+		n.Forwarder.quarantine.Heard(h)
 	}
 	s := n.Settings
 	metrics := http.NewServeMux()
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -411,6 +411,15 @@
 	return backend.OrderAccepted, nil
 }
 
+func (e *engines) Reach(_ context.Context, ep catalog.Endpoint) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down[ep.ID] {
+		return backend.ErrUnreachable
+	}
+	return nil
+}
+
 func (e *engines) Observe(_ context.Context, ep catalog.Endpoint) (backend.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/quarantine"
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
@@ -492,6 +493,49 @@
 	}
 }
 
+// A request that takes down each endpoint that runs it is refused at every host after
+// the second one, and other requests are not.
+func TestARequestThatCrashesEndpointsIsHeldOffEverywhere(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"p1", "p2", "p3"} {
+		w.put("endpoints/"+id, catalog.Endpoint{ID: id, Service: "plain", Address: id + ":1", Zone: "a", Slots: 8})
+	}
+	hosts := w.start("h1", "h2")
+	w.until("the endpoints are known", func() bool {
+		return len(hosts[0].feed.State().Endpoints) == 7 && len(hosts[1].feed.State().Endpoints) == 7
+	})
+	w.engines.do = func(r backend.Request) (*backend.Answer, error) {
+		if string(r.Body) != "poison" {
+			return &backend.Answer{Status: 200, Signature: "s"}, nil
+		}
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		w.engines.down[r.Endpoint.ID] = true
+		return nil, backend.ErrBroken
+	}
+	send := func(n *testNode, id, body string) error {
+		route, err := n.Forwarder.Route("h", "/plain/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = n.Forwarder.Forward(background, route, &Inbound{ID: id, Host: "h", Method: "POST", URI: "/plain/x", Path: "/plain/x", Body: []byte(body)})
+		return err
+	}
+	_ = send(hosts[0], "first", "poison")
+	w.until("every host refuses it", func() bool {
+		return code(send(hosts[0], "again", "poison")) == resultcode.Quarantined && code(send(hosts[1], "again", "poison")) == resultcode.Quarantined
+	})
+	w.engines.mu.Lock()
+	crashed := len(w.engines.down)
+	w.engines.mu.Unlock()
+	if crashed > quarantine.MaxCrashes {
+		t.Errorf("%d endpoints crashed", crashed)
+	}
+	if err := send(hosts[1], "other", "harmless"); err != nil {
+		t.Errorf("another request: %v", err)
+	}
+}
+
 // A burst in which every endpoint is slow must not double itself.
 func TestHedgesStayAShareOfTheRequests(t *testing.T) {
 	w := newWorld(t)
