--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -214,6 +214,14 @@
 
 // Start implements the application's start.
 func (n *Node) Start(context.Context) error {
+	if err := n.open(); err != nil {
+		n.close()
+		return err
+	}
+	return nil
+}
+
+func (n *Node) open() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.Batches.base = ctx
@@ -222,6 +230,10 @@
 		n.Batches.Heard(h)
 		n.Forwarder.quarantine.Heard(h)
 	}
+	// Callers' requests announce what they change, so heartbeats come first.
+	if err := n.membership.Run(ctx); err != nil {
+		return err
+	}
 	s := n.Settings
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.ports.Registry, promhttp.HandlerOpts{}))
@@ -239,9 +251,6 @@
 			return err
 		}
 	}
-	if err := n.membership.Run(ctx); err != nil {
-		return err
-	}
 	for _, duty := range []func(context.Context){n.feed.Run, n.weights.Run, n.Batches.Watch} {
 		n.duties.Add(1)
 		go func() {
@@ -286,12 +295,18 @@
 	n.await(began.Add(grace-exitMargin), func() bool {
 		return n.inflight.Load() == 0 && time.Since(began) > addressKept
 	})
+	n.close()
+	n.log.Info("Stopped.", "in_flight", n.inflight.Load(), "took_ms", time.Since(began).Milliseconds())
+	return nil
+}
+
+// close ends the duties and gives the ports back.
+func (n *Node) close() {
 	n.cancel()
+	n.membership.close()
 	for _, s := range n.servers {
-		_ = s.Close() // the process ends; nothing is left to lose
+		_ = s.Close() // nothing is left to lose
 	}
-	n.log.Info("Stopped.", "in_flight", n.inflight.Load(), "took_ms", time.Since(began).Milliseconds())
-	return nil
 }
 
 func (n *Node) await(until time.Time, done func() bool) {
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -36,7 +36,6 @@
 	store   *standin.ObjectStore
 	engines *engines
 	nodes   map[string]*testNode
-	next    int
 }
 
 // testNode is a host of the test with its way to the store.
@@ -61,15 +60,22 @@
 	return w
 }
 
-// loopback returns an address of this machine that no other test process uses.
-func (w *world) loopback() string {
-	w.next++
+// lastHost counts the hosts of all tests of this process.
+var lastHost atomic.Int64
+
+// loopback returns an address of this machine that no other host of this process and no
+// other test process uses.
+func loopback(t *testing.T) string {
+	n := lastHost.Add(1)
+	if n > 254 {
+		t.Fatal("too many hosts for one process's addresses")
+	}
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>11&63, pid>>3&255, pid&7<<5|w.next)
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, n)
 }
 
 func (w *world) settings(host string) Settings {
-	ip := w.loopback()
+	ip := loopback(w.t)
 	at := func(port string) string { return net.JoinHostPort(ip, port) }
 	s := Settings{
 		Host: host, Zone: "a", CallerAddress: at("18161"), ReadyAddress: at("18167"), DirectoryAddress: at("18164"),
@@ -119,11 +125,7 @@
 // kill ends a host without a planned stop.
 func (w *world) kill(n *testNode) {
 	delete(w.nodes, n.Settings.Host)
-	n.cancel()
-	_ = n.membership.conn.Close()
-	for _, s := range n.servers {
-		_ = s.Close()
-	}
+	n.close()
 }
 
 func (w *world) until(what string, done func() bool) {
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -89,13 +89,19 @@
 		m.expire()
 		select {
 		case <-ctx.Done():
-			_ = m.conn.Close()
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
+// close ends the receiving of heartbeats.
+func (m *Membership) close() {
+	if m.conn != nil {
+		_ = m.conn.Close() // a datagram socket has nothing to flush
+	}
+}
+
 // Announce sends a heartbeat to every host at once.
 func (m *Membership) Announce() {
 	m.peers.mu.Lock()
