--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -67,8 +67,7 @@
 	pace    time.Duration
 	pacedAt time.Time
 	usedAt  time.Time
-	// floor holds versions seen in the endpoint's own answers that were lower than
-	// what the catalog says, until the catalog changes.
+	// seen holds versions that the endpoint's own answers named, until the catalog changes.
 	seen map[string]int
 }
 
@@ -407,14 +406,3 @@
 	}
 	return 0
 }
-
-// Free returns the free slots of a service's endpoints that are in use.
-func (t *Table) Free(service string) (free, slots int) {
-	for _, e := range t.entries {
-		if e.endpoint.Service == service && !e.endpoint.Draining {
-			slots += e.endpoint.Slots
-			free += max(e.endpoint.Slots-e.load(), 0)
-		}
-	}
-	return free, slots
-}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -131,16 +131,6 @@
 	return best
 }
 
-// HasHost reports whether any route is of this host.
-func (c *Config) HasHost(host string) bool {
-	for i := range c.Routes {
-		if c.Routes[i].Host == host {
-			return true
-		}
-	}
-	return false
-}
-
 // Endpoint is one server as it last reported itself.
 type Endpoint struct {
 	ID      string
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// stallLimit is how long a stream may be silent: longer than a load of weights
-	// during which samples stand still.
+	// stallLimit is how long a stream may be silent: long enough for an engine that is
+	// several times slower than usual and reads a preempted prompt again.
 	stallLimit = 2200 * time.Millisecond
 	// deadLimit is the same for a stream whose endpoint has stalled another one.
 	deadLimit = 900 * time.Millisecond
@@ -39,6 +39,8 @@
 // errStaleVersion ends a stream whose weights are not those that the batch allows.
 var errStaleVersion = errors.New("the weights are of a version that the batch does not allow")
 
+// attempt is a sample's run at an endpoint. Its goroutine writes what is atomic or under
+// mu; the batch's goroutine reads it.
 type attempt struct {
 	endpoint catalog.Endpoint
 	began    time.Time
@@ -53,6 +55,7 @@
 	partial batchrun.Partial
 }
 
+// attemptEnd tells the batch's goroutine how an attempt ended.
 type attemptEnd struct {
 	sample  int
 	end     batchrun.End
@@ -89,7 +92,7 @@
 	return backend.Generate{
 		Request: backend.Request{
 			Endpoint: e, ID: sample.ID, Host: a.batch.Host, Method: http.MethodPost, URI: sample.Path,
-			Header: header, Body: sample.Body, Deadline: a.options().GiveUpAt,
+			Header: header, Body: sample.Body, Deadline: a.giveUpAt,
 		},
 		ResumeAfter: resumeAfter,
 	}
@@ -154,10 +157,10 @@
 		return batchrun.NotRun, placement.Refused
 	case ctx.Err() != nil:
 		return batchrun.Interrupted, placement.Cancelled
-	case events > 0:
-		return batchrun.Interrupted, placement.Broke
+	case events == 0:
+		return batchrun.Crashed, placement.Broke
 	}
-	return batchrun.Crashed, placement.Broke
+	return batchrun.Interrupted, placement.Broke
 }
 
 func (a *activeBatch) attemptEnded(e attemptEnd) {
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -54,6 +54,8 @@
 	savedVersion uint64
 	// carried are the groups that an earlier batch left unfinished, as far as known.
 	carried map[string]bool
+	// giveUpAt is when samples may be abandoned for their age.
+	giveUpAt time.Time
 	// resumed says that another process has run the batch before.
 	resumed bool
 	proving atomic.Bool
@@ -134,7 +136,9 @@
 // runUntilDone runs the batch until every result is listed or it is halted.
 func (a *activeBatch) runUntilDone(base context.Context) {
 	defer a.cancel()
-	a.run = batchrun.New(a.batch, a.options(), a.results.ids())
+	opt := a.options()
+	a.giveUpAt = opt.GiveUpAt
+	a.run = batchrun.New(a.batch, opt, a.results.ids())
 	a.restore()
 	written := make(chan struct{})
 	go func() {
--- a/internal/transport/front/settings.go
+++ b/internal/transport/front/settings.go
@@ -9,12 +9,9 @@
 
 // Settings are what a host's process is told at its start.
 type Settings struct {
-	// Host names this host; Zone and Region say where it is.
-	Host   string
-	Zone   string
-	Region string
-	// Zones maps each availability zone to its region.
-	Zones map[string]string
+	// Host names this host; Zone is its availability zone.
+	Host string
+	Zone string
 	// CallerAddress takes requests and batches, ReadyAddress readiness probes,
 	// DirectoryAddress questions for addresses, PeerAddress heartbeats and calls of
 	// other hosts. All are IP:PORT.
