--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -35,6 +35,8 @@
 	// refusedPause is how long an endpoint that refused a sample is left alone: it is
 	// full or loads weights, which lasts some hundred milliseconds more.
 	refusedPause = 250 * time.Millisecond
+	// paceAge is how long a computed usual pace is used; paces change over seconds.
+	paceAge = 50 * time.Millisecond
 	// paceLife is how long an unusually slow pace is believed without a new measurement.
 	paceLife = 6 * time.Second
 )
@@ -56,8 +58,12 @@
 
 type entry struct {
 	endpoint catalog.Endpoint
-	own      int
+	// key is the endpoint's short name, Key(endpoint.ID).
+	key uint32
+	own int
+	// peers are the requests of other hosts, peerLoad their sum.
 	peers    map[string]int
+	peerLoad int
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
 	failures     int
@@ -76,13 +82,24 @@
 	zone    string
 	entries map[string]*entry
 	byKey   map[uint32]*entry
+	// services lists the entries of each service in the order of their ids.
+	services map[string][]*entry
+	// paces are the services' usual paces as they were computed last.
+	paces map[string]usualPace
 	// loading holds the ends of the loads in progress, by LoadKey.
 	loading map[uint32]time.Time
 }
 
 // NewTable returns an empty table for a host in zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32]*entry{}, loading: map[uint32]time.Time{}}
+	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32]*entry{}, loading: map[uint32]time.Time{},
+		services: map[string][]*entry{}, paces: map[string]usualPace{}}
+}
+
+// usualPace is the median pace of a service's endpoints at a time.
+type usualPace struct {
+	pace time.Duration
+	at   time.Time
 }
 
 // Key is the short name of an endpoint in the hosts' messages.
@@ -117,15 +134,25 @@
 		old.seen = nil
 		return
 	}
-	n := &entry{endpoint: e, peers: map[string]int{}}
+	t.Remove(e.ID)
+	n := &entry{endpoint: e, key: Key(e.ID), peers: map[string]int{}}
 	t.entries[e.ID] = n
-	t.byKey[Key(e.ID)] = n
+	t.byKey[n.key] = n
+	list := append(t.services[e.Service], n)
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
+	t.services[e.Service] = list
 }
 
 // Remove forgets an endpoint.
 func (t *Table) Remove(id string) {
+	e, ok := t.entries[id]
+	if !ok {
+		return
+	}
 	delete(t.entries, id)
-	delete(t.byKey, Key(id))
+	delete(t.byKey, e.key)
+	service := e.endpoint.Service
+	t.services[service] = slices.DeleteFunc(t.services[service], func(o *entry) bool { return o == e })
 }
 
 // Get returns an endpoint as it is known.
@@ -166,14 +193,15 @@
 // preferBonus is how much worse, in shares of a request, a preferred endpoint may be.
 const preferBonus = 0.6
 
-// Pick returns the best endpoint for a query. random breaks ties.
+// Pick returns the best endpoint for a query. random breaks ties, and chooses where to
+// look among the endpoints of a large service.
 func (t *Table) Pick(now time.Time, q Query, random uint64) (catalog.Endpoint, bool) {
 	var best *entry
 	bestCost := math.Inf(1)
-	usual := t.usualPace(q.Service)
-	for _, e := range t.entries {
+	usual := t.usual(now, q.Service)
+	consider := func(e *entry) bool {
 		if !e.offers(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.loads(now, e, q.Model)) {
-			continue
+			return false
 		}
 		cost := e.cost(now, t.zone, usual, random)
 		if q.Model != "" {
@@ -186,9 +214,19 @@
 			// Chosen only when every other one is out too, the soonest back first.
 			cost += ejectedCost + e.ejectedUntil.Sub(now).Seconds()
 		}
-		if cost < bestCost || cost == bestCost && e.endpoint.ID < best.endpoint.ID {
+		if cost < bestCost {
 			best, bestCost = e, cost
 		}
+		return cost < ejectedCost
+	}
+	if e, ok := t.entries[q.Prefer]; ok && e.endpoint.Service == q.Service {
+		consider(e)
+	}
+	list := t.services[q.Service]
+	for i, found := 0, 0; i < len(list) && found < enoughChoices; i++ {
+		if consider(list[(random%uint64(len(list))+uint64(i))%uint64(len(list))]) {
+			found++
+		}
 	}
 	if best == nil || q.FreeSlot && bestCost >= ejectedCost {
 		return catalog.Endpoint{}, false
@@ -196,6 +234,10 @@
 	return best.endpoint, true
 }
 
+// enoughChoices is the number of usable endpoints among which one is chosen: looking at
+// more of a large service gains little and costs time for each sample.
+const enoughChoices = 48
+
 func (t *Table) loads(now time.Time, e *entry, model string) bool {
 	if len(t.loading) == 0 {
 		return false
@@ -208,7 +250,7 @@
 
 func (e *entry) offers(q *Query) bool {
 	ep := &e.endpoint
-	if ep.Draining || ep.Service != q.Service || slices.Contains(q.Avoid, ep.ID) {
+	if ep.Draining || slices.Contains(q.Avoid, ep.ID) {
 		return false
 	}
 	if q.FreeSlot && e.load() >= ep.Slots {
@@ -232,13 +274,7 @@
 	return v
 }
 
-func (e *entry) load() int {
-	n := e.own
-	for _, p := range e.peers {
-		n += p
-	}
-	return n
-}
+func (e *entry) load() int { return e.own + e.peerLoad }
 
 // cost is the endpoint's expected time relative to the service's usual pace.
 func (e *entry) cost(now time.Time, zone string, usual time.Duration, random uint64) float64 {
@@ -257,7 +293,7 @@
 	if now.Sub(e.usedAt) < warmFor {
 		cost -= warmBonus
 	}
-	spread := (uint64(Key(e.endpoint.ID)) ^ random) * 0x9e3779b97f4a7c15 >> 54
+	spread := (uint64(e.key) ^ random) * 0x9e3779b97f4a7c15 >> 54
 	return cost + float64(spread)/1024*tieCost
 }
 
@@ -287,19 +323,25 @@
 	return e.pace
 }
 
-// usualPace is the median pace of a service's endpoints.
-func (t *Table) usualPace(service string) time.Duration {
+// usual is the median pace of a service's endpoints, at most paceAge old.
+func (t *Table) usual(now time.Time, service string) time.Duration {
+	known, ok := t.paces[service]
+	if ok && now.Sub(known.at) < paceAge && known.pace > 0 {
+		return known.pace
+	}
 	var paces []time.Duration
-	for _, e := range t.entries {
-		if e.endpoint.Service == service && e.pace > 0 {
+	for _, e := range t.services[service] {
+		if e.pace > 0 {
 			paces = append(paces, e.pace)
 		}
 	}
-	if len(paces) == 0 {
-		return 0
+	var pace time.Duration
+	if len(paces) > 0 {
+		slices.Sort(paces)
+		pace = paces[(len(paces)-1)/2]
 	}
-	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
+	t.paces[service] = usualPace{pace: pace, at: now}
+	return pace
 }
 
 // Pace returns an endpoint's pace and the usual one of its service; zero is unknown.
@@ -308,7 +350,7 @@
 	if !ok {
 		return 0, 0
 	}
-	usual = t.usualPace(e.endpoint.Service)
+	usual = t.usual(now, e.endpoint.Service)
 	return e.paceAt(now, usual), usual
 }
 
@@ -391,8 +433,10 @@
 // SetPeer replaces what a peer says it has at the endpoints; nil forgets the peer.
 func (t *Table) SetPeer(host string, loads map[uint32]uint16) {
 	for k, e := range t.byKey {
-		if n := loads[k]; n > 0 {
-			e.peers[host] = int(n)
+		n := int(loads[k])
+		e.peerLoad += n - e.peers[host]
+		if n > 0 {
+			e.peers[host] = n
 		} else {
 			delete(e.peers, host)
 		}
