Admit requests on the platform through the admission gates

Cause: a host sent every request to an endpoint at once, whatever was there.

Change: the gate that the entry program uses (internal/transport/gate around coordination/admission) now also stands before each service of a front. It knows this host's share of the slots, compares each route with its own latency, takes slow answers for overload only when few slots are free, lets callers that were refused before go last, gives scoring a third, and tells refused callers to come back one after another. Endpoints' refusals are repeated within the retry budget. Placement in a crowded service spreads a host's own requests. Refusals log the gate's state.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -7,6 +7,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/state/model"
@@ -23,6 +24,16 @@
 	minRetryAfter = 10 * time.Millisecond
 	// maxRetryAfter is the longest.
 	maxRetryAfter = 5 * time.Second
+	// returnShare is the part of the completions that refused clients are invited to
+	// come back for; the rest is left to new requests.
+	returnShare = 0.5
+	// returnLimit bounds the wait of a refused client as a share of the time to its
+	// deadline: a client that came back later would have no time for its answer.
+	returnLimit = 1.0 / 3
+	// assumedService is the time of a request before any was answered, that of short ones.
+	assumedService = 50 * time.Millisecond
+	// goldenRatio spreads consecutive numbers evenly over an interval.
+	goldenRatio = 0.6180339887
 	// rateWeight is the weight of the last window in the completion rate.
 	rateWeight = 0.3
 	// sweepInterval is the least time between two searches of the queue.
@@ -64,6 +75,8 @@
 	RetryAfter time.Duration
 	// Patience is how long a waiting request is held at most.
 	Patience time.Duration
+	// Limit, Running and Waiting are the gate's state at a refusal.
+	Limit, Running, Waiting int
 }
 
 // Ticket is one request at the gate. The holder fills the exported fields.
@@ -71,6 +84,12 @@
 	Caller   model.CallerID
 	Priority model.Priority
 	Deadline time.Time
+	// Repeat says that the caller was refused before. In an overload as many callers are
+	// served whoever goes first; with repeats last, most of them are served at once
+	// instead of all at their second attempt.
+	Repeat bool
+	// Patience bounds the wait for a slot, 0 is MaxWait.
+	Patience time.Duration
 	// CallerLimit bounds the caller's requests at once, 0 for none.
 	CallerLimit int
 	// Notify receives the final decision of a ticket that waited.
@@ -101,6 +120,8 @@
 // Sample is what the end of a request tells.
 type Sample struct {
 	Kind SampleKind
+	// Class names requests that take equally long, as those of one route.
+	Class string
 	// Latency is the time to the answer, or to the first part of a stream.
 	Latency time.Duration
 	// Took is the whole time of the request.
@@ -126,6 +147,10 @@
 	completed int
 	// swept is when the queue was last searched for hopeless requests.
 	swept time.Time
+	// nextReturn is when the next refused client is to come back.
+	nextReturn time.Time
+	// crowded counts the refused clients for whom that was too late.
+	crowded int
 }
 
 // NewGate returns a gate for endpoints with so many slots together.
@@ -143,6 +168,15 @@
 	g.trainingFloor = trainingFloor
 }
 
+// SetShare takes over this host's even share of the endpoints' slots, and whether a good
+// part of all their slots is free. Hosts that share endpoints see each other's load late:
+// the limit begins at twice the share and is never under it, as the endpoints have that
+// room for this host.
+func (g *Gate) SetShare(slots int, hasRoom bool) {
+	g.share(slots)
+	g.hasRoom = hasRoom
+}
+
 // Limit is the present limit.
 func (g *Gate) Limit() int { return int(g.limit) }
 
@@ -156,27 +190,27 @@
 func (g *Gate) Arrive(now time.Time, t *Ticket) Decision {
 	t.state = g.caller(t.Caller)
 	if t.CallerLimit > 0 && t.state.running+t.state.waiting >= t.CallerLimit {
-		return g.refuse(t, ReasonCaller)
+		return g.refuse(now, t, ReasonCaller)
 	}
 	if t.Deadline.Sub(now) < g.service/2 {
-		return g.refuse(t, ReasonDeadline)
+		return g.refuse(now, t, ReasonDeadline)
 	}
 	if g.running < g.Limit() && len(g.queue) == 0 || g.underFloor(t) {
 		g.start(t)
 		return Decision{Verdict: Run}
 	}
 	if g.overShare(t) {
-		return g.refuse(t, ReasonCaller)
+		return g.refuse(now, t, ReasonCaller)
 	}
 	if wait, tooLong := g.tooLong(now, t); tooLong {
 		reason := ReasonLimit
-		if wait < MaxWait {
+		if wait < g.mostWait(t) {
 			reason = ReasonDeadline
 		}
-		return g.refuse(t, reason)
+		return g.refuse(now, t, reason)
 	}
-	if len(g.queue) >= queuePerSlot*g.Limit() && !g.evictBelow(t) {
-		return g.refuse(t, ReasonLimit)
+	if len(g.queue) >= queuePerSlot*g.Limit() && !g.evictBelow(now, t) {
+		return g.refuse(now, t, ReasonLimit)
 	}
 	// An evicted request may have been the last of the same caller, whose state
 	// then went to the spare ones.
@@ -214,6 +248,16 @@
 	return true
 }
 
+// Expire refuses a waiting request whose patience has passed. It reports false when
+// the request no longer waits: its decision was made.
+func (g *Gate) Expire(now time.Time, t *Ticket) (Decision, bool) {
+	if t.place == 0 {
+		return Decision{}, false
+	}
+	g.dequeue(t)
+	return g.refuse(now, t, ReasonLimit), true
+}
+
 // Advance starts waiting requests while there is room and refuses those that can
 // no longer meet their deadline. When nothing ends, a waiting request's holder
 // abandons it once its patience has passed.
@@ -239,7 +283,7 @@
 			continue
 		}
 		g.dequeue(t)
-		t.Notify(g.refuse(t, ReasonDeadline))
+		t.Notify(g.refuse(now, t, ReasonDeadline))
 	}
 }
 
@@ -305,32 +349,60 @@
 
 func (g *Gate) patience(now time.Time, t *Ticket) time.Duration {
 	left := t.Deadline.Sub(now) - g.service
-	return min(MaxWait, time.Duration(waitShare*float64(left)))
+	return min(g.mostWait(t), time.Duration(waitShare*float64(left)))
+}
+
+func (*Gate) mostWait(t *Ticket) time.Duration {
+	if t.Patience > 0 {
+		return t.Patience
+	}
+	return MaxWait
 }
 
 // evictBelow makes room by refusing a waiting request of a lower priority.
-func (g *Gate) evictBelow(t *Ticket) bool {
+func (g *Gate) evictBelow(now time.Time, t *Ticket) bool {
 	last := g.queue.last()
 	if last == nil || last.Priority >= t.Priority {
 		return false
 	}
 	g.dequeue(last)
-	last.Notify(g.refuse(last, ReasonLimit))
+	last.Notify(g.refuse(now, last, ReasonLimit))
 	return true
 }
 
-func (g *Gate) refuse(t *Ticket, r Reason) Decision {
+func (g *Gate) refuse(now time.Time, t *Ticket, r Reason) Decision {
 	g.release(t)
-	return Decision{Verdict: Refuse, Reason: r, RetryAfter: g.retryAfter()}
+	return Decision{Verdict: Refuse, Reason: r, RetryAfter: g.retryAfter(now, t, r),
+		Limit: g.Limit(), Running: g.running, Waiting: len(g.queue)}
 }
 
-// retryAfter is the time in which the queue should have emptied.
-func (g *Gate) retryAfter() time.Duration {
+// retryAfter is when a refused client should come back. Once the queue should have
+// emptied, clients come back one after another, so that those who were refused in one
+// burst do not return in another one. When that would be too late for a client, it gets
+// a time in the later half of what it can wait.
+func (g *Gate) retryAfter(now time.Time, t *Ticket, r Reason) time.Duration {
 	wait := g.service
+	if wait == 0 {
+		wait = assumedService
+	}
+	interval := wait / time.Duration(max(1, g.Limit()))
 	if g.rate > 0 {
-		wait = time.Duration(float64(len(g.queue)+1) / g.rate * float64(time.Second))
+		interval = time.Duration(float64(time.Second) / g.rate)
+		wait = time.Duration(len(g.queue)+1) * interval
+	}
+	wait = min(maxRetryAfter, max(minRetryAfter, wait))
+	if r == ReasonDeadline {
+		return wait // only with a later deadline would it be served
+	}
+	wait = max(wait, g.nextReturn.Sub(now))
+	limit := max(minRetryAfter, min(maxRetryAfter, time.Duration(returnLimit*float64(t.Deadline.Sub(now)))))
+	if wait > limit {
+		g.crowded++
+		_, spread := math.Modf(float64(g.crowded) * goldenRatio)
+		return limit/2 + time.Duration(spread*float64(limit/2))
 	}
-	return min(maxRetryAfter, max(minRetryAfter, wait))
+	g.nextReturn = now.Add(wait + time.Duration(float64(interval)/returnShare))
+	return wait
 }
 
 func (g *Gate) caller(id model.CallerID) *callerState {
--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -79,6 +79,8 @@
 		tr.gate.Advance(tr.now)
 	case "answers":
 		return tr.answers(t, d)
+	case "load":
+		return replay(t, d)
 	case "rate":
 		return tr.offered(t, d)
 	}
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -20,6 +20,9 @@
 	baselineDrift = 0.01
 	// minLimit is low: many hosts may share few endpoints.
 	minLimit = 1
+	// initialShares is the first limit of a host that shares endpoints, in shares: some
+	// hosts have less work than others, and a few requests wait at the endpoints.
+	initialShares = 2
 	// nearLimit is the share of the limit in use above which it may grow.
 	nearLimit = 0.75
 	// refusalShare is the share of refusals among the results of a window that
@@ -27,22 +30,37 @@
 	refusalShare = 0.1
 )
 
+// maxClasses bounds the classes of requests that are told apart by their latency.
+const maxClasses = 32
+
 // limiter adapts the number of requests at once to the latency of the answers:
 // additive increase, multiplicative decrease. It begins at the capacity, since an
-// idle fleet gives no answers to grow by.
+// idle fleet gives no answers to grow by. Each class of requests is compared with its own
+// baseline: a service may do short and long work.
 type limiter struct {
-	limit    float64
-	ceiling  float64
-	baseline time.Duration
+	limit   float64
+	ceiling float64
+	// floor is the least limit, unless the ceiling is lower.
+	floor float64
+	// hasRoom says that the endpoints have free slots: late answers then tell of slow
+	// endpoints, not of too many requests.
+	hasRoom  bool
 	start    time.Time
-	sum      time.Duration
+	classes  map[string]*class
 	samples  int
 	refusals int
 	peak     int
 }
 
+// class is a kind of requests with its answers of the present window.
+type class struct {
+	baseline time.Duration
+	sum      time.Duration
+	samples  int
+}
+
 func newLimiter(ceiling int) limiter {
-	l := limiter{ceiling: float64(max(1, ceiling))}
+	l := limiter{ceiling: float64(max(1, ceiling)), floor: minLimit, classes: map[string]*class{}}
 	l.limit = l.ceiling
 	return l
 }
@@ -57,11 +75,21 @@
 	l.limit = min(l.limit, l.ceiling)
 }
 
+// share sets the least limit. The first share also bounds the first limit.
+func (l *limiter) share(slots int) {
+	first := l.floor == minLimit
+	l.floor = max(minLimit, float64(slots))
+	if first {
+		l.limit = min(l.limit, initialShares*l.floor)
+	}
+	l.limit = max(l.limit, min(l.floor, l.ceiling))
+}
+
 func (l *limiter) observe(now time.Time, s Sample, running int) {
 	l.peak = max(l.peak, running)
 	switch s.Kind {
 	case SampleAnswered:
-		l.sum += l.capped(s.Latency)
+		l.class(s.Class).add(s.Latency)
 		l.samples++
 	case SampleRefused:
 		l.refusals++
@@ -74,30 +102,57 @@
 	}
 }
 
-// capped keeps one slow endpoint's answers from reading as general lateness.
-func (l *limiter) capped(d time.Duration) time.Duration {
-	if l.baseline == 0 {
-		return d
+func (l *limiter) class(name string) *class {
+	c := l.classes[name]
+	if c == nil {
+		if len(l.classes) >= maxClasses {
+			clear(l.classes)
+		}
+		c = &class{}
+		l.classes[name] = c
 	}
-	return min(d, outlier*l.baseline+slack)
+	return c
 }
 
-func (l *limiter) adjust(now time.Time) {
-	mean := time.Duration(0)
-	if l.samples > 0 {
-		mean = l.sum / time.Duration(l.samples)
-		if l.baseline == 0 || mean < l.baseline {
-			l.baseline = mean
+// add takes one answer. It is capped, which keeps one slow endpoint's answers from
+// reading as general lateness.
+func (c *class) add(d time.Duration) {
+	if c.baseline > 0 {
+		d = min(d, outlier*c.baseline+slack)
+	}
+	c.sum += d
+	c.samples++
+}
+
+// end closes the window and returns how long its answers took in all and how long they
+// might have taken.
+func (c *class) end() (took, tolerated time.Duration) {
+	if c.samples > 0 {
+		mean := c.sum / time.Duration(c.samples)
+		if c.baseline == 0 || mean < c.baseline {
+			c.baseline = mean
 		}
+		took = c.sum
+		tolerated = time.Duration(c.samples) * (time.Duration(tolerance*float64(c.baseline)) + slack)
+	}
+	c.baseline += time.Duration(baselineDrift * float64(c.baseline))
+	c.sum, c.samples = 0, 0
+	return took, tolerated
+}
+
+func (l *limiter) adjust(now time.Time) {
+	var took, tolerated time.Duration
+	for _, c := range l.classes {
+		t, most := c.end()
+		took, tolerated = took+t, tolerated+most
 	}
 	refused := float64(l.refusals) > refusalShare*float64(l.samples+l.refusals)
-	late := l.baseline > 0 && mean > time.Duration(tolerance*float64(l.baseline))+slack
+	late := took > tolerated && !l.hasRoom
 	switch {
 	case refused || late:
-		l.limit = max(minLimit, min(l.limit, max(float64(l.peak), l.limit/2))*decrease)
+		l.limit = max(min(l.floor, l.ceiling), min(l.limit, max(float64(l.peak), l.limit/2))*decrease)
 	case float64(l.peak) >= nearLimit*l.limit:
 		l.limit = min(l.ceiling, l.limit+max(1, l.limit/16))
 	}
-	l.baseline += time.Duration(baselineDrift * float64(l.baseline))
-	l.start, l.sum, l.samples, l.refusals, l.peak = now, 0, 0, 0, 0
+	l.start, l.samples, l.refusals, l.peak = now, 0, 0, 0
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -2,14 +2,17 @@
 
 import "oleanderfall.example/oleanderfall/internal/state/model"
 
-// queue is a binary heap of waiting requests: higher priority first, then the
-// earlier deadline.
+// queue is a binary heap of waiting requests: higher priority first, then requests that
+// were not refused before, then the earlier deadline.
 type queue []*Ticket
 
 func before(a, b *Ticket) bool {
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
+	if a.Repeat != b.Repeat {
+		return b.Repeat
+	}
 	return a.Deadline.Before(b.Deadline)
 }
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -96,10 +96,14 @@
 		services: map[string][]*entry{}, paces: map[string]usualPace{}}
 }
 
-// usualPace is the median pace of a service's endpoints at a time.
+// usualPace is the median pace of a service's endpoints at a time, and how many
+// requests of all hosts they had.
 type usualPace struct {
 	pace time.Duration
-	at   time.Time
+	// scale is how many requests of all hosts there are to one of this host, zero while
+	// the service is not crowded.
+	scale float64
+	at    time.Time
 }
 
 // Key is the short name of an endpoint in the hosts' messages.
@@ -199,11 +203,15 @@
 	var best *entry
 	bestCost := math.Inf(1)
 	usual := t.usual(now, q.Service)
+	scale := 0.0
+	if q.Model == "" {
+		scale = t.paces[q.Service].scale
+	}
 	consider := func(e *entry) bool {
 		if !e.offers(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.loads(now, e, q.Model)) {
 			return false
 		}
-		cost := e.cost(now, t.zone, usual, random)
+		cost := e.cost(now, t.zone, usual, scale, random)
 		if q.Model != "" {
 			cost += versionCost * float64(min(e.version(q.Model)-q.MinVersion, maxVersionSteps))
 		}
@@ -238,6 +246,11 @@
 // more of a large service gains little and costs time for each sample.
 const enoughChoices = 48
 
+// crowdedShare is the share of a service's slots in use from which on peers' loads, which
+// are known late, no longer decide: all hosts would choose the same endpoint until the
+// next news. Each host then spreads its own requests, and takes the others to do so too.
+const crowdedShare = 0.4
+
 func (t *Table) loads(now time.Time, e *entry, model string) bool {
 	if len(t.loading) == 0 {
 		return false
@@ -277,12 +290,17 @@
 func (e *entry) load() int { return e.own + e.peerLoad }
 
 // cost is the endpoint's expected time relative to the service's usual pace.
-func (e *entry) cost(now time.Time, zone string, usual time.Duration, random uint64) float64 {
+// scale replaces the peers' load when it is not zero.
+func (e *entry) cost(now time.Time, zone string, usual time.Duration, scale float64, random uint64) float64 {
 	cost := 1.0
 	if usual > 0 {
 		cost = float64(e.paceAt(now, usual)) / float64(usual)
 	}
-	used := float64(e.load()) / float64(max(e.endpoint.Slots, 1))
+	load := float64(e.load())
+	if scale > 0 {
+		load = scale * float64(e.own)
+	}
+	used := load / float64(max(e.endpoint.Slots, 1))
 	if used >= 1 {
 		cost *= 1 + used
 	}
@@ -340,7 +358,12 @@
 		slices.Sort(paces)
 		pace = paces[(len(paces)-1)/2]
 	}
-	t.paces[service] = usualPace{pace: pace, at: now}
+	slots, own, peers := t.Room(now, service)
+	known = usualPace{pace: pace, at: now}
+	if float64(own+peers) > crowdedShare*float64(slots) {
+		known.scale = float64(own+peers) / float64(max(own, 1))
+	}
+	t.paces[service] = known
 	return pace
 }
 
@@ -443,6 +466,20 @@
 	}
 }
 
+// Room returns the slots of a service's endpoints that may get work, and how many of them
+// this host's requests and its peers' take.
+func (t *Table) Room(now time.Time, service string) (slots, own, peers int) {
+	for _, e := range t.services[service] {
+		if e.endpoint.Draining || now.Before(e.ejectedUntil) {
+			continue
+		}
+		slots += e.endpoint.Slots
+		own += min(e.own, e.endpoint.Slots)
+		peers += min(e.peerLoad, e.endpoint.Slots)
+	}
+	return slots, own, peers
+}
+
 // Running returns the requests of all hosts at an endpoint.
 func (t *Table) Running(id string) int {
 	if e, ok := t.entries[id]; ok {
--- a/internal/transport/entry/call.go
+++ b/internal/transport/entry/call.go
@@ -99,7 +99,7 @@
 		return engineapi.Answer{}, err
 	}
 	answer, sample, err := s.run(ctx, q)
-	q.target.leave(ticket, sample)
+	q.target.gate.Leave(ticket, sample)
 	return answer, err
 }
 
--- a/internal/transport/entry/generate.go
+++ b/internal/transport/entry/generate.go
@@ -87,7 +87,7 @@
 	if err == nil {
 		sample = admission.Sample{Kind: admission.SampleEnded, Took: time.Since(started)}
 	}
-	q.target.leave(ticket, sample)
+	q.target.gate.Leave(ticket, sample)
 	return err
 }
 
@@ -202,7 +202,7 @@
 			return stalledOr(attempt, err)
 		}
 		if first {
-			q.target.observe(time.Since(started))
+			q.target.gate.Observe(admission.Sample{Kind: admission.SampleAnswered, Latency: time.Since(started)})
 		}
 		stall.Reset(stallTimeout)
 		if err := r.pass(number, chunk); err != nil {
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -167,7 +167,7 @@
 		Deadline:    q.deadline,
 		CallerLimit: q.caller.MaxRunning,
 	}
-	d := q.target.admit(ctx, ticket)
+	d := q.target.gate.Enter(ctx, ticket)
 	if d.Verdict == admission.Run {
 		q.record.add("admitted", "", "")
 		return ticket, nil
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -9,12 +9,12 @@
 	"sync"
 	"time"
 
-	"oleanderfall.example/oleanderfall/internal/coordination/admission"
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/coordination/routing"
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
 	"oleanderfall.example/oleanderfall/internal/state/endpoints"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/gate"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 	mu     sync.Mutex
 	table  *routing.Table
-	gate   *admission.Gate
+	gate   *gate.Gate
 	budget *retries.Budget
 	rng    *rand.PCG
 	cursor map[model.EndpointID]uint64
@@ -74,7 +74,7 @@
 	t.trainingFloor = trainingFloor
 	if t.gate == nil {
 		_, slots := t.table.Usable(now)
-		t.gate = admission.NewGate(slots, trainingFloor)
+		t.gate = gate.New(slots, trainingFloor)
 	}
 }
 
@@ -95,47 +95,6 @@
 	t.gate.Configure(slots, t.trainingFloor)
 }
 
-// admit waits for a slot. The decision is Run or Refuse.
-func (t *target) admit(ctx context.Context, k *admission.Ticket) admission.Decision {
-	decided := make(chan admission.Decision, 1)
-	k.Notify = func(d admission.Decision) { decided <- d }
-	now := time.Now()
-	t.mu.Lock()
-	d := t.gate.Arrive(now, k)
-	t.mu.Unlock()
-	if d.Verdict != admission.Wait {
-		return d
-	}
-	patience := time.NewTimer(d.Patience)
-	defer patience.Stop()
-	select {
-	case d = <-decided:
-		return d
-	case <-patience.C:
-	case <-ctx.Done():
-	}
-	t.mu.Lock()
-	gone := t.gate.Abandon(k)
-	t.mu.Unlock()
-	if !gone {
-		return <-decided
-	}
-	return admission.Decision{Verdict: admission.Refuse, Reason: admission.ReasonLimit, RetryAfter: admission.MaxWait}
-}
-
-func (t *target) leave(k *admission.Ticket, s admission.Sample) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.gate.Leave(time.Now(), k, s)
-}
-
-// observe takes the latency of a stream's first chunk.
-func (t *target) observe(latency time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.gate.Observe(time.Now(), admission.Sample{Kind: admission.SampleAnswered, Latency: latency})
-}
-
 // begin picks an endpoint and notes the attempt.
 func (t *target) begin(c routing.Constraints) (routing.Choice, bool) {
 	now := time.Now()
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -9,12 +9,14 @@
 	"sync"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/admission"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/quarantine"
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	"oleanderfall.example/oleanderfall/internal/transport/gate"
 )
 
 const (
@@ -32,8 +34,9 @@
 	answerReserve = 20 * time.Millisecond
 	// defaultDeadline bounds a request that names no deadline on a route without one.
 	defaultDeadline = 30 * time.Second
-	// retryAfter is what a refused caller is told: a new endpoint is usually there by then.
-	retryAfter = 200 * time.Millisecond
+	// minRetryAfter is the least that a caller is told when no endpoint answers; up to as
+	// much again is added, which spreads the callers. A new endpoint is usually there by then.
+	minRetryAfter = 130 * time.Millisecond
 	// refuseAfter is the share of the objective for which a request may wait for an
 	// endpoint before it is refused.
 	refuseAfter = 0.2
@@ -53,6 +56,8 @@
 	Budget time.Duration
 	// ResumeAfter is the last event that the caller has of a stream, zero for none.
 	ResumeAfter int
+	// Scoring says that this host scores a sample and no caller waits.
+	Scoring bool
 }
 
 // StreamWriter takes the answer to a streaming request.
@@ -73,22 +78,25 @@
 	// announce tells the other hosts at once of such a request.
 	announce func()
 
+	gates *Gates
+
 	mu sync.Mutex
-	// hedges are the budgets of the services for asking a second endpoint.
-	hedges map[string]*retries.Budget
+	// budgets bound what the services are sent a second time though a first endpoint
+	// has the request or had no room for it.
+	budgets map[string]*retries.Budget
 }
 
-// hedgeBudget runs f on a service's budget.
-func (f *Forwarder) hedgeBudget(service string, use func(*retries.Budget) bool) bool {
+// budget runs use on a service's budget.
+func (f *Forwarder) budget(service string, use func(*retries.Budget) bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := f.hedges[service]
+	b := f.budgets[service]
 	if b == nil {
 		b = retries.NewBudget()
-		if f.hedges == nil {
-			f.hedges = map[string]*retries.Budget{}
+		if f.budgets == nil {
+			f.budgets = map[string]*retries.Budget{}
 		}
-		f.hedges[service] = b
+		f.budgets[service] = b
 	}
 	return use(b)
 }
@@ -98,7 +106,7 @@
 func refusal(code resultcode.Code, detail string) error {
 	e := &resultcode.Error{Code: code, Detail: detail}
 	if code.Info().Retry {
-		e.RetryAfterMillis = retryAfter.Milliseconds()
+		e.RetryAfterMillis = (minRetryAfter + rand.N(minRetryAfter)).Milliseconds()
 	}
 	return e
 }
@@ -139,7 +147,15 @@
 	case quarantine.Suspect:
 		defer c.f.quarantine.done(c.print)
 	}
-	answer, err := c.run(ctx)
+	var answer *backend.Answer
+	err := c.admitted(ctx, func() (admission.Sample, error) {
+		began := time.Now()
+		var err error
+		if answer, err = c.run(ctx); err != nil {
+			return admission.Sample{Kind: admission.SampleNone}, err
+		}
+		return admission.Sample{Kind: admission.SampleAnswered, Class: c.route.Name, Latency: c.took, Took: time.Since(began)}, nil
+	})
 	if err == nil && answer.Status/100 == 2 {
 		c.f.quarantine.answered(c.print)
 	}
@@ -164,14 +180,15 @@
 	if answer != nil {
 		status = answer.Status
 	}
+	reason := c.lastError()
 	var e *resultcode.Error
 	if errors.As(err, &e) {
-		code = e.Code
+		code, reason = e.Code, e.Detail
 	}
 	f.metrics.request(c.route.Name, code, took)
 	f.log.Info("A request ended.", "request", c.in.ID, "route", c.route.Name, "service", c.service,
 		"endpoint", c.last, "attempts", c.sent, "status", status, "result", int(code), "took_ms", took.Milliseconds(),
-		"last_error", c.lastError())
+		"reason", reason)
 }
 
 // call is one request on its way.
@@ -180,11 +197,14 @@
 	route    *catalog.Route
 	in       *Inbound
 	service  string
+	gate     *gate.Gate
 	began    time.Time
 	deadline time.Time
 	tried    []string
 	sent     int
 	last     string
+	// took is the time of the attempt that was answered.
+	took time.Duration
 	// print is the request's fingerprint.
 	print uint64
 	// mayHaveRun says that an attempt's effect is open.
@@ -215,7 +235,7 @@
 func (c *call) run(ctx context.Context) (*backend.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idempotent := c.route.Kind == catalog.KindSafe
+	idempotent := idempotent(c.route)
 	results := make(chan attemptResult, c.route.MaxAttempts)
 	pending := 0
 	hedge := time.NewTimer(c.hedgeDelay())
@@ -238,7 +258,7 @@
 		case <-ctx.Done():
 			return nil, c.expired()
 		case <-hedge.C:
-			if idempotent && c.sent < c.route.MaxAttempts && c.f.hedgeBudget(c.service, (*retries.Budget).Spend) &&
+			if idempotent && c.sent < c.route.MaxAttempts && !c.gate.Busy() && c.f.budget(c.service, (*retries.Budget).Spend) &&
 				c.tryStart(ctx, results, true) {
 				pending++
 			}
@@ -326,7 +346,7 @@
 func (f *Forwarder) settle(e catalog.Endpoint, err error, gaveUp bool, took time.Duration) {
 	switch {
 	case err == nil:
-		f.hedgeBudget(e.Service, earn)
+		f.budget(e.Service, earn)
 		f.fleet.End(e.ID, placement.OK, took)
 	case errors.Is(err, backend.ErrReplaced), errors.Is(err, backend.ErrUnreachable) && !gaveUp:
 		f.fleet.With(func(t *placement.Table) { t.Eject(time.Now(), e.ID) })
@@ -344,14 +364,18 @@
 func (c *call) judge(r attemptResult, idempotent bool) (answer *backend.Answer, again bool) {
 	switch {
 	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
+		c.took = r.took
 		return r.answer, false
 	case r.err == nil:
 		c.mayHaveRun = true
 		return r.answer, idempotent
 	}
 	c.err = r.err
-	if errors.Is(r.err, backend.ErrNotRun) {
+	switch {
+	case errors.Is(r.err, backend.ErrUnreachable), errors.Is(r.err, backend.ErrReplaced):
 		return nil, true
+	case errors.Is(r.err, backend.ErrNotRun):
+		return nil, c.mayRepeat()
 	}
 	c.mayHaveRun = true
 	return nil, idempotent
@@ -394,7 +418,12 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.Pick(rand.Uint64())}
-	err := c.stream(ctx, out)
+	err := c.admitted(ctx, func() (admission.Sample, error) {
+		if err := c.stream(ctx, out); err != nil {
+			return admission.Sample{Kind: admission.SampleNone}, err
+		}
+		return admission.Sample{Kind: admission.SampleEnded, Took: time.Since(began)}, nil
+	})
 	f.report(c, nil, err)
 	return err
 }
@@ -408,8 +437,12 @@
 		c.tried = append(c.tried, e.ID)
 		c.sent++
 		c.last = e.ID
-		started := false
-		head := func(a *backend.Answer) error { started = true; return out.Head(a) }
+		started, sentAt := false, time.Now()
+		head := func(a *backend.Answer) error {
+			started = true
+			c.gate.Observe(admission.Sample{Kind: admission.SampleAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
+			return out.Head(a)
+		}
 		err := c.f.client.Stream(ctx, backend.Generate{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -119,6 +119,7 @@
 		Seed: uint64(time.Now().UnixNano()) ^ seedOf(p.Settings.Host), Registerer: p.Registry,
 	})
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: part("forward"), metrics: n.Metrics,
+		gates:      NewGates(fleet, func() int { return 1 + len(n.peers.Alive()) }),
 		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store), outage: store.OutageFor, peers: n.peers, calls: calls,
--- a/internal/transport/front/scoring.go
+++ b/internal/transport/front/scoring.go
@@ -52,7 +52,7 @@
 	once.Kind, once.MaxAttempts = catalog.KindSafe, 2 // a late answer is asked for at a second endpoint
 	answer, err := a.owner.runner.forwarder.Forward(a.ctx, &once, &Inbound{
 		ID: sc.ID, Host: sc.Host, Method: http.MethodPost, URI: sc.Path, Path: sc.Path,
-		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout,
+		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout, Scoring: true,
 	})
 	switch {
 	case err != nil:
