Let a host use the slots that the others leave

Cause: on the grown zcu site 65 hosts share 24 slots of a plain service, so a host's share is one slot and its gate began at two.

Change: while the other hosts use under two fifths of the slots, as their heartbeats say, a gate begins at all the rest; once they are busy too, at two shares. A gate also learns again when this changes. Share is now a type; the caller's part of a rate is RateShare.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -168,13 +168,22 @@
 	g.trainingFloor = trainingFloor
 }
 
-// SetShare takes over this host's even share of the endpoints' slots, and whether a good
-// part of all their slots is free. Hosts that share endpoints see each other's load late:
-// the limit begins at twice the share and is never under it, as the endpoints have that
-// room for this host.
-func (g *Gate) SetShare(slots int, hasRoom bool) {
-	g.share(slots)
-	g.hasRoom = hasRoom
+// Share is what a host that shares endpoints with others knows of their slots.
+type Share struct {
+	// Slots is this host's even share; the limit is never under it, as the endpoints have
+	// that room for this host.
+	Slots int
+	// Alone says that the other hosts use few slots, as far as heard.
+	Alone bool
+	// HasRoom says that a good part of all slots is free.
+	HasRoom bool
+}
+
+// SetShare takes over this host's share. Hosts hear of each other's load late, so in a
+// burst at all of them each begins with a few shares instead of all free slots.
+func (g *Gate) SetShare(s Share) {
+	g.share(s.Slots, s.Alone)
+	g.hasRoom = s.HasRoom
 }
 
 // Limit is the present limit.
--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -187,7 +187,7 @@
 			sum += d
 		}
 		for _, d := range demands {
-			shares += Share(total, d, sum, len(demands), true)
+			shares += RateShare(total, d, sum, len(demands), true)
 		}
 		if shares > total*1.0001 {
 			t.Fatalf("shares of %v come to %v of %v", demands, shares, total)
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -20,8 +20,8 @@
 	baselineDrift = 0.01
 	// minLimit is low: many hosts may share few endpoints.
 	minLimit = 1
-	// initialShares is the first limit of a host that shares endpoints, in shares: some
-	// hosts have less work than others, and a few requests wait at the endpoints.
+	// initialShares is the first limit in shares once other hosts are busy too: some have
+	// less work than others, and a few requests wait at the endpoints.
 	initialShares = 2
 	// nearLimit is the share of the limit in use above which it may grow.
 	nearLimit = 0.75
@@ -42,6 +42,8 @@
 	ceiling float64
 	// floor is the least limit, unless the ceiling is lower.
 	floor float64
+	// alone says that the other hosts use few of the endpoints' slots.
+	alone bool
 	// hasRoom says that the endpoints have free slots: late answers then tell of slow
 	// endpoints, not of too many requests.
 	hasRoom  bool
@@ -60,7 +62,7 @@
 }
 
 func newLimiter(ceiling int) limiter {
-	l := limiter{ceiling: float64(max(1, ceiling)), floor: minLimit, classes: map[string]*class{}}
+	l := limiter{ceiling: float64(max(1, ceiling)), floor: minLimit, alone: true, classes: map[string]*class{}}
 	l.limit = l.ceiling
 	return l
 }
@@ -75,13 +77,17 @@
 	l.limit = min(l.limit, l.ceiling)
 }
 
-// share sets the least limit. The first share also bounds the first limit.
-func (l *limiter) share(slots int) {
-	first := l.floor == minLimit
+// share sets the least limit. alone says that the other hosts use few of the endpoints'
+// slots: then this host begins with all the rest, otherwise with a few shares.
+func (l *limiter) share(slots int, alone bool) {
 	l.floor = max(minLimit, float64(slots))
-	if first {
+	switch {
+	case alone && !l.alone:
+		l.limit = l.ceiling
+	case !alone && l.alone:
 		l.limit = min(l.limit, initialShares*l.floor)
 	}
+	l.alone = alone
 	l.limit = max(l.limit, min(l.floor, l.ceiling))
 }
 
--- a/internal/coordination/admission/load_test.go
+++ b/internal/coordination/admission/load_test.go
@@ -28,6 +28,7 @@
 	now      time.Time
 	gates    []*Gate
 	slots    int
+	shared   bool
 	service  time.Duration
 	running  []*loadRequest
 	queued   []*loadRequest
@@ -141,7 +142,11 @@
 				others += n
 			}
 		}
-		g.Configure(max(l.slots-others, l.slots/len(l.gates)), loadFloor)
+		share := l.slots / len(l.gates)
+		g.Configure(max(l.slots-others, share), loadFloor)
+		if l.shared {
+			g.SetShare(Share{Slots: share, Alone: others*5 < l.slots*2, HasRoom: (others+at[i])*10 < l.slots*7})
+		}
 	}
 }
 
@@ -156,16 +161,14 @@
 	d.ScanArgs(t, "for", &lasts)
 	d.ScanArgs(t, "live", &live)
 	d.MaybeScanArgs(t, "training", &training)
-	shared := !d.HasArg("unshared")
+	busy := hosts
+	d.MaybeScanArgs(t, "busy", &busy)
 	work, _ := time.ParseDuration(service)
 	length, _ := time.ParseDuration(lasts)
-	l := &load{now: epoch, slots: slots, service: work, waits: map[*Ticket]*loadRequest{}, results: map[model.Priority]*loadResult{
+	l := &load{now: epoch, shared: !d.HasArg("unshared"), slots: slots, service: work, waits: map[*Ticket]*loadRequest{}, results: map[model.Priority]*loadResult{
 		model.PriorityLive: {}, model.PriorityTraining: {}}}
 	for range hosts {
 		g := NewGate(slots, loadFloor)
-		if shared {
-			g.SetShare(slots/hosts, false)
-		}
 		l.gates = append(l.gates, g)
 	}
 	var offered [2]float64
@@ -173,7 +176,7 @@
 	offer := func(i int, perSecond float64, p model.Priority, patience time.Duration) {
 		for offered[i] += perSecond * loadStep.Seconds(); offered[i] >= 1; offered[i]-- {
 			next++
-			r := &loadRequest{host: next % hosts, first: l.now, arrived: l.now}
+			r := &loadRequest{host: next % busy, first: l.now, arrived: l.now}
 			r.Priority, r.Patience = p, patience
 			l.arrive(r)
 		}
@@ -211,7 +214,7 @@
 func TestSlowEndpointsWithFreeSlotsDoNotLowerTheLimit(t *testing.T) {
 	for _, hasRoom := range []bool{true, false} {
 		g, now := NewGate(16, 0), epoch
-		g.SetShare(4, hasRoom)
+		g.SetShare(Share{Slots: 4, HasRoom: hasRoom})
 		before := g.Limit()
 		for i := range 40 {
 			now = now.Add(20 * time.Millisecond)
--- a/internal/coordination/admission/rate.go
+++ b/internal/coordination/admission/rate.go
@@ -18,10 +18,10 @@
 	demandWeight = 0.5
 )
 
-// Share is the part of a caller's total rate that this host may admit. The shares
+// RateShare is the part of a caller's total rate that this host may admit. The shares
 // of hosts with the same demands sum up to total. hosts is the number of entry
 // hosts; without demands from others (connected false) the split is even.
-func Share(total, own, sum float64, hosts int, connected bool) float64 {
+func RateShare(total, own, sum float64, hosts int, connected bool) float64 {
 	even := total / float64(max(1, hosts))
 	if !connected || sum <= 0 {
 		return even
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -156,7 +156,7 @@
 		hosts = liveEntryHosts(v)
 	}
 	sum := admission.SumDemand(v.Demands, id, s.opt.Host, own)
-	return admission.Share(total, own, sum, hosts, connected)
+	return admission.RateShare(total, own, sum, hosts, connected)
 }
 
 // admit takes a slot of the target; the caller of admit gives it back by leave.
--- a/internal/transport/front/admit.go
+++ b/internal/transport/front/admit.go
@@ -23,9 +23,12 @@
 	// overcommit is how much more than the slots all hosts together may send: endpoints
 	// queue a few requests, which keeps them busy between an answer and the next request.
 	overcommit = 1.5
-	// spareBelow is the share of a service's slots in use under which slow answers are
-	// not taken for an overload.
-	spareBelow = 0.7
+	// aloneBelow is the share of a service's slots in use by other hosts under which this
+	// host may use all the rest; it is what a few of them use in calm times.
+	aloneBelow = 0.4
+	// roomBelow is the share of a service's slots in use under which slow answers are not
+	// taken for an overload.
+	roomBelow = 0.7
 	// resizeEvery is how long a gate's size is used; peers report their loads less often.
 	resizeEvery = 50 * time.Millisecond
 	// repeatShare is the share of the longest budget below which a caller is taken to
@@ -84,7 +87,11 @@
 	}
 	s.sized = now
 	s.Configure(ceiling, scoringFloor)
-	s.SetShare(share, float64(own+peers) < spareBelow*float64(slots))
+	s.SetShare(admission.Share{
+		Slots:   share,
+		Alone:   float64(peers) < aloneBelow*float64(slots),
+		HasRoom: float64(own+peers) < roomBelow*float64(slots),
+	})
 	return s.Gate
 }
 
--- a/internal/transport/gate/gate.go
+++ b/internal/transport/gate/gate.go
@@ -31,10 +31,10 @@
 }
 
 // SetShare takes over this host's share of the slots, see admission.Gate.SetShare.
-func (g *Gate) SetShare(slots int, hasRoom bool) {
+func (g *Gate) SetShare(s admission.Share) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.SetShare(slots, hasRoom)
+	g.gate.SetShare(s)
 }
 
 // Busy reports whether requests wait.
