--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -25,6 +25,16 @@
 	// doubles with each further one up to maxEjection, about the time of a restart.
 	firstEjection = 500 * time.Millisecond
 	maxEjection   = 4 * time.Second
+	// suspectFor is how long after its ejection an endpoint that has not answered since is
+	// still avoided, at suspectCost: it has the fewest requests of all, as none gets
+	// through, and would be chosen first. It is tried once the others are crowded.
+	suspectFor  = 8 * time.Second
+	suspectCost = 1.0
+	// doubtFor is how long an endpoint is avoided that a peer finds unreachable, unless it
+	// answers this host: three of the peers' heartbeats.
+	doubtFor = time.Second
+	// maxUnreachable bounds the endpoints that a heartbeat names as unreachable.
+	maxUnreachable = 24
 	// failuresToEject is the number of failures in a row that eject an endpoint: one
 	// alone may be the request's own.
 	failuresToEject = 2
@@ -69,6 +79,11 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// unreachable says that the last ejection was for certain.
+	unreachable bool
+	// doubtUntil is the end of a peer's doubt, answeredAt when the endpoint last answered.
+	doubtUntil time.Time
+	answeredAt time.Time
 	// pace is the time for one event of a stream, or for one answer; zero is unknown.
 	pace    time.Duration
 	pacedAt time.Time
@@ -289,6 +304,11 @@
 
 func (e *entry) load() int { return e.own + e.peerLoad }
 
+// suspect reports whether the endpoint was left out and has not answered since.
+func (e *entry) suspect(now time.Time) bool {
+	return e.ejections > 0 && now.Before(e.ejectedUntil.Add(suspectFor))
+}
+
 // cost is the endpoint's expected time relative to the service's usual pace.
 // scale replaces the peers' load when it is not zero.
 func (e *entry) cost(now time.Time, zone string, usual time.Duration, scale float64, random uint64) float64 {
@@ -308,7 +328,10 @@
 	if zone != e.endpoint.Zone {
 		cost += otherZoneCost
 	}
-	if now.Sub(e.usedAt) < warmFor {
+	switch {
+	case e.suspect(now), now.Before(e.doubtUntil) && now.Sub(e.answeredAt) > doubtFor:
+		cost += suspectCost
+	case now.Sub(e.usedAt) < warmFor:
 		cost -= warmBonus
 	}
 	spread := (uint64(e.key) ^ random) * 0x9e3779b97f4a7c15 >> 54
@@ -394,8 +417,8 @@
 	e.own = max(e.own-1, 0)
 	switch f {
 	case OK:
-		e.failures, e.ejections = 0, 0
-		e.ejectedUntil = time.Time{}
+		e.failures, e.ejections, e.unreachable = 0, 0, false
+		e.ejectedUntil, e.answeredAt = time.Time{}, now
 	case Refused:
 		e.refusedUntil = now.Add(refusedPause)
 	case Broke:
@@ -413,6 +436,26 @@
 		e.failures = max(e.failures, failuresToEject)
 		e.ejectedUntil = now.Add(min(firstEjection<<min(e.ejections, 8), maxEjection))
 		e.ejections++
+		e.unreachable = true
+	}
+}
+
+// Unreachable returns some of the endpoints that this host certainly did not reach and
+// that have not answered it since, by Key.
+func (t *Table) Unreachable(now time.Time) []uint32 {
+	var out []uint32
+	for _, e := range t.entries {
+		if e.unreachable && e.suspect(now) && len(out) < maxUnreachable {
+			out = append(out, e.key)
+		}
+	}
+	return out
+}
+
+// Doubt records that a peer does not reach an endpoint.
+func (t *Table) Doubt(now time.Time, key uint32) {
+	if e, ok := t.byKey[key]; ok {
+		e.doubtUntil = now.Add(doubtFor)
 	}
 }
 
@@ -427,7 +470,7 @@
 	} else {
 		e.pace = time.Duration((1-paceWeight)*float64(e.pace) + paceWeight*float64(d))
 	}
-	e.pacedAt = now
+	e.pacedAt, e.answeredAt = now, now
 }
 
 // SeenVersion records a version that an endpoint's own answer named.
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -21,6 +21,9 @@
 	stallLimit = 2200 * time.Millisecond
 	// deadLimit is the same for a stream whose endpoint has stalled another one.
 	deadLimit = 900 * time.Millisecond
+	// probeAfter is how long a stream may be silent before a connection to its endpoint is
+	// tried; engines that are slow or full still accept one.
+	probeAfter = 600 * time.Millisecond
 	// slowFactor is how much slower than usual an endpoint must be for its samples to
 	// be moved to another one; the other must be faster by moveGain.
 	slowFactor = 1.6
@@ -200,12 +203,39 @@
 	}
 	for i, at := range a.attempts {
 		silent := now.Sub(time.Unix(0, at.lastEvent.Load()))
-		if silent > stallLimit || silent > deadLimit && slices.Contains(stalled, at.endpoint.ID) || a.worthMoving(now, i, at) {
+		if silent > stallLimit || silent > probeAfter && a.unreachable(now, at) || silent > deadLimit && slices.Contains(stalled, at.endpoint.ID) || a.worthMoving(now, i, at) {
 			at.cancel()
 		}
 	}
 }
 
+// probe is the try of a connection to an endpoint whose streams are silent.
+type probe struct {
+	began  time.Time
+	failed atomic.Bool
+}
+
+// unreachable reports whether a connection to a silent stream's endpoint was tried in
+// vain, and tries one for each silence.
+func (a *activeBatch) unreachable(now time.Time, at *attempt) bool {
+	p := a.probes[at.endpoint.ID]
+	if p != nil && p.began.UnixNano() > at.lastEvent.Load() {
+		return p.failed.Load()
+	}
+	p = &probe{began: now}
+	a.probes[at.endpoint.ID] = p
+	go func() {
+		err := a.owner.runner.client.Reach(a.ctx, at.endpoint)
+		if err == nil || a.ctx.Err() != nil {
+			return
+		}
+		p.failed.Store(true)
+		a.owner.runner.fleet.With(func(t *placement.Table) { t.Eject(time.Now(), at.endpoint.ID) })
+		a.log.Warn("The endpoint of a silent stream cannot be reached.", "endpoint", at.endpoint.ID, "err", err)
+	}()
+	return false
+}
+
 // worthMoving reports whether a sample runs at a slow endpoint while a faster one has
 // room.
 func (a *activeBatch) worthMoving(now time.Time, i int, at *attempt) bool {
--- a/internal/transport/front/feed_test.go
+++ b/internal/transport/front/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -86,3 +88,37 @@
 		t.Errorf("unpacked %d bytes of %d: %v", len(got), len(value), err)
 	}
 }
+
+// countingRelay answers calls as a peer does; down says that it cannot be reached.
+type countingRelay struct {
+	objectapi.API
+	calls int
+	down  bool
+}
+
+func (r *countingRelay) Get(context.Context, string) (objectapi.Object, error) {
+	r.calls++
+	if r.down {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	return objectapi.Object{}, objectapi.ErrNotFound
+}
+
+// A call that takes a turn through a peer that is cut off too waits for its timeout. So a
+// peer that serves is kept, and one that fails is left.
+func TestCallsKeepToThePeerThatReachesTheStore(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	relays := map[string]*countingRelay{"p1:1": {}, "p2:1": {down: true}, "p3:1": {}}
+	path := NewStorePath(nil, func() []string { return []string{"p1:1", "p2:1", "p3:1"} }, log)
+	path.failing, path.probedAt = true, time.Now()
+	path.dial = func(address string) objectapi.API { return relays[address] }
+	for range 30 {
+		_, _ = path.Get(context.Background(), "hosts/h1")
+	}
+	if n := relays["p2:1"].calls; n > 1 {
+		t.Errorf("the peer that is cut off got %d calls", n)
+	}
+	if relays["p1:1"].calls+relays["p3:1"].calls < 29 {
+		t.Error("calls were lost")
+	}
+}
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -46,7 +46,7 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, store: standin.NewObjectStore(standin.ObjectStoreOptions{}), nodes: map[string]*testNode{}}
-	w.engines = &engines{versions: map[string]int{}, orders: map[string]int64{}, down: map[string]bool{}, pace: time.Millisecond, runs: map[string]int{}}
+	w.engines = &engines{versions: map[string]int{}, orders: map[string]int64{}, down: map[string]bool{}, silent: map[string]bool{}, pace: time.Millisecond, runs: map[string]int{}}
 	w.configure(1)
 	for i := range 3 {
 		w.engine(fmt.Sprintf("e%d", i), 1)
@@ -241,6 +241,8 @@
 	*standin.ObjectStore
 	refusing atomic.Bool
 	statuses sync.Map
+	// stalled, when set, leaves reads under this prefix without an answer.
+	stalled atomic.Pointer[string]
 	// swallow, when set, loses the answers of writes under this prefix.
 	swallow atomic.Pointer[string]
 }
@@ -249,6 +251,10 @@
 	if s.refusing.Load() {
 		return objectapi.Object{}, objectapi.ErrRefused
 	}
+	if prefix := s.stalled.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
+		<-ctx.Done()
+		return objectapi.Object{}, errors.Join(objectapi.ErrUnavailable, ctx.Err())
+	}
 	return s.ObjectStore.Get(ctx, key)
 }
 
@@ -333,6 +339,10 @@
 	received []order
 	down     map[string]bool
 	pace     time.Duration
+	// silent endpoints neither answer nor accept connections; leftSilence is when the last
+	// stream left one.
+	silent      map[string]bool
+	leftSilence time.Time
 	// runs counts the starts of each request id.
 	runs map[string]int
 	// do, when set, answers plain requests.
@@ -360,7 +370,7 @@
 
 func (e *engines) Generate(ctx context.Context, g backend.Generate, emit func(backend.Event) error) error {
 	e.mu.Lock()
-	down, pace := e.down[g.Endpoint.ID], e.pace
+	down, pace := e.down[g.Endpoint.ID] || e.silent[g.Endpoint.ID], e.pace
 	e.runs[g.ID]++
 	e.mu.Unlock()
 	if down {
@@ -382,8 +392,15 @@
 		case <-time.After(pace):
 		}
 		e.mu.Lock()
-		version, down := e.versions[g.Endpoint.ID], e.down[g.Endpoint.ID]
+		version, down, silent := e.versions[g.Endpoint.ID], e.down[g.Endpoint.ID], e.silent[g.Endpoint.ID]
 		e.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			e.mu.Lock()
+			e.leftSilence = time.Now()
+			e.mu.Unlock()
+			return errors.Join(backend.ErrBroken, ctx.Err())
+		}
 		if down {
 			return backend.ErrBroken
 		}
@@ -416,12 +433,18 @@
 func (e *engines) Reach(_ context.Context, ep catalog.Endpoint) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down[ep.ID] {
+	if e.down[ep.ID] || e.silent[ep.ID] {
 		return backend.ErrUnreachable
 	}
 	return nil
 }
 
+func (e *engines) silence(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent[id] = true
+}
+
 func (e *engines) Observe(_ context.Context, ep catalog.Endpoint) (backend.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -173,6 +173,9 @@
 		for key, ms := range h.LoadingMs {
 			t.SetLoading(now, key, now.Add(time.Duration(ms)*time.Millisecond))
 		}
+		for _, key := range h.Unreachable {
+			t.Doubt(now, key)
+		}
 	})
 	if appeared {
 		m.log.Info("A host is alive.", "host", h.Host, "address", h.PeerAddress, "incarnation", h.Incarnation)
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/quarantine"
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
@@ -56,6 +57,58 @@
 	}
 }
 
+// TestResultsComeWhileTheOwnershipIsBeingProved: a reader is not kept from results that
+// are there because the store is slow to confirm that there were none before.
+func TestResultsComeWhileTheOwnershipIsBeingProved(t *testing.T) {
+	w := newWorld(t)
+	w.engines.pace = 20 * time.Millisecond
+	n := w.start("h1")[0]
+	id := submit(t, n, 1, 80)
+	time.Sleep(ownerCheckAge + 100*time.Millisecond) // the last proof is too old now
+	prefix := "batches/"
+	n.path.stalled.Store(&prefix)
+	page, err := n.Batches.Results(background, id, 0, 50*time.Millisecond)
+	if err != nil || len(page.Results) == 0 {
+		t.Errorf("the reader got %d results: %v", len(page.Results), err)
+	}
+}
+
+// TestSamplesOfAnUnreachableEndpointMoveBeforeTheStallLimit: an endpoint that is cut off
+// neither ends its streams nor accepts connections.
+func TestSamplesOfAnUnreachableEndpointMoveBeforeTheStallLimit(t *testing.T) {
+	w := newWorld(t)
+	w.engines.pace = 10 * time.Millisecond
+	n := w.start("h1")[0]
+	id := submit(t, n, 3, 60)
+	w.until("samples run", func() bool { return w.engines.generating.Load() > 3 })
+	began := time.Now()
+	w.engines.silence("e0")
+	w.checkResults(batch(id, 3, 60), w.readAll(n, id))
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	if left := w.engines.leftSilence.Sub(began); left <= 0 || left >= stallLimit {
+		t.Errorf("the samples left the endpoint after %v", left)
+	}
+}
+
+// TestPeersAvoidAnEndpointThatOneOfThemDoesNotReach: hosts tell each other.
+func TestPeersAvoidAnEndpointThatOneOfThemDoesNotReach(t *testing.T) {
+	w := newWorld(t)
+	hosts := w.start("h1", "h2")
+	w.until("the endpoints are known", func() bool { return len(hosts[1].feed.State(0).Endpoints) == 4 })
+	hosts[0].Forwarder.fleet.With(func(table *placement.Table) { table.Eject(time.Now(), "e0") })
+	w.until("the other host avoids the endpoint", func() bool {
+		avoided := true
+		hosts[1].Forwarder.fleet.With(func(table *placement.Table) {
+			for i := range 12 {
+				e, ok := table.Pick(time.Now(), placement.Query{Service: "engines", Model: "m", FreeSlot: true}, uint64(i)<<32)
+				avoided = avoided && ok && e.ID != "e0"
+			}
+		})
+		return avoided
+	})
+}
+
 func TestABatchIsAcceptedOnceAtAnyHost(t *testing.T) {
 	w := newWorld(t)
 	hosts := w.start("h1", "h2")
--- a/internal/transport/front/readings.go
+++ b/internal/transport/front/readings.go
@@ -92,7 +92,23 @@
 	if len(page.Results) > 0 || b.results.final() || time.Since(b.results.proved()) < ownerCheckAge {
 		return page, nil
 	}
-	if err := s.prove(ctx, b); err != nil {
+	return s.provenPage(ctx, b, after)
+}
+
+// provenPage answers with results that come while the ownership is being proved, or that
+// there are none once it is.
+func (s *Batches) provenPage(ctx context.Context, b *activeBatch, after int) (Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	proved := make(chan error, 1)
+	go func() {
+		proved <- s.prove(ctx, b)
+		cancel()
+	}()
+	if page := b.results.page(ctx, after, storePatience); len(page.Results) > 0 {
+		return page, nil
+	}
+	if err := <-proved; err != nil {
 		return Page{}, err
 	}
 	return b.results.page(ctx, after, 0), nil
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -43,9 +43,11 @@
 
 	run      *batchrun.Run
 	attempts map[int]*attempt
-	ends     chan attemptEnd
-	scores   chan scoreEnd
-	pending  chan []batches.Result
+	// probes are the last tries of connections, by endpoint.
+	probes  map[string]*probe
+	ends    chan attemptEnd
+	scores  chan scoreEnd
+	pending chan []batches.Result
 	// urgent asks for the pending results to be listed now: the trainer waits for them.
 	urgent chan struct{}
 	// savedAt, saving and savedVersion belong to the saving of unfinished samples.
@@ -70,7 +72,7 @@
 func newActiveBatch(m storedManifest, b *batches.Batch, carried map[string]bool, entries []batches.LogEntry, owner *Batches) *activeBatch {
 	a := &activeBatch{
 		owner: owner, manifest: m.Manifest, batch: b, results: newListing(len(b.Samples), entries),
-		log: owner.log.With("batch", m.ID), attempts: map[int]*attempt{},
+		log: owner.log.With("batch", m.ID), attempts: map[int]*attempt{}, probes: map[string]*probe{},
 		ends:    make(chan attemptEnd, len(b.Samples)+1),
 		scores:  make(chan scoreEnd, len(b.Samples)+1),
 		pending: make(chan []batches.Result, len(b.Samples)+1),
--- a/internal/transport/front/storepath.go
+++ b/internal/transport/front/storepath.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,9 @@
 	failing   bool
 	probing   bool
 	probedAt  time.Time
-	next      int
+	// relay is the peer that calls go through, until one fails.
+	relay string
+	next  int
 }
 
 var _ objectapi.API = (*StorePath)(nil)
@@ -72,8 +75,11 @@
 	if len(relays) == 0 {
 		return p.direct, true
 	}
-	p.next++
-	return p.dial(relays[p.next%len(relays)]), false
+	if !slices.Contains(relays, p.relay) {
+		p.next++
+		p.relay = relays[p.next%len(relays)]
+	}
+	return p.dial(p.relay), false
 }
 
 // probe asks the store directly for an object that need not exist.
@@ -102,6 +108,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !direct {
+		if failed(err) {
+			p.relay = ""
+		}
 		return
 	}
 	throttled := errors.Is(err, objectapi.ErrThrottled)
