Load weights first for the model that the fewest endpoints serve

Change: each order goes to the model whose newest and next step the fewest endpoints can serve, loads in progress counted; the room for loads is counted over all models.

Tried beside it and dropped: counting a load as over 1.05 s after it was accepted instead of when the catalog shows it.

--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -2,9 +2,12 @@
 //
 // It answers this load pattern: a version arrives every few seconds, a load blocks an
 // endpoint for about a second, and loads slow each other down when many run at once.
-// So only a share of the fleet loads at a time; endpoints that can serve no open step
-// go first, and among the others the fullest: a load keeps new samples out but lets
-// running ones go on, so it costs least where nothing could start anyway.
+// So only a share of the fleet loads at a time. Where several models are trained on it
+// there are more loads to do than time for them: the model goes first that the fewest
+// endpoints can serve, lest one model's loads hold up the others'. Of its endpoints those
+// go first that can serve no open step, and among the others the fullest: a load keeps new
+// samples out but lets running ones go on, so it costs least where nothing could start
+// anyway.
 //
 // Invariant: at most one load of a model is in progress at an endpoint, and a load is
 // never ordered to a version below the one that the endpoint reported.
@@ -19,9 +22,9 @@
 )
 
 const (
-	// loadingShare is the part of a model's endpoints that load at once; the weight
-	// store serves more only at a slower pace each.
-	loadingShare = 0.22
+	// loadingShare is the part of the endpoints that load at once; the weight store
+	// serves more only at a slower pace each.
+	loadingShare = 0.2
 	// reportLag is how long an accepted order may go unseen in the catalog before it
 	// is taken as lost. Loads take about a second, and the catalog shows them later.
 	reportLag = 4 * time.Second
@@ -97,40 +100,78 @@
 	Version  int
 }
 
+// wave is what is left to do for one model.
+type wave struct {
+	model  string
+	target int
+	// ready counts the endpoints that can serve the newest step, and those again that
+	// can serve the step after it, with the loads in progress.
+	ready int
+	// behind lists the endpoints to order, the first one first.
+	behind []catalog.Endpoint
+}
+
 // Next returns the orders to send now. running tells the requests at an endpoint.
 func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, running func(id string) int) []Step {
 	p.settle(now, endpoints)
-	models := make([]string, 0, len(p.targets))
+	serving := 0
+	for i := range endpoints {
+		if len(endpoints[i].Versions) > 0 {
+			serving++
+		}
+	}
+	room := max(int(loadingShare*float64(serving)+0.5), 1) - p.loading(now)
+	if room <= 0 {
+		return nil
+	}
+	var waves []*wave
 	for m := range p.targets {
-		models = append(models, m)
+		if w := p.wave(now, m, endpoints, running); len(w.behind) > 0 {
+			waves = append(waves, w)
+		}
 	}
-	slices.Sort(models)
+	slices.SortFunc(waves, func(a, b *wave) int { return cmp.Compare(a.model, b.model) })
 	var steps []Step
-	for _, m := range models {
-		steps = append(steps, p.nextOf(now, m, endpoints, running)...)
+	for ; room > 0; room-- {
+		var next *wave
+		for _, w := range waves {
+			if len(w.behind) > 0 && (next == nil || w.ready < next.ready) {
+				next = w
+			}
+		}
+		if next == nil {
+			break
+		}
+		steps = append(steps, Step{Endpoint: next.behind[0], Model: next.model, Version: next.target})
+		next.ready += next.gain(next.behind[0].Versions[next.model])
+		next.behind = next.behind[1:]
 	}
 	return steps
 }
 
-func (p *Plan) nextOf(now time.Time, model string, endpoints []catalog.Endpoint, running func(id string) int) []Step {
-	target := p.targets[model]
-	serving, loading := 0, p.loading(now)
-	var behind []catalog.Endpoint
+// gain is what a load adds to ready at an endpoint with a version.
+func (w *wave) gain(version int) int { return min(max(w.target-version, 0), 2) }
+
+// wave returns what is left to do for a model.
+func (p *Plan) wave(now time.Time, model string, endpoints []catalog.Endpoint, running func(id string) int) *wave {
+	w := &wave{model: model, target: p.targets[model]}
 	for _, e := range endpoints {
 		v, ok := e.Versions[model]
-		if !ok {
+		if !ok || e.Draining {
 			continue
 		}
-		serving++
-		if v >= target || e.Draining {
-			continue
+		s, ordered := p.sent[key{e.ID, model}]
+		ordered = ordered && now.Before(s.until)
+		w.ready += 2 - w.gain(v)
+		switch {
+		case v >= w.target:
+		case ordered && s.accepted:
+			w.ready += w.gain(v)
+		case !ordered:
+			w.behind = append(w.behind, e)
 		}
-		if s, ok := p.sent[key{e.ID, model}]; ok && now.Before(s.until) {
-			continue
-		}
-		behind = append(behind, e)
 	}
-	slices.SortFunc(behind, func(a, b catalog.Endpoint) int {
+	slices.SortFunc(w.behind, func(a, b catalog.Endpoint) int {
 		return cmp.Or(
 			cmp.Compare(a.Versions[model], b.Versions[model]),
 			// One that does not come to its version must not keep the others from it.
@@ -139,15 +180,7 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	room := max(int(loadingShare*float64(serving)+0.5), 1) - loading
-	var steps []Step
-	for _, e := range behind {
-		if len(steps) >= room {
-			break
-		}
-		steps = append(steps, Step{Endpoint: e, Model: model, Version: target})
-	}
-	return steps
+	return w
 }
 
 // settle forgets orders that the catalog shows as carried out or as given to an
@@ -165,6 +198,8 @@
 	}
 }
 
+// loading counts the loads in progress, until the catalog shows their end: one that takes
+// longer than usual keeps its place, as more at once would slow down all of them.
 func (p *Plan) loading(now time.Time) int {
 	n := 0
 	for _, s := range p.sent {
--- a/internal/coordination/upgrades/upgrades_test.go
+++ b/internal/coordination/upgrades/upgrades_test.go
@@ -48,6 +48,39 @@
 	}
 }
 
+// TestTheModelThatFewestEndpointsServeLoadsFirst: a model's loads do not wait for all
+// those of another one.
+func TestTheModelThatFewestEndpointsServeLoadsFirst(t *testing.T) {
+	p := NewPlan()
+	p.SetTarget("a", 5)
+	p.SetTarget("b", 3)
+	var f []catalog.Endpoint
+	for i := range 10 {
+		f = append(f, catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Versions: map[string]int{"a": 4, "b": 1}, Incarnation: 1})
+	}
+	models := func(now time.Time) string {
+		out := ""
+		for _, s := range p.Next(now, f, idle) {
+			out += s.Model
+			p.Accepted(now, s)
+			for i := range f {
+				if f[i].ID == s.Endpoint.ID {
+					f[i].Versions[s.Model] = s.Version
+				}
+			}
+		}
+		return out
+	}
+	// Ten endpoints can serve a's newest step and none b's.
+	var order string
+	for i := range 8 {
+		order += models(begin.Add(time.Duration(i) * loadTime))
+	}
+	if order != "bbbbbabaabaabaab" {
+		t.Fatalf("ordered %s", order)
+	}
+}
+
 func TestOldestWeightsAndThenTheFullestGoFirst(t *testing.T) {
 	p := NewPlan()
 	p.SetTarget("m", 4)
