Leave slow engines sooner, and tell peers of them

Change: paces over three events; hosts name the engines that they measured as slow in their heartbeats, and peers that have no measurement of their own within a second avoid them.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -33,8 +33,10 @@
 	// doubtFor is how long an endpoint is avoided that a peer finds unreachable, unless it
 	// answers this host: three of the peers' heartbeats.
 	doubtFor = time.Second
-	// maxUnreachable bounds the endpoints that a heartbeat names as unreachable.
-	maxUnreachable = 24
+	// maxNamed bounds the endpoints that a heartbeat names as unreachable, and as slow.
+	maxNamed = 24
+	// slowFactor is how many times the usual pace makes an endpoint slow.
+	slowFactor = 1.6
 	// failuresToEject is the number of failures in a row that eject an endpoint: one
 	// alone may be the request's own.
 	failuresToEject = 2
@@ -84,6 +86,8 @@
 	// doubtUntil is the end of a peer's doubt, answeredAt when the endpoint last answered.
 	doubtUntil time.Time
 	answeredAt time.Time
+	// slowUntil is the end of a peer's finding that the endpoint is slow.
+	slowUntil time.Time
 	// pace is the time for one event of a stream, or for one answer; zero is unknown.
 	pace    time.Duration
 	pacedAt time.Time
@@ -329,7 +333,8 @@
 		cost += otherZoneCost
 	}
 	switch {
-	case e.suspect(now), now.Before(e.doubtUntil) && now.Sub(e.answeredAt) > doubtFor:
+	case e.suspect(now), now.Before(e.doubtUntil) && now.Sub(e.answeredAt) > doubtFor,
+		now.Before(e.slowUntil) && now.Sub(e.pacedAt) > doubtFor:
 		cost += suspectCost
 	case now.Sub(e.usedAt) < warmFor:
 		cost -= warmBonus
@@ -445,13 +450,37 @@
 func (t *Table) Unreachable(now time.Time) []uint32 {
 	var out []uint32
 	for _, e := range t.entries {
-		if e.unreachable && e.suspect(now) && len(out) < maxUnreachable {
+		if e.unreachable && e.suspect(now) && len(out) < maxNamed {
 			out = append(out, e.key)
 		}
 	}
 	return out
 }
 
+// Slow returns some of the endpoints that this host found slow within doubtFor, by Key.
+func (t *Table) Slow(now time.Time) []uint32 {
+	var out []uint32
+	for _, e := range t.entries {
+		if e.pace > 0 && now.Sub(e.pacedAt) < doubtFor && len(out) < maxNamed && t.IsSlow(now, e.endpoint.ID) {
+			out = append(out, e.key)
+		}
+	}
+	return out
+}
+
+// IsSlow reports whether an endpoint is much slower than is usual in its service.
+func (t *Table) IsSlow(now time.Time, id string) bool {
+	own, usual := t.Pace(now, id)
+	return own > 0 && float64(own) >= slowFactor*float64(usual)
+}
+
+// FoundSlow records that a peer finds an endpoint slow.
+func (t *Table) FoundSlow(now time.Time, key uint32) {
+	if e, ok := t.byKey[key]; ok {
+		e.slowUntil = now.Add(doubtFor)
+	}
+}
+
 // Doubt records that a peer does not reach an endpoint.
 func (t *Table) Doubt(now time.Time, key uint32) {
 	if e, ok := t.byKey[key]; ok {
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -42,6 +42,10 @@
 		s.now = s.now.Add(span)
 	case "measured":
 		s.table.Measured(s.now, id, span)
+	case "found-slow":
+		s.table.FoundSlow(s.now, Key(id))
+	case "doubt":
+		s.table.Doubt(s.now, Key(id))
 	case "eject":
 		s.table.Eject(s.now, id)
 	case "loading":
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -56,8 +56,10 @@
 	LoadingMs map[uint32]uint16 `cbor:"19,keyasint,omitempty"`
 	// Quarantine lists requests that crashed endpoints.
 	Quarantine []Suspicion `cbor:"20,keyasint,omitempty"`
-	// Unreachable are endpoints that do not answer the sender, by placement.Key.
+	// Unreachable are endpoints that do not answer the sender, Slow those that it finds
+	// much slower than others, by placement.Key.
 	Unreachable []uint32 `cbor:"21,keyasint,omitempty"`
+	Slow        []uint32 `cbor:"22,keyasint,omitempty"`
 	// Peers are the addresses of the hosts that the sender knows; only greetings
 	// have them.
 	Peers []string `cbor:"18,keyasint,omitempty"`
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -24,14 +24,14 @@
 	// probeAfter is how long a stream may be silent before a connection to its endpoint is
 	// tried; engines that are slow or full still accept one.
 	probeAfter = 600 * time.Millisecond
-	// slowFactor is how much slower than usual an endpoint must be for its samples to
-	// be moved to another one; the other must be faster by moveGain.
-	slowFactor = 1.6
-	moveGain   = 1.4
+	// moveGain is how much faster another endpoint must be for a slow one's samples to be
+	// moved to it.
+	moveGain = 1.4
 	// minStay is how long a sample stays at an endpoint before it is moved again.
 	minStay = 500 * time.Millisecond
-	// paceEvents is the number of events over which an endpoint's pace is measured.
-	paceEvents = 6
+	// paceEvents is the number of events over which an endpoint's pace is measured: few, as
+	// a sample that is moved in vain costs less than one that stays with a slow endpoint.
+	paceEvents = 3
 	// usefulEvents is the number of events that must be expected still for a sample to
 	// be worth moving.
 	usefulEvents = 3
@@ -248,8 +248,7 @@
 	}
 	moving := false
 	a.owner.runner.fleet.With(func(t *placement.Table) {
-		own, usual := t.Pace(now, at.endpoint.ID)
-		if own == 0 || float64(own) < slowFactor*float64(usual) {
+		if !t.IsSlow(now, at.endpoint.ID) {
 			return
 		}
 		other, ok := t.Pick(now, placement.Query{
@@ -259,6 +258,7 @@
 		if !ok {
 			return
 		}
+		own, _ := t.Pace(now, at.endpoint.ID)
 		pace, _ := t.Pace(now, other.ID)
 		moving = float64(own) > moveGain*float64(pace)
 	})
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -169,7 +169,7 @@
 	n.feed.Describe(h)
 	n.Forwarder.quarantine.Describe(h)
 	now := time.Now()
-	n.Forwarder.fleet.With(func(t *placement.Table) { h.Unreachable = t.Unreachable(now) })
+	n.Forwarder.fleet.With(func(t *placement.Table) { h.Unreachable, h.Slow = t.Unreachable(now), t.Slow(now) })
 	for _, l := range n.weights.Loads(now) {
 		if h.LoadingMs == nil {
 			h.LoadingMs = map[uint32]uint16{}
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -176,6 +176,9 @@
 		for _, key := range h.Unreachable {
 			t.Doubt(now, key)
 		}
+		for _, key := range h.Slow {
+			t.FoundSlow(now, key)
+		}
 	})
 	if appeared {
 		m.log.Info("A host is alive.", "host", h.Host, "address", h.PeerAddress, "incarnation", h.Incarnation)
