--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -427,17 +427,6 @@
 	return true
 }
 
-// WaitingCount returns the number of samples that wait for an endpoint.
-func (r *Run) WaitingCount() int {
-	n := 0
-	for _, s := range r.samples {
-		if s.phase == waiting {
-			n++
-		}
-	}
-	return n
-}
-
 // Open returns the number of samples that have not ended.
 func (r *Run) Open() int { return r.open }
 
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -60,8 +60,6 @@
 	// much slower than others, by placement.Key.
 	Unreachable []uint32 `cbor:"21,keyasint,omitempty"`
 	Slow        []uint32 `cbor:"22,keyasint,omitempty"`
-	// Waiting are the samples that wait for an endpoint, by placement.Key of their model.
-	Waiting map[uint32]uint16 `cbor:"23,keyasint,omitempty"`
 	// Peers are the addresses of the hosts that the sender knows; only greetings
 	// have them.
 	Peers []string `cbor:"18,keyasint,omitempty"`
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -3,8 +3,8 @@
 // It answers this load pattern: a version arrives every few seconds, a load blocks an
 // endpoint for about a second, and loads slow each other down when many run at once.
 // So only a share of the fleet loads at a time. Where several models are trained on it
-// there are more loads to do than time for them: the model goes first that has the
-// fewest endpoints for its waiting samples, lest one model's loads hold up the others'. Of its endpoints those
+// there are more loads to do than time for them: the model goes first that the fewest
+// endpoints can serve, lest one model's loads hold up the others'. Of its endpoints those
 // go first that can serve no open step, and among the others the fullest: a load keeps new
 // samples out but lets running ones go on, so it costs least where nothing could start
 // anyway.
@@ -31,9 +31,6 @@
 	// loadTime is how long an engine starts no samples of the model after it accepted an
 	// order.
 	loadTime = 900 * time.Millisecond
-	// baseDemand is added to each model's waiting samples, so that small numbers, which
-	// change within a load's time, decide little.
-	baseDemand = 30
 	// retryAfter is the pause after an order that got no clear answer.
 	retryAfter = 400 * time.Millisecond
 )
@@ -110,25 +107,12 @@
 	// ready counts the endpoints that can serve the newest step, and those again that
 	// can serve the step after it, with the loads in progress.
 	ready int
-	// waiting is the number of samples that wait for an endpoint.
-	waiting int
 	// behind lists the endpoints to order, the first one first.
 	behind []catalog.Endpoint
 }
 
-// need orders waves: the lowest goes first.
-func (w *wave) need() float64 { return float64(w.ready) / float64(w.waiting+baseDemand) }
-
-// Demand is what the hosts tell of their work.
-type Demand struct {
-	// Running tells the requests at an endpoint, Waiting the samples of a model that wait
-	// for one.
-	Running func(endpoint string) int
-	Waiting func(model string) int
-}
-
-// Next returns the orders to send now.
-func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, d Demand) []Step {
+// Next returns the orders to send now. running tells the requests at an endpoint.
+func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, running func(id string) int) []Step {
 	p.settle(now, endpoints)
 	serving := 0
 	for i := range endpoints {
@@ -142,7 +126,7 @@
 	}
 	var waves []*wave
 	for m := range p.targets {
-		if w := p.wave(now, m, endpoints, d); len(w.behind) > 0 {
+		if w := p.wave(now, m, endpoints, running); len(w.behind) > 0 {
 			waves = append(waves, w)
 		}
 	}
@@ -151,7 +135,7 @@
 	for ; room > 0; room-- {
 		var next *wave
 		for _, w := range waves {
-			if len(w.behind) > 0 && (next == nil || w.need() < next.need()) {
+			if len(w.behind) > 0 && (next == nil || w.ready < next.ready) {
 				next = w
 			}
 		}
@@ -169,8 +153,8 @@
 func (w *wave) gain(version int) int { return min(max(w.target-version, 0), 2) }
 
 // wave returns what is left to do for a model.
-func (p *Plan) wave(now time.Time, model string, endpoints []catalog.Endpoint, d Demand) *wave {
-	w := &wave{model: model, target: p.targets[model], waiting: d.Waiting(model)}
+func (p *Plan) wave(now time.Time, model string, endpoints []catalog.Endpoint, running func(id string) int) *wave {
+	w := &wave{model: model, target: p.targets[model]}
 	for _, e := range endpoints {
 		v, ok := e.Versions[model]
 		if !ok || e.Draining {
@@ -192,7 +176,7 @@
 			cmp.Compare(a.Versions[model], b.Versions[model]),
 			// One that does not come to its version must not keep the others from it.
 			cmp.Compare(p.tries[key{a.ID, model}], p.tries[key{b.ID, model}]),
-			cmp.Compare(d.Running(b.ID), d.Running(a.ID)),
+			cmp.Compare(running(b.ID), running(a.ID)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -132,7 +132,6 @@
 	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
-		waiting: n.Batches.Waiting,
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, announce: func() { n.membership.Announce() }, reachable: n.path.Reachable, log: part("weights"),
 	}
 	n.membership = &Membership{
@@ -167,7 +166,6 @@
 	h.Generation = n.Catalog.Generation()
 	h.FencingToken = n.weights.FencingToken()
 	h.Batches = n.Batches.Owned()
-	h.Waiting = n.Batches.Waiting()
 	n.feed.Describe(h)
 	n.Forwarder.quarantine.Describe(h)
 	now := time.Now()
--- a/internal/transport/front/runner.go
+++ b/internal/transport/front/runner.go
@@ -50,8 +50,6 @@
 	pending chan []batches.Result
 	// urgent asks for the pending results to be listed now: the trainer waits for them.
 	urgent chan struct{}
-	// waiting is the number of samples that wait for an endpoint, as of the last tick.
-	waiting atomic.Int64
 	// savedAt, saving and savedVersion belong to the saving of unfinished samples.
 	savedAt      time.Time
 	saving       sync.Mutex
@@ -144,7 +142,6 @@
 	a.giveUpAt = opt.GiveUpAt
 	a.run = batchrun.New(a.batch, opt, a.results.ids())
 	a.restore()
-	a.waiting.Store(int64(a.run.WaitingCount()))
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -165,7 +162,6 @@
 		case <-changed:
 		case <-ticker.C:
 			a.inspect()
-			a.waiting.Store(int64(a.run.WaitingCount()))
 		}
 		a.flush()
 	}
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"time"
 
-	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
@@ -41,24 +39,6 @@
 	return out
 }
 
-// Waiting returns the samples of this host's batches that wait for an endpoint, by
-// placement.Key of their model.
-func (s *Batches) Waiting() map[uint32]uint16 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out map[uint32]uint16
-	for _, b := range s.active {
-		if n := b.waiting.Load(); n > 0 && !b.finished() {
-			if out == nil {
-				out = map[uint32]uint16{}
-			}
-			key := placement.Key(b.batch.Model)
-			out[key] = uint16(min(int64(out[key])+n, math.MaxUint16))
-		}
-	}
-	return out
-}
-
 // Heard notes the batches that a peer runs, so that they can be taken over.
 func (s *Batches) Heard(h presence.Heartbeat) {
 	for _, id := range h.Batches {
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -42,8 +42,6 @@
 	catalog  *Catalog
 	client   backend.Client
 	ready    func() bool
-	// waiting returns the samples of this host's batches that wait for an endpoint.
-	waiting func() map[uint32]uint16
 	// announce tells the other hosts at once what engines load.
 	announce func()
 	// reachable reports whether the store serves this host directly.
@@ -104,16 +102,12 @@
 			running[e.ID] = t.Running(e.ID)
 		}
 	})
-	waiting := w.demand()
 	w.mu.Lock()
 	if time.Now().Before(w.notBefore) {
 		w.mu.Unlock()
 		return
 	}
-	steps := w.plan.Next(time.Now(), endpoints, upgrades.Demand{
-		Running: func(id string) int { return running[id] },
-		Waiting: func(model string) int { return waiting[placement.Key(model)] },
-	})
+	steps := w.plan.Next(time.Now(), endpoints, func(id string) int { return running[id] })
 	w.mu.Unlock()
 	if len(steps) == 0 || !w.renew(ctx) {
 		return
@@ -130,21 +124,6 @@
 	w.announce()
 }
 
-// demand sums up the samples that wait for an endpoint at all hosts, by placement.Key of
-// their model.
-func (w *Weights) demand() map[uint32]int {
-	sum := map[uint32]int{}
-	for key, n := range w.waiting() {
-		sum[key] += int(n)
-	}
-	for _, p := range w.peers.Alive() {
-		for key, n := range p.Waiting {
-			sum[key] += int(n)
-		}
-	}
-	return sum
-}
-
 // Loads returns the loads that this host has ordered and that should still be going on.
 func (w *Weights) Loads(now time.Time) []upgrades.Load {
 	w.mu.Lock()
