--- a/internal/transport/front/unfinished.go
+++ b/internal/transport/front/unfinished.go
@@ -13,10 +13,10 @@
 const (
 	// saveEvery is the pause between savings of the text of unfinished samples, so that
 	// their next owner need not generate it again.
-	saveEvery = 1500 * time.Millisecond
+	saveEvery = 1100 * time.Millisecond
 	// savedEvents is the number of events from which a sample's text is worth saving:
-	// about two seconds of an engine's work.
-	savedEvents = 50
+	// about a second of an engine's work.
+	savedEvents = 22
 	// handedEvents is the same when the batch is handed over, which happens once.
 	handedEvents = 5
 )
