Open the callers' port once there is a first view

A replaced host opened its port before its control program, started a moment earlier, had given it a view; under that load the gap was long enough for two callers.

Ruled out: the front and the admission gates (the entry program refused before admission) and the claims (nothing was looked up).

Change: the entry program waits up to 2 s for the first view before it opens the port. A caller that is not let in goes to another host at once, and nothing ran. When control stays away the port opens all the same and refusals are as before.

--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -122,11 +122,32 @@
 	p.Lifecycle.Append(fx.StopHook(p.Claims.Stop))
 	front := NewFront(p.Server)
 	p.Lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { return front.Start(p.Settings.Entry.Listen) },
-		OnStop:  front.Stop,
+		OnStart: func(ctx context.Context) error {
+			awaitView(ctx, p.Server.hasView)
+			return front.Start(p.Settings.Entry.Listen)
+		},
+		OnStop: front.Stop,
 	})
 }
 
+const (
+	// firstViewWait is how long the callers' port stays closed for want of a first view. A
+	// caller that is not let in goes to another host at once; one that is let in too early
+	// is told that its request may have run, as nothing is known of its claims. The view
+	// takes some ms once the control program runs.
+	firstViewWait = 2 * time.Second
+	// firstViewTick is the pause between looks for it.
+	firstViewTick = 10 * time.Millisecond
+)
+
+// awaitView waits for the first view, but not longer than firstViewWait.
+func awaitView(ctx context.Context, hasView func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, firstViewWait)
+	defer cancel()
+	for !hasView() && clock.Sleep(ctx, firstViewTick) {
+	}
+}
+
 // applyLoop hands each new view to the server and its limits to the object API's client.
 func applyLoop(ctx context.Context, f *feed.Client, s *Server, api *objectapi.Client) {
 	for {
