--- a/internal/transport/entry/module_test.go
+++ b/internal/transport/entry/module_test.go
@@ -2,25 +2,98 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
 	"testing"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/protocol/wire"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+	"oleanderfall.example/oleanderfall/internal/transport/process"
+	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
+	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
 )
 
-// TestThePortStaysClosedUntilThereIsAView: a request that comes before the first view gets
-// an answer that says it may have run. Found by the whole-system test of replaced hosts on
-// a machine with three times more work than processors.
-func TestThePortStaysClosedUntilThereIsAView(t *testing.T) {
-	looks := 0
-	awaitView(context.Background(), func() bool { looks++; return looks > 3 })
-	if looks != 4 {
-		t.Errorf("the port opened after %d looks", looks)
+// fakeControl answers a feed with one view until it is closed.
+func fakeControl(t *testing.T, keys *tlsconf.Keys, view model.FleetView) *quicmesh.Mesh {
+	m, err := quicmesh.New(quicmesh.Options{Listen: "127.0.0.1:0", Server: keys.Server(), Client: keys.Client(), Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
 	}
+	m.Handle(wire.MethodFeed, func(ctx context.Context, _ string, b []byte) (any, error) {
+		var r wire.FeedRequest
+		if err := wire.Decode(b, &r); err != nil || r.After == view.Sequence {
+			<-ctx.Done()
+		}
+		return wire.FeedReply{ControlIncarnation: 1, View: view}, nil
+	})
+	m.Handle(wire.MethodReport, func(context.Context, string, []byte) (any, error) { return wire.ReportReply{}, nil })
+	if err := m.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return m
 }
 
-// TestThePortOpensWithoutAViewInTheEnd: a host whose control program is away refuses its
-// callers instead of looking dead.
-func TestThePortOpensWithoutAViewInTheEnd(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-	defer cancel()
-	awaitView(ctx, func() bool { return false })
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func TestServingGoesOnWithControlAndObjectAPIGone(t *testing.T) {
+	dir := t.TempDir()
+	if err := tlsconf.WriteDevelopmentKeys(dir, "host"); err != nil {
+		t.Fatal(err)
+	}
+	keys, err := tlsconf.Load(tlsconf.Files{Authority: filepath.Join(dir, "ca.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newBed(t)
+	p := b.plain(standin.PlainOptions{ServiceTime: time.Millisecond})
+	b.newEngine(standin.EngineOptions{TokenInterval: time.Millisecond, MedianTokens: testMedian})
+	control := fakeControl(t, keys, model.FleetView{Sequence: 1, Generation: 1, Config: b.config})
+	s := &settings.Process{
+		Host:     settings.HostSettings{ID: "e1", Zone: "lj-a"},
+		Platform: settings.PlatformSettings{ObjectAPI: "http://" + freePort(t), Timeout: 100 * time.Millisecond},
+		Control:  settings.ControlSettings{Listen: control.Address()},
+		Entry:    settings.EntrySettings{Listen: freePort(t), Mesh: "127.0.0.1:0", Admin: freePort(t)},
+	}
+	app := fx.New(fx.NopLogger, Module, fx.Supply(s, slog.New(slog.DiscardHandler), keys), fx.Provide(prometheus.NewRegistry, process.NewHealth))
+	if err := app.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	b.address = s.Entry.Listen
+	eventually(t, "the view arrives", func() bool { return b.call("lookup", "first").code == resultcode.OK })
+	control.Close()
+	for i := range 50 {
+		body := fmt.Sprint(i)
+		if r := b.call("lookup", body); r.body != standin.PlainAnswer("lookup", body) {
+			t.Fatalf("got %+v", r)
+		}
+	}
+	checkTokens(t, b.generate(httpapi.Generate{Prompt: "p", Seed: 1}), "p", 1, standin.AnswerLength("p", 1, testMedian, 0))
+	if r := b.call("issue", "c1", httpapi.IdempotencyKeyHeader, "k", httpapi.DeadlineHeader, "500"); r.code == resultcode.OK {
+		t.Errorf("a claim without its journal: %+v", r)
+	}
+	for _, run := range p.Runs() {
+		if run.Call == "issue" {
+			t.Error("a non-idempotent call ran without a claim")
+		}
+	}
+	if err := app.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
 }
