Name only ready entry programs in the address answers

Cause: after a restart, a host's control program announces the host as alive before its entry program has a view and an open port, and the address answers of the other hosts name it. Change: the entry program reports to its control program whether it serves callers; the membership record carries it, starts as not ready, and expires three seconds after the last report. Address answers leave such hosts out, unless none is ready. Fields are new and optional, so hosts of earlier builds count as ready as before.

--- a/internal/coordination/membership/fleet_test.go
+++ b/internal/coordination/membership/fleet_test.go
@@ -268,6 +268,24 @@
 	f.expect("right after the leave", func(id model.HostID) bool { return id != "host-004" })
 }
 
+// Whether a host's entry program serves callers must be known to all hosts at once, and a
+// restart of the host starts without the readiness of its earlier incarnation.
+func TestMembership_EntryReadiness(t *testing.T) {
+	f := newTestFleet(t, 12)
+	f.run(30 * testHeartbeat)
+	f.apply("host-004", f.machines["host-004"].SetEntryReady(false))
+	if got, _ := f.machines["host-009"].Table().Get("host-004"); !got.EntryNotReady || got.State != members.Alive {
+		t.Fatalf("host whose entry program is not ready is recorded as %+v", got)
+	}
+	if out := f.machines["host-004"].SetEntryReady(false); len(out.Updates) != 0 {
+		t.Errorf("unchanged readiness announced again: %+v", out)
+	}
+	f.apply("host-004", f.machines["host-004"].SetEntryReady(true))
+	if got, _ := f.machines["host-009"].Table().Get("host-004"); got.EntryNotReady {
+		t.Errorf("ready host is recorded as %+v", got)
+	}
+}
+
 // The fleet-wide rate of contact attempts to an address that is no longer in use must
 // not grow in proportion to the number of hosts.
 func TestMembership_ContactRateBounded(t *testing.T) {
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -75,7 +75,10 @@
 // Sender returns this host's description of itself for outgoing messages.
 func (m *Machine) Sender() Sender {
 	s := m.self
-	return Sender{Host: s.Host, Zone: s.Zone, Control: s.Control, Incarnation: s.Incarnation, Revision: s.Revision, Leaving: s.Leaving}
+	return Sender{
+		Host: s.Host, Zone: s.Zone, Control: s.Control,
+		Incarnation: s.Incarnation, Revision: s.Revision, Leaving: s.Leaving, EntryNotReady: s.EntryNotReady,
+	}
 }
 
 // Records returns all records, including those of dead hosts, in order of host.
@@ -94,6 +97,16 @@
 	return m.announceRevision(m.self.Revision + 1)
 }
 
+// SetEntryReady announces whether this host's entry program serves callers. It has no
+// effect if the state is unchanged.
+func (m *Machine) SetEntryReady(ready bool) Output {
+	if m.self.EntryNotReady == !ready {
+		return Output{}
+	}
+	m.self.EntryNotReady = !ready
+	return m.announceRevision(m.self.Revision + 1)
+}
+
 // Depart announces this host as dead after a planned stop. Other hosts accept this
 // without a suspicion phase.
 func (m *Machine) Depart() Output {
--- a/internal/coordination/membership/messages.go
+++ b/internal/coordination/membership/messages.go
@@ -43,13 +43,15 @@
 	Incarnation model.Incarnation `cbor:"4,keyasint"`
 	Revision    uint64            `cbor:"5,keyasint,omitempty"`
 	Leaving     bool              `cbor:"6,keyasint,omitempty"`
+	// EntryNotReady is the field of members.Record.
+	EntryNotReady bool `cbor:"7,keyasint,omitempty"`
 }
 
 // record returns the sender's description as the record of an alive host.
 func (s Sender) record() members.Record {
 	return members.Record{
 		Host: s.Host, Zone: s.Zone, Control: s.Control,
-		Incarnation: s.Incarnation, Revision: s.Revision, Leaving: s.Leaving,
+		Incarnation: s.Incarnation, Revision: s.Revision, Leaving: s.Leaving, EntryNotReady: s.EntryNotReady,
 	}
 }
 
--- a/internal/protocol/wire/control.go
+++ b/internal/protocol/wire/control.go
@@ -30,8 +30,14 @@
 	Demands    []model.CallerDemand       `cbor:"5,keyasint"`
 	// Stopping reports that the program has begun a planned stop.
 	Stopping bool `cbor:"6,keyasint"`
+	// NotReady reports that the entry program does not serve callers, because its port is
+	// closed or it has no view. Programs of earlier builds leave it out.
+	NotReady bool `cbor:"7,keyasint,omitempty"`
 }
 
+// EntryProgram is the Program of the reports of the entry program.
+const EntryProgram = "oleander-entry"
+
 // ReportReply acknowledges a Report.
 type ReportReply struct{}
 
--- a/internal/state/members/record.go
+++ b/internal/state/members/record.go
@@ -37,6 +37,9 @@
 	State    State  `cbor:"6,keyasint,omitempty"`
 	// Leaving reports that the host has announced a planned stop.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// EntryNotReady reports that the host's entry program does not serve callers. It is
+	// false for hosts of earlier builds, which do not announce it.
+	EntryNotReady bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Supersedes reports whether r replaces old. Both must be records of the same host.
--- a/internal/state/model/fleet.go
+++ b/internal/state/model/fleet.go
@@ -47,6 +47,8 @@
 	EntryMesh string `json:"entry_mesh,omitempty"`
 	Entry     string `json:"entry,omitempty"`
 	Rollout   string `json:"rollout,omitempty"`
+	// EntryNotReady is set if the host's entry program does not serve callers.
+	EntryNotReady bool `json:"entry_not_ready,omitempty"`
 }
 
 // QuarantinedRequest is the fingerprint of requests that crashed endpoints.
--- a/internal/transport/control/handlers.go
+++ b/internal/transport/control/handlers.go
@@ -19,6 +19,9 @@
 const (
 	reportTimeout     = 2 * time.Second
 	statusReadTimeout = 2 * time.Second
+	// entryReportTimeout is the time without a report of the entry program, which reports
+	// every second, after which it no longer counts as ready.
+	entryReportTimeout = 3 * time.Second
 )
 
 func (s *service) register(mesh *quicmesh.Mesh) {
@@ -89,9 +92,40 @@
 	if err := s.gossip.AddItems(ctx, list...); err != nil {
 		return err
 	}
+	if r.Program == wire.EntryProgram {
+		// Before setStopping: a restarted entry program ends the announced stop while it is not
+		// ready yet.
+		if err := s.setEntryReady(ctx, time.Now(), !r.NotReady); err != nil {
+			return err
+		}
+	}
 	return s.setStopping(ctx, r.Program, r.Stopping)
 }
 
+// setEntryReady records whether the entry program of this host serves callers, and announces
+// a change.
+func (s *service) setEntryReady(ctx context.Context, now time.Time, ready bool) error {
+	s.mu.Lock()
+	changed := s.entryReady != ready
+	s.entryReady, s.entryReportedAt = ready, now
+	s.mu.Unlock()
+	if !changed {
+		return nil
+	}
+	s.log.Info("Entry program readiness changed", "ready", ready)
+	return s.gossip.SetEntryReady(ctx, ready)
+}
+
+// expireEntryReport announces the entry program as not ready if it no longer reports.
+func (s *service) expireEntryReport(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	expired := s.entryReady && now.Sub(s.entryReportedAt) > entryReportTimeout
+	s.mu.Unlock()
+	if expired {
+		_ = s.setEntryReady(ctx, now, false) // fails only while this program stops
+	}
+}
+
 // setStopping records whether a data-path program of this host is stopping, and
 // announces the host as leaving while at least one is.
 func (s *service) setStopping(ctx context.Context, program string, stopping bool) error {
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -103,6 +103,7 @@
 	return gossip.New(gossip.Options{
 		Self: members.Record{
 			Host: s.Host.ID, Zone: s.Host.Zone, Control: s.Control.Listen, Incarnation: id.incarnation,
+			EntryNotReady: true, // until the entry program reports that it serves callers
 		},
 		Heartbeat:         s.Control.Heartbeat,
 		Log:               logging.Component(root, "gossip"),
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -54,7 +54,11 @@
 
 	mu sync.Mutex
 	// stopping holds the data-path programs of this host that are stopping.
-	stopping        map[string]bool
+	stopping map[string]bool
+	// entryReady and entryReportedAt are the state and time of the last report of the entry
+	// program.
+	entryReady      bool
+	entryReportedAt time.Time
 	listedAddresses []string
 	demands         demandFilter
 }
@@ -94,6 +98,7 @@
 			s.updateSeeds(ctx)
 		case <-s.gossip.Changed():
 		case <-tick.C:
+			s.expireEntryReport(ctx, time.Now())
 			down := s.api.OutageFor() > 0
 			if down == outage && !down && !s.recentlyStarted() {
 				s.announceGeneration(ctx)
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -100,6 +100,7 @@
 			r, known := records[id]
 			delete(records, id)
 			m.Incarnation, m.State = r.Incarnation, memberState(r, known, s.assumeUnknownAlive)
+			m.EntryNotReady = r.EntryNotReady
 			out = append(out, m)
 		}
 	}
--- a/internal/transport/control/view_test.go
+++ b/internal/transport/control/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -43,6 +44,32 @@
 	}
 }
 
+// The readiness of entry programs is taken from the membership records. A host whose entry
+// program has not reported for entryReportTimeout counts as not ready.
+func TestEntryReadiness_ExpiresWithoutReports(t *testing.T) {
+	state := &gossip.State{Records: []members.Record{{Host: "h0", Incarnation: 1}, {Host: "h1", Incarnation: 1, EntryNotReady: true}}}
+	v := composeView(viewSources{config: testConfig(2), state: state})
+	if v.Members[0].EntryNotReady || !v.Members[1].EntryNotReady {
+		t.Errorf("members %+v", v.Members)
+	}
+	s := &service{gossip: gossip.New(gossip.Options{Heartbeat: time.Second}), log: slog.New(slog.DiscardHandler), stopping: map[string]bool{}, demands: demandFilter{last: map[string]sentDemands{}}}
+	if err := s.report(wire.Report{Program: wire.EntryProgram, NotReady: true}); err != nil || s.entryReady {
+		t.Errorf("after a report of a program that is not ready: ready %v, err %v", s.entryReady, err)
+	}
+	if err := s.report(wire.Report{Program: wire.EntryProgram}); err != nil || !s.entryReady {
+		t.Errorf("after a report of a ready program: ready %v, err %v", s.entryReady, err)
+	}
+	reported := s.entryReportedAt
+	s.expireEntryReport(t.Context(), reported.Add(entryReportTimeout))
+	if !s.entryReady {
+		t.Error("readiness expired too early")
+	}
+	s.expireEntryReport(t.Context(), reported.Add(entryReportTimeout+time.Second))
+	if s.entryReady {
+		t.Error("a silent entry program still counts as ready")
+	}
+}
+
 // A host is listed as draining, written "leaving", if it announced that it is leaving or has
 // a drain in force, but a dead host stays dead. Hosts with a record that are not configured
 // are listed too.
--- a/internal/transport/entry/addresses.go
+++ b/internal/transport/entry/addresses.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,12 +33,13 @@
 
 type candidate struct {
 	address string
+	ready   bool
 	local   bool
 	score   uint64
 }
 
-// addresses lists the addresses of the entry hosts that are neither dead nor draining, those
-// of the local zone first.
+// addresses lists the addresses of the ready entry hosts that are neither dead nor draining,
+// those of the local zone first.
 // Within a zone the hosts are sorted by a hash of caller and host, so that the order is
 // stable for a caller and callers spread over the hosts.
 func (s *Server) addresses(v *model.FleetView, caller string) []string {
@@ -57,10 +59,16 @@
 		}
 		found = append(found, candidate{
 			address: m.Entry,
+			ready:   !m.EntryNotReady,
 			local:   m.Zone == s.opt.Zone,
 			score:   xxhash.Sum64String(caller + "|" + string(m.Host)),
 		})
 	}
+	// Hosts whose entry program is not ready are listed only if there are no others: after a
+	// restart of all control programs, none has received a report yet.
+	if slices.ContainsFunc(found, func(c candidate) bool { return c.ready }) {
+		found = slices.DeleteFunc(found, func(c candidate) bool { return !c.ready })
+	}
 	sort.Slice(found, func(i, j int) bool {
 		if found[i].local != found[j].local {
 			return found[i].local
--- a/internal/transport/entry/backgroundloops.go
+++ b/internal/transport/entry/backgroundloops.go
@@ -22,7 +22,6 @@
 	pollTimeout = 500 * time.Millisecond
 	// pollersPerTarget bounds the concurrent polls of one target.
 	pollersPerTarget = 16
-	programName      = "oleander-entry"
 	reportRetryDelay = 200 * time.Millisecond
 	// minReportedDemand, in requests per second, is the demand up to which a caller is not
 	// reported.
@@ -57,7 +56,10 @@
 // report builds the report of this host. It also updates the gauges of running requests
 // and limits.
 func (s *Server) report(now time.Time) wire.Report {
-	out := wire.Report{Host: s.opt.Host, Program: programName, Stopping: s.stopping.Load()}
+	out := wire.Report{
+		Host: s.opt.Host, Program: wire.EntryProgram, Stopping: s.stopping.Load(),
+		NotReady: !s.listening.Load() || !s.hasView(),
+	}
 	for _, t := range s.allTargets() {
 		t.mu.Lock()
 		t.table.VisitDraining(func(id model.EndpointID, i model.Incarnation) {
--- a/internal/transport/entry/faults_test.go
+++ b/internal/transport/entry/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -426,4 +427,46 @@
 	}
 }
 
+// A replaced host whose control program runs already, but whose entry program does not serve
+// callers yet, must not be in the address answers: its port refuses connections. If no host is
+// known to be ready, for example after all control programs have restarted, an empty answer
+// would be worse than one that names all live hosts.
+func TestAddresses_OnlyReadyEntryPrograms(t *testing.T) {
+	b := newTestEnv(t)
+	members := []model.Member{
+		{Host: "e1", Zone: "lj-a", Entry: "a:1", State: model.HostAlive, EntryNotReady: true},
+		{Host: "e2", Zone: "lj-a", Entry: "b:2", State: model.HostAlive},
+	}
+	b.apply(func(v *model.FleetView) { v.Members = members })
+	if got := b.addresses(t); len(got) != 1 || got[0] != "b:2" {
+		t.Errorf("one of two hosts is ready: got %v", got)
+	}
+	b.apply(func(v *model.FleetView) {
+		v.Members = []model.Member{members[0], {Host: "e2", Zone: "lj-a", Entry: "b:2", State: model.HostAlive, EntryNotReady: true}}
+	})
+	if got := b.addresses(t); len(got) != 2 {
+		t.Errorf("no host is ready: got %v", got)
+	}
+}
+
+// The entry program reports that it is not ready until its port is open and it has a view.
+func TestReport_NotReadyUntilListening(t *testing.T) {
+	s := NewServer(Options{Host: "e1", Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler)})
+	if !s.report(time.Now()).NotReady {
+		t.Error("ready without a port and a view")
+	}
+	h := NewHTTPServer(s)
+	if err := h.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = h.http.Close() }()
+	if !s.report(time.Now()).NotReady {
+		t.Error("ready without a view")
+	}
+	s.Apply(&model.FleetView{Config: &model.Config{}})
+	if s.report(time.Now()).NotReady {
+		t.Error("not ready with an open port and a view")
+	}
+}
+
 func jsonReader(s string) *strings.Reader { return strings.NewReader(s) }
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -212,6 +212,8 @@
 		return err
 	}
 	h.listener = l
+	h.server.listening.Store(true)
+	h.server.requestReport()
 	go func() { _ = h.http.Serve(l) }()
 	return nil
 }
--- a/internal/transport/entry/server.go
+++ b/internal/transport/entry/server.go
@@ -49,6 +49,8 @@
 	idPrefix     string
 	requestCount atomic.Uint64
 	stopping     atomic.Bool
+	// listening is set once the port for callers is open.
+	listening atomic.Bool
 	// connected is set if the control program received the last report.
 	connected atomic.Bool
 	view      atomic.Pointer[model.FleetView]
--- a/internal/transport/gossip/messages.go
+++ b/internal/transport/gossip/messages.go
@@ -62,6 +62,7 @@
 	received   *datagram
 	addedItems []items.Item
 	leaving    *bool
+	entryReady *bool
 	depart     bool
 	seeds      []string
 	request    *exchangeRequest
--- a/internal/transport/gossip/service.go
+++ b/internal/transport/gossip/service.go
@@ -144,6 +144,11 @@
 	return s.requests.Push(ctx, event{leaving: &leaving})
 }
 
+// SetEntryReady announces whether this host's entry program serves callers.
+func (s *Service) SetEntryReady(ctx context.Context, ready bool) error {
+	return s.requests.Push(ctx, event{entryReady: &ready})
+}
+
 // SetSeeds replaces the addresses that are contacted to join or rejoin the fleet.
 func (s *Service) SetSeeds(ctx context.Context, addresses []string) error {
 	return s.requests.Push(ctx, event{seeds: addresses})
@@ -253,6 +258,8 @@
 		s.mergeItems(now, e.addedItems, "")
 	case e.leaving != nil:
 		s.applyOutput(now, s.machine.SetLeaving(*e.leaving), "")
+	case e.entryReady != nil:
+		s.applyOutput(now, s.machine.SetEntryReady(*e.entryReady), "")
 	case e.depart:
 		s.applyOutput(now, s.machine.Depart(), "")
 		s.flush(now)
