--- a/internal/coordination/placement/health.go
+++ b/internal/coordination/placement/health.go
@@ -42,6 +42,20 @@
 	return out
 }
 
+// Reported returns the keys of endpoints whose reports as unreachable or slow by peers have
+// not expired, at most 24 of each in no particular order.
+func (t *Table) Reported(now time.Time) (unreachable, slow []uint32) {
+	for _, e := range t.entries {
+		if now.Before(e.reportedUnreachableUntil) && len(unreachable) < maxReported {
+			unreachable = append(unreachable, e.key)
+		}
+		if now.Before(e.reportedSlowUntil) && len(slow) < maxReported {
+			slow = append(slow, e.key)
+		}
+	}
+	return unreachable, slow
+}
+
 // IsSlow reports whether an endpoint's service time is at least slowFactor times the
 // baseline of its service.
 func (t *Table) IsSlow(now time.Time, id string) bool {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -17,6 +17,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -217,6 +218,17 @@
 	return out
 }
 
+// Models returns the names of the models that the endpoints hold, sorted.
+func (t *Table) Models() []string {
+	known := map[string]bool{}
+	for _, e := range t.entries {
+		for model := range e.endpoint.Versions {
+			known[model] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(known))
+}
+
 // Query describes the requirements on an endpoint.
 type Query struct {
 	Service string
@@ -517,6 +529,32 @@
 	}
 }
 
+// SumLoads returns the local requests and those of the peers that include selects at each
+// endpoint, by EndpointKey, capped at 65535.
+func (t *Table) SumLoads(include func(host string) bool) map[uint32]uint16 {
+	out := map[uint32]uint16{}
+	for _, e := range t.entries {
+		n := e.localLoad
+		for host, load := range e.loadByPeer {
+			if include(host) {
+				n += load
+			}
+		}
+		if n > 0 {
+			out[e.key] = uint16(min(n, math.MaxUint16))
+		}
+	}
+	return out
+}
+
+// ClearPeerLoads removes the loads of all peers.
+func (t *Table) ClearPeerLoads() {
+	for _, e := range t.entries {
+		clear(e.loadByPeer)
+		e.peerLoad = 0
+	}
+}
+
 // SlotUsage returns the slots of a service's endpoints that are neither draining nor
 // ejected, and how many of them are used by local requests and by those of peers.
 func (t *Table) SlotUsage(now time.Time, service string) (slots, local, remote int) {
--- /dev/null
+++ b/internal/coordination/presence/hubs.go
@@ -0,0 +1,236 @@
+package presence
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// hostsPerHub bounds the hosts that one hub serves on average; hubsPerHost is the number
+	// of hubs that a host uses, so that the loss of one costs no interval.
+	hostsPerHub = 48
+	hubsPerHost = 2
+	// minCapacityShare is the share of the largest processor capacity of its zone that a host
+	// needs to be preferred as a hub.
+	minCapacityShare = 0.5
+	// hubTimeout is the time without a summary after which a host selects another hub, and
+	// hubAvoidance how long it avoids the former one.
+	hubTimeout   = 4 * Interval
+	hubAvoidance = 5 * time.Second
+	// maxProbes bounds the silent hosts that a host contacts in one interval of a large fleet.
+	maxProbes = 4
+)
+
+// IsHub reports whether this host is a hub, as every host of a small fleet is.
+func (t *Table) IsHub() bool { return t.hubs[t.self.Host] }
+
+// IsHubHost reports whether a host, which may be this one, is a hub.
+func (t *Table) IsHubHost(host string) bool { return t.hubs[host] }
+
+// SelectedHubs returns the hubs that this host uses, the primary one first; none if it is a
+// hub.
+func (t *Table) SelectedHubs() []string { return slices.Clone(t.selected) }
+
+// electHubs returns the hubs of all zones.
+func (t *Table) electHubs(now time.Time) map[string]bool {
+	zones := map[string][]*Member{}
+	total := 0
+	add := func(m *Member) {
+		if m.Protocol >= protocolHubs && !m.Draining {
+			zones[m.Zone] = append(zones[m.Zone], m)
+			total++
+		}
+	}
+	add(&t.self)
+	for _, p := range t.peers {
+		if t.alive(now, p) {
+			add(&p.Member)
+		}
+	}
+	out := map[string]bool{}
+	for _, hosts := range zones {
+		count := len(hosts)
+		if total > t.fullMeshHosts {
+			rankHubs(hosts)
+			count = min(count, max(hubsPerHost, (hubsPerHost*count+hostsPerHub-1)/hostsPerHub))
+		}
+		for _, m := range hosts[:count] {
+			out[m.Host] = true
+		}
+	}
+	return out
+}
+
+// rankHubs sorts the hosts of a zone by their suitability as a hub: hosts with a large
+// processor capacity first, in an order that is the same at every host.
+func rankHubs(hosts []*Member) {
+	largest := float32(0)
+	for _, m := range hosts {
+		largest = max(largest, m.Capacity)
+	}
+	slices.SortFunc(hosts, func(a, b *Member) int {
+		small := func(m *Member) int {
+			if m.Capacity < minCapacityShare*largest {
+				return 1
+			}
+			return 0
+		}
+		return cmp.Or(cmp.Compare(small(a), small(b)), compareByHash("hub", a.Host, b.Host))
+	})
+}
+
+// compareByHash compares two hosts by their rendezvous hash for a subject.
+func compareByHash(subject, a, b string) int {
+	return cmp.Or(cmp.Compare(rendezvousHash(subject, b), rendezvousHash(subject, a)), cmp.Compare(a, b))
+}
+
+func rendezvousHash(subject, host string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(subject + "\x00" + host)) // writes to a hash never fail
+	return h.Sum64()
+}
+
+// selectHubs selects the hubs that this host uses. It keeps the primary one while it answers.
+func (t *Table) selectHubs(now time.Time) {
+	if t.IsHub() {
+		t.deselect(nil)
+		return
+	}
+	for _, name := range t.selected {
+		p := t.peers[name]
+		if p != nil && now.Sub(later(p.selectedAt, p.summaryAt)) > hubTimeout {
+			p.avoidUntil = now.Add(hubAvoidance)
+		}
+	}
+	order := t.hubOrder(now)
+	next := order[:min(hubsPerHost, len(order))]
+	for i, name := range next {
+		if i > 0 && len(t.selected) > 0 && name == t.selected[0] {
+			next[0], next[i] = next[i], next[0]
+		}
+	}
+	if len(next) > 1 && !t.answers(now, next[0]) && t.answers(now, next[1]) {
+		next[0], next[1] = next[1], next[0]
+	}
+	t.deselect(next)
+	for _, name := range next {
+		if p := t.peers[name]; p.selectedAt.IsZero() {
+			p.selectedAt = now
+		}
+	}
+	t.selected = next
+}
+
+// deselect ends the use of the selected hubs except those in keep.
+func (t *Table) deselect(keep []string) {
+	for _, name := range t.selected {
+		if p := t.peers[name]; p != nil && !slices.Contains(keep, name) {
+			p.selectedAt = time.Time{}
+		}
+	}
+	t.selected = keep
+}
+
+func (t *Table) answers(now time.Time, hub string) bool {
+	return now.Sub(t.peers[hub].summaryAt) < silenceTimeout
+}
+
+// hubOrder returns the hosts in the order in which this host prefers them as its hubs: the
+// hubs of its own zone, then the hubs of other zones, then any host. Hosts that recently did
+// not answer come last.
+func (t *Table) hubOrder(now time.Time) []string {
+	var out []string
+	for name, p := range t.peers {
+		if p.Protocol >= protocolHubs && t.alive(now, p) && !p.Draining {
+			out = append(out, name)
+		}
+	}
+	class := func(name string) int {
+		p := t.peers[name]
+		c := 0
+		switch {
+		case !t.hubs[name]:
+			c = 2
+		case p.Zone != t.self.Zone:
+			c = 1
+		}
+		if now.Before(p.avoidUntil) {
+			c += 3
+		}
+		return c
+	}
+	classes := make(map[string]int, len(out))
+	for _, name := range out {
+		classes[name] = class(name)
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(classes[a], classes[b]), compareByHash(t.self.Host, a, b))
+	})
+	return out
+}
+
+// Sends lists the addresses to which heartbeats of each kind are due.
+type Sends struct {
+	// Primary and Secondary are the selected hubs.
+	Primary   []string
+	Secondary []string
+	Hubs      []string
+	Summaries []string
+	Direct    []string
+}
+
+// Sends returns the addresses to send heartbeats to in one interval.
+func (t *Table) Sends(now time.Time) Sends {
+	var s Sends
+	for i, name := range t.selected {
+		if p := t.peers[name]; p != nil && i == 0 {
+			s.Primary = append(s.Primary, p.PeerAddress)
+		} else if p != nil {
+			s.Secondary = append(s.Secondary, p.PeerAddress)
+		}
+	}
+	hub := t.IsHub()
+	var silent []*Peer
+	for name, p := range t.peers {
+		switch {
+		case !t.alive(now, p):
+			silent = append(silent, p)
+		case p.Protocol < protocolHubs:
+			s.Direct = append(s.Direct, p.PeerAddress)
+		case hub && (t.hubs[name] || now.Sub(p.hubAt) < silenceTimeout):
+			s.Hubs = append(s.Hubs, p.PeerAddress)
+		}
+		if now.Sub(p.requestedAt) < silenceTimeout {
+			s.Summaries = append(s.Summaries, p.PeerAddress)
+		}
+	}
+	s.Direct = append(s.Direct, t.probes(now, silent)...)
+	for _, list := range [][]string{s.Hubs, s.Summaries, s.Direct} {
+		slices.Sort(list)
+	}
+	return s
+}
+
+// probes returns the addresses of the silent hosts to contact: all of them in a small fleet,
+// up to maxProbes in turn at a hub or at a host without live peers.
+func (t *Table) probes(now time.Time, silent []*Peer) []string {
+	if len(silent) == 0 || !t.IsHub() && len(t.selected) > 0 {
+		return nil
+	}
+	count := len(silent)
+	if len(t.peers) >= t.fullMeshHosts {
+		count = min(count, maxProbes)
+	}
+	// Former hubs come first, as one of them connects all hosts behind it.
+	slices.SortFunc(silent, func(a, b *Peer) int {
+		return cmp.Or(cmp.Compare(b.hubAt.UnixNano(), a.hubAt.UnixNano()), cmp.Compare(a.Host, b.Host))
+	})
+	var out []string
+	for range count {
+		out = append(out, silent[t.probed%len(silent)].PeerAddress)
+		t.probed++
+	}
+	return out
+}
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -1,18 +1,28 @@
-// Package presence determines which hosts are alive from the heartbeats that the hosts
-// send each other. The program oleanderfall uses it; the program oleander-control uses package
-// membership instead.
+// Package presence determines which hosts are alive and distributes their state. The
+// program oleanderfall uses it; the program oleander-control uses package membership
+// instead.
+//
+// In a fleet of up to fullMeshHosts hosts, every host sends a heartbeat to every other one.
+// In a larger fleet this would cost each host messages in proportion to the number of
+// hosts, and small hosts would spend their processor time on them. There, a few hosts of
+// each availability zone are hubs. Every other host sends its heartbeats to two hubs of its
+// zone only. Hubs send heartbeats to all hubs, which carry the ages of the last heartbeats
+// of their hosts, changed records and the sum of the loads. Each hub sends its hosts a
+// summary of the fleet: the total loads, the changed records and a hash of the roster. A
+// host whose roster has another hash fetches the roster from its hub. Hosts select hubs by
+// rendezvous hashing over the live hosts, so a lost hub is replaced without an election; a
+// host that receives heartbeats as a hub acts as one, whatever its own view says.
 //
 // Invariant: a host counts as alive until silenceTimeout after the last heartbeat of its
-// newest incarnation, and heartbeats of older incarnations are ignored. The result only
-// selects which host acts next; decisions that need agreement are made by conditional
-// updates in the store.
+// newest incarnation reached it or one of its hubs, and heartbeats of older incarnations are
+// ignored. The result only selects which host acts next; decisions that need agreement are
+// made by conditional updates in the store.
 package presence
 
 import (
-	"cmp"
-	"hash/fnv"
-	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -24,29 +34,71 @@
 	// silentRetention is how long heartbeats are still sent to a silent host, so that the
 	// sides of a network partition find each other once it heals.
 	silentRetention = 2 * time.Minute
+	// rosterRetention is how long a host that no hub answers keeps the roster of its last
+	// hub in force. It passes after four hubs in a row were tried.
+	rosterRetention = 5 * time.Second
+	// changeRetention is how long a change of a record is repeated in heartbeats.
+	changeRetention = 4 * Interval
+	// pauseThreshold is the time between two calls of Tick from which this process counts
+	// as paused. The silence of the peers is then no evidence of a failure.
+	pauseThreshold = 3 * Interval
+	// protocolHubs is the Protocol of builds that send heartbeats through hubs.
+	protocolHubs = 1
 )
 
-// Heartbeat is the state that a host periodically sends to its peers.
-type Heartbeat struct {
+// Member is the part of a host's state that all hosts know.
+type Member struct {
 	Host string `cbor:"1,keyasint"`
 	Zone string `cbor:"2,keyasint"`
-	// Incarnation is higher for every start of the host's process. Sequence counts the
-	// heartbeats of one incarnation.
+	// Incarnation is higher for every start of the host's process. Revision is higher for
+	// every change of the other fields within an incarnation.
 	Incarnation int64  `cbor:"3,keyasint"`
-	Sequence    uint64 `cbor:"4,keyasint"`
+	Revision    uint64 `cbor:"23,keyasint,omitempty"`
 	// PeerAddress receives heartbeats and calls from other hosts, CallerAddress receives
 	// calls from callers.
 	PeerAddress   string `cbor:"5,keyasint"`
 	CallerAddress string `cbor:"6,keyasint"`
 	Ready         bool   `cbor:"7,keyasint"`
 	Draining      bool   `cbor:"8,keyasint"`
-	// StoreReachable reports whether the platform's store responds to the sender.
+	// StoreReachable reports whether the platform's store responds to the host.
 	StoreReachable bool `cbor:"9,keyasint"`
+	// FencingToken is the token of the weights lease if the host holds it, else 0.
+	FencingToken uint64 `cbor:"11,keyasint"`
+	// Capacity is the host's share of processor time, in cores; zero is unknown.
+	Capacity float32 `cbor:"24,keyasint,omitempty"`
+	// Protocol is protocolHubs, or zero for builds that send heartbeats to every host and
+	// must receive them from every host.
+	Protocol int `cbor:"25,keyasint,omitempty"`
+}
+
+// newer reports whether m replaces the older record o of the same host.
+func (m *Member) newer(o *Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	return m.Revision > o.Revision
+}
+
+// hostKey returns the key that stands for a host in relayed messages.
+func hostKey(host string) uint64 { return xxhash.Sum64String(host) }
+
+// hash returns a hash of the record's identity: host, incarnation and revision.
+func (m *Member) hash() uint64 {
+	const mix1, mix2 = 0x9e3779b97f4a7c15, 0xc2b2ae3d27d4eb4f
+	h := hostKey(m.Host) ^ uint64(m.Incarnation)*mix1 ^ (m.Revision+1)*mix2
+	return h ^ h>>29*mix1
+}
+
+// Heartbeat is the state that a host periodically sends to its peers.
+type Heartbeat struct {
+	Member
+	// Sequence counts the heartbeats of one incarnation.
+	Sequence uint64 `cbor:"4,keyasint"`
 	// Generation is the generation of the configuration in use.
 	Generation uint64 `cbor:"10,keyasint"`
-	// FencingToken is the token of the weights lease if the sender holds it, else 0.
-	FencingToken uint64 `cbor:"11,keyasint"`
-	// Loads is the number of the sender's requests at each endpoint, by placement.EndpointKey.
+	// Loads is the number of requests at each endpoint, by placement.EndpointKey: those of
+	// the sender, in a heartbeat between hubs also those of the hosts of which the sender is
+	// the primary hub, and in a summary those of all hosts.
 	Loads map[uint32]uint16 `cbor:"12,keyasint"`
 	// Batches lists the open batches that the sender owns.
 	Batches []string `cbor:"13,keyasint"`
@@ -66,10 +118,51 @@
 	Unreachable []uint32 `cbor:"21,keyasint,omitempty"`
 	Slow        []uint32 `cbor:"22,keyasint,omitempty"`
 	// Peers lists the addresses of the hosts known to the sender. It is set only in
-	// replies to hosts that are new or asked for a reply.
+	// replies to hosts that are new or asked for a reply, in a small fleet.
 	Peers []string `cbor:"18,keyasint,omitempty"`
 	// ReplyRequested asks the receiver to reply with a heartbeat immediately.
 	ReplyRequested bool `cbor:"14,keyasint,omitempty"`
+	// Kind is the role in which the sender sends this heartbeat to the receiver.
+	Kind Kind `cbor:"26,keyasint,omitempty"`
+	// Primary is set in a heartbeat of KindToHub whose receiver is the sender's primary hub.
+	Primary bool `cbor:"27,keyasint,omitempty"`
+	// RosterHash and RosterSize describe the live hosts that the sender knows, including
+	// itself: the sum of the hashes of their records, and their number.
+	RosterHash uint64 `cbor:"28,keyasint,omitempty"`
+	RosterSize int    `cbor:"29,keyasint,omitempty"`
+	// Relayed lists the hosts from which the sender, a hub, receives heartbeats.
+	Relayed []RelayedHost `cbor:"30,keyasint,omitempty"`
+	// Changed lists the records that changed within changeRetention: in a heartbeat between
+	// hubs those of the sender's hosts, in a summary those of all hosts. Left lists the keys
+	// of hosts that are no longer alive; it is set in summaries only.
+	Changed []Member `cbor:"31,keyasint,omitempty"`
+	Left    []uint64 `cbor:"32,keyasint,omitempty"`
+}
+
+// Kind is the role in which a heartbeat is sent.
+type Kind uint8
+
+// The kinds of heartbeats.
+const (
+	// KindDirect is sent to seeds, to silent hosts, in replies, and to hosts whose build does
+	// not know hubs.
+	KindDirect Kind = iota
+	// KindToHub is sent to a hub, which sends summaries in return.
+	KindToHub
+	// KindBetweenHubs is sent by a hub to the other hubs.
+	KindBetweenHubs
+	// KindSummary is sent by a hub to the hosts that send it KindToHub.
+	KindSummary
+)
+
+// RelayedHost is a host from which a hub receives heartbeats.
+type RelayedHost struct {
+	_ struct{} `cbor:",toarray"`
+	// Key is the host's key, AgeMs the time since its last heartbeat in milliseconds, and
+	// Record the lower half of the hash of its record.
+	Key    uint64
+	AgeMs  uint16
+	Record uint32
 }
 
 // QuarantinedRequest describes a request that is suspected of crashing endpoints.
@@ -81,127 +174,9 @@
 	RemainingMs int64 `cbor:"3,keyasint"`
 }
 
-// Peer is the last heartbeat received from a host and the time of its receipt.
-type Peer struct {
-	Heartbeat
-	ReceivedAt time.Time
-}
-
-// Table holds the other hosts. It is not safe for concurrent use.
-type Table struct {
-	self  string
-	peers map[string]*Peer
-}
-
-// NewTable returns an empty table for host self. The table never contains self.
-func NewTable(self string) *Table { return &Table{self: self, peers: map[string]*Peer{}} }
-
-// Receive processes a heartbeat. accepted is false for heartbeats of this host and for
-// stale ones. appeared is true if the host was unknown, silent, or of another
-// incarnation before.
-func (t *Table) Receive(now time.Time, h Heartbeat) (accepted, appeared bool) {
-	if h.Host == "" || h.Host == t.self {
-		return false, false
-	}
-	old, known := t.peers[h.Host]
-	if known {
-		stale := h.Incarnation < old.Incarnation ||
-			h.Incarnation == old.Incarnation && h.Sequence <= old.Sequence
-		if stale {
-			return false, false
-		}
-	}
-	appeared = !known || !t.alive(now, old) || old.Incarnation != h.Incarnation
-	t.peers[h.Host] = &Peer{Heartbeat: h, ReceivedAt: now}
-	return true, appeared
-}
-
-func (t *Table) alive(now time.Time, p *Peer) bool { return now.Sub(p.ReceivedAt) < silenceTimeout }
-
-// Alive reports whether a host is known and alive at now.
-func (t *Table) Alive(now time.Time, host string) bool {
-	p, ok := t.peers[host]
-	return ok && t.alive(now, p)
-}
-
-// Get returns a host if it is alive at now.
-func (t *Table) Get(now time.Time, host string) (Peer, bool) {
-	p, ok := t.peers[host]
-	if !ok || !t.alive(now, p) {
-		return Peer{}, false
-	}
-	return *p, true
-}
-
-// Peers returns the hosts that are alive at now, sorted by name.
-func (t *Table) Peers(now time.Time) []Peer {
-	var out []Peer
-	for _, p := range t.peers {
-		if t.alive(now, p) {
-			out = append(out, *p)
-		}
-	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
-	return out
-}
-
-// Addresses returns the sorted addresses to send heartbeats to. It first removes hosts
-// that have been silent for longer than silentRetention.
-func (t *Table) Addresses(now time.Time) []string {
-	var out []string
-	for name, p := range t.peers {
-		if now.Sub(p.ReceivedAt) > silentRetention {
-			delete(t.peers, name)
-			continue
-		}
-		out = append(out, p.PeerAddress)
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// Silent returns the known hosts that are not alive at now, sorted by name.
-func (t *Table) Silent(now time.Time) []Peer {
-	var out []Peer
-	for _, p := range t.peers {
-		if !t.alive(now, p) {
-			out = append(out, *p)
-		}
-	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
-	return out
-}
-
-// Successor returns the host that takes over the given task, or "" if there is none. It
-// is the first host in SuccessionOrder, so all hosts that see the same candidates agree on it.
-func Successor(task string, candidates []Heartbeat) string {
-	order := SuccessionOrder(task, candidates)
-	if len(order) == 0 {
-		return ""
-	}
-	return order[0]
-}
-
-// SuccessionOrder returns the hosts in the order in which they are to take over the given
-// task, by rendezvous hash. Hosts that reach the store come first; draining hosts and hosts
-// that are not ready are left out.
-func SuccessionOrder(task string, candidates []Heartbeat) []string {
-	score := map[string]uint64{}
-	var out []string
-	for _, c := range candidates {
-		if c.Draining || !c.Ready {
-			continue
-		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(task + "\x00" + c.Host))
-		// The highest bit ranks hosts that reach the store above all others.
-		s := h.Sum64() >> 1
-		if c.StoreReachable {
-			s |= 1 << 63
-		}
-		score[c.Host] = s
-		out = append(out, c.Host)
-	}
-	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(score[b], score[a]), cmp.Compare(a, b)) })
-	return out
+// RosterEntry is a live host in the answer to a request for the roster.
+type RosterEntry struct {
+	Member Member `cbor:"1,keyasint"`
+	// AgeMs is the time since the last sign of life of the host, in milliseconds.
+	AgeMs int64 `cbor:"2,keyasint"`
 }
--- /dev/null
+++ b/internal/coordination/presence/succession.go
@@ -0,0 +1,87 @@
+package presence
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Candidate is a host that may take over a task.
+type Candidate struct {
+	Host           string
+	Ready          bool
+	Draining       bool
+	StoreReachable bool
+	// Hub is set if the host is a hub (see Table.Hubs).
+	Hub bool
+}
+
+// Successor returns the host that takes over the given task, or "" if there is none. It
+// is the first host in SuccessionOrder, so all hosts that see the same candidates agree on it.
+func Successor(task string, candidates []Candidate) string {
+	order := SuccessionOrder(task, candidates)
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0]
+}
+
+// Assign returns a host for each task. A host gets a second task only once every hub that
+// reaches the store has one, so that the tasks spread over the hubs. All hosts that see the
+// same tasks and candidates agree.
+func Assign(tasks []string, candidates []Candidate) map[string]string {
+	out := make(map[string]string, len(tasks))
+	taken := map[string]bool{}
+	preferred := 0
+	for _, c := range candidates {
+		if c.Hub && c.StoreReachable && c.Ready && !c.Draining {
+			preferred++
+		}
+	}
+	for _, task := range slices.Sorted(slices.Values(tasks)) {
+		order := SuccessionOrder(task, candidates)
+		if len(order) == 0 {
+			return out
+		}
+		out[task] = order[0]
+		if i := slices.IndexFunc(order[:preferred], func(host string) bool { return !taken[host] }); i >= 0 {
+			out[task] = order[i]
+		}
+		taken[out[task]] = true
+	}
+	return out
+}
+
+// The highest bits of a score rank hosts that reach the store above all others, and hubs
+// above other hosts that do or do not.
+const (
+	storeRankBit = 1 << 63
+	hubRankBit   = 1 << 62
+)
+
+// SuccessionOrder returns the hosts in the order in which they are to take over the given
+// task, by rendezvous hash. Hosts that reach the store come first, and among these the hubs,
+// which know the loads of the fleet with the least delay. Draining hosts and hosts that are
+// not ready are left out.
+func SuccessionOrder(task string, candidates []Candidate) []string {
+	score := map[string]uint64{}
+	var out []string
+	for _, c := range candidates {
+		if c.Draining || !c.Ready {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(task + "\x00" + c.Host))
+		s := h.Sum64() >> 2
+		if c.Hub {
+			s |= hubRankBit
+		}
+		if c.StoreReachable {
+			s |= storeRankBit
+		}
+		score[c.Host] = s
+		out = append(out, c.Host)
+	}
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(score[b], score[a]), cmp.Compare(a, b)) })
+	return out
+}
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -26,10 +26,9 @@
 
 // runnerDeps are the host's services that running batches depends on.
 type runnerDeps struct {
-	fleet          *Fleet
-	client         backend.Client
-	forwarder      *Forwarder
-	storeReachable func() bool
+	fleet     *Fleet
+	client    backend.Client
+	forwarder *Forwarder
 }
 
 // activeBatch is a batch that this host runs. The goroutine of runUntilDone owns its state;
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -1,12 +1,21 @@
 package front
 
 import (
+	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
@@ -18,6 +27,9 @@
 	// endNotifyAttempts is the number of attempts to notify a batch's owner that the
 	// trainer ended the batch.
 	endNotifyAttempts = 2
+	// maxOwnersAsked bounds the hosts that are asked for a batch whose owner is not known,
+	// before its manifest is read from the store.
+	maxOwnersAsked = 4
 )
 
 // Batches answers calls about any host's batches and runs the batches that this host
@@ -32,6 +44,8 @@
 	catalog    *Catalog
 	runner     *runnerDeps
 	groups     *recentGroups
+	// candidate returns this host as a candidate for a task.
+	candidate func() presence.Candidate
 	// announce sends a heartbeat immediately, so that peers learn which batches this
 	// host runs.
 	announce func()
@@ -57,6 +71,9 @@
 // Submit accepts a batch. It is idempotent: submitting the same content under the same
 // id again succeeds, and other content returns resultcode.StepConflict. The result code
 // of the error says whether it is certain that no sample of the batch will run.
+//
+// The batches of one model are run by one host, so that its open connections to the engines
+// serve all of them. If that host does not accept the batch in time, this one does.
 func (s *Batches) Submit(ctx context.Context, b *batches.Batch) error {
 	content, digest, err := encodeBatch(b)
 	if err != nil {
@@ -68,11 +85,61 @@
 	if s.draining() {
 		return codedError(resultcode.Stopping, "this host is stopping")
 	}
+	// A cancelled call must not interrupt the writes: they may already have taken effect.
+	ctx = context.WithoutCancel(ctx)
+	if owner := s.ownerFor(b.Model); owner != s.settings.Host {
+		err := s.peerClient.Submit(ctx, owner, content)
+		if err == nil || isCode(err, resultcode.StepConflict) {
+			return err
+		}
+		s.log.Warn("Failed to forward batch to its owner; accepting it here", "batch", b.ID, "owner", owner, "err", err)
+	}
+	return s.accept(ctx, b, content, digest)
+}
+
+// ownerFor returns the host that is to run a model's batches.
+func (s *Batches) ownerFor(model string) string {
+	return cmp.Or(s.owners(model)[model], s.settings.Host)
+}
+
+// owners returns the host that is to run the batches of each model of the fleet and of the
+// given ones.
+func (s *Batches) owners(models ...string) map[string]string {
+	s.runner.fleet.WithTable(func(t *placement.Table) { models = append(models, t.Models()...) })
+	slices.Sort(models)
+	return presence.Assign(slices.Compact(models), append(s.peers.Candidates(), s.candidate()))
+}
+
+// currentOwners returns up to maxOwnersAsked hosts that run the batches of a model now.
+func (s *Batches) currentOwners() []string {
+	out := slices.Sorted(maps.Values(s.owners()))
+	out = slices.Compact(out)
+	return out[:min(len(out), maxOwnersAsked)]
+}
+
+// submitEncoded accepts a batch that another host forwards.
+func (s *Batches) submitEncoded(ctx context.Context, content []byte) error {
+	var b batches.Batch
+	if err := cbor.Unmarshal(content, &b); err != nil {
+		return codedError(resultcode.BadRequest, err.Error())
+	}
+	if s.draining() {
+		return codedError(resultcode.Stopping, "this host is stopping")
+	}
+	sum := sha256.Sum256(content)
+	digest := hex.EncodeToString(sum[:])
+	if m, ok := s.store.cached(b.ID); ok && m.Digest != "" {
+		return checkDigest(&m.Manifest, digest)
+	}
+	return s.accept(context.WithoutCancel(ctx), &b, content, digest)
+}
+
+// accept writes a batch to the store and runs it at this host.
+func (s *Batches) accept(ctx context.Context, b *batches.Batch, content []byte, digest string) error {
 	if s.outage() > storeWaitTimeout {
 		return codedError(resultcode.StorageOutage, "the store does not answer")
 	}
-	// A cancelled call must not interrupt the writes: they may already have taken effect.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWaitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
 	defer cancel()
 	parts, err := s.store.putContent(ctx, b.ID, digest, content)
 	if err != nil {
@@ -104,6 +171,12 @@
 	return codedError(resultcode.StorageOutage, err.Error())
 }
 
+// isCode reports whether err has a result code.
+func isCode(err error, code resultcode.Code) bool {
+	var coded *resultcode.Error
+	return errors.As(err, &coded) && coded.Code == code
+}
+
 // checkDigest returns resultcode.StepConflict unless digest is that of the accepted content.
 func checkDigest(m *batches.Manifest, digest string) error {
 	if m.Digest != digest {
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -47,6 +47,10 @@
 	// all start at the same time.
 	maxReadAge        = 1100 * time.Millisecond
 	maxReadAgePerRank = 100 * time.Millisecond
+	// maxReaders is the number of first-ranked hosts that may read the store. When the store
+	// returns after an outage, the state is old at every host; with a bound these do not all
+	// read at once.
+	maxReaders = 3
 	// feedInterval is the time between checks of the age of the last read.
 	feedInterval = 50 * time.Millisecond
 	// minFetchGain is how much newer a peer's last read must be for its state to be fetched.
@@ -86,9 +90,10 @@
 	peerClient *PeerClient
 	announce   func()
 	// rank returns this host's position among the hosts that may read the store. The host
-	// at position zero reads first.
-	rank func() int
-	log  *slog.Logger
+	// at position zero reads first. alone reports whether this host knows no live peers.
+	rank  func() int
+	alone func() bool
+	log   *slog.Logger
 }
 
 // Feed keeps this host's configuration and endpoints in sync with the store. One host reads the
@@ -122,10 +127,12 @@
 // Run reads the store whenever it is this host's turn, until ctx is done.
 func (f *Feed) Run(ctx context.Context) {
 	var endpointsAt, configAt time.Time
+	started := time.Now()
 	ticker := time.NewTicker(feedInterval)
 	defer ticker.Stop()
 	for {
-		if f.shouldRead(endpointsAt) {
+		// A new process first waits for its peers, which have read the store already.
+		if (time.Since(started) > discoveryDelay || !f.alone()) && f.shouldRead(endpointsAt) {
 			withConfig := time.Since(configAt) >= configPollInterval-feedInterval || f.catalog.Config() == nil
 			endpointsAt = time.Now()
 			if f.readStore(ctx, withConfig) && withConfig {
@@ -150,6 +157,9 @@
 	if rank == 0 {
 		return true
 	}
+	if rank >= maxReaders {
+		return false
+	}
 	f.mu.Lock()
 	oldest := min(f.endpointsReadAt, f.configReadAt)
 	f.mu.Unlock()
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -111,7 +112,9 @@
 // NewNode returns a node. The caller must call Start before using it.
 func NewNode(p Params) *Node {
 	n := &Node{Settings: p.Settings, Metrics: NewMetrics(p.Registry), Catalog: &Catalog{}, params: p,
-		log: logging.Component(p.Log, "front"), peers: NewPeers(p.Settings.Host)}
+		log: logging.Component(p.Log, "front")}
+	n.peers = NewPeers(presence.Member{Host: p.Settings.Host, Zone: p.Settings.Zone, Capacity: float32(p.Settings.Capacity)},
+		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
 	fleet := NewFleet(p.Settings.Zone)
 	calls := NewPeerClient(n.peers)
@@ -122,23 +125,25 @@
 		Seed: uint64(time.Now().UnixNano()) ^ hashSeed(p.Settings.Host), Registerer: p.Registry,
 	})
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: component("forward"), metrics: n.Metrics,
-		gates:      NewGates(fleet, func() int { return 1 + len(n.peers.Alive()) }),
+		gates:      NewGates(fleet, func() int { return 1 + n.peers.Count() }),
 		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, cachedLogs: map[string]*resultLog{}, groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
-		runner: &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder, storeReachable: n.storePath.Reachable},
+		runner:    &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder},
+		candidate: n.candidate,
 	}
 	n.feed = NewFeed(feedDeps{
 		store: store, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
-		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, log: component("feed"),
+		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, alone: func() bool { return n.peers.Count() == 0 }, log: component("feed"),
 	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
-		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, announce: func() { n.membership.Announce() }, storeReachable: n.storePath.Reachable, log: component("weights"),
+		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 	}
 	n.membership = &Membership{
-		settings: p.Settings, peers: n.peers, fleet: fleet, store: store, stale: p.Stale,
+		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
+		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: p.Stale,
 		fillHeartbeat: n.fillHeartbeat, log: component("hosts"),
 	}
 	return n
@@ -185,13 +190,15 @@
 
 // rank returns this host's position in the succession order of a task.
 func (n *Node) rank(task string) int {
-	candidates := []presence.Heartbeat{{Host: n.Settings.Host, Ready: true, StoreReachable: n.storePath.Reachable()}}
-	for _, p := range n.peers.Alive() {
-		candidates = append(candidates, p.Heartbeat)
-	}
+	candidates := append(n.peers.Candidates(), n.candidate())
 	return slices.Index(presence.SuccessionOrder(task, candidates), n.Settings.Host)
 }
 
+// candidate returns this host as a candidate for a task.
+func (n *Node) candidate() presence.Candidate {
+	return presence.Candidate{Host: n.Settings.Host, Ready: true, StoreReachable: n.storePath.Reachable(), Hub: n.peers.IsHub()}
+}
+
 // Ready reports whether this host accepts requests: it is not draining and has a
 // configuration.
 func (n *Node) Ready() bool { return !n.draining.Load() && n.Catalog.Config() != nil }
@@ -199,19 +206,20 @@
 // Draining reports whether this host drains before it shuts down.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
-// Addresses returns the sorted addresses to which callers may connect now.
-func (n *Node) Addresses() []string {
-	var out []string
+// Addresses returns the addresses to which callers of a zone may connect now: those of all
+// ready hosts in a small fleet, else those of up to maxAddresses hosts, the ones of the zone
+// first. An unknown zone is allowed.
+func (n *Node) Addresses(zone string) []string {
+	var ready []presence.Member
 	if n.Ready() {
-		out = append(out, n.Settings.CallerAddress)
+		ready = append(ready, presence.Member{Host: n.Settings.Host, Zone: n.Settings.Zone, CallerAddress: n.Settings.CallerAddress})
 	}
 	for _, p := range n.peers.Alive() {
 		if p.Ready && !p.Draining {
-			out = append(out, p.CallerAddress)
+			ready = append(ready, p)
 		}
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	return presence.SelectAddresses(ready, zone)
 }
 
 // TrackRequest counts a caller's request as in flight until the returned function is called. Stop
@@ -251,7 +259,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.PeerAddress, peerHandler(n.params.Store, n.feed, n.Batches)},
+		{s.PeerAddress, peerHandler(n.params.Store, n.peers, n.feed, n.Batches)},
 		{s.ReadyAddress, n.params.Handlers.Readiness(n)},
 		{s.DirectoryAddress, n.params.Handlers.Directory(n)},
 		{s.CallerAddress, n.params.Handlers.Callers(n)},
--- a/internal/transport/front/groups.go
+++ b/internal/transport/front/groups.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
@@ -68,15 +69,20 @@
 	return out
 }
 
-// notifyGroups adds a batch's groups at this host and sends them to all peers. A host that
-// misses them only ranks the samples of a later batch less well.
+// groupCopies is the number of hosts that receive the groups of a batch.
+const groupCopies = 3
+
+// notifyGroups adds a batch's groups at this host and sends them to the hosts that run the
+// model's next batches if this one is lost. A host that misses them only ranks the samples of
+// a later batch less well.
 func (s *Batches) notifyGroups(ctx context.Context, b *batches.Batch) {
 	hashes := groupHashes(b)
 	s.groups.add(hashes)
-	for _, p := range s.peers.Alive() {
+	next := presence.SuccessionOrder(b.Model, s.peers.Candidates())
+	for _, host := range next[:min(len(next), groupCopies)] {
 		go func() {
-			if err := s.peerClient.SendGroups(ctx, p.Host, hashes); err != nil {
-				s.log.Debug("Failed to send batch groups to peer", "batch", b.ID, "host", p.Host, "err", err)
+			if err := s.peerClient.SendGroups(ctx, host, hashes); err != nil {
+				s.log.Debug("Failed to send batch groups to peer", "batch", b.ID, "host", host, "err", err)
 			}
 		}()
 	}
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -97,7 +97,7 @@
 	}
 	w.waitUntil("the hosts have discovered each other", func() bool {
 		for _, n := range out {
-			if !n.Ready() || len(n.Addresses()) != len(w.nodes) {
+			if !n.Ready() || len(n.Addresses("a")) != len(w.nodes) {
 				return false
 			}
 		}
--- a/internal/transport/front/lease.go
+++ b/internal/transport/front/lease.go
@@ -93,14 +93,12 @@
 	if !w.ready() {
 		return false
 	}
-	candidates := []presence.Heartbeat{{Host: w.settings.Host, Ready: true, StoreReachable: w.storeReachable()}}
 	for _, p := range w.peers.Alive() {
 		if p.FencingToken != 0 && !p.Draining {
 			return false
 		}
-		candidates = append(candidates, p.Heartbeat)
 	}
-	return presence.Successor(weightsTask, candidates) == w.settings.Host
+	return presence.Successor(weightsTask, append(w.peers.Candidates(), w.candidate())) == w.settings.Host
 }
 
 // acquire takes the lease with the next fencing token, unless a live holder may still
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -5,7 +5,9 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,16 +22,37 @@
 const (
 	// maxHeartbeatBytes bounds a datagram. Larger ones would be fragmented.
 	maxHeartbeatBytes = 1400
+	// membershipTick is the time between checks for hosts that ceased to be alive.
+	membershipTick = presence.Interval / 3
+	// minAnnounceInterval is the minimum time between two heartbeats that announce a change,
+	// so that a burst of changes does not flood the peers.
+	minAnnounceInterval = 20 * time.Millisecond
+	// seedInterval is the time between heartbeats to seeds that are not known to be alive.
+	seedInterval = 5 * time.Second
+	// maxRelayedQuarantine bounds the quarantined requests that a hub relays.
+	maxRelayedQuarantine = 16
 	// hostListInterval is the time between listings of the host records, which find hosts
 	// that are unknown to all peers.
 	hostListInterval = 10 * time.Second
-	// hostListRetryDelay replaces hostListInterval after a failed call to the store.
+	// hostListRetryDelay replaces hostListInterval after a failed call to the store, and while
+	// this host knows no peers.
 	hostListRetryDelay = time.Second
+	// discoveryDelay is how long a new process waits for answers of its seeds before it lists
+	// the host records. registrationDelay is how long a host must have been a hub before it
+	// writes its record: right after their start all hosts regard themselves as hubs.
+	discoveryDelay    = 500 * time.Millisecond
+	registrationDelay = 2 * time.Second
 	// hostPrefix is the key prefix of the host records.
 	hostPrefix = "hosts/"
+	// hostListTask is the task name for the succession order of the hosts that list the host
+	// records.
+	hostListTask = "hosts"
+	// summaryLoads stands for all other hosts in the table of loads of a host that receives
+	// the loads from its hub.
+	summaryLoads = "\x00summary"
 )
 
-// hostRecord is the stored object in which a host publishes its address.
+// hostRecord is the stored object in which a hub publishes its address.
 type hostRecord struct {
 	PeerAddress string `json:"peer_address"`
 }
@@ -38,10 +61,13 @@
 type Membership struct {
 	settings      Settings
 	peers         *Peers
+	peerClient    *PeerClient
 	fleet         *Fleet
 	store         *objectapi.Client
 	stale         objectapi.API
 	fillHeartbeat func(*presence.Heartbeat)
+	// rank returns this host's position in the succession order of a task.
+	rank func(task string) int
 	// onHeartbeat is called with each accepted heartbeat. appeared is true if its host was
 	// not alive before or has restarted.
 	onHeartbeat func(h presence.Heartbeat, appeared bool)
@@ -51,6 +77,26 @@
 	sequence    atomic.Uint64
 	conn        *net.UDPConn
 	seeds       atomic.Pointer[[]string]
+	announced   chan struct{}
+
+	mu sync.Mutex
+	// loadsFromSummary is set while the loads of all other hosts are those of summaryLoads.
+	loadsFromSummary bool
+	// reportedLoads are the loads that this host last sent to its primary hub.
+	reportedLoads map[uint32]uint16
+	// quarantine holds the entries of the last heartbeats of the hosts that this host relays
+	// for, and of the other hubs.
+	quarantine map[string]relayedQuarantine
+	// hub and hubs are the role of this host and its hubs as last logged.
+	hub  bool
+	hubs []string
+}
+
+// relayedQuarantine holds the quarantined requests that a host reported. own is set if the
+// host uses this one as a hub.
+type relayedQuarantine struct {
+	requests []presence.QuarantinedRequest
+	own      bool
 }
 
 // Run opens the heartbeat socket and then sends and receives heartbeats in the background.
@@ -72,29 +118,108 @@
 	return nil
 }
 
-// heartbeat returns the next heartbeat of this host.
+// heartbeat returns a heartbeat of this host without the parts that depend on its receiver.
 func (m *Membership) heartbeat() presence.Heartbeat {
 	h := presence.Heartbeat{
-		Host: m.settings.Host, Zone: m.settings.Zone, Incarnation: m.incarnation,
-		Sequence: m.sequence.Add(1), PeerAddress: m.settings.PeerAddress, CallerAddress: m.settings.CallerAddress,
+		Member: presence.Member{
+			Host: m.settings.Host, Zone: m.settings.Zone, Incarnation: m.incarnation,
+			PeerAddress: m.settings.PeerAddress, CallerAddress: m.settings.CallerAddress,
+			Capacity: float32(m.settings.Capacity),
+		},
 	}
-	m.fleet.WithTable(func(t *placement.Table) { h.Loads = t.LocalLoads() })
 	m.fillHeartbeat(&h)
+	m.peers.mu.Lock()
+	defer m.peers.mu.Unlock()
+	m.peers.table.SetSelf(h.Member)
+	h.Member = m.peers.table.Self()
 	return h
 }
 
 func (m *Membership) sendPeriodically(ctx context.Context) {
-	ticker := time.NewTicker(presence.Interval)
+	ticker := time.NewTicker(membershipTick)
 	defer ticker.Stop()
+	var sentAt, seedsAt time.Time
 	for {
-		m.Announce()
-		m.clearDeadPeerLoads()
+		announce := false
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.announced:
+			announce = true
 		case <-ticker.C:
 		}
+		now := time.Now()
+		m.tick(ctx, now)
+		due := now.Sub(sentAt) >= presence.Interval-membershipTick/2
+		if due {
+			sentAt = now
+		}
+		if due || announce {
+			withSeeds := due && (m.peers.Count() == 0 || now.Sub(seedsAt) >= seedInterval)
+			if withSeeds {
+				seedsAt = now
+			}
+			m.send(now, due, withSeeds)
+		}
+		if announce {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(minAnnounceInterval):
+			}
+		}
+	}
+}
+
+// tick checks the table of hosts and drops what was reported by hosts that are gone.
+func (m *Membership) tick(ctx context.Context, now time.Time) {
+	m.peers.mu.Lock()
+	left := m.peers.table.Tick(now)
+	hub, hubs := m.peers.table.IsHub(), m.peers.table.SelectedHubs()
+	source, fetch := m.peers.table.WantsRoster(now)
+	m.peers.mu.Unlock()
+	m.mu.Lock()
+	if hub != m.hub || !slices.Equal(hubs, m.hubs) {
+		m.hub, m.hubs = hub, hubs
+		m.log.Info("Hubs selected", "is_hub", hub, "hubs", hubs, "peers", m.peers.Count())
+	}
+	for _, l := range left {
+		delete(m.quarantine, l.Host)
+	}
+	wasSummary := m.loadsFromSummary
+	if hub {
+		m.loadsFromSummary = false
+	}
+	m.mu.Unlock()
+	m.fleet.WithTable(func(t *placement.Table) {
+		for _, l := range left {
+			t.SetPeerLoads(l.Host, nil)
+		}
+		if hub && wasSummary {
+			t.SetPeerLoads(summaryLoads, nil)
+		}
+	})
+	for _, l := range left {
+		if l.Own {
+			m.log.Info("Peer lost", "host", l.Host)
+		}
+	}
+	if fetch {
+		go m.fetchRoster(ctx, source)
+	}
+}
+
+// fetchRoster replaces or completes the table of hosts by the one of a peer.
+func (m *Membership) fetchRoster(ctx context.Context, host string) {
+	roster, err := m.peerClient.Roster(ctx, host)
+	if err != nil {
+		m.log.Warn("Failed to fetch roster", "host", host, "err", err)
+		return
 	}
+	m.peers.mu.Lock()
+	m.peers.table.MergeRoster(time.Now(), host, roster)
+	m.peers.mu.Unlock()
+	m.log.Info("Roster fetched", "host", host, "hosts", len(roster))
 }
 
 // close closes the heartbeat socket.
@@ -104,51 +229,144 @@
 	}
 }
 
-// Announce sends a heartbeat to all known hosts and seeds immediately.
+// Announce sends a heartbeat as soon as possible: to the hubs, and in a small fleet to all
+// hosts.
 func (m *Membership) Announce() {
+	select {
+	case m.announced <- struct{}{}:
+	default: // one is due already
+	}
+}
+
+// send sends the heartbeats of one interval, or without summaries those that announce a
+// change.
+func (m *Membership) send(now time.Time, withSummaries, withSeeds bool) {
 	m.peers.mu.Lock()
-	targets := m.peers.table.Addresses(time.Now())
+	to := m.peers.table.Sends(now)
+	sources := m.peers.table.LoadSources(now)
+	alive := map[string]bool{}
+	if withSeeds {
+		for _, p := range m.peers.table.Peers(now) {
+			alive[p.PeerAddress] = true
+		}
+	}
 	m.peers.mu.Unlock()
-	targets = append(targets, *m.seeds.Load()...)
-	slices.Sort(targets)
-	m.sendTo(slices.Compact(targets), nil)
+	if withSeeds {
+		for _, s := range *m.seeds.Load() {
+			if !alive[s] {
+				to.Direct = append(to.Direct, s)
+			}
+		}
+	}
+	h := m.heartbeat()
+	if len(to.Primary)+len(to.Secondary)+len(to.Hubs) > 0 {
+		own := h
+		m.fleet.WithTable(func(t *placement.Table) { own.Loads = t.SumLoads(func(host string) bool { return sources[host] }) })
+		own.Quarantine = m.withRelayedQuarantine(h.Quarantine, true)
+		m.fill(now, &own, (*presence.Table).FillBetweenHubs)
+		own.Kind = presence.KindBetweenHubs
+		m.sendTo(to.Hubs, own)
+		own.Kind, own.Primary = presence.KindToHub, true
+		if len(to.Primary) > 0 {
+			m.mu.Lock()
+			m.reportedLoads = own.Loads
+			m.mu.Unlock()
+		}
+		m.sendTo(to.Primary, own)
+		own.Primary, own.Loads = false, nil
+		m.sendTo(to.Secondary, own)
+	}
+	if withSummaries && len(to.Summaries) > 0 {
+		summary := h
+		summary.Kind = presence.KindSummary
+		summary.LoadingMs = nil // only hubs run batches
+		m.fleet.WithTable(func(t *placement.Table) {
+			summary.Loads = t.SumLoads(func(string) bool { return true })
+			summary.Unreachable, summary.Slow = t.Reported(now)
+		})
+		summary.Unreachable, summary.Slow = merge(h.Unreachable, summary.Unreachable), merge(h.Slow, summary.Slow)
+		summary.Quarantine = m.withRelayedQuarantine(h.Quarantine, false)
+		m.fill(now, &summary, (*presence.Table).FillSummary)
+		m.sendTo(to.Summaries, summary)
+	}
+	if len(to.Direct) > 0 {
+		m.sendTo(to.Direct, m.direct(now, h))
+	}
 }
 
-// sendTo sends a heartbeat to the target addresses. If modify is not nil, it may change the
-// heartbeat first.
-func (m *Membership) sendTo(targets []string, modify func(*presence.Heartbeat)) {
-	h := m.heartbeat()
-	if modify != nil {
-		modify(&h)
+// direct returns a heartbeat to a host outside the exchange with hubs.
+func (m *Membership) direct(now time.Time, h presence.Heartbeat) presence.Heartbeat {
+	m.fleet.WithTable(func(t *placement.Table) { h.Loads = t.LocalLoads() })
+	m.fill(now, &h, (*presence.Table).FillDirect)
+	return h
+}
+
+func (m *Membership) fill(now time.Time, h *presence.Heartbeat, fill func(*presence.Table, time.Time, *presence.Heartbeat)) {
+	m.peers.mu.Lock()
+	defer m.peers.mu.Unlock()
+	fill(m.peers.table, now, h)
+}
+
+// merge returns the union of two lists of keys.
+func merge(a, b []uint32) []uint32 {
+	out := append(slices.Clone(a), b...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// withRelayedQuarantine adds the entries reported by other hosts to this host's own: those of
+// the hosts that use this one as a hub or, unless ownHosts is set, of all.
+func (m *Membership) withRelayedQuarantine(own []presence.QuarantinedRequest, ownHosts bool) []presence.QuarantinedRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.Clone(own)
+	for _, q := range m.quarantine {
+		if q.own || !ownHosts {
+			out = append(out, q.requests...)
+		}
+	}
+	return out[:min(len(out), max(maxRelayedQuarantine, len(own)))]
+}
+
+// sendTo sends a heartbeat to the target addresses.
+func (m *Membership) sendTo(targets []string, h presence.Heartbeat) {
+	if len(targets) == 0 {
+		return
 	}
+	// Each kind has its own sequence number, since a host may receive several kinds.
+	h.Sequence = m.sequence.Add(1)
 	b, err := cbor.Marshal(h)
-	if err != nil || len(b) > maxHeartbeatBytes {
-		// Loads only improve endpoint selection, so they are dropped before anything else.
-		h.Loads = nil
-		if b, err = cbor.Marshal(h); err != nil {
-			m.log.Error("Failed to encode heartbeat", "err", err)
-			return
+	if err == nil && len(b) > maxHeartbeatBytes {
+		// Changes also arrive with the roster, and loads only improve endpoint selection.
+		h.Changed = nil
+		if b, err = cbor.Marshal(h); err == nil && len(b) > maxHeartbeatBytes {
+			h.Loads = nil
+			b, err = cbor.Marshal(h)
 		}
 	}
+	if err != nil {
+		m.log.Error("Failed to encode heartbeat", "err", err)
+		return
+	}
 	for _, t := range targets {
 		if t == m.settings.PeerAddress {
 			continue
 		}
-		address, err := net.ResolveUDPAddr("udp4", t)
+		address, err := netip.ParseAddrPort(t)
 		if err != nil {
 			m.log.Warn("Invalid host address", "address", t, "err", err)
 			continue
 		}
 		// A failed send is treated like a lost datagram, since the next heartbeat follows
 		// soon.
-		_, _ = m.conn.WriteToUDP(b, address)
+		_, _ = m.conn.WriteToUDPAddrPort(b, address)
 	}
 }
 
 func (m *Membership) receive() {
 	buffer := make([]byte, 2*maxHeartbeatBytes)
 	for {
-		n, _, err := m.conn.ReadFromUDP(buffer)
+		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -165,15 +383,19 @@
 }
 
 func (m *Membership) accept(h presence.Heartbeat) {
+	now := time.Now()
 	m.peers.mu.Lock()
-	accepted, appeared := m.peers.table.Receive(time.Now(), h)
+	table := m.peers.table
+	before, _ := table.Get(now, h.Host)
+	accepted, appeared := table.Receive(now, h)
+	hub, primary := table.IsHub(), table.IsPrimaryHub(h.Host)
 	m.peers.mu.Unlock()
 	if !accepted {
 		return
 	}
+	m.recordLoads(h, hub, primary)
+	m.recordQuarantine(h)
 	m.fleet.WithTable(func(t *placement.Table) {
-		now := time.Now()
-		t.SetPeerLoads(h.Host, h.Loads)
 		for key, ms := range h.LoadingMs {
 			t.SetLoading(now, key, now.Add(time.Duration(ms)*time.Millisecond))
 		}
@@ -184,55 +406,122 @@
 			t.MarkReportedSlow(now, key)
 		}
 	})
-	if appeared {
+	if appeared && hub {
 		m.log.Info("Peer appeared or restarted", "host", h.Host, "address", h.PeerAddress, "incarnation", h.Incarnation)
 	}
-	m.respond(h, appeared)
+	if h.Kind == presence.KindToHub && h.Member != before {
+		m.Announce() // the other hubs learn of the change from this one
+	}
+	m.respond(now, h, appeared)
 	m.onHeartbeat(h, appeared)
 }
 
-func requestReply(h *presence.Heartbeat) { h.ReplyRequested = true }
+// recordLoads applies the loads of a heartbeat. A hub keeps those of each host that sends it
+// its own; the other hosts use the totals of their primary hub.
+func (m *Membership) recordLoads(h presence.Heartbeat, hub, primary bool) {
+	host, loads := h.Host, h.Loads
+	switch {
+	case h.Kind == presence.KindToHub:
+		if !h.Primary {
+			loads = nil
+		}
+	case h.Kind == presence.KindSummary && primary && !hub:
+		m.mu.Lock()
+		host, loads = summaryLoads, subtractLoads(h.Loads, m.reportedLoads)
+		first := !m.loadsFromSummary
+		m.loadsFromSummary = true
+		m.mu.Unlock()
+		if first {
+			m.fleet.WithTable(func(t *placement.Table) { t.ClearPeerLoads() })
+		}
+	case h.Kind == presence.KindBetweenHubs && hub, h.Protocol == 0 && hub:
+	default:
+		return
+	}
+	m.fleet.WithTable(func(t *placement.Table) { t.SetPeerLoads(host, loads) })
+}
+
+// subtractLoads returns the loads of total that are not part of own.
+func subtractLoads(total, own map[uint32]uint16) map[uint32]uint16 {
+	out := make(map[uint32]uint16, len(total))
+	for key, n := range total {
+		if n > own[key] {
+			out[key] = n - own[key]
+		}
+	}
+	return out
+}
+
+func (m *Membership) recordQuarantine(h presence.Heartbeat) {
+	if h.Kind != presence.KindToHub && h.Kind != presence.KindBetweenHubs {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(h.Quarantine) == 0 {
+		delete(m.quarantine, h.Host)
+		return
+	}
+	m.quarantine[h.Host] = relayedQuarantine{requests: h.Quarantine, own: h.Kind == presence.KindToHub}
+}
 
 // respond replies to a heartbeat if its host appeared or requested a reply, and contacts the
 // hosts that the heartbeat lists and this host does not know.
-func (m *Membership) respond(h presence.Heartbeat, appeared bool) {
+func (m *Membership) respond(now time.Time, h presence.Heartbeat, appeared bool) {
+	if !(appeared && h.Kind != presence.KindSummary || h.ReplyRequested || len(h.Peers) > 0) {
+		return
+	}
+	var known []string
 	m.peers.mu.Lock()
-	known := m.peers.table.Addresses(time.Now())
+	if m.peers.table.SmallFleet() {
+		known = m.peers.table.Addresses()
+	}
 	m.peers.mu.Unlock()
-	if appeared || h.ReplyRequested {
-		m.sendTo([]string{h.PeerAddress}, func(own *presence.Heartbeat) { own.Peers, own.ReplyRequested = known, appeared })
+	if appeared && h.Kind != presence.KindSummary || h.ReplyRequested {
+		own := m.direct(now, m.heartbeat())
+		own.Peers, own.ReplyRequested = known, appeared
+		m.sendTo([]string{h.PeerAddress}, own)
 	}
 	unknown := slices.DeleteFunc(slices.Clone(h.Peers), func(a string) bool { return slices.Contains(known, a) })
 	if len(unknown) > 0 {
-		m.sendTo(unknown, requestReply)
+		m.requestReplies(now, unknown)
 	}
 }
 
-// clearDeadPeerLoads removes the reported loads of hosts that are no longer alive.
-func (m *Membership) clearDeadPeerLoads() {
-	m.peers.mu.Lock()
-	dead := m.peers.table.Silent(time.Now())
-	m.peers.mu.Unlock()
-	for _, p := range dead {
-		m.fleet.WithTable(func(t *placement.Table) { t.SetPeerLoads(p.Host, nil) })
-	}
+func (m *Membership) requestReplies(now time.Time, addresses []string) {
+	own := m.direct(now, m.heartbeat())
+	own.ReplyRequested = true
+	m.sendTo(addresses, own)
 }
 
-// discover registers this host in the store and periodically lists the other hosts.
+// discover lists the host records while this host knows no peers, and periodically at one
+// host. It registers this host in the store if it is a hub or knows no peers.
 func (m *Membership) discover(ctx context.Context) {
 	registered := false
-	for ctx.Err() == nil {
-		if !registered {
-			registered = m.registerHost(ctx)
-		}
-		pause := hostListRetryDelay
-		if m.listHosts(ctx) && registered {
-			pause = hostListInterval
-		}
+	hubSince := time.Time{}
+	listedAt := time.Time{}
+	pause := discoveryDelay
+	for {
 		select {
 		case <-ctx.Done():
+			return
 		case <-time.After(pause):
 		}
+		pause = hostListRetryDelay
+		alone := m.peers.Count() == 0
+		if !m.peers.IsHub() {
+			hubSince = time.Time{}
+		} else if hubSince.IsZero() {
+			hubSince = time.Now()
+		}
+		if !registered && (alone || !hubSince.IsZero() && time.Since(hubSince) > registrationDelay) {
+			registered = m.registerHost(ctx)
+		}
+		if alone || time.Since(listedAt) > hostListInterval && m.rank(hostListTask) == 0 {
+			if m.listHosts(ctx) {
+				listedAt = time.Now()
+			}
+		}
 	}
 }
 
@@ -284,6 +573,10 @@
 		seeds := append(slices.Clone(m.settings.Seeds), found...)
 		m.seeds.Store(&seeds)
 	}
-	m.sendTo(found, requestReply)
+	m.peers.mu.Lock()
+	known := m.peers.table.Addresses()
+	m.peers.mu.Unlock()
+	found = slices.DeleteFunc(found, func(a string) bool { return slices.Contains(known, a) })
+	m.requestReplies(time.Now(), found)
 	return true
 }
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -31,6 +31,26 @@
 	return id
 }
 
+// owner returns the host that runs a batch, and the others.
+func (w *testCluster) owner(id string) (owner *testNode, others []*testNode) {
+	w.t.Helper()
+	for _, n := range w.nodes {
+		m, err := n.Batches.store.manifest(background, id)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if m.Owner == n.Settings.Host {
+			owner = n
+		} else {
+			others = append(others, n)
+		}
+	}
+	if owner == nil {
+		w.t.Fatalf("no host of the cluster owns batch %q", id)
+	}
+	return owner, others
+}
+
 // code returns the result code of an error, or OK if it has none.
 func code(err error) resultcode.Code {
 	var coded *resultcode.Error
@@ -194,16 +214,17 @@
 	hosts := w.start("h1", "h2", "h3")
 	w.engines.eventInterval = 10 * time.Millisecond
 	id := submit(t, hosts[0], 8, 40)
+	owner, others := w.owner(id)
 	w.waitUntil("some results are listed", func() bool {
-		page, err := hosts[1].Batches.Results(background, id, 0, 0)
+		page, err := others[0].Batches.Results(background, id, 0, 0)
 		return err == nil && len(page.Results) > 0
 	})
-	before, err := hosts[1].Batches.Results(background, id, 0, 0)
+	before, err := others[0].Batches.Results(background, id, 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.kill(hosts[0])
-	after := w.readAll(hosts[2], id)
+	w.kill(owner)
+	after := w.readAll(others[1], id)
 	w.checkResults(batch(id, 8, 40), after)
 	for i, r := range before.Results {
 		if after[i].ID != r.ID || after[i].Text != r.Text {
@@ -336,11 +357,12 @@
 	w.engines.eventInterval = 30 * time.Millisecond
 	id := submit(t, hosts[0], 3, 150)
 	w.waitUntil("samples run", func() bool { return w.engines.generating.Load() > 0 })
-	delete(w.nodes, "h1")
-	if err := hosts[0].Stop(background); err != nil {
+	owner, others := w.owner(id)
+	delete(w.nodes, owner.Settings.Host)
+	if err := owner.Stop(background); err != nil {
 		t.Fatal(err)
 	}
-	w.checkResults(batch(id, 3, 150), w.readAll(hosts[1], id))
+	w.checkResults(batch(id, 3, 150), w.readAll(others[0], id))
 	if w.engines.resumed.Load() == 0 {
 		t.Error("no sample was resumed by the next owner")
 	}
@@ -353,7 +375,7 @@
 	stopped := make(chan error, 1)
 	delete(w.nodes, "h1")
 	go func() { stopped <- hosts[0].Stop(background) }()
-	w.waitUntil("the peer no longer lists the host", func() bool { return len(hosts[1].Addresses()) == 1 })
+	w.waitUntil("the peer no longer lists the host", func() bool { return len(hosts[1].Addresses("a")) == 1 })
 	if hosts[0].Ready() {
 		t.Error("a draining host is ready")
 	}
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gorilla/mux"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
@@ -26,9 +27,17 @@
 	peerDialTimeout = 400 * time.Millisecond
 	// peerCallTimeout bounds a call between hosts, in addition to the wait that it requests.
 	peerCallTimeout = 800 * time.Millisecond
+	// submitWait is the time that the owner of a forwarded batch has for its writes to the
+	// store, in addition to peerCallTimeout.
+	submitWait = 700 * time.Millisecond
+	// submitConflict is the answer to a forwarded batch that is known with other content.
+	submitConflict = "conflict"
 	// maxPeerBody bounds the body of a call between hosts, which is at most a page of results
 	// or one object.
 	maxPeerBody = 4 << 20
+	// maxForwardedBatch bounds the content of a batch that a peer forwards, and exceeds what
+	// callers may submit.
+	maxForwardedBatch = 64 << 20
 )
 
 // errBatchNotActive means that a host does not run the batch it was asked about. Peers answer it
@@ -89,6 +98,16 @@
 	return s, cbor.Unmarshal(raw, &s)
 }
 
+// Roster returns the live hosts that a peer knows, including itself.
+func (c *PeerClient) Roster(ctx context.Context, host string) ([]presence.RosterEntry, error) {
+	raw, err := c.call(ctx, host, http.MethodGet, "/roster", nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	var roster []presence.RosterEntry
+	return roster, cbor.Unmarshal(raw, &roster)
+}
+
 // Results reads results from the batch's owner. It waits up to the given time if there are
 // none from position after on.
 func (c *PeerClient) Results(ctx context.Context, host, id string, after int, wait time.Duration) (Page, error) {
@@ -118,6 +137,20 @@
 	return err
 }
 
+// Submit forwards the content of a batch to the host that is to run it. The error is
+// resultcode.StepConflict if that host knows the batch with other content. After any other
+// error the batch may have been accepted.
+func (c *PeerClient) Submit(ctx context.Context, host string, content []byte) error {
+	raw, err := c.call(ctx, host, http.MethodPost, "/batches", content, submitWait)
+	if err != nil {
+		return err
+	}
+	if string(raw) == submitConflict {
+		return codedError(resultcode.StepConflict, "the batch was submitted with other content")
+	}
+	return nil
+}
+
 // SendGroups sends the hashes of an accepted batch's groups to a peer.
 func (c *PeerClient) SendGroups(ctx context.Context, host string, hashes []uint64) error {
 	raw, err := cbor.Marshal(hashes)
@@ -130,7 +163,7 @@
 
 // peerHandler serves the calls of PeerClient, and relays store calls for hosts that the store
 // does not serve directly.
-func peerHandler(direct objectapi.API, feed *Feed, b *Batches) http.Handler {
+func peerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
 	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
 	r.HandleFunc("/feed", func(w http.ResponseWriter, r *http.Request) {
@@ -146,6 +179,14 @@
 		}
 		_, _ = w.Write(raw)
 	}).Methods(http.MethodGet)
+	r.HandleFunc("/roster", func(w http.ResponseWriter, _ *http.Request) {
+		raw, err := cbor.Marshal(peers.Roster())
+		if err != nil {
+			peerError(w, err)
+			return
+		}
+		_, _ = w.Write(raw)
+	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
 		if err != nil {
@@ -177,6 +218,19 @@
 		}
 		_, _ = w.Write(body)
 	}).Methods(http.MethodGet)
+	r.HandleFunc("/batches", func(w http.ResponseWriter, r *http.Request) {
+		content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardedBatch))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		switch err := b.submitEncoded(r.Context(), content); {
+		case isCode(err, resultcode.StepConflict):
+			_, _ = io.WriteString(w, submitConflict)
+		case err != nil:
+			peerError(w, err)
+		}
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
 		var hashes []uint64
 		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
@@ -62,18 +63,28 @@
 }
 
 // askOwner requests results from the batch's owner: first from the owner in the cached
-// manifest, then from the owner in the store. The page is nil if no owner answered.
+// manifest or, if there is none, from the hosts that run the batches of the models now, then
+// from the owner in the store. The page is nil if no owner answered.
 func (s *Batches) askOwner(ctx context.Context, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
 	m, known := s.store.cached(id)
-	asked := ""
-	if known && m.Owner != s.settings.Host {
-		asked = m.Owner
-		if page, err := s.peerClient.Results(ctx, asked, id, after, wait); err == nil {
+	asked := s.currentOwners()
+	if known {
+		asked = []string{m.Owner}
+	}
+	for _, owner := range asked {
+		if owner == s.settings.Host {
+			continue
+		}
+		if page, err := s.peerClient.Results(ctx, owner, id, after, wait); err == nil {
+			if !known {
+				m = storedManifest{Manifest: batches.Manifest{ID: id, Owner: owner}}
+				s.store.cacheManifest(m)
+			}
 			return m, &page, nil
 		}
 	}
 	m, err := s.readManifest(ctx, id)
-	if err != nil || m.Owner == s.settings.Host || m.Owner == asked {
+	if err != nil || m.Owner == s.settings.Host || slices.Contains(asked, m.Owner) {
 		return m, nil, err
 	}
 	page, err := s.peerClient.Results(ctx, m.Owner, id, after, wait)
--- a/internal/transport/front/settings.go
+++ b/internal/transport/front/settings.go
@@ -31,6 +31,13 @@
 	StoreWrites float64
 	// MemoryBytes is the memory of the host, or zero if it is not set.
 	MemoryBytes int64
+	// Capacity is the host's share of processor time, in cores; zero is unknown.
+	Capacity float64
+	// FirstStart is set if the fleet has never run before, so that nothing is stored.
+	FirstStart bool
+	// FullMeshHosts is the number of hosts up to which each sends heartbeats to all others;
+	// zero is the default.
+	FullMeshHosts int
 	// GracePeriod is the time between the platform's stop signal and its kill signal.
 	GracePeriod time.Duration
 	// Lease is the minimum time between the last order that one holder of the weights
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -80,23 +80,53 @@
 	table *presence.Table
 }
 
-// NewPeers returns an empty view for host self.
-func NewPeers(self string) *Peers { return &Peers{table: presence.NewTable(self)} }
+// NewPeers returns an empty view for a host.
+func NewPeers(self presence.Member, fullMeshHosts int) *Peers {
+	return &Peers{table: presence.NewTable(self, fullMeshHosts)}
+}
 
 // Alive returns the peers that are alive.
-func (p *Peers) Alive() []presence.Peer {
+func (p *Peers) Alive() []presence.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.table.Peers(time.Now())
 }
 
+// Count returns the number of peers that are alive.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Count(time.Now())
+}
+
 // Get returns a peer if it is alive.
-func (p *Peers) Get(host string) (presence.Peer, bool) {
+func (p *Peers) Get(host string) (presence.Member, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.table.Get(time.Now(), host)
 }
 
+// IsHub reports whether this host is a hub.
+func (p *Peers) IsHub() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.IsHub()
+}
+
+// Candidates returns the live peers as candidates for a task.
+func (p *Peers) Candidates() []presence.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Candidates(time.Now())
+}
+
+// Roster returns the live hosts including this one.
+func (p *Peers) Roster() []presence.RosterEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Roster(time.Now())
+}
+
 // Catalog holds the configuration in force.
 type Catalog struct {
 	mu     sync.RWMutex
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -57,6 +57,9 @@
 func (s *Batches) Watch(ctx context.Context) {
 	startTime := time.Now()
 	lastListed := time.Time{}
+	if s.settings.FirstStart {
+		lastListed = startTime // no batch exists yet
+	}
 	ticker := time.NewTicker(takeoverInterval)
 	defer ticker.Stop()
 	for {
@@ -111,11 +114,7 @@
 	if _, alive := s.peers.Get(m.Owner); alive || s.draining() {
 		return false
 	}
-	candidates := []presence.Heartbeat{{Host: s.settings.Host, Ready: true, StoreReachable: s.runner.storeReachable()}}
-	for _, p := range s.peers.Alive() {
-		candidates = append(candidates, p.Heartbeat)
-	}
-	return presence.Successor(m.ID, candidates) == s.settings.Host
+	return presence.Successor(m.ID, append(s.peers.Candidates(), s.candidate())) == s.settings.Host
 }
 
 // tryTakeOver takes over a batch unless this host already runs it, is taking it over or is
@@ -211,12 +210,8 @@
 		}
 		return
 	}
-	var candidates []presence.Heartbeat
-	for _, p := range s.peers.Alive() {
-		candidates = append(candidates, p.Heartbeat)
-	}
 	next := m.Manifest
-	next.Owner, next.Epoch = presence.Successor(id, candidates), m.Epoch+1
+	next.Owner, next.Epoch = presence.Successor(id, s.peers.Candidates()), m.Epoch+1
 	if next.Owner == "" {
 		return // no live peer; this host continues the batch after its restart
 	}
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/coordination/upgrades"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
@@ -45,9 +46,9 @@
 	// announce sends a heartbeat immediately, so that peers learn which engines are loading
 	// weights.
 	announce func()
-	// storeReachable reports whether the store serves this host directly.
-	storeReachable func() bool
-	log            *slog.Logger
+	// candidate returns this host as a candidate for a task.
+	candidate func() presence.Candidate
+	log       *slog.Logger
 
 	mu    sync.Mutex
 	plan  *upgrades.Plan
@@ -76,7 +77,9 @@
 // the lease, until ctx ends. It releases the lease when the host stops being ready.
 func (w *Weights) Run(ctx context.Context) {
 	startTime := time.Now()
-	w.reacquire(ctx)
+	if !w.settings.FirstStart {
+		w.reacquire(ctx)
+	}
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
