Keep the roster of hosts alike at all hubs, and run all batches at few hosts

Cause: a simulated fleet (fleet_test.go) showed rosters that stayed different after a cold start, a cut or lossy links: reports kept each other alive, or were lost when a host changed its hub. The owners of three models each opened their own connections to every engine.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -108,7 +108,9 @@
 	// serviceTime is the average time per stream event or per answer; zero if unknown.
 	serviceTime time.Duration
 	measuredAt  time.Time
-	lastUsed    time.Time
+	// idleSince holds when each idle connection of this host to the endpoint was last used,
+	// oldest first.
+	idleSince []time.Time
 	// observedVersions holds the weight versions that the endpoint's own answers named, by
 	// model. Each Put of the endpoint clears it.
 	observedVersions map[string]int
@@ -229,6 +231,17 @@
 	return slices.Sorted(maps.Keys(known))
 }
 
+// ModelSlots returns the number of slots of the endpoints that hold a model.
+func (t *Table) ModelSlots() int {
+	n := 0
+	for _, e := range t.entries {
+		if len(e.endpoint.Versions) > 0 {
+			n += e.endpoint.Slots
+		}
+	}
+	return n
+}
+
 // Query describes the requirements on an endpoint.
 type Query struct {
 	Service string
@@ -372,7 +385,7 @@
 	case e.suspect(now), now.Before(e.reportedUnreachableUntil) && now.Sub(e.answeredAt) > reportTTL,
 		now.Before(e.reportedSlowUntil) && now.Sub(e.measuredAt) > reportTTL:
 		cost += suspectCost
-	case now.Sub(e.lastUsed) < warmDuration:
+	case e.hasIdleConnection(now):
 		cost -= warmBonus
 	}
 	jitter := (uint64(e.key) ^ random) * 0x9e3779b97f4a7c15 >> 54
@@ -386,15 +399,22 @@
 	// It reserves endpoints with newer weights for the training steps that need them.
 	versionCost     = 0.3
 	maxVersionSteps = 2
-	// warmBonus favors endpoints to which this host has an open connection. A connection
-	// stays open for warmDuration after a request.
+	// warmBonus favors endpoints to which this host has an idle connection. An idle connection
+	// stays open for idleConnTTL; at most maxIdleConns are kept.
 	warmBonus    = 0.15
-	warmDuration = 8 * time.Second
+	idleConnTTL  = 9 * time.Second
+	maxIdleConns = 24
 	// tieBreakCost bounds the random term that spreads requests over endpoints of equal
 	// cost.
 	tieBreakCost = 0.04
 )
 
+// hasIdleConnection reports whether a request to the endpoint can reuse a connection.
+func (e *entry) hasIdleConnection(now time.Time) bool {
+	n := len(e.idleSince)
+	return n > 0 && now.Sub(e.idleSince[n-1]) < idleConnTTL
+}
+
 // serviceTimeAt returns the endpoint's service time, or the baseline if it is unknown. A
 // slow measurement older than slowMeasurementTTL is reduced towards the baseline, so that a
 // recovered endpoint is tried again.
@@ -449,7 +469,9 @@
 func (t *Table) Begin(now time.Time, id string) {
 	if e, ok := t.entries[id]; ok {
 		e.localLoad++
-		e.lastUsed = now
+		if n := len(e.idleSince); n > 0 {
+			e.idleSince = e.idleSince[:n-1] // the connection used last is reused first
+		}
 	}
 }
 
@@ -461,6 +483,12 @@
 		return
 	}
 	e.localLoad = max(e.localLoad-1, 0)
+	if o == OK || o == Refused {
+		e.idleSince = append(e.idleSince, now)
+		if len(e.idleSince) > maxIdleConns {
+			e.idleSince = e.idleSince[1:]
+		}
+	}
 	switch o {
 	case OK:
 		e.failures, e.ejections, e.unreachable = 0, 0, false
--- a/internal/coordination/presence/hubs.go
+++ b/internal/coordination/presence/hubs.go
@@ -19,6 +19,8 @@
 	// hubAvoidance how long it avoids the former one.
 	hubTimeout   = 4 * Interval
 	hubAvoidance = 5 * time.Second
+	// hubSubject is the subject of the rendezvous hashes by which hubs are elected.
+	hubSubject = "hub"
 	// maxProbes bounds the silent hosts that a host contacts in one interval of a large fleet.
 	maxProbes = 4
 )
@@ -35,18 +37,18 @@
 
 // electHubs returns the hubs of all zones.
 func (t *Table) electHubs(now time.Time) map[string]bool {
-	zones := map[string][]*Member{}
+	zones := map[string][]*Peer{}
 	total := 0
-	add := func(m *Member) {
-		if m.Protocol >= protocolHubs && !m.Draining {
-			zones[m.Zone] = append(zones[m.Zone], m)
+	add := func(p *Peer) {
+		if p.Protocol >= protocolHubs && !p.Draining {
+			zones[p.Zone] = append(zones[p.Zone], p)
 			total++
 		}
 	}
-	add(&t.self)
+	add(&Peer{Member: t.self, hubHash: rendezvousHash(hubSubject, t.self.Host)})
 	for _, p := range t.peers {
 		if t.alive(now, p) {
-			add(&p.Member)
+			add(p)
 		}
 	}
 	out := map[string]bool{}
@@ -65,19 +67,19 @@
 
 // rankHubs sorts the hosts of a zone by their suitability as a hub: hosts with a large
 // processor capacity first, in an order that is the same at every host.
-func rankHubs(hosts []*Member) {
+func rankHubs(hosts []*Peer) {
 	largest := float32(0)
-	for _, m := range hosts {
-		largest = max(largest, m.Capacity)
+	for _, p := range hosts {
+		largest = max(largest, p.Capacity)
 	}
-	slices.SortFunc(hosts, func(a, b *Member) int {
-		small := func(m *Member) int {
-			if m.Capacity < minCapacityShare*largest {
-				return 1
-			}
-			return 0
+	small := func(p *Peer) int {
+		if p.Capacity < minCapacityShare*largest {
+			return 1
 		}
-		return cmp.Or(cmp.Compare(small(a), small(b)), compareByHash("hub", a.Host, b.Host))
+		return 0
+	}
+	slices.SortFunc(hosts, func(a, b *Peer) int {
+		return cmp.Or(cmp.Compare(small(a), small(b)), cmp.Compare(b.hubHash, a.hubHash), cmp.Compare(a.Host, b.Host))
 	})
 }
 
@@ -92,16 +94,33 @@
 	return h.Sum64()
 }
 
+// hubsAnswer reports whether this host needs no other hubs: it is one, or uses enough that
+// answer.
+func (t *Table) hubsAnswer(now time.Time) bool {
+	if t.IsHub() {
+		return true
+	}
+	for _, name := range t.selected {
+		if p := t.peers[name]; p == nil || now.Sub(later(p.selectedAt, p.summaryAt)) > hubTimeout {
+			return false
+		}
+	}
+	return len(t.selected) == hubsPerHost && t.answers(now, t.selected[0])
+}
+
 // selectHubs selects the hubs that this host uses. It keeps the primary one while it answers.
 func (t *Table) selectHubs(now time.Time) {
 	if t.IsHub() {
 		t.deselect(nil)
 		return
 	}
+	reporting := slices.ContainsFunc(t.selected, func(name string) bool { return t.peers[name] != nil && t.answers(now, name) })
 	for _, name := range t.selected {
 		p := t.peers[name]
 		if p != nil && now.Sub(later(p.selectedAt, p.summaryAt)) > hubTimeout {
 			p.avoidUntil = now.Add(hubAvoidance)
+			// Without another hub's report, its silence shows that it is gone.
+			p.reported = p.reported && reporting
 		}
 	}
 	order := t.hubOrder(now)
@@ -147,11 +166,10 @@
 			out = append(out, name)
 		}
 	}
-	class := func(name string) int {
-		p := t.peers[name]
+	class := func(p *Peer) int {
 		c := 0
 		switch {
-		case !t.hubs[name]:
+		case !t.hubs[p.Host]:
 			c = 2
 		case p.Zone != t.self.Zone:
 			c = 1
@@ -161,12 +179,9 @@
 		}
 		return c
 	}
-	classes := make(map[string]int, len(out))
-	for _, name := range out {
-		classes[name] = class(name)
-	}
 	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(classes[a], classes[b]), compareByHash(t.self.Host, a, b))
+		p, q := t.peers[a], t.peers[b]
+		return cmp.Or(cmp.Compare(class(p), class(q)), cmp.Compare(q.selectHash, p.selectHash), cmp.Compare(a, b))
 	})
 	return out
 }
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -130,6 +130,9 @@
 	// itself: the sum of the hashes of their records, and their number.
 	RosterHash uint64 `cbor:"28,keyasint,omitempty"`
 	RosterSize int    `cbor:"29,keyasint,omitempty"`
+	// RosterAgeMs is the age of the sender's knowledge of these hosts, in milliseconds: zero
+	// at a hub, else the age of the last summary that it received.
+	RosterAgeMs uint32 `cbor:"33,keyasint,omitempty"`
 	// Relayed lists the hosts from which the sender, a hub, receives heartbeats.
 	Relayed []RelayedHost `cbor:"30,keyasint,omitempty"`
 	// Changed lists the records that changed within changeRetention: in a heartbeat between
@@ -177,6 +180,8 @@
 // RosterEntry is a live host in the answer to a request for the roster.
 type RosterEntry struct {
 	Member Member `cbor:"1,keyasint"`
-	// AgeMs is the time since the last sign of life of the host, in milliseconds.
-	AgeMs int64 `cbor:"2,keyasint"`
+	// AgeMs is the time since the last sign of life of the host, in milliseconds. If Reported
+	// is set, the sender has only the report of its hub, and AgeMs is the age of that.
+	AgeMs    int64 `cbor:"2,keyasint"`
+	Reported bool  `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/coordination/presence/relay.go
+++ b/internal/coordination/presence/relay.go
@@ -10,7 +10,9 @@
 	// mismatchesToFetch is the number of consecutive heartbeats with a roster that differs
 	// from the local one after which the roster is fetched. Changes usually arrive with one
 	// of these heartbeats.
-	mismatchesToFetch = 2
+	mismatchesToFetch = 3
+	// A host knows far more hosts than this one if it knows more by 1/farMoreDivisor.
+	farMoreDivisor = 8
 	// rosterFetchInterval is the minimum interval between two fetches.
 	rosterFetchInterval = 500 * time.Millisecond
 	// maxChanged bounds the records in one heartbeat, so that it fits into a datagram. The
@@ -25,12 +27,14 @@
 func (t *Table) FillBetweenHubs(now time.Time, h *Heartbeat) {
 	t.fillRoster(now, h)
 	for _, p := range t.peers {
-		age := now.Sub(p.ownAt)
+		// Other hubs are relayed as well: a hub that misses some heartbeats of another one must
+		// not report it as gone.
+		age := now.Sub(later(p.ownAt, p.hubAt))
 		if age >= silenceTimeout {
 			continue
 		}
 		h.Relayed = append(h.Relayed, RelayedHost{Key: p.key, AgeMs: uint16(max(age, 0).Milliseconds()), Record: uint32(p.recordHash)})
-		if now.Sub(p.changedAt) < changeRetention {
+		if now.Sub(p.changedAt) < changeRetention && !p.ownAt.IsZero() {
 			h.Changed = append(h.Changed, p.Member)
 		}
 	}
@@ -63,6 +67,9 @@
 
 func (t *Table) fillRoster(now time.Time, h *Heartbeat) {
 	h.RosterHash, h.RosterSize = t.rosterHash(now)
+	if !t.IsHub() {
+		h.RosterAgeMs = uint32(min(now.Sub(t.summaryAt), rosterRetention).Milliseconds())
+	}
 }
 
 // LoadSources returns the hosts that send their loads to this host, to be added to the loads
@@ -116,8 +123,12 @@
 			p.ownAt = later(p.ownAt, at)
 		}
 	}
-	countMismatch(from, mismatch)
-	t.compareRosterSize(from, h)
+	// Of two hubs, the one that knows fewer live hosts fetches the roster of the other.
+	_, size := t.rosterHash(now)
+	countMismatch(from, mismatch || !own && h.RosterSize > size)
+	if !own { // else the host has its roster from this one
+		t.compareRosterSize(now, from, h)
+	}
 }
 
 func countMismatch(from *Peer, mismatch bool) {
@@ -128,10 +139,11 @@
 	from.unknownRecords++
 }
 
-// compareRosterSize lets the roster be fetched at once from a host that knows far more hosts,
-// as it does right after the start of this host.
-func (t *Table) compareRosterSize(from *Peer, h *Heartbeat) {
-	if h.RosterSize > 2*(len(t.peers)+1) {
+// compareRosterSize lets the roster be fetched at once from a host that knows far more live
+// hosts, as it does right after the start of this host.
+func (t *Table) compareRosterSize(now time.Time, from *Peer, h *Heartbeat) {
+	_, size := t.rosterHash(now)
+	if h.RosterSize > size+size/farMoreDivisor+1 {
 		from.unknownRecords = mismatchesToFetch
 	}
 }
@@ -142,7 +154,8 @@
 	if !t.IsPrimaryHub(from.Host) {
 		return
 	}
-	t.summaryAt = now
+	// Hosts that act as hubs for each other must not keep the reports of a lost hub alive.
+	t.summaryAt = later(t.summaryAt, now.Add(-time.Duration(h.RosterAgeMs)*time.Millisecond))
 	from.reported = true
 	for _, m := range h.Changed {
 		if m.Host != t.self.Host && m.Host != "" {
@@ -156,7 +169,17 @@
 	}
 	hash, _ := t.rosterHash(now)
 	countMismatch(from, hash != h.RosterHash)
-	t.compareRosterSize(from, h)
+	switch {
+	case hash == h.RosterHash:
+		t.syncedWith = from.Host
+		for _, p := range t.peers {
+			p.reported = t.alive(now, p) // the hub reports the same hosts
+		}
+	case t.syncedWith != from.Host:
+		from.unknownRecords = mismatchesToFetch // a new primary hub has reported no host yet
+	default:
+		t.compareRosterSize(now, from, h)
+	}
 }
 
 // WantsRoster returns the host from which to fetch the roster now, and whether a fetch is due.
@@ -184,11 +207,11 @@
 		if !t.alive(now, p) {
 			continue
 		}
-		age := now.Sub(p.heardAt)
-		if age >= silenceTimeout {
-			age = now.Sub(t.summaryAt) // alive by the report of this host's hub
+		e := RosterEntry{Member: p.Member, AgeMs: max(now.Sub(p.heardAt), 0).Milliseconds()}
+		if now.Sub(p.heardAt) >= silenceTimeout {
+			e.AgeMs, e.Reported = max(now.Sub(t.summaryAt), 0).Milliseconds(), true
 		}
-		out = append(out, RosterEntry{Member: p.Member, AgeMs: max(age, 0).Milliseconds()})
+		out = append(out, e)
 	}
 	return out
 }
@@ -197,8 +220,8 @@
 // roster replaces the reported one.
 func (t *Table) MergeRoster(now time.Time, from string, roster []RosterEntry) {
 	primary := t.IsPrimaryHub(from)
+	t.changed = true
 	if primary {
-		t.summaryAt = now
 		for _, p := range t.peers {
 			p.reported = false
 		}
@@ -207,6 +230,7 @@
 		if e.Member.Host == "" || e.Member.Host == t.self.Host {
 			continue
 		}
+		_, known := t.peers[e.Member.Host]
 		p := t.merge(now, e.Member)
 		if p.Incarnation != e.Member.Incarnation {
 			continue // the roster is older than this host's own information
@@ -215,6 +239,9 @@
 			p.reported = true
 			continue
 		}
+		if known && e.Reported {
+			continue // a hub's report must not outlive the host by returning to the hub
+		}
 		p.heardAt = later(p.heardAt, now.Add(-time.Duration(e.AgeMs)*time.Millisecond))
 	}
 }
--- a/internal/coordination/presence/succession.go
+++ b/internal/coordination/presence/succession.go
@@ -26,28 +26,17 @@
 	return order[0]
 }
 
-// Assign returns a host for each task. A host gets a second task only once every hub that
-// reaches the store has one, so that the tasks spread over the hubs. All hosts that see the
-// same tasks and candidates agree.
-func Assign(tasks []string, candidates []Candidate) map[string]string {
+// Assign returns a host for each task: the first of the given number of hosts in the
+// succession order of a kind of tasks, spread by rendezvous hash. All hosts that see the same
+// candidates agree.
+func Assign(kind string, tasks []string, hosts int, candidates []Candidate) map[string]string {
+	order := SuccessionOrder(kind, candidates)
+	order = order[:min(len(order), max(hosts, 1))]
 	out := make(map[string]string, len(tasks))
-	taken := map[string]bool{}
-	preferred := 0
-	for _, c := range candidates {
-		if c.Hub && c.StoreReachable && c.Ready && !c.Draining {
-			preferred++
-		}
-	}
-	for _, task := range slices.Sorted(slices.Values(tasks)) {
-		order := SuccessionOrder(task, candidates)
-		if len(order) == 0 {
-			return out
-		}
-		out[task] = order[0]
-		if i := slices.IndexFunc(order[:preferred], func(host string) bool { return !taken[host] }); i >= 0 {
-			out[task] = order[i]
+	for _, task := range tasks {
+		if len(order) > 0 {
+			out[task] = slices.MinFunc(order, func(a, b string) int { return compareByHash(task, a, b) })
 		}
-		taken[out[task]] = true
 	}
 	return out
 }
--- a/internal/coordination/presence/table.go
+++ b/internal/coordination/presence/table.go
@@ -10,7 +10,9 @@
 type Peer struct {
 	Member
 	key, recordHash uint64
-	sequence        uint64
+	// hubHash is the host's rendezvous hash as a hub, selectHash as the hub of this host.
+	hubHash, selectHash uint64
+	sequence            uint64
 	// directAt is when the host's last heartbeat reached this host, heardAt the last sign of
 	// life, directly or through a hub.
 	directAt time.Time
@@ -52,8 +54,13 @@
 	// summaryAt is when the primary hub's last summary was received.
 	summaryAt       time.Time
 	rosterFetchedAt time.Time
-	lastTick        time.Time
-	probed          int
+	// syncedWith is the primary hub whose roster last equaled this host's.
+	syncedWith string
+	lastTick   time.Time
+	probed     int
+	// changed is set when a host appeared, left or changed its record since the last election
+	// of the hubs.
+	changed bool
 }
 
 // FullMeshHosts is the number of hosts up to which every host sends heartbeats to every other
@@ -75,7 +82,7 @@
 	m.Revision, m.Protocol = t.self.Revision, protocolHubs
 	if m != t.self {
 		m.Revision++
-		t.self = m
+		t.self, t.changed = m, true
 	}
 }
 
@@ -105,7 +112,7 @@
 	case KindSummary:
 		t.receiveSummary(now, p, &h)
 	case KindDirect:
-		t.compareRosterSize(p, &h)
+		t.compareRosterSize(now, p, &h)
 	}
 	return true, appeared
 }
@@ -115,7 +122,7 @@
 	p := t.peers[m.Host]
 	switch {
 	case p == nil:
-		p = &Peer{Member: m, key: hostKey(m.Host)}
+		p = &Peer{Member: m, key: hostKey(m.Host), hubHash: rendezvousHash(hubSubject, m.Host), selectHash: rendezvousHash(t.self.Host, m.Host)}
 		t.peers[m.Host], t.byKey[p.key] = p, p
 	case m.newer(&p.Member):
 		if m.Incarnation != p.Incarnation {
@@ -128,7 +135,7 @@
 	default:
 		return p
 	}
-	p.recordHash, p.changedAt = m.hash(), now
+	p.recordHash, p.changedAt, t.changed = m.hash(), now, true
 	return p
 }
 
@@ -224,7 +231,7 @@
 	for name, p := range t.peers {
 		alive := t.alive(now, p)
 		if alive != p.wasAlive {
-			p.wasAlive, p.changedAt = alive, now
+			p.wasAlive, p.changedAt, t.changed = alive, now, true
 			if !alive {
 				left = append(left, LeftHost{Host: name, Own: t.SmallFleet() || !p.ownAt.IsZero()})
 			}
@@ -235,8 +242,13 @@
 		}
 	}
 	slices.SortFunc(left, func(a, b LeftHost) int { return cmp.Compare(a.Host, b.Host) })
-	t.hubs = t.electHubs(now)
-	t.selectHubs(now)
+	if t.changed {
+		t.hubs = t.electHubs(now)
+	}
+	if t.changed || !t.hubsAnswer(now) {
+		t.selectHubs(now)
+	}
+	t.changed = false
 	return left
 }
 
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -27,6 +27,11 @@
 	// endNotifyAttempts is the number of attempts to notify a batch's owner that the
 	// trainer ended the batch.
 	endNotifyAttempts = 2
+	// slotsPerOwner is the number of slots of engines for which one host runs the batches. A
+	// host of a fifth of a core handles the events of as many samples.
+	slotsPerOwner = 512
+	// batchTask is the task name for the succession order of the hosts that run batches.
+	batchTask = "batch owners"
 	// maxOwnersAsked bounds the hosts that are asked for a batch whose owner is not known,
 	// before its manifest is read from the store.
 	maxOwnersAsked = 4
@@ -72,8 +77,9 @@
 // id again succeeds, and other content returns resultcode.StepConflict. The result code
 // of the error says whether it is certain that no sample of the batch will run.
 //
-// The batches of one model are run by one host, so that its open connections to the engines
-// serve all of them. If that host does not accept the batch in time, this one does.
+// Few hosts run the batches of all models: their open connections to the engines serve all
+// samples, and they know the loads that they cause without a delay. If the host that is to run
+// a batch does not accept it in time, this one does.
 func (s *Batches) Submit(ctx context.Context, b *batches.Batch) error {
 	content, digest, err := encodeBatch(b)
 	if err != nil {
@@ -105,9 +111,19 @@
 // owners returns the host that is to run the batches of each model of the fleet and of the
 // given ones.
 func (s *Batches) owners(models ...string) map[string]string {
-	s.runner.fleet.WithTable(func(t *placement.Table) { models = append(models, t.Models()...) })
-	slices.Sort(models)
-	return presence.Assign(slices.Compact(models), append(s.peers.Candidates(), s.candidate()))
+	slots := 0
+	s.runner.fleet.WithTable(func(t *placement.Table) {
+		models = append(models, t.Models()...)
+		slots = t.ModelSlots()
+	})
+	hosts := (slots + slotsPerOwner - 1) / slotsPerOwner
+	candidates := append(s.peers.Candidates(), s.candidate())
+	for i := range candidates {
+		// A host that the store turns away keeps its batches and their connections: its calls
+		// go through a peer.
+		candidates[i].StoreReachable = true
+	}
+	return presence.Assign(batchTask, models, hosts, candidates)
 }
 
 // currentOwners returns up to maxOwnersAsked hosts that run the batches of a model now.
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -65,6 +65,8 @@
 	// entryExpiryWindow is the time after an outage of the store during which a missing entry
 	// is assumed to have expired because of the outage.
 	entryExpiryWindow = 3 * time.Second
+	// fromStore stands for the store among the hosts from which state was fetched.
+	fromStore = "store"
 	// feedTask is the task name for the succession order of the hosts that read the store.
 	feedTask = "feed"
 )
@@ -90,10 +92,9 @@
 	peerClient *PeerClient
 	announce   func()
 	// rank returns this host's position among the hosts that may read the store. The host
-	// at position zero reads first. alone reports whether this host knows no live peers.
-	rank  func() int
-	alone func() bool
-	log   *slog.Logger
+	// at position zero reads first.
+	rank func() int
+	log  *slog.Logger
 }
 
 // Feed keeps this host's configuration and endpoints in sync with the store. One host reads the
@@ -109,6 +110,8 @@
 	endpointsReadAt time.Duration
 	configReadAt    time.Duration
 	endpointsDigest uint64
+	// startedAt is the boot time at which this host started.
+	startedAt time.Duration
 	// entryExpiryUntil is the end of the current entryExpiryWindow.
 	entryExpiryUntil time.Time
 	// graceUntil maps endpoints whose entries may have expired during an outage to the end
@@ -121,7 +124,7 @@
 
 // NewFeed returns an empty feed.
 func NewFeed(d feedDeps) *Feed {
-	return &Feed{feedDeps: d, graceUntil: map[string]time.Time{}, invalidKeys: map[string]bool{}}
+	return &Feed{feedDeps: d, startedAt: sinceBoot(), graceUntil: map[string]time.Time{}, invalidKeys: map[string]bool{}}
 }
 
 // Run reads the store whenever it is this host's turn, until ctx is done.
@@ -131,8 +134,8 @@
 	ticker := time.NewTicker(feedInterval)
 	defer ticker.Stop()
 	for {
-		// A new process first waits for its peers, which have read the store already.
-		if (time.Since(started) > discoveryDelay || !f.alone()) && f.shouldRead(endpointsAt) {
+		// A new process first waits for its peers, one of which has read the store already.
+		if time.Since(started) > discoveryDelay && f.shouldRead(endpointsAt) {
 			withConfig := time.Since(configAt) >= configPollInterval-feedInterval || f.catalog.Config() == nil
 			endpointsAt = time.Now()
 			if f.readStore(ctx, withConfig) && withConfig {
@@ -161,9 +164,9 @@
 		return false
 	}
 	f.mu.Lock()
-	oldest := min(f.endpointsReadAt, f.configReadAt)
+	oldest := max(min(f.endpointsReadAt, f.configReadAt), f.startedAt)
 	f.mu.Unlock()
-	return oldest == 0 || sinceBoot()-oldest > maxReadAge+time.Duration(rank)*maxReadAgePerRank
+	return sinceBoot()-oldest > maxReadAge+time.Duration(rank)*maxReadAgePerRank
 }
 
 // readStore reads the endpoints, and the configuration if withConfig is set. It reports
@@ -178,7 +181,7 @@
 			}
 			return false
 		}
-		f.applyConfig(o.Value, "store")
+		f.applyConfig(o.Value, fromStore)
 		f.mu.Lock()
 		f.configReadAt = max(f.configReadAt, began)
 		f.mu.Unlock()
@@ -202,7 +205,7 @@
 }
 
 // applyConfig decodes a configuration and puts it in force if its generation is higher. from is
-// the host from which it was fetched, or "store".
+// the host from which it was fetched, or fromStore.
 func (f *Feed) applyConfig(value []byte, from string) {
 	config, err := f.decoder.Config(value)
 	if err != nil {
@@ -273,11 +276,13 @@
 		delete(f.graceUntil, e.ID)
 	}
 	f.mu.Unlock()
-	f.replaceEndpoints(endpoints, readAt)
+	f.replaceEndpoints(endpoints, readAt, fromStore)
 }
 
-// replaceEndpoints replaces the content of the fleet by endpoints and announces a change.
-func (f *Feed) replaceEndpoints(endpoints []catalog.Endpoint, readAt time.Duration) {
+// replaceEndpoints replaces the content of the fleet by endpoints and announces a change. from
+// is the host from which they were fetched, or fromStore. The host that read the store logs each
+// change, the others one line with the numbers.
+func (f *Feed) replaceEndpoints(endpoints []catalog.Endpoint, readAt time.Duration, from string) {
 	slices.SortFunc(endpoints, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	digest := digestOf(endpoints)
 	f.mu.Lock()
@@ -289,33 +294,46 @@
 		return
 	}
 	listed := make(map[string]bool, len(endpoints))
+	putCount, removedCount := 0, 0
 	for i := range endpoints {
 		e := &endpoints[i]
 		listed[e.ID] = true
-		f.putEndpoint(e)
+		if f.putEndpoint(e, from) {
+			putCount++
+		}
 	}
 	var known []catalog.Endpoint
 	f.fleet.WithTable(func(t *placement.Table) { known = t.All() })
 	for _, e := range known {
 		if !listed[e.ID] {
 			f.fleet.WithTable(func(t *placement.Table) { t.Remove(e.ID) })
-			f.log.Info("Endpoint removed", "endpoint", e.ID)
+			removedCount++
+			if from == fromStore {
+				f.log.Info("Endpoint removed", "endpoint", e.ID)
+			}
 		}
 	}
+	if from != fromStore && putCount+removedCount > 0 {
+		f.log.Info("Endpoints updated", "from", from, "added_or_changed", putCount, "removed", removedCount, "endpoints", len(endpoints))
+	}
 	f.announce()
 }
 
-// putEndpoint adds or updates an endpoint in the fleet. It logs new instances and changes of
-// the draining state.
-func (f *Feed) putEndpoint(e *catalog.Endpoint) {
+// putEndpoint adds or updates an endpoint in the fleet. It reports whether the endpoint is a
+// new instance or its draining state has changed.
+func (f *Feed) putEndpoint(e *catalog.Endpoint, from string) bool {
 	var before catalog.Endpoint
 	var known bool
 	f.fleet.WithTable(func(t *placement.Table) { before, known = t.Get(e.ID) })
-	if !known || !before.SameInstance(e) || before.Draining != e.Draining {
+	f.fleet.Put(*e)
+	if known && before.SameInstance(e) && before.Draining == e.Draining {
+		return false
+	}
+	if from == fromStore {
 		f.log.Info("Endpoint added or changed", "endpoint", e.ID, "service", e.Service, "address", e.Address,
 			"draining", e.Draining, "incarnation", e.Incarnation)
 	}
-	f.fleet.Put(*e)
+	return true
 }
 
 // digestOf returns a hash by which hosts compare their lists of endpoints.
@@ -397,7 +415,7 @@
 	newer := at > f.endpointsReadAt+minFetchGain
 	f.mu.Unlock()
 	if newer {
-		f.replaceEndpoints(state.Endpoints, at)
+		f.replaceEndpoints(state.Endpoints, at, host)
 	}
 }
 
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -135,7 +135,7 @@
 	}
 	n.feed = NewFeed(feedDeps{
 		store: store, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
-		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, alone: func() bool { return n.peers.Count() == 0 }, log: component("feed"),
+		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, log: component("feed"),
 	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
@@ -188,9 +188,13 @@
 	}
 }
 
-// rank returns this host's position in the succession order of a task.
+// rank returns this host's position in the succession order of a task that hosts perform also
+// before they have a configuration.
 func (n *Node) rank(task string) int {
 	candidates := append(n.peers.Candidates(), n.candidate())
+	for i := range candidates {
+		candidates[i].Ready = true
+	}
 	return slices.Index(presence.SuccessionOrder(task, candidates), n.Settings.Host)
 }
 
--- a/internal/transport/front/groups.go
+++ b/internal/transport/front/groups.go
@@ -73,12 +73,12 @@
 const groupCopies = 3
 
 // notifyGroups adds a batch's groups at this host and sends them to the hosts that run the
-// model's next batches if this one is lost. A host that misses them only ranks the samples of
-// a later batch less well.
+// next batches if this one is lost. A host that misses them only ranks the samples of a later
+// batch less well.
 func (s *Batches) notifyGroups(ctx context.Context, b *batches.Batch) {
 	hashes := groupHashes(b)
 	s.groups.add(hashes)
-	next := presence.SuccessionOrder(b.Model, s.peers.Candidates())
+	next := presence.SuccessionOrder(batchTask, s.peers.Candidates())
 	for _, host := range next[:min(len(next), groupCopies)] {
 		go func() {
 			if err := s.peerClient.SendGroups(ctx, host, hashes); err != nil {
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -499,7 +499,7 @@
 func (m *Membership) discover(ctx context.Context) {
 	registered := false
 	hubSince := time.Time{}
-	listedAt := time.Time{}
+	listedAt := time.Now()
 	pause := discoveryDelay
 	for {
 		select {
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -12,7 +12,7 @@
 const (
 	// maxCachedLogBytes bounds the total size of the result logs that are cached after their
 	// batches have finished.
-	maxCachedLogBytes = 3 << 20
+	maxCachedLogBytes = 24 << 20
 	// maxPageBytes bounds the results of one page.
 	maxPageBytes = 900 << 10
 	// storePollInterval is the time between reads of the store for a waiting caller while
