--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -51,6 +51,9 @@
 	// returns after an outage, the state is old at every host; with a bound these do not all
 	// read at once.
 	maxReaders = 3
+	// firstReadDelay is the time after the start of this process in which it does not read the
+	// store. Live peers answer within a few milliseconds.
+	firstReadDelay = 150 * time.Millisecond
 	// feedInterval is the time between checks of the age of the last read.
 	feedInterval = 50 * time.Millisecond
 	// minFetchGain is how much newer a peer's last read must be for its state to be fetched.
@@ -94,7 +97,10 @@
 	// rank returns this host's position among the hosts that may read the store. The host
 	// at position zero reads first.
 	rank func() int
-	log  *slog.Logger
+	// isHub reports whether this host is a hub, as it is while it knows no peers. Only hubs
+	// read the store.
+	isHub func() bool
+	log   *slog.Logger
 }
 
 // Feed keeps this host's configuration and endpoints in sync with the store. One host reads the
@@ -134,8 +140,8 @@
 	ticker := time.NewTicker(feedInterval)
 	defer ticker.Stop()
 	for {
-		// A new process first waits for its peers, one of which has read the store already.
-		if time.Since(started) > discoveryDelay && f.shouldRead(endpointsAt) {
+		// A new process first waits for its peers, one of which may have read the store already.
+		if time.Since(started) > firstReadDelay && f.shouldRead(endpointsAt) {
 			withConfig := time.Since(configAt) >= configPollInterval-feedInterval || f.catalog.Config() == nil
 			endpointsAt = time.Now()
 			if f.readStore(ctx, withConfig) && withConfig {
@@ -156,6 +162,9 @@
 	if time.Since(last) < endpointPollInterval-feedInterval/2 {
 		return false
 	}
+	if !f.isHub() {
+		return false
+	}
 	rank := f.rank()
 	if rank == 0 {
 		return true
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -135,7 +135,7 @@
 	}
 	n.feed = NewFeed(feedDeps{
 		store: store, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
-		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, log: component("feed"),
+		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, log: component("feed"),
 	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -29,7 +29,7 @@
 	peerCallTimeout = 800 * time.Millisecond
 	// submitWait is the time that the owner of a forwarded batch has for its writes to the
 	// store, in addition to peerCallTimeout.
-	submitWait = 700 * time.Millisecond
+	submitWait = 400 * time.Millisecond
 	// submitConflict is the answer to a forwarded batch that is known with other content.
 	submitConflict = "conflict"
 	// maxPeerBody bounds the body of a call between hosts, which is at most a page of results
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -155,8 +155,15 @@
 	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
 	defer cancel()
 	m, ok := s.store.cached(id)
-	if ok && m.Owner != s.settings.Host && !m.Ended {
-		if body, err := s.peerClient.Body(ctx, m.Owner, id, sample); err == nil {
+	asked := s.currentOwners()
+	if ok {
+		asked = []string{m.Owner}
+	}
+	for _, owner := range asked {
+		if owner == s.settings.Host || m.Ended {
+			continue
+		}
+		if body, err := s.peerClient.Body(ctx, owner, id, sample); err == nil {
 			return body, nil
 		}
 	}
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -107,6 +107,9 @@
 
 // listsManifests reports whether this host is the one that lists all manifests.
 func (s *Batches) listsManifests() bool {
+	if !s.peers.IsHub() {
+		return false
+	}
 	// A manifest without an owner stands for the task: no peer has an empty name, so only the
 	// ranking by ID decides.
 	return s.isSuccessor(storedManifest{Manifest: batches.Manifest{ID: manifestListingTask}})
