--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -136,14 +136,21 @@
 // Forward serves a request of a route whose answers are buffered completely. Its errors have a
 // result code.
 func (f *Forwarder) Forward(ctx context.Context, route *catalog.Route, in *Inbound) (*backend.Answer, error) {
+	answer, _, err := f.forward(ctx, route, in)
+	return answer, err
+}
+
+// forward is Forward. It also returns the number of attempts that an endpoint answered with an
+// internal server error, which counts as run.
+func (f *Forwarder) forward(ctx context.Context, route *catalog.Route, in *Inbound) (answer *backend.Answer, failures int, err error) {
 	began := time.Now()
 	deadline := f.deadline(began, route, in)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64())}
-	answer, err := c.runUnlessQuarantined(ctx)
+	answer, err = c.runUnlessQuarantined(ctx)
 	f.recordResult(c, answer, err)
-	return answer, err
+	return answer, c.failures, err
 }
 
 // runUnlessQuarantined runs the request unless its fingerprint is quarantined.
@@ -229,6 +236,8 @@
 	took time.Duration
 	// fingerprint identifies the request in the quarantine.
 	fingerprint uint64
+	// failures counts the attempts that an endpoint answered with an internal server error.
+	failures int
 	// mayHaveRun is true if an endpoint may have run the request.
 	mayHaveRun bool
 	// err is the error of the last failed attempt.
@@ -394,6 +403,9 @@
 		return r.answer, false
 	case r.err == nil:
 		c.mayHaveRun = true
+		if r.answer.Status == http.StatusInternalServerError {
+			c.failures++
+		}
 		return r.answer, idempotent
 	}
 	c.err = r.err
--- a/internal/transport/front/hubs_test.go
+++ b/internal/transport/front/hubs_test.go
@@ -32,6 +32,11 @@
 		}
 		return true
 	})
+	// Hosts elect hubs at their next tick.
+	w.waitUntil("two hubs are elected in each zone", func() bool {
+		hubs, _ := roles(out)
+		return len(hubs) == 4
+	})
 	return out
 }
 
@@ -52,10 +57,7 @@
 func TestLargeFleet_ServesThroughHubs(t *testing.T) {
 	w := newTestCluster(t)
 	nodes := w.startLarge(10)
-	hubs, others := roles(nodes)
-	if len(hubs) != 4 || len(others) != 6 {
-		t.Fatalf("%d hubs and %d other hosts, want two hubs in each zone", len(hubs), len(others))
-	}
+	_, others := roles(nodes)
 	w.configure(2)
 	w.waitUntil("all hosts have the second configuration", func() bool {
 		return !slices.ContainsFunc(nodes, func(n *testNode) bool { return n.Catalog.Generation() != 2 })
--- a/internal/transport/front/scoring.go
+++ b/internal/transport/front/scoring.go
@@ -22,22 +22,23 @@
 type scoreResult struct {
 	sample int
 	score  string
-	// failed is true if the scoring request ran and failed; score is then empty.
-	failed bool
+	// failures is the number of attempts of the scoring request that ran and failed. If it is
+	// not zero, score is empty.
+	failures int
 }
 
 // score sends a sample's scoring request until it has run or the batch is stopped, and sends
 // the result to the goroutine of the batch.
 func (a *activeBatch) score(i int, sc *batches.Scoring) {
 	for delay := scoreRetryDelay; a.ctx.Err() == nil; {
-		signature, failed, err := a.scoreOnce(sc)
+		signature, failures, err := a.scoreOnce(sc)
 		if err == nil {
 			a.scores <- scoreResult{sample: i, score: signature}
 			return
 		}
-		a.log.Info("Scoring request failed", "request", sc.ID, "ran", failed, "err", err)
-		if failed {
-			a.scores <- scoreResult{sample: i, failed: true}
+		a.log.Info("Scoring request failed", "request", sc.ID, "failed_attempts", failures, "err", err)
+		if failures > 0 {
+			a.scores <- scoreResult{sample: i, failures: failures}
 			return
 		}
 		select {
@@ -50,36 +51,41 @@
 	}
 }
 
-// scoreOnce sends a scoring request and returns the signature of its answer, which is the
-// sample's score. failed is true if the request ran and failed.
-func (a *activeBatch) scoreOnce(sc *batches.Scoring) (signature string, failed bool, err error) {
+// scoreOnce sends a scoring request, to a second endpoint if the answer is slow or a failure,
+// and returns the signature of its answer, which is the sample's score. failures is the number
+// of attempts that ran and failed; it is zero if another attempt succeeded.
+func (a *activeBatch) scoreOnce(sc *batches.Scoring) (signature string, failures int, err error) {
 	route, err := a.parent.runner.forwarder.Route(sc.Host, sc.Path)
 	if err != nil {
-		return "", false, err
+		return "", 0, err
 	}
 	scoringRoute := *route
 	scoringRoute.Kind, scoringRoute.MaxAttempts = catalog.KindSafe, 2 // allows a hedge at a second endpoint when the answer is slow
-	answer, err := a.parent.runner.forwarder.Forward(a.ctx, &scoringRoute, &Inbound{
+	answer, failures, err := a.parent.runner.forwarder.forward(a.ctx, &scoringRoute, &Inbound{
 		ID: sc.ID, Host: sc.Host, Method: http.MethodPost, URI: sc.Path, Path: sc.Path,
 		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout, Scoring: true,
 	})
 	switch {
 	case err != nil:
-		return "", false, err
+		return "", failures, err
 	case answer.Status/100 == 2:
-		return answer.Signature, false, nil
+		return answer.Signature, 0, nil
 	}
-	return "", answer.Status == http.StatusInternalServerError, codedError(resultcode.EndpointRefused, http.StatusText(answer.Status))
+	return "", failures, codedError(resultcode.EndpointRefused, http.StatusText(answer.Status))
 }
 
 // recordScore records a sample's score, or starts its scoring again if the failure limit
 // allows.
 func (a *activeBatch) recordScore(s scoreResult) {
-	if !s.failed {
+	if s.failures == 0 {
 		a.run.Scored(s.sample, s.score)
 		return
 	}
-	if a.run.ScoreFailed(s.sample) {
+	retry := true
+	for range s.failures {
+		retry = a.run.ScoreFailed(s.sample)
+	}
+	if retry {
 		go a.score(s.sample, a.run.Sample(s.sample).Scoring)
 	}
 }
