--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -64,6 +64,8 @@
 	cachedLogs  map[string]*resultLog
 	cachedOrder []string
 	cachedBytes int
+	// loadMu serializes loadEndedLog.
+	loadMu sync.Mutex
 	// takingOver has the ids of batches whose takeover is in progress.
 	takingOver map[string]bool
 	// stopping is true once the host drains and starts no more batches.
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -209,6 +209,22 @@
 	return e, nil
 }
 
+// entries reads all entries of a batch's log. The result is not nil, which says that the batch
+// has run before.
+func (s *batchStore) entries(ctx context.Context, id string) ([]batches.LogEntry, error) {
+	out := []batches.LogEntry{}
+	for n := 0; ; n++ {
+		e, err := s.entry(ctx, id, n)
+		if errors.Is(err, objectapi.ErrNotFound) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, e)
+	}
+}
+
 // append creates the nth entry of a batch's log. It returns objectapi.ErrConflict when
 // the entry already exists.
 func (s *batchStore) append(ctx context.Context, id string, n int, e batches.LogEntry) error {
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -254,6 +254,8 @@
 	// While deletesRefused is set, deletes fail after deletesAllowed ones.
 	deletesRefused atomic.Bool
 	deletesAllowed atomic.Int64
+	// logReads counts the reads of entries of batches' logs.
+	logReads atomic.Int64
 }
 
 func (s *hostStore) Delete(ctx context.Context, key string, expect uint64) error {
@@ -267,6 +269,9 @@
 	if s.refusing.Load() {
 		return objectapi.Object{}, objectapi.ErrRefused
 	}
+	if strings.HasPrefix(key, "batchlogs/") {
+		s.logReads.Add(1)
+	}
 	if prefix := s.stalledReads.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
 		<-ctx.Done()
 		return objectapi.Object{}, errors.Join(objectapi.ErrUnavailable, ctx.Err())
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -85,6 +85,44 @@
 	}
 }
 
+// All hosts have restarted, as after a loss of power, and readers ask every host for an ended
+// batch from every position. The entries of its log must be read from the store once, not once
+// for each host and reader.
+func TestResults_LogLoadedOnceAfterRestart(t *testing.T) {
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2", "h3")
+	id := submit(t, hosts[0], 6, 8)
+	want := w.readAll(hosts[1], id)
+	if err := hosts[2].Batches.End(background, id); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range hosts {
+		w.kill(n)
+	}
+	hosts = w.start("h4", "h5", "h6")
+	w.waitUntil("the endpoints are known", func() bool {
+		return !slices.ContainsFunc(hosts, func(n *testNode) bool { return len(n.feed.State(0).Endpoints) != 4 })
+	})
+	for _, n := range hosts {
+		n.store.logReads.Store(0)
+	}
+	for after := range want {
+		for _, n := range hosts {
+			page, err := n.Batches.Results(background, id, after, 0)
+			if err != nil || len(page.Results) == 0 || page.Results[0].ID != want[after].ID {
+				t.Fatalf("position %d at %s: %+v, %v", after, n.Settings.Host, page, err)
+			}
+		}
+	}
+	reads := int64(0)
+	for _, n := range hosts {
+		reads += n.store.logReads.Load()
+	}
+	if reads > int64(len(want)) {
+		t.Errorf("%d reads of log entries for %d results", reads, len(want))
+	}
+}
+
 // A slow ownership check must not delay results that become available while it runs. The
 // check is needed only before answering that there are none.
 func TestResults_DuringOwnershipCheck(t *testing.T) {
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -27,10 +27,8 @@
 // Results returns the results of a batch from position after on. If there are none, it
 // waits up to the given time for one. Its errors have a result code.
 func (s *Batches) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
-	if s.activeByID(id) != nil {
-		if page, err := s.localResults(ctx, id, after, wait); err == nil {
-			return page, nil
-		}
+	if page, err := s.localResults(ctx, id, after, wait); err == nil {
+		return page, nil
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+storeWaitTimeout)
@@ -63,13 +61,13 @@
 }
 
 // askOwner requests results from the batch's owner: first from the owner in the cached
-// manifest or, if there is none, from the hosts that run the batches of the models now, then
-// from the owner in the store. The page is nil if no owner answered.
+// manifest and from the hosts that run the batches of the models now, which cache the logs of
+// ended ones, then from the owner in the store. The page is nil if no owner answered.
 func (s *Batches) askOwner(ctx context.Context, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
 	m, known := s.store.cached(id)
 	asked := s.currentOwners()
-	if known {
-		asked = []string{m.Owner}
+	if known && !slices.Contains(asked, m.Owner) {
+		asked = slices.Insert(asked, 0, m.Owner)
 	}
 	for _, owner := range asked {
 		if owner == s.settings.Host {
@@ -96,10 +94,18 @@
 }
 
 // localResults returns results of a batch that this host runs or whose log it has cached, else
-// errBatchNotActive.
+// errBatchNotActive. A host that runs the batches of a model now also caches the logs of ended
+// batches on demand.
 func (s *Batches) localResults(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
 	b := s.activeByID(id)
 	if b == nil {
+		page, err := s.cachedResults(id, after)
+		if err == nil || !slices.Contains(s.currentOwners(), s.settings.Host) {
+			return page, err
+		}
+		if err := s.loadEndedLog(ctx, id); err != nil {
+			return Page{}, err
+		}
 		return s.cachedResults(id, after)
 	}
 	page := b.results.page(ctx, after, wait)
@@ -109,6 +115,36 @@
 	return s.confirmedPage(ctx, b, after)
 }
 
+// loadEndedLog caches the log of an ended batch from the store, unless it is cached. After a
+// restart of the whole fleet, this takes one read of each entry instead of one for each host
+// and reader. It returns errBatchNotActive if the batch has not ended.
+func (s *Batches) loadEndedLog(ctx context.Context, id string) error {
+	s.loadMu.Lock() // readers of the same batch arrive together; the first one loads it
+	defer s.loadMu.Unlock()
+	s.mu.Lock()
+	cached := s.cachedLogs[id] != nil
+	s.mu.Unlock()
+	if cached {
+		return errBatchNotActive // cachedResults has found it too short
+	}
+	m, err := s.readManifest(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !m.Ended {
+		return errBatchNotActive
+	}
+	entries, err := s.store.entries(ctx, id)
+	if err != nil {
+		return err
+	}
+	log := newResultLog(m.Total, entries)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cacheLog(id, log)
+	return nil
+}
+
 // confirmedPage checks the ownership of the batch. It returns the results that arrive during
 // the check, or an empty page once the ownership is confirmed.
 func (s *Batches) confirmedPage(ctx context.Context, b *activeBatch, after int) (Page, error) {
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
-	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
@@ -170,16 +168,9 @@
 	if err != nil {
 		return err
 	}
-	entries := []batches.LogEntry{} // not nil: the batch has run before
-	for n := 0; ; n++ {
-		e, err := s.store.entry(ctx, id, n)
-		if errors.Is(err, objectapi.ErrNotFound) {
-			break
-		}
-		if err != nil {
-			return err
-		}
-		entries = append(entries, e)
+	entries, err := s.store.entries(ctx, id)
+	if err != nil {
+		return err
 	}
 	s.log.Info("Took over batch", "batch", id, "epoch", m.Epoch, "entries", len(entries), "reason", reason)
 	s.start(m, b, nil, entries)
