Relay many hosts in turn, so that loads fit into a hub's heartbeat

Cause: the heartbeat between hubs of a zone of 48 and more hosts would pass 1,400 bytes, and its loads would be dropped. Change: at most 40 hosts a heartbeat, in turn; each is relayed at least every second one. Measured: 72 hosts relayed in two heartbeats that leave room for the loads of 55 endpoints.

--- a/internal/coordination/presence/fleet_test.go
+++ b/internal/coordination/presence/fleet_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -335,6 +337,37 @@
 	}
 }
 
+// A hub with many hosts must relay each of them within two heartbeats, and its heartbeats must
+// leave room for the loads in a datagram of 1,400 bytes.
+func TestFillBetweenHubs_ManyHosts(t *testing.T) {
+	table := NewTable(Member{Host: "hub"}, FullMeshHosts)
+	const hosts = 72
+	for i := range hosts {
+		h := heartbeat(hostName(i), 1<<60, 1)
+		h.Kind = KindToHub
+		table.Receive(testStart, h)
+	}
+	relayed := map[uint64]bool{}
+	for range 2 {
+		h := Heartbeat{Member: table.Self()}
+		table.FillBetweenHubs(testStart.Add(changeRetention), &h)
+		for _, r := range h.Relayed {
+			relayed[r.Key] = true
+		}
+		b, err := cbor.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const loadBytes = 55 * 8 // of 55 endpoints
+		if len(b)+loadBytes > 1400 {
+			t.Errorf("%d bytes without loads", len(b))
+		}
+	}
+	if len(relayed) != hosts {
+		t.Errorf("%d of %d hosts relayed in two heartbeats", len(relayed), hosts)
+	}
+}
+
 // Hosts of a build that sends heartbeats to every host must receive them from every host, or
 // they would take the others for dead during a rolling replacement.
 func TestSends_HostsOfEarlierBuilds(t *testing.T) {
@@ -353,7 +386,7 @@
 		if !slices.Contains(table.Sends(f.now).Direct, "old:1") {
 			t.Fatalf("%s sends no heartbeat to the host of the earlier build", name)
 		}
-		if table.IsHubHost("old") {
+		if table.hubs["old"] {
 			t.Errorf("%s regards the host of the earlier build as a hub", name)
 		}
 	}
--- a/internal/coordination/presence/hubs.go
+++ b/internal/coordination/presence/hubs.go
@@ -28,9 +28,6 @@
 // IsHub reports whether this host is a hub, as every host of a small fleet is.
 func (t *Table) IsHub() bool { return t.hubs[t.self.Host] }
 
-// IsHubHost reports whether a host, which may be this one, is a hub.
-func (t *Table) IsHubHost(host string) bool { return t.hubs[host] }
-
 // SelectedHubs returns the hubs that this host uses, the primary one first; none if it is a
 // hub.
 func (t *Table) SelectedHubs() []string { return slices.Clone(t.selected) }
--- a/internal/coordination/presence/relay.go
+++ b/internal/coordination/presence/relay.go
@@ -15,6 +15,9 @@
 	farMoreDivisor = 8
 	// rosterFetchInterval is the minimum interval between two fetches.
 	rosterFetchInterval = 500 * time.Millisecond
+	// maxRelayed bounds the relayed hosts in one heartbeat, so that the loads fit into the
+	// datagram as well. A hub with more hosts relays them in turn.
+	maxRelayed = 40
 	// maxChanged bounds the records in one heartbeat, so that it fits into a datagram. The
 	// roster has the others.
 	maxChanged = 6
@@ -39,6 +42,11 @@
 		}
 	}
 	slices.SortFunc(h.Relayed, func(a, b RelayedHost) int { return cmp.Compare(a.Key, b.Key) })
+	if n := len(h.Relayed); n > maxRelayed {
+		at := t.nextRelayed % n
+		h.Relayed = append(h.Relayed[at:n:n], h.Relayed[:at]...)[:maxRelayed]
+		t.nextRelayed = at + maxRelayed
+	}
 	t.boundChanged(h)
 }
 
--- a/internal/coordination/presence/table.go
+++ b/internal/coordination/presence/table.go
@@ -57,7 +57,9 @@
 	// syncedWith is the primary hub whose roster last equaled this host's.
 	syncedWith string
 	lastTick   time.Time
-	probed     int
+	// nextRelayed is the first host to relay in the next heartbeat, if there are too many.
+	nextRelayed int
+	probed      int
 	// changed is set when a host appeared, left or changed its record since the last election
 	// of the hubs.
 	changed bool
