Keep the weights lease over a restart, and draining hosts in small meshes

Draining hosts of a small fleet left the mesh and used hubs. Change: only a draining holder releases the lease; in a fleet of up to 16 hosts every host stays a hub.

--- a/internal/coordination/presence/fleet_test.go
+++ b/internal/coordination/presence/fleet_test.go
@@ -337,6 +337,29 @@
 	}
 }
 
+// In a small fleet all hosts exchange heartbeats with each other, also one that drains: it still
+// runs batches. In a large fleet a draining host is no hub, since it is about to leave.
+func TestHubs_DrainingHost(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		hub   bool
+	}{{8, true}, {60, false}} {
+		f := newSimFleet(t, c.hosts, 2)
+		f.run(3 * time.Second)
+		hub := f.hubs()[0]
+		m := f.hosts[hub].table.Self()
+		m.Draining = true
+		f.hosts[hub].table.SetSelf(m)
+		f.run(2 * time.Second)
+		for _, name := range f.names() {
+			if got := f.hosts[name].table.hubs[hub]; got != c.hub {
+				t.Errorf("%d hosts: %s regards the draining host as a hub: %v", c.hosts, name, got)
+			}
+		}
+		f.expect("while a host drains", everyHost)
+	}
+}
+
 // A hub with many hosts must relay each of them within two heartbeats, and its heartbeats must
 // leave room for the loads in a datagram of 1,400 bytes.
 func TestFillBetweenHubs_ManyHosts(t *testing.T) {
--- a/internal/coordination/presence/hubs.go
+++ b/internal/coordination/presence/hubs.go
@@ -35,12 +35,18 @@
 // electHubs returns the hubs of all zones.
 func (t *Table) electHubs(now time.Time) map[string]bool {
 	zones := map[string][]*Peer{}
+	draining := map[string]bool{}
 	total := 0
 	add := func(p *Peer) {
-		if p.Protocol >= protocolHubs && !p.Draining {
+		switch {
+		case p.Protocol < protocolHubs:
+			return
+		case p.Draining:
+			draining[p.Host] = true
+		default:
 			zones[p.Zone] = append(zones[p.Zone], p)
-			total++
 		}
+		total++
 	}
 	add(&Peer{Member: t.self, hubHash: rendezvousHash(hubSubject, t.self.Host)})
 	for _, p := range t.peers {
@@ -49,6 +55,9 @@
 		}
 	}
 	out := map[string]bool{}
+	if total <= t.fullMeshHosts {
+		out = draining // in a small fleet every host is a hub
+	}
 	for _, hosts := range zones {
 		count := len(hosts)
 		if total > t.fullMeshHosts {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -139,7 +139,7 @@
 	})
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
-		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
+		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 	}
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -36,6 +36,8 @@
 	store   *standin.ObjectStore
 	engines *fakeEngines
 	nodes   map[string]*testNode
+	// stalledReads, when set, is the stalledReads of hosts that start from then on.
+	stalledReads *string
 }
 
 // testNode is a host under test with its own access to the store.
@@ -109,6 +111,7 @@
 func (w *testCluster) startWith(s Settings) *testNode {
 	w.t.Helper()
 	path := &hostStore{ObjectStore: w.store}
+	path.stalledReads.Store(w.stalledReads)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if os.Getenv("FRONT_TEST_LOG") != "" { // prints the logs of the hosts
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("host", s.Host)
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -624,6 +624,30 @@
 	checkOrders(t, w.engines.received, 300*time.Millisecond)
 }
 
+// A restarted holder that does not have the configuration yet keeps the lease. Otherwise the
+// next holder would have to wait for the distance between the orders of two holders.
+func TestWeights_RestartedHolderWithoutConfiguration(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	w.waitUntil("the host holds the lease", func() bool { return n.weights.FencingToken() != 0 })
+	s := n.Settings
+	w.kill(n)
+	stalled := "conf/"
+	w.stalledReads = &stalled
+	n = w.startWith(s)
+	w.waitUntil("the restarted host holds the lease", func() bool { return n.weights.FencingToken() != 0 })
+	token := n.weights.FencingToken()
+	time.Sleep(4 * planInterval)
+	if n.Ready() {
+		t.Fatal("the host has a configuration")
+	}
+	n.store.stalledReads.Store(nil)
+	w.waitUntil("the host has the configuration", n.Ready)
+	if got := n.weights.FencingToken(); got != token {
+		t.Errorf("fencing token %d after the configuration arrived, want %d", got, token)
+	}
+}
+
 // A stopping holder releases the lease, so that another host acquires it before the first one
 // has finished draining.
 func TestWeights_StoppingHolderReleasesLease(t *testing.T) {
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -43,6 +43,8 @@
 	catalog  *Catalog
 	client   backend.Client
 	ready    func() bool
+	// draining reports whether this host drains before it shuts down.
+	draining func() bool
 	// announce sends a heartbeat immediately, so that peers learn which engines are loading
 	// weights.
 	announce func()
@@ -74,7 +76,7 @@
 }
 
 // Run acquires the lease when this host is its next holder, and sends orders while it holds
-// the lease, until ctx ends. It releases the lease when the host stops being ready.
+// the lease, until ctx ends. It releases the lease when the host drains.
 func (w *Weights) Run(ctx context.Context) {
 	startTime := time.Now()
 	if !w.settings.FirstStart {
@@ -90,10 +92,13 @@
 		case <-ticker.C:
 		}
 		switch {
-		case w.FencingToken() != 0 && !w.ready():
+		case w.FencingToken() != 0 && w.draining():
 			w.release(ctx)
 		case w.FencingToken() != 0 && w.superseded():
 			w.stopHolding("another host has a higher fencing token")
+		case w.FencingToken() != 0 && !w.ready():
+			// A restarted holder keeps its lease while it waits for the configuration: the next
+			// holder would have to wait before its first order.
 		case w.FencingToken() != 0:
 			w.sendOrders(ctx)
 		case time.Since(startTime) > takeoverStartDelay && w.isSuccessor():
