Split membership and placement files; no change of code

Change: the host records, the reports that hubs relay, and the loads of endpoints stand in files of their own; each declaration moved as it was. Measured: unit tests of both packages pass.

--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -16,7 +16,6 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
-	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
 const (
@@ -29,34 +28,8 @@
 	minAnnounceInterval = 20 * time.Millisecond
 	// seedInterval is the time between heartbeats to seeds that are not known to be alive.
 	seedInterval = 5 * time.Second
-	// maxRelayedQuarantine bounds the quarantined requests that a hub relays.
-	maxRelayedQuarantine = 16
-	// hostListInterval is the time between listings of the host records, which find hosts
-	// that are unknown to all peers.
-	hostListInterval = 10 * time.Second
-	// hostListRetryDelay replaces hostListInterval after a failed call to the store, and while
-	// this host knows no peers.
-	hostListRetryDelay = time.Second
-	// discoveryDelay is how long a new process waits for answers of its seeds before it lists
-	// the host records. registrationDelay is how long a host must have been a hub before it
-	// writes its record: right after their start all hosts regard themselves as hubs.
-	discoveryDelay    = 500 * time.Millisecond
-	registrationDelay = 2 * time.Second
-	// hostPrefix is the key prefix of the host records.
-	hostPrefix = "hosts/"
-	// hostListTask is the task name for the succession order of the hosts that list the host
-	// records.
-	hostListTask = "hosts"
-	// summaryLoads stands for all other hosts in the table of loads of a host that receives
-	// the loads from its hub.
-	summaryLoads = "\x00summary"
 )
 
-// hostRecord is the stored object in which a hub publishes its address.
-type hostRecord struct {
-	PeerAddress string `json:"peer_address"`
-}
-
 // Membership sends and receives heartbeats.
 type Membership struct {
 	settings      Settings
@@ -92,13 +65,6 @@
 	hubs []string
 }
 
-// relayedQuarantine holds the quarantined requests that a host reported. own is set if the
-// host uses this one as a hub.
-type relayedQuarantine struct {
-	requests []presence.QuarantinedRequest
-	own      bool
-}
-
 // Run opens the heartbeat socket and then sends and receives heartbeats in the background.
 // Sending stops when ctx is done, receiving on close.
 func (m *Membership) Run(ctx context.Context) error {
@@ -307,27 +273,6 @@
 	fill(m.peers.table, now, h)
 }
 
-// merge returns the union of two lists of keys.
-func merge(a, b []uint32) []uint32 {
-	out := append(slices.Clone(a), b...)
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// withRelayedQuarantine adds the entries reported by other hosts to this host's own: those of
-// the hosts that use this one as a hub or, unless ownHosts is set, of all.
-func (m *Membership) withRelayedQuarantine(own []presence.QuarantinedRequest, ownHosts bool) []presence.QuarantinedRequest {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := slices.Clone(own)
-	for _, q := range m.quarantine {
-		if q.own || !ownHosts {
-			out = append(out, q.requests...)
-		}
-	}
-	return out[:min(len(out), max(maxRelayedQuarantine, len(own)))]
-}
-
 // sendTo sends a heartbeat to the target addresses.
 func (m *Membership) sendTo(targets []string, h presence.Heartbeat) {
 	if len(targets) == 0 {
@@ -416,55 +361,6 @@
 	m.onHeartbeat(h, appeared)
 }
 
-// recordLoads applies the loads of a heartbeat. A hub keeps those of each host that sends it
-// its own; the other hosts use the totals of their primary hub.
-func (m *Membership) recordLoads(h presence.Heartbeat, hub, primary bool) {
-	host, loads := h.Host, h.Loads
-	switch {
-	case h.Kind == presence.KindToHub:
-		if !h.Primary {
-			loads = nil
-		}
-	case h.Kind == presence.KindSummary && primary && !hub:
-		m.mu.Lock()
-		host, loads = summaryLoads, subtractLoads(h.Loads, m.reportedLoads)
-		first := !m.loadsFromSummary
-		m.loadsFromSummary = true
-		m.mu.Unlock()
-		if first {
-			m.fleet.WithTable(func(t *placement.Table) { t.ClearPeerLoads() })
-		}
-	case h.Kind == presence.KindBetweenHubs && hub, h.Protocol == 0 && hub:
-	default:
-		return
-	}
-	m.fleet.WithTable(func(t *placement.Table) { t.SetPeerLoads(host, loads) })
-}
-
-// subtractLoads returns the loads of total that are not part of own.
-func subtractLoads(total, own map[uint32]uint16) map[uint32]uint16 {
-	out := make(map[uint32]uint16, len(total))
-	for key, n := range total {
-		if n > own[key] {
-			out[key] = n - own[key]
-		}
-	}
-	return out
-}
-
-func (m *Membership) recordQuarantine(h presence.Heartbeat) {
-	if h.Kind != presence.KindToHub && h.Kind != presence.KindBetweenHubs {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(h.Quarantine) == 0 {
-		delete(m.quarantine, h.Host)
-		return
-	}
-	m.quarantine[h.Host] = relayedQuarantine{requests: h.Quarantine, own: h.Kind == presence.KindToHub}
-}
-
 // respond replies to a heartbeat if its host appeared or requested a reply, and contacts the
 // hosts that the heartbeat lists and this host does not know.
 func (m *Membership) respond(now time.Time, h presence.Heartbeat, appeared bool) {
@@ -493,90 +389,3 @@
 	own.ReplyRequested = true
 	m.sendTo(addresses, own)
 }
-
-// discover lists the host records while this host knows no peers, and periodically at one
-// host. It registers this host in the store if it is a hub or knows no peers.
-func (m *Membership) discover(ctx context.Context) {
-	registered := false
-	hubSince := time.Time{}
-	listedAt := time.Now()
-	pause := discoveryDelay
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
-		pause = hostListRetryDelay
-		alone := m.peers.Count() == 0
-		if !m.peers.IsHub() {
-			hubSince = time.Time{}
-		} else if hubSince.IsZero() {
-			hubSince = time.Now()
-		}
-		if !registered && (alone || !hubSince.IsZero() && time.Since(hubSince) > registrationDelay) {
-			registered = m.registerHost(ctx)
-		}
-		if alone || time.Since(listedAt) > hostListInterval && m.rank(hostListTask) == 0 {
-			if m.listHosts(ctx) {
-				listedAt = time.Now()
-			}
-		}
-	}
-}
-
-// registerHost writes this host's record to the store unless it is already there. It reports
-// whether the record is up to date.
-func (m *Membership) registerHost(ctx context.Context) bool {
-	value, err := batches.Encode(hostRecord{PeerAddress: m.settings.PeerAddress})
-	if err != nil {
-		m.log.Error("Failed to encode own host record", "err", err)
-		return false
-	}
-	key := hostPrefix + m.settings.Host
-	current, err := m.store.Get(ctx, key)
-	switch {
-	case err == nil && string(current.Value) == string(value):
-		return true
-	case err != nil && !errors.Is(err, objectapi.ErrNotFound):
-		m.log.Warn("Failed to read own host record", "err", err)
-		return false
-	}
-	if _, err := m.store.Put(ctx, key, value, current.Version); err != nil {
-		m.log.Warn("Failed to write own host record", "err", err)
-		return false
-	}
-	return true
-}
-
-// listHosts reads the host records, adds them to the seeds and requests replies from all of
-// them. It reports whether the records could be read.
-func (m *Membership) listHosts(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-	defer cancel()
-	page, err := m.stale.List(ctx, hostPrefix, "", 0)
-	if err != nil {
-		m.log.Warn("Failed to list host records", "err", err)
-		return false
-	}
-	var found []string
-	for _, o := range page.Objects {
-		var r hostRecord
-		payload := objectapi.Payload(o.Value)
-		if err := batches.Decode(payload, &r); err != nil || r.PeerAddress == "" {
-			m.log.Warn("Invalid host record ignored", "key", o.Key, "err", err)
-			continue
-		}
-		found = append(found, r.PeerAddress)
-	}
-	if len(found) > 0 {
-		seeds := append(slices.Clone(m.settings.Seeds), found...)
-		m.seeds.Store(&seeds)
-	}
-	m.peers.mu.Lock()
-	known := m.peers.table.Addresses()
-	m.peers.mu.Unlock()
-	found = slices.DeleteFunc(found, func(a string) bool { return slices.Contains(known, a) })
-	m.requestReplies(time.Now(), found)
-	return true
-}
