--- a/cmd/oleanderfall/main.go
+++ b/cmd/oleanderfall/main.go
@@ -74,10 +74,13 @@
 // Run runs a front host until SIGINT or SIGTERM. It returns an error if the settings are
 // invalid, or if the start or the stop fails.
 func (frontCmd) Run(c *cli, log *slog.Logger) error {
-	s, err := platform.LoadSettings(c.Settings)
+	s, unused, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
 	}
+	if len(unused) > 0 {
+		log.Info("Settings fields not used", "fields", unused)
+	}
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
@@ -115,7 +118,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	for range hangups {
-		_, err := platform.LoadSettings(path)
+		_, _, err := platform.LoadSettings(path)
 		log.Info("Settings file checked; settings in force unchanged", "err", err)
 	}
 }
--- a/internal/coordination/presence/hubs.go
+++ b/internal/coordination/presence/hubs.go
@@ -194,12 +194,15 @@
 
 // Sends lists the addresses to which heartbeats of each kind are due.
 type Sends struct {
-	// Primary and Secondary are the selected hubs.
+	// Primary and Secondary are the hubs that this host uses (KindToHub).
 	Primary   []string
 	Secondary []string
+	// Hubs are the other hubs, if this host is one (KindBetweenHubs), Summaries the hosts that
+	// use this one as a hub (KindSummary).
 	Hubs      []string
 	Summaries []string
-	Direct    []string
+	// Direct are silent hosts and hosts of builds that do not know hubs (KindDirect).
+	Direct []string
 }
 
 // Sends returns the addresses to send heartbeats to in one interval.
--- a/internal/coordination/presence/relay.go
+++ b/internal/coordination/presence/relay.go
@@ -25,8 +25,8 @@
 	maxLeft = 24
 )
 
-// FillBetweenHubs completes a heartbeat to the other hubs, or of a host that is not elected
-// to the hubs that it uses.
+// FillBetweenHubs completes a heartbeat of KindBetweenHubs or KindToHub. A host that is no hub
+// has hosts to relay only while others use it as one all the same.
 func (t *Table) FillBetweenHubs(now time.Time, h *Heartbeat) {
 	t.fillRoster(now, h)
 	for _, p := range t.peers {
@@ -73,6 +73,7 @@
 	h.Changed = h.Changed[:min(len(h.Changed), maxChanged)]
 }
 
+// fillRoster adds the description of the roster to a heartbeat.
 func (t *Table) fillRoster(now time.Time, h *Heartbeat) {
 	h.RosterHash, h.RosterSize = t.rosterHash(now)
 	if !t.IsHub() {
@@ -139,6 +140,7 @@
 	}
 }
 
+// countMismatch counts the consecutive heartbeats of a host whose roster did not match.
 func countMismatch(from *Peer, mismatch bool) {
 	if !mismatch {
 		from.unknownRecords = 0
