Say that a forwarded batch may run when its owner did not answer

Cause, found by reading: a host that forwarded a batch to a slow owner and could not accept it itself answered 503, which promises that no sample runs, although the owner could still accept it. Change: after an unanswered forward, a refusal becomes "unknown" unless the call did not reach the owner. Measured: the new test gets storage_outage before, storage_unknown after.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -95,14 +95,22 @@
 	}
 	// A cancelled call must not interrupt the writes: they may already have taken effect.
 	ctx = context.WithoutCancel(ctx)
-	if owner := s.ownerFor(b.Model); owner != s.settings.Host {
-		err := s.peerClient.Submit(ctx, owner, content)
-		if err == nil || isCode(err, resultcode.StepConflict) {
-			return err
-		}
-		s.log.Warn("Failed to forward batch to its owner; accepting it here", "batch", b.ID, "owner", owner, "err", err)
+	owner := s.ownerFor(b.Model)
+	if owner == s.settings.Host {
+		return s.accept(ctx, b, content, digest)
+	}
+	forwardErr := s.peerClient.Submit(ctx, owner, content)
+	if forwardErr == nil || isCode(forwardErr, resultcode.StepConflict) {
+		return forwardErr
+	}
+	s.log.Warn("Failed to forward batch to its owner; accepting it here", "batch", b.ID, "owner", owner, "err", forwardErr)
+	err = s.accept(ctx, b, content, digest)
+	var coded *resultcode.Error
+	if errors.As(err, &coded) && coded.Code.Info().Outcome == resultcode.NotRun && !errors.Is(forwardErr, errPeerUnreachable) {
+		// The owner may still accept the batch, so no answer may say that it does not run.
+		return codedError(resultcode.StorageUnknown, err.Error()+"; the owner may have accepted the batch: "+forwardErr.Error())
 	}
-	return s.accept(ctx, b, content, digest)
+	return err
 }
 
 // ownerFor returns the host that is to run a model's batches.
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -259,6 +259,8 @@
 	deletesAllowed atomic.Int64
 	// logReads counts the reads of entries of batches' logs.
 	logReads atomic.Int64
+	// writeDelay is the time in nanoseconds that each write takes.
+	writeDelay atomic.Int64
 }
 
 func (s *hostStore) Delete(ctx context.Context, key string, expect uint64) error {
@@ -286,6 +288,7 @@
 	if s.refusing.Load() {
 		return 0, objectapi.ErrRefused
 	}
+	time.Sleep(time.Duration(s.writeDelay.Load()))
 	version, err := s.ObjectStore.Put(ctx, key, value, expect)
 	if prefix := s.lostWriteAnswers.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
 		return 0, objectapi.ErrUnavailable
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -249,6 +249,36 @@
 	}
 }
 
+// The owner to which a batch is forwarded is slow and accepts it after the accepting host has
+// given up waiting, which cannot accept the batch itself. The answer must not say that the batch
+// does not run.
+func TestSubmit_SlowOwnerMayAccept(t *testing.T) {
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2")
+	w.waitUntil("both hosts know the endpoints", func() bool {
+		return !slices.ContainsFunc(hosts, func(n *testNode) bool { return len(n.feed.State(0).Endpoints) != 4 })
+	})
+	owner, other := hosts[0], hosts[1]
+	if owner.Batches.ownerFor("m") != owner.Settings.Host {
+		owner, other = other, owner
+	}
+	owner.store.writeDelay.Store(int64(peerCallTimeout + submitWait + 300*time.Millisecond))
+	other.Batches.outage = func() time.Duration { return time.Minute }
+	err := other.Batches.Submit(background, batch("b1", 1, 3))
+	if err == nil || code(err).Info().Outcome == resultcode.NotRun {
+		t.Errorf("answered %v, although the owner may accept the batch", err)
+	}
+	owner.store.writeDelay.Store(0)
+	w.waitUntil("the owner runs the batch", func() bool { return owner.Batches.activeByID("b1") != nil })
+
+	// A batch that did not reach its owner is known not to run.
+	w.kill(owner)
+	err = other.Batches.Submit(background, batch("b2", 1, 3))
+	if code(err).Info().Outcome != resultcode.NotRun {
+		t.Errorf("answered %v, although nobody has the batch", err)
+	}
+}
+
 // After the owner is killed, another host completes the batch. Results that a trainer may have
 // read before must keep their positions.
 func TestTakeover_OwnerKilled(t *testing.T) {
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -40,6 +40,9 @@
 	maxForwardedBatch = 64 << 20
 )
 
+// errPeerUnreachable means that a call did not reach its host.
+var errPeerUnreachable = errors.New("the peer is not reachable")
+
 // errBatchNotActive means that a host does not run the batch it was asked about. Peers answer it
 // with status 404.
 var errBatchNotActive = errors.New("the peer does not run the batch")
@@ -62,7 +65,7 @@
 func (c *PeerClient) call(ctx context.Context, host, method, path string, body []byte, wait time.Duration) ([]byte, error) {
 	p, ok := c.peers.Get(host)
 	if !ok {
-		return nil, fmt.Errorf("peer %q is not alive", host)
+		return nil, errors.Join(errPeerUnreachable, fmt.Errorf("peer %q is not alive", host))
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout+wait)
 	defer cancel()
@@ -72,6 +75,10 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			err = errors.Join(errPeerUnreachable, err)
+		}
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -138,8 +145,9 @@
 }
 
 // Submit forwards the content of a batch to the host that is to run it. The error is
-// resultcode.StepConflict if that host knows the batch with other content. After any other
-// error the batch may have been accepted.
+// resultcode.StepConflict if that host knows the batch with other content, and
+// errPeerUnreachable if the batch did not reach it. After any other error the batch may have
+// been accepted.
 func (c *PeerClient) Submit(ctx context.Context, host string, content []byte) error {
 	raw, err := c.call(ctx, host, http.MethodPost, "/batches", content, submitWait)
 	if err != nil {
