--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -2,7 +2,7 @@
 // program oleanderfall uses it; the program oleander-control uses package membership
 // instead.
 //
-// In a fleet of up to fullMeshHosts hosts, every host sends a heartbeat to every other one.
+// In a fleet of up to FullMeshHosts hosts, every host sends a heartbeat to every other one.
 // In a larger fleet this would cost each host messages in proportion to the number of
 // hosts, and small hosts would spend their processor time on them. There, a few hosts of
 // each availability zone are hubs. Every other host sends its heartbeats to two hubs of its
