Send nothing to an endpoint whose answer says that it is leaving

Cause: the platform's servers now set Server-Leaving: 1 in all answers before they exit. Hosts only followed the entry in the store, which some servers never change before they leave, and which no host can read during an outage.

Change: the endpoint client reports the header of every answer: plain answers, heads of streams, refusals, failures, engine reports and load orders. The placement table marks that instance, by ID, address and incarnation, as draining until another incarnation registers; heartbeats carry the marks, relayed by hubs. If all endpoints of a service drain, a request is refused at once as not run. Connection: close, which endpoints also send at other times, changes nothing.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -11,7 +11,8 @@
 // routing. The ejection rules here are separate from those of package health, which routing
 // uses: the periods are shorter, and there is no limit on the share of ejected endpoints.
 //
-// Invariant: an endpoint that is draining or absent from the catalog is never selected.
+// Invariant: an endpoint that is draining, leaving or absent from the catalog is never
+// selected. An instance that was once marked as leaving stays so.
 package placement
 
 import (
@@ -81,9 +82,13 @@
 
 // entry is the state of one endpoint.
 type entry struct {
+	// endpoint is the catalog's entry. Draining is also set if leaving is.
 	endpoint catalog.Endpoint
 	// key is EndpointKey(endpoint.ID).
 	key uint32
+	// leaving is set once an answer of this instance, to this host or to a peer, said that the
+	// endpoint is leaving. The catalog may show that seconds later or not at all.
+	leaving bool
 	// localLoad is the number of requests of this host in flight at the endpoint.
 	localLoad int
 	// loadByPeer holds the requests in flight from each peer, peerLoad their sum.
@@ -176,6 +181,7 @@
 func (t *Table) Put(e catalog.Endpoint) {
 	old, ok := t.entries[e.ID]
 	if ok && old.endpoint.SameInstance(&e) {
+		e.Draining = e.Draining || old.leaving
 		old.endpoint = e
 		old.observedVersions = nil
 		return
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -47,6 +47,12 @@
 		s.table.MarkReportedSlow(s.now, EndpointKey(id))
 	case "reported-unreachable":
 		s.table.MarkReportedUnreachable(s.now, EndpointKey(id))
+	case "leaving":
+		s.table.MarkLeaving(s.table.entries[id].endpoint)
+	case "reported-leaving":
+		s.table.MarkReportedLeaving([]uint32{InstanceKey(&s.table.entries[id].endpoint)})
+	case "all-draining":
+		return fmt.Sprintln(s.table.AllDraining("s"))
 	case "eject":
 		s.table.Eject(s.now, id)
 	case "loading":
@@ -77,6 +83,7 @@
 	d.MaybeScanArgs(t, "slots", &e.Slots)
 	d.MaybeScanArgs(t, "version", &version)
 	e.Versions["m"] = version
+	d.MaybeScanArgs(t, "incarnation", &e.Incarnation)
 	e.Draining = d.HasArg("draining")
 	s.table.Put(e)
 }
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -117,6 +117,9 @@
 	// much slower for it than the others, by placement.EndpointKey.
 	Unreachable []uint32 `cbor:"21,keyasint,omitempty"`
 	Slow        []uint32 `cbor:"22,keyasint,omitempty"`
+	// Leaving lists the endpoints whose answers said that they are leaving, by
+	// placement.InstanceKey.
+	Leaving []uint32 `cbor:"34,keyasint,omitempty"`
 	// Peers lists the addresses of the hosts known to the sender. It is set only in
 	// replies to hosts that are new or asked for a reply, in a small fleet.
 	Peers []string `cbor:"18,keyasint,omitempty"`
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -137,6 +137,10 @@
 	Order(ctx context.Context, o Order) (OrderResult, error)
 	// CheckConnection returns nil if a connection to the endpoint's address can be opened.
 	CheckConnection(ctx context.Context, e catalog.Endpoint) error
+	// OnLeaving registers the function that is called with the endpoint of each answer, also of
+	// a refusal, that says that the endpoint is leaving: before the answer is returned, and
+	// from several goroutines. It must be called before the first request.
+	OnLeaving(f func(catalog.Endpoint))
 	// ReadReport reads an engine's report of its state.
 	ReadReport(ctx context.Context, e catalog.Endpoint) (Report, error)
 }
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -324,10 +324,20 @@
 	return max(time.Duration(hedgeDelayShare*float64(c.route.Objective)), minHedgeDelay)
 }
 
+// allDraining reports whether all endpoints of a service are draining, so that no request to it
+// can be served until a new one registers.
+func (f *Forwarder) allDraining(service string) (all bool) {
+	f.fleet.WithTable(func(t *placement.Table) { all = t.AllDraining(service) })
+	return all
+}
+
 // sendWhenAvailable sends the request to an endpoint and waits for a short time if none is
 // usable.
 func (c *call) sendWhenAvailable(ctx context.Context, results chan<- attemptResult) error {
 	for !c.trySend(ctx, results, false) {
+		if c.f.allDraining(c.service) {
+			return c.refuse(resultcode.NoEndpoint, "every endpoint of the service is leaving")
+		}
 		waited := time.Since(c.began)
 		if c.sent == 0 && waited > time.Duration(maxSlotWaitShare*float64(c.route.Objective)) {
 			return c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -20,6 +20,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 )
 
@@ -141,6 +142,7 @@
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 	}
+	p.Endpoints.OnLeaving(n.endpointLeaving)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
 		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: p.Stale,
@@ -149,6 +151,17 @@
 	return n
 }
 
+// endpointLeaving stops new work for an endpoint whose answer said that it is leaving, and
+// reports it to the peers.
+func (n *Node) endpointLeaving(e catalog.Endpoint) {
+	isNew := false
+	n.Forwarder.fleet.WithTable(func(t *placement.Table) { isNew = t.MarkLeaving(e) })
+	if isNew {
+		n.log.Info("Endpoint says that it is leaving", "endpoint", e.ID, "service", e.Service)
+		n.membership.Announce()
+	}
+}
+
 // hashSeed returns the FNV-1a hash of a host name, so that hosts that start at the same time
 // use different random seeds.
 func hashSeed(host string) uint64 {
@@ -179,7 +192,9 @@
 	n.feed.FillHeartbeat(h)
 	n.Forwarder.quarantine.FillHeartbeat(h)
 	now := time.Now()
-	n.Forwarder.fleet.WithTable(func(t *placement.Table) { h.Unreachable, h.Slow = t.Unreachable(now), t.Slow(now) })
+	n.Forwarder.fleet.WithTable(func(t *placement.Table) {
+		h.Unreachable, h.Slow, h.Leaving = t.Unreachable(now), t.Slow(now), t.Leaving()
+	})
 	for _, l := range n.weights.Loads(now) {
 		if h.LoadingMs == nil {
 			h.LoadingMs = map[uint32]uint16{}
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -344,6 +344,7 @@
 		for key, ms := range h.LoadingMs {
 			t.SetLoading(now, key, now.Add(time.Duration(ms)*time.Millisecond))
 		}
+		t.MarkReportedLeaving(h.Leaving)
 		for _, key := range h.Unreachable {
 			t.MarkReportedUnreachable(now, key)
 		}
