--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -380,9 +380,6 @@
 	runs map[string]int
 	// do, when set, handles plain requests.
 	do func(r backend.Request) (*backend.Answer, error)
-	// leaving are the functions that the hosts registered with OnLeaving, in the order of their
-	// start.
-	leaving []func(catalog.Endpoint)
 	// loaded, when set, is called for each load.
 	loaded func(id string, version int)
 	// generating counts the open streams of all endpoints, resumed the streams that started
@@ -488,19 +485,8 @@
 	e.silent[id] = true
 }
 
-func (e *fakeEngines) OnLeaving(f func(catalog.Endpoint)) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = append(e.leaving, f)
-}
-
-// sayLeaving acts as if an answer to the first host said that the endpoint is leaving.
-func (e *fakeEngines) sayLeaving(ep catalog.Endpoint) {
-	e.mu.Lock()
-	f := e.leaving[0]
-	e.mu.Unlock()
-	f(ep)
-}
+// OnLeaving does nothing: platform/leaving_test.go plays leaving endpoints over real connections.
+func (e *fakeEngines) OnLeaving(func(catalog.Endpoint)) {}
 
 func (e *fakeEngines) ReadReport(_ context.Context, ep catalog.Endpoint) (backend.Report, error) {
 	e.mu.Lock()
