Load new weights at sound engines first

Change: the plan takes engines that are slow or do not answer, by own measurement or by reports of peers, after all others.

--- a/internal/coordination/placement/health.go
+++ b/internal/coordination/placement/health.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
@@ -69,6 +70,35 @@
 	return serviceTime > 0 && float64(serviceTime) >= slowFactor*float64(baseline)
 }
 
+// minMoveSpeedup is the minimum ratio of a slow endpoint's service time to that of another
+// endpoint for a request to move there.
+const minMoveSpeedup = 1.4
+
+// ShouldMove reports whether a request at an endpoint should be moved: the endpoint is slow,
+// and the best other one for the query, which must require a free slot, is faster by
+// minMoveSpeedup.
+func (t *Table) ShouldMove(now time.Time, from string, q Query) bool {
+	if !t.IsSlow(now, from) {
+		return false
+	}
+	q.Avoid = append(slices.Clone(q.Avoid), from)
+	other, ok := t.Pick(now, q, 0)
+	if !ok {
+		return false
+	}
+	current, _ := t.ServiceTime(now, from)
+	candidate, _ := t.ServiceTime(now, other.ID)
+	return float64(current) > minMoveSpeedup*float64(candidate)
+}
+
+// IsImpaired reports whether an endpoint is slow or does not answer, by this host's own
+// measurements or by the unexpired reports of peers.
+func (t *Table) IsImpaired(now time.Time, id string) bool {
+	e, ok := t.entries[id]
+	return ok && (e.suspect(now) || now.Before(e.ejectedUntil) || t.IsSlow(now, id) ||
+		now.Before(e.reportedUnreachableUntil) || now.Before(e.reportedSlowUntil))
+}
+
 // MarkReportedSlow records that a peer reported an endpoint slow. The report expires after
 // reportTTL.
 func (t *Table) MarkReportedSlow(now time.Time, key uint32) {
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -51,6 +51,10 @@
 		s.table.MarkLeaving(s.table.entries[id].endpoint)
 	case "reported-leaving":
 		s.table.MarkReportedLeaving([]uint32{InstanceKey(&s.table.entries[id].endpoint)})
+	case "should-move":
+		return fmt.Sprintln(s.table.ShouldMove(s.now, id, Query{Service: "s", Model: "m", MinVersion: 1, FreeSlot: true}))
+	case "impaired":
+		return fmt.Sprintln(s.table.IsImpaired(s.now, id))
 	case "all-draining":
 		return fmt.Sprintln(s.table.AllDraining("s"))
 	case "eject":
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -120,9 +120,27 @@
 	outdated []catalog.Endpoint
 }
 
-// Next returns the orders to send now. running returns the number of requests that run at
-// an endpoint.
-func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, running func(id string) int) []LoadOrder {
+// EngineState is what the sender of the orders knows about an engine.
+type EngineState struct {
+	// Running is the number of requests that run at the engine.
+	Running int
+	// Impaired is set if the engine is much slower than the others or does not answer.
+	Impaired bool
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// Next returns the orders to send now. state returns what is known about an engine.
+func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, state func(id string) EngineState) []LoadOrder {
 	p.removeObsolete(now, endpoints)
 	serving := 0
 	for i := range endpoints {
@@ -136,7 +154,7 @@
 	}
 	var backlogs []*modelBacklog
 	for m := range p.targets {
-		if remaining := p.backlog(now, m, endpoints, running); len(remaining.outdated) > 0 {
+		if remaining := p.backlog(now, m, endpoints, state); len(remaining.outdated) > 0 {
 			backlogs = append(backlogs, remaining)
 		}
 	}
@@ -163,7 +181,7 @@
 func (b *modelBacklog) gain(version int) int { return min(max(b.target-version, 0), 2) }
 
 // backlog returns the remaining work for a model.
-func (p *Plan) backlog(now time.Time, model string, endpoints []catalog.Endpoint, running func(id string) int) *modelBacklog {
+func (p *Plan) backlog(now time.Time, model string, endpoints []catalog.Endpoint, state func(id string) EngineState) *modelBacklog {
 	out := &modelBacklog{model: model, target: p.targets[model]}
 	for _, e := range endpoints {
 		v, ok := e.Versions[model]
@@ -183,10 +201,12 @@
 	}
 	slices.SortFunc(out.outdated, func(a, b catalog.Endpoint) int {
 		return cmp.Or(
+			// A load at an impaired engine adds little capacity and holds up those of the others.
+			compareBool(state(a.ID).Impaired, state(b.ID).Impaired),
 			cmp.Compare(a.Versions[model], b.Versions[model]),
 			// An endpoint that repeatedly fails to load must not block the others.
 			cmp.Compare(p.attempts[key{a.ID, model}], p.attempts[key{b.ID, model}]),
-			cmp.Compare(running(b.ID), running(a.ID)),
+			cmp.Compare(state(b.ID).Running, state(a.ID).Running),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
--- a/internal/coordination/upgrades/upgrades_test.go
+++ b/internal/coordination/upgrades/upgrades_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 	return out
 }
 
-func idle(string) int { return 0 }
+func idle(string) EngineState { return EngineState{} }
 
 // More than maxLoadingShare of the endpoints loading at the same time would slow down every load:
 // two of nine may load, and another starts only when one of them has finished.
@@ -91,16 +92,37 @@
 	p := NewPlan()
 	p.SetTarget("m", 4)
 	running := map[string]int{"e0": 1, "e2": 8, "e3": 2}
-	got := formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 2), func(id string) int { return running[id] }))
+	got := formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 2), func(id string) EngineState { return EngineState{Running: running[id]} }))
 	if got != "e4:4 " {
 		t.Fatalf("ordered %s, want the endpoint that is two versions behind", got)
 	}
-	got = formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 4), func(id string) int { return running[id] }))
+	got = formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 4), func(id string) EngineState { return EngineState{Running: running[id]} }))
 	if got != "e2:4 " {
 		t.Fatalf("ordered %s, want the endpoint with the most running requests", got)
 	}
 }
 
+// Slow engines keep their requests longest and are often behind, so they would come first. A load
+// there adds little capacity and holds one of the few concurrent loads: sound engines come
+// first, whatever their version and number of requests.
+func TestNext_ImpairedEnginesLast(t *testing.T) {
+	p := NewPlan()
+	p.SetTarget("m", 4)
+	f := fleet(1, 3, 2, 3, 3)
+	state := func(id string) EngineState { return EngineState{Running: 1, Impaired: id == "e0" || id == "e2"} }
+	var order string
+	for range f {
+		for _, o := range p.Next(startTime, f, state) {
+			order += o.Endpoint.ID + " "
+			i := slices.IndexFunc(f, func(e catalog.Endpoint) bool { return e.ID == o.Endpoint.ID })
+			f[i].Versions["m"] = o.Version
+		}
+	}
+	if order != "e1 e3 e4 e0 e2 " {
+		t.Fatalf("ordered %s, want the sound engines before the impaired e0 and e2", order)
+	}
+}
+
 // An older target is ignored, and an endpoint at or above the target gets no order.
 func TestNext_NoDowngrade(t *testing.T) {
 	p := NewPlan()
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -111,11 +111,12 @@
 // still held.
 func (w *Weights) sendOrders(ctx context.Context) {
 	var endpoints []catalog.Endpoint
-	running := map[string]int{}
+	states := map[string]upgrades.EngineState{}
+	now := time.Now()
 	w.fleet.WithTable(func(t *placement.Table) {
 		endpoints = t.All()
 		for _, e := range endpoints {
-			running[e.ID] = t.InFlight(e.ID)
+			states[e.ID] = upgrades.EngineState{Running: t.InFlight(e.ID), Impaired: t.IsImpaired(now, e.ID)}
 		}
 	})
 	w.mu.Lock()
@@ -123,7 +124,7 @@
 		w.mu.Unlock()
 		return
 	}
-	due := w.plan.Next(time.Now(), endpoints, func(id string) int { return running[id] })
+	due := w.plan.Next(time.Now(), endpoints, func(id string) upgrades.EngineState { return states[id] })
 	w.mu.Unlock()
 	if len(due) == 0 || !w.renew(ctx) {
 		return
