Move samples off slow engines before waiting samples start

Change: each round of starts first moves one sample, the one with the most expected work, if its engine is slow and a faster one has a free slot; the end of its attempt triggers the next round, in which partial output goes first. The decision is a function of the placement table.

--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -222,6 +222,9 @@
 // slot.
 func (a *activeBatch) startSamples() {
 	now := time.Now()
+	if a.moveFromSlowEndpoint(now) {
+		return // the end of the attempt triggers the next round
+	}
 	for {
 		i, ok := a.run.Next(now)
 		if !ok {
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -25,9 +25,6 @@
 	// probeDelay is how long a stream may be silent before its endpoint is probed with a new
 	// connection. Engines that are slow or full still accept connections.
 	probeDelay = 600 * time.Millisecond
-	// minMoveSpeedup is the minimum ratio of a slow endpoint's service time to that of
-	// another endpoint for its samples to move there.
-	minMoveSpeedup = 1.4
 	// minTimeBeforeMove is how long a sample runs at an endpoint before it may move.
 	minTimeBeforeMove = 500 * time.Millisecond
 	// serviceTimeEvents is the number of events over which an endpoint's service time is
@@ -58,6 +55,10 @@
 	longestGapMs atomic.Int64
 	cancel       context.CancelFunc
 
+	// moving is set once the attempt is cancelled because the sample moves. Only the goroutine
+	// of the batch uses it.
+	moving bool
+
 	mu      sync.Mutex
 	partial batchrun.Partial
 }
@@ -187,8 +188,7 @@
 	}
 }
 
-// checkAttempts cancels attempts that have stalled, whose endpoint is unreachable, or whose
-// samples should move to a faster endpoint. It also starts the periodic checks of the batch.
+// checkAttempts cancels attempts that have stalled or whose endpoint is unreachable. It also starts the periodic checks of the batch.
 func (a *activeBatch) checkAttempts() {
 	now := time.Now()
 	a.run.Expire(now)
@@ -210,9 +210,9 @@
 		a.parent.runner.fleet.WithTable(func(t *placement.Table) { t.Eject(now, id) })
 		a.log.Warn("Endpoint ejected after a stalled stream", "endpoint", id)
 	}
-	for i, at := range a.attempts {
+	for _, at := range a.attempts {
 		silent := now.Sub(time.Unix(0, at.lastEvent.Load()))
-		if silent > stallTimeout || silent > probeDelay && a.unreachable(now, at) || silent > stalledEndpointTimeout && slices.Contains(stalled, at.endpoint.ID) || a.shouldMove(now, i, at) {
+		if silent > stallTimeout || silent > probeDelay && a.unreachable(now, at) || silent > stalledEndpointTimeout && slices.Contains(stalled, at.endpoint.ID) {
 			at.cancel()
 		}
 	}
@@ -251,25 +251,30 @@
 	if now.Sub(at.began) < minTimeBeforeMove || at.events.Load() < minEventsBeforeMove {
 		return false
 	}
-	route := a.route(a.batch.Host, a.run.Sample(i).Path)
-	if route == nil {
-		return false
-	}
 	move := false
 	a.parent.runner.fleet.WithTable(func(t *placement.Table) {
-		if !t.IsSlow(now, at.endpoint.ID) {
-			return
-		}
-		other, ok := t.Pick(now, placement.Query{
-			Service: at.endpoint.Service, Model: a.batch.Model, MinVersion: a.batch.MinVersion,
-			FreeSlot: true, Avoid: []string{at.endpoint.ID},
-		}, 0)
-		if !ok {
-			return
-		}
-		current, _ := t.ServiceTime(now, at.endpoint.ID)
-		candidate, _ := t.ServiceTime(now, other.ID)
-		move = float64(current) > minMoveSpeedup*float64(candidate)
+		move = t.ShouldMove(now, at.endpoint.ID, placement.Query{
+			Service: at.endpoint.Service, Model: a.batch.Model, MinVersion: a.batch.MinVersion, FreeSlot: true,
+		})
 	})
 	return move
 }
+
+// moveFromSlowEndpoint cancels the sample with the most work left among those that should move,
+// and reports whether there was one. It is called before waiting samples start: they would
+// otherwise take each slot at a fast endpoint the moment it is free.
+func (a *activeBatch) moveFromSlowEndpoint(now time.Time) bool {
+	var move *attempt
+	most := 0
+	for i, at := range a.attempts {
+		if tokens := a.run.Sample(i).ExpectedTokens; (move == nil || tokens > most) && !at.moving && a.shouldMove(now, i, at) {
+			move, most = at, tokens
+		}
+	}
+	if move == nil {
+		return false
+	}
+	move.moving = true
+	move.cancel()
+	return true
+}
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -366,6 +366,12 @@
 	at               time.Time
 }
 
+// startedSample is an attempt of a sample as an engine received it.
+type startedSample struct {
+	id, endpoint string
+	resumeAfter  int
+}
+
 // fakeEngines is a fake backend.Client that serves all endpoints of a test.
 type fakeEngines struct {
 	mu       sync.Mutex
@@ -376,6 +382,10 @@
 	// down endpoints refuse connections and break their streams.
 	down          map[string]bool
 	eventInterval time.Duration
+	// slowdown multiplies eventInterval at an endpoint.
+	slowdown map[string]time.Duration
+	// started lists the attempts of samples in the order in which they arrived.
+	started []startedSample
 	// silent endpoints neither send events nor accept connections.
 	silent map[string]bool
 	// openStreams counts the open streams at each endpoint, connectAttempts the calls of
@@ -410,8 +420,9 @@
 
 func (e *fakeEngines) Generate(ctx context.Context, g backend.GenerateRequest, emit func(backend.Event) error) error {
 	e.mu.Lock()
-	down, interval := e.down[g.Endpoint.ID] || e.silent[g.Endpoint.ID], e.eventInterval
+	down := e.down[g.Endpoint.ID] || e.silent[g.Endpoint.ID]
 	e.runs[g.ID]++
+	e.started = append(e.started, startedSample{g.ID, g.Endpoint.ID, g.ResumeAfter})
 	e.mu.Unlock()
 	if down {
 		return errors.Join(backend.ErrNotRun, backend.ErrUnreachable)
@@ -428,6 +439,9 @@
 		return backend.ErrInvalidRequest
 	}
 	for i := g.ResumeAfter; i < events; i++ {
+		e.mu.Lock()
+		interval := e.eventInterval * max(e.slowdown[g.Endpoint.ID], 1)
+		e.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return errors.Join(backend.ErrIncompleteAnswer, ctx.Err())
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -604,6 +605,56 @@
 	}
 }
 
+// An engine turns slow under long samples while short ones wait for slots. The slots that become
+// free at the other engines must go to the long samples first, which decide when the batch
+// ends. Regression test: a waiting sample took each slot the moment it was free, and the long
+// samples stayed at the slow engine until none waited.
+func TestSamples_LeaveSlowEndpointBeforeWaitingOnesStart(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	w.engines.mu.Lock()
+	w.engines.eventInterval, w.engines.slowdown = 10*time.Millisecond, map[string]time.Duration{}
+	w.engines.mu.Unlock()
+	const long, short = 12, 60 // three engines with four slots each
+	b := &batches.Batch{ID: "b1", Host: "h", Path: "/samples/b1", Model: "m", MinVersion: 1, DesiredGroups: 1}
+	add := func(id string, events int) {
+		b.Samples = append(b.Samples, batches.Sample{ID: id, Path: "/samples/x", Group: "g", Body: []byte(id), ExpectedTokens: events,
+			Header: map[string]string{"Events": strconv.Itoa(events)}, Scoring: &batches.Scoring{ID: "score-" + id, Host: "h", Path: "/plain/score"}})
+	}
+	for i := range long {
+		add(fmt.Sprintf("long-%d", i), 60)
+	}
+	for i := range short {
+		add(fmt.Sprintf("short-%d", i), 10)
+	}
+	if err := n.Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	w.waitUntil("the long samples run", func() bool { return w.engines.generating.Load() == long })
+	w.engines.mu.Lock()
+	w.engines.slowdown["e2"] = 10
+	w.engines.mu.Unlock()
+	w.checkResults(b, w.readAll(n, b.ID))
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	moved, shortBefore := 0, 0
+	for _, s := range w.engines.started {
+		switch {
+		case strings.HasPrefix(s.id, "long") && s.resumeAfter > 0:
+			moved++
+		case strings.HasPrefix(s.id, "short") && moved < 4:
+			shortBefore++
+		}
+	}
+	if moved < 4 {
+		t.Errorf("%d of the four long samples left the slow engine", moved)
+	}
+	// The eight slots of the other engines become free at about the same time.
+	if shortBefore > 16 {
+		t.Errorf("%d of %d short samples started before the long ones had left the slow engine", shortBefore, short)
+	}
+}
+
 // No host starts a sample at an endpoint that is draining.
 func TestSamples_AvoidDrainingEndpoints(t *testing.T) {
 	w := newTestCluster(t)
