Read a batch's log by listing instead of entry by entry

Change: the log is listed from its first key on; a page holds about as many bytes as a log. Reads from a later position still fetch single entries. TestBatchStore_EntriesListedByPage has the order of keys and batches whose IDs share a prefix.

--- a/internal/state/batches/batches.go
+++ b/internal/state/batches/batches.go
@@ -9,6 +9,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -139,6 +141,24 @@
 // LogKey returns the key of entry n of a batch's log.
 func LogKey(id string, n int) string { return fmt.Sprintf("%s%s-%d", logPrefix, id, n) }
 
+// LogPrefix is the key prefix of all entries of all batches' logs.
+const LogPrefix = logPrefix
+
+// BatchLogPrefix returns the key prefix of the entries of a batch's log. A batch whose ID begins
+// with this one's may have keys with the same prefix; LogEntryNumber tells them apart.
+func BatchLogPrefix(id string) string { return logPrefix + id + "-" }
+
+// LogEntryNumber returns the number of the entry of a batch's log that has this key. ok is
+// false if it is the key of another object.
+func LogEntryNumber(id, key string) (n int, ok bool) {
+	number, ok := strings.CutPrefix(key, BatchLogPrefix(id))
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(number)
+	return n, err == nil && n >= 0
+}
+
 // PartialsKey returns the key of the object in which a batch's owner saves the progress of
 // unfinished samples.
 func PartialsKey(id string) string { return partialsPrefix + id }
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -209,20 +210,49 @@
 	return e, nil
 }
 
-// entries reads all entries of a batch's log. The result is not nil, which says that the batch
-// has run before.
+// entries reads all entries of a batch's log. It lists them: a page of the listing has about as
+// many bytes as a whole log, so this takes one or two calls instead of one for each entry. The
+// result is not nil, which says that the batch has run before.
 func (s *batchStore) entries(ctx context.Context, id string) ([]batches.LogEntry, error) {
-	out := []batches.LogEntry{}
-	for n := 0; ; n++ {
-		e, err := s.entry(ctx, id, n)
-		if errors.Is(err, objectapi.ErrNotFound) {
-			return out, nil
-		}
+	found := map[int]batches.LogEntry{}
+	for after, more := batches.BatchLogPrefix(id), true; more; {
+		page, err := s.api.List(ctx, batches.LogPrefix, after, 0)
 		if err != nil {
 			return nil, err
 		}
+		more = page.More && len(page.Objects) > 0
+		for _, o := range page.Objects {
+			if after = o.Key; !strings.HasPrefix(after, batches.BatchLogPrefix(id)) {
+				more = false // the entries of other batches follow
+				break
+			}
+			n, ok := batches.LogEntryNumber(id, after)
+			if !ok {
+				continue // an entry of a batch whose ID begins with this one's
+			}
+			var e batches.LogEntry
+			if err := cbor.Unmarshal(o.Value, &e); err != nil {
+				return nil, batches.Error.Wrap(err)
+			}
+			found[n] = e
+		}
+	}
+	// The keys do not sort by number, and an entry may be appended between two pages: only
+	// entries without a gap before them are known to be all there were.
+	out := make([]batches.LogEntry, 0, len(found))
+	for e, ok := found[0]; ok; e, ok = found[len(out)] {
 		out = append(out, e)
 	}
+	starts := make([]int, len(out))
+	for n := range out {
+		starts[n] = out[n].First
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.entryStarts[id]) < len(starts) {
+		s.entryStarts[id] = starts
+	}
+	return out, nil
 }
 
 // append creates the nth entry of a batch's log. It returns objectapi.ErrConflict when
@@ -241,13 +271,25 @@
 func (s *batchStore) read(ctx context.Context, id string, after, maxBytes int) ([]batches.Result, error) {
 	s.mu.Lock()
 	starts := s.entryStarts[id]
+	s.mu.Unlock()
+	var out []batches.Result
+	if len(starts) == 0 {
+		entries, err := s.entries(ctx, id)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			var full bool
+			if out, full = appendResults(out, e, after, maxBytes); full {
+				break
+			}
+		}
+		return out, nil
+	}
 	n := 0
 	for n+1 < len(starts) && starts[n+1] <= after {
 		n++
 	}
-	s.mu.Unlock()
-	var out []batches.Result
-	size := 0
 	for ; ; n++ {
 		e, err := s.entry(ctx, id, n)
 		if errors.Is(err, objectapi.ErrNotFound) {
@@ -256,17 +298,30 @@
 		if err != nil {
 			return nil, err
 		}
-		for i := range e.Results {
-			if e.First+i < after {
-				continue
-			}
-			size += e.Results[i].Size()
-			if size > maxBytes && len(out) > 0 {
-				return out, nil
-			}
-			out = append(out, e.Results[i])
+		var full bool
+		if out, full = appendResults(out, e, after, maxBytes); full {
+			return out, nil
+		}
+	}
+}
+
+// appendResults appends the results of a log entry from position after on. It reports whether
+// it left out results because the total would exceed maxBytes; the first one always fits.
+func appendResults(out []batches.Result, e batches.LogEntry, after, maxBytes int) ([]batches.Result, bool) {
+	size := 0
+	for i := range out {
+		size += out[i].Size()
+	}
+	for i := range e.Results {
+		if e.First+i < after {
+			continue
+		}
+		if size += e.Results[i].Size(); size > maxBytes && len(out) > 0 {
+			return out, true
 		}
+		out = append(out, e.Results[i])
 	}
+	return out, false
 }
 
 // savedSample is the stored text of a sample whose result is not in the batch's log.
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -263,7 +263,7 @@
 	// While deletesRefused is set, deletes fail after deletesAllowed ones.
 	deletesRefused atomic.Bool
 	deletesAllowed atomic.Int64
-	// logReads counts the reads of entries of batches' logs.
+	// logReads counts the reads and the listings of entries of batches' logs.
 	logReads atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
@@ -306,6 +306,9 @@
 	if s.refusing.Load() {
 		return objectapi.Page{}, objectapi.ErrRefused
 	}
+	if strings.HasPrefix(prefix, "batchlogs/") {
+		s.logReads.Add(1)
+	}
 	return s.ObjectStore.List(ctx, prefix, after, limit)
 }
 
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -19,7 +19,9 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/quarantine"
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
@@ -124,6 +126,54 @@
 	}
 }
 
+// pagedStore lists two objects a page, and counts the calls.
+type pagedStore struct {
+	*standin.ObjectStore
+	lists, gets int
+}
+
+func (s *pagedStore) List(ctx context.Context, prefix, after string, _ int) (objectapi.Page, error) {
+	s.lists++
+	return s.ObjectStore.List(ctx, prefix, after, 2)
+}
+
+func (s *pagedStore) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	s.gets++
+	return s.ObjectStore.Get(ctx, key)
+}
+
+// A log is read by pages of a listing, not entry by entry: after a restart of the whole fleet,
+// single reads of all logs were a quarter of the day's calls. Keys do not sort by number
+// (10 before 2), and the entries of a batch whose ID begins with this one's lie between them.
+func TestBatchStore_EntriesListedByPage(t *testing.T) {
+	store := &pagedStore{ObjectStore: standin.NewObjectStore(standin.ObjectStoreOptions{})}
+	s := newBatchStore(objectapi.NewClient(store, objectapi.ClientOptions{}))
+	for _, id := range []string{"b1", "b1-2", "b2"} {
+		for n := range 12 {
+			e := batches.LogEntry{First: 3 * n, Results: []batches.Result{{ID: fmt.Sprintf("%s/%d", id, n)}}}
+			if err := s.append(background, id, n, e); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	store.lists, store.gets = 0, 0
+	entries, err := s.entries(background, "b1")
+	if err != nil || len(entries) != 12 {
+		t.Fatalf("%d entries, %v; want 12", len(entries), err)
+	}
+	for n, e := range entries {
+		if e.First != 3*n || e.Results[0].ID != fmt.Sprintf("b1/%d", n) {
+			t.Errorf("entry %d begins at %d with %s", n, e.First, e.Results[0].ID)
+		}
+	}
+	if store.gets > 0 || store.lists > 13 { // 24 entries with the prefix, two a page, and the page after them
+		t.Errorf("%d reads and %d listings of pages", store.gets, store.lists)
+	}
+	if results, err := s.read(background, "b1", 30, 1<<20); err != nil || len(results) != 2 || results[0].ID != "b1/10" {
+		t.Errorf("results from position 30: %+v, %v", results, err)
+	}
+}
+
 // A slow ownership check must not delay results that become available while it runs. The
 // check is needed only before answering that there are none.
 func TestResults_DuringOwnershipCheck(t *testing.T) {
