Spread the longest samples instead of keeping a group together

What bound: a sample of 148 to 155 events takes 7.1 to 7.5 s of the 7.5 s in which a step is due.

Change: samples of more than twice the median expected length have no preferred engine; they go where least runs. The others still go to the engine that has the group's prompt.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -139,6 +139,8 @@
 	byID    map[string]int
 	// order holds the indices of samples in the order in which they start.
 	order []int
+	// longThreshold is the number of expected tokens above which a sample is long.
+	longThreshold int
 	// open is the number of samples that have not ended.
 	open int
 	// results are the results added since the last TakeResults.
@@ -218,11 +220,11 @@
 		s.class = class[s.Group]
 		r.order = append(r.order, i)
 	}
-	longThreshold := longFactor * r.medianTokens()
+	r.longThreshold = longFactor * r.medianTokens()
 	slices.SortStableFunc(r.order, func(i, j int) int {
 		a, b := r.samples[i], r.samples[j]
 		aTokens, bTokens := expectedTokens(&a.Sample), expectedTokens(&b.Sample)
-		if aTokens > longThreshold || bTokens > longThreshold {
+		if aTokens > r.longThreshold || bTokens > r.longThreshold {
 			return cmp.Or(cmp.Compare(bTokens, aTokens), cmp.Compare(a.class, b.class))
 		}
 		return cmp.Or(
@@ -290,8 +292,15 @@
 func (r *Run) IsSpare(i int) bool { return r.samples[i].class == classSpare }
 
 // PreferredEndpoint returns the endpoint at which a sample of the same group was last
-// started, empty if none was. That endpoint has the group's prompt in its cache.
-func (r *Run) PreferredEndpoint(i int) string { return r.groups[r.samples[i].Group].endpoint }
+// started, empty if none was. That endpoint has the group's prompt in its cache. Long samples
+// have none: they decide when the batch ends, so they go where least runs, and not together
+// to one endpoint, whose memory they would fill.
+func (r *Run) PreferredEndpoint(i int) string {
+	if expectedTokens(&r.samples[i].Sample) > r.longThreshold {
+		return ""
+	}
+	return r.groups[r.samples[i].Group].endpoint
+}
 
 // Resume returns the partial output after which a sample can continue under the weight
 // version. With SingleVersion, output that another version generated is discarded.
--- a/internal/coordination/batchrun/batchrun_test.go
+++ b/internal/coordination/batchrun/batchrun_test.go
@@ -71,6 +71,10 @@
 		d.ScanArgs(t, "version", &version)
 		_, ok := s.run.RestoreComplete(id, partial(events, version))
 		return fmt.Sprintf("%v\n", ok)
+	case "preferred":
+		var id string
+		d.ScanArgs(t, "id", &id)
+		return fmt.Sprintf("%q\n", s.run.PreferredEndpoint(s.run.byID[id]))
 	case "expire":
 		s.run.Expire(s.now)
 		return s.results()
