Let the stall timeout of samples follow the service's events

Cause: a stream was cut after 2.2 s of silence whatever the engine. Where an event takes longer, or the first one does, every attempt was cut before its first event, again and again, and the batch never ended; at 1.7 times slower engines some sound streams were cut.

Change: the limit is 16 event intervals of the service and at least 2.2 s (8 and 0.9 s at an endpoint that stalled another stream). If attempts in a row end without an event it doubles, so that an unknown interval can be learned. A function of batchrun, replayed in testdata/stalls; TestSamples_SlowStreamsComplete runs samples whose events take 2.6 s.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -115,8 +115,11 @@
 	failures int
 	// crashes and backoffs count the crashed attempts and the retry delays since the last
 	// attempt with progress.
-	crashes       int
-	backoffs      int
+	crashes  int
+	backoffs int
+	// stalls counts the interrupted attempts without an event since the last attempt with
+	// progress.
+	stalls        int
 	invalid       bool
 	scoreFailures int
 	// notBefore is the earliest time of the next start.
@@ -378,13 +381,15 @@
 		s.invalid = true
 	case Crashed:
 		s.crashes++
+	case Interrupted:
+		s.stalls++
 	}
 	if s.invalid || s.failures >= r.opt.MaxFailures {
 		r.finish(i, batches.Abandoned, "")
 		return
 	}
 	if progressed {
-		s.backoffs, s.crashes = 0, 0
+		s.backoffs, s.crashes, s.stalls = 0, 0, 0
 		return
 	}
 	if s.crashes >= crashesToDefer {
--- a/internal/coordination/batchrun/batchrun_test.go
+++ b/internal/coordination/batchrun/batchrun_test.go
@@ -71,6 +71,13 @@
 		d.ScanArgs(t, "version", &version)
 		_, ok := s.run.RestoreComplete(id, partial(events, version))
 		return fmt.Sprintf("%v\n", ok)
+	case "stall-timeouts":
+		var id string
+		interval := 0
+		d.ScanArgs(t, "id", &id)
+		d.MaybeScanArgs(t, "interval", &interval)
+		stall, suspect := s.run.StallTimeouts(s.run.byID[id], time.Duration(interval)*time.Millisecond)
+		return fmt.Sprintf("%v, at a suspect endpoint %v\n", stall, suspect)
 	case "preferred":
 		var id string
 		d.ScanArgs(t, "id", &id)
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -16,12 +16,6 @@
 )
 
 const (
-	// stallTimeout is how long a stream may be silent. It leaves time for an engine that is
-	// several times slower than usual and processes a preempted prompt again.
-	stallTimeout = 2200 * time.Millisecond
-	// stalledEndpointTimeout replaces stallTimeout for a stream whose endpoint has stalled
-	// another stream.
-	stalledEndpointTimeout = 900 * time.Millisecond
 	// probeDelay is how long a stream may be silent before its endpoint is probed with a new
 	// connection. Engines that are slow or full still accept connections.
 	probeDelay = 600 * time.Millisecond
@@ -201,8 +195,8 @@
 		a.saveAsync()
 	}
 	var stalled []string
-	for _, at := range a.attempts {
-		if now.Sub(time.Unix(0, at.lastEvent.Load())) > stallTimeout && !slices.Contains(stalled, at.endpoint.ID) {
+	for i, at := range a.attempts {
+		if limit, _ := a.stallTimeouts(now, i, at); at.silence(now) > limit && !slices.Contains(stalled, at.endpoint.ID) {
 			stalled = append(stalled, at.endpoint.ID)
 		}
 	}
@@ -210,14 +204,32 @@
 		a.parent.runner.fleet.WithTable(func(t *placement.Table) { t.Eject(now, id) })
 		a.log.Warn("Endpoint ejected after a stalled stream", "endpoint", id)
 	}
-	for _, at := range a.attempts {
-		silent := now.Sub(time.Unix(0, at.lastEvent.Load()))
-		if silent > stallTimeout || silent > probeDelay && a.unreachable(now, at) || silent > stalledEndpointTimeout && slices.Contains(stalled, at.endpoint.ID) {
+	for i, at := range a.attempts {
+		limit, suspectLimit := a.stallTimeouts(now, i, at)
+		if slices.Contains(stalled, at.endpoint.ID) {
+			limit = suspectLimit
+		}
+		if silent := at.silence(now); silent > limit || silent > probeDelay && a.unreachable(now, at) {
 			at.cancel()
 		}
 	}
 }
 
+// silence returns the time since the last event.
+func (at *attempt) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, at.lastEvent.Load()))
+}
+
+// stallTimeouts returns how long an attempt's stream may be silent; see batchrun.StallTimeouts.
+func (a *activeBatch) stallTimeouts(now time.Time, i int, at *attempt) (stall, suspect time.Duration) {
+	var interval time.Duration
+	a.parent.runner.fleet.WithTable(func(t *placement.Table) {
+		endpoint, baseline := t.ServiceTime(now, at.endpoint.ID)
+		interval = max(endpoint, baseline)
+	})
+	return a.run.StallTimeouts(i, interval)
+}
+
 // probe is a connection attempt to an endpoint with a silent stream.
 type probe struct {
 	began  time.Time
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -191,7 +191,7 @@
 }
 
 // A partitioned endpoint neither ends its streams nor accepts connections. A failed
-// connection attempt moves its samples before stallTimeout;
+// connection attempt moves its samples before the stall timeout;
 // TestUnreachable_OneProbePerSilence checks this without depending on timing.
 func TestSamples_MoveFromUnreachableEndpoint(t *testing.T) {
 	w := newTestCluster(t)
@@ -705,6 +705,17 @@
 	}
 }
 
+// Streams whose events take longer than the usual stall timeout are slow but sound: their samples
+// must complete. They were cut before their first event, again and again.
+func TestSamples_SlowStreamsComplete(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	w.engines.mu.Lock()
+	w.engines.eventInterval = 2600 * time.Millisecond
+	w.engines.mu.Unlock()
+	w.checkResults(batch(submit(t, n, 1, 2), 1, 2), w.readAll(n, "b1"))
+}
+
 // No host starts a sample at an endpoint that is draining.
 func TestSamples_AvoidDrainingEndpoints(t *testing.T) {
 	w := newTestCluster(t)
