Finish requests that arrive while a stopping host closes

Cause (a story of similar systems, looked for here): a host that is stopped as planned waited until no request was in flight, and then closed all connections. Requests read between the check and the close were cut.

Change: the listeners are shut down first, which answers what was read, for at most 400 ms of the margin before the exit.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -40,6 +40,9 @@
 	batchHandoverReserve = 3 * time.Second
 	// exitMargin is the remaining part of the grace period at which the process exits.
 	exitMargin = 800 * time.Millisecond
+	// shutdownTimeout is the part of exitMargin in which requests may end that arrived at the
+	// last moment.
+	shutdownTimeout = 400 * time.Millisecond
 	// drainPollInterval is the time between checks for completion while the host drains.
 	drainPollInterval = 50 * time.Millisecond
 	// headerTimeout bounds the reading of a request header, idleTimeout the life of an idle
@@ -333,11 +336,28 @@
 	n.waitUntil(began.Add(grace-exitMargin), func() bool {
 		return n.inflight.Load() == 0 && time.Since(began) > maxAddressCacheTime
 	})
+	n.shutDownServers()
 	n.close()
 	n.log.Info("Host stopped", "in_flight", n.inflight.Load(), "took_ms", time.Since(began).Milliseconds())
 	return nil
 }
 
+// shutDownServers closes the listeners and waits for requests that arrived after the last check
+// for requests in flight, at most shutdownTimeout.
+func (n *Node) shutDownServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, s := range n.servers {
+		all.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				n.log.Warn("Connections still open after shutdown", "err", err)
+			}
+		})
+	}
+	all.Wait()
+}
+
 // close stops the background tasks and closes the listeners.
 func (n *Node) close() {
 	n.cancel()
