Take the duration of weight loads from what is observed

Where a load takes three times as long its engine would be tried too early each time, and orders would be repeated while they run.

Change: the plan keeps the last 16 durations, from acceptance until the catalog shows the version; an engine is left out for the shortest of them, and an order counts as lost after three times the longest, at least 4 s. TestLoads_FollowObservedDurations plays loads of a third, the same and three times the assumed duration.

--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -27,13 +27,15 @@
 	// maxLoadingShare is the fraction of the endpoints that may load at the same time.
 	// With more, the weight store serves each load more slowly.
 	maxLoadingShare = 0.2
-	// acceptedTimeout is the time after which an accepted order is considered lost if the
-	// catalog does not show the new version. A load takes about a second, and the catalog
-	// shows it with a delay.
-	acceptedTimeout = 4 * time.Second
-	// loadTime is the time for which an endpoint starts no samples of the model after it
-	// accepted an order.
-	loadTime = 900 * time.Millisecond
+	// minAcceptedTimeout is the least time after which an accepted order is considered lost if
+	// the catalog does not show the new version. It is acceptedTimeoutLoads times the longest
+	// of the last loads if that is more.
+	minAcceptedTimeout   = 4 * time.Second
+	acceptedTimeoutLoads = 3
+	// initialLoadTime is the assumed duration of a load until one was observed.
+	initialLoadTime = 900 * time.Millisecond
+	// observedLoads is the number of last loads whose durations are kept.
+	observedLoads = 16
 	// retryDelay is the delay before an order with an unknown outcome is sent again.
 	retryDelay = 400 * time.Millisecond
 )
@@ -43,6 +45,9 @@
 type Plan struct {
 	targets map[string]int
 	sent    map[key]sentOrder
+	// durations has the durations of the last loads, from the acceptance of the order until the
+	// catalog showed the version, oldest first.
+	durations []time.Duration
 	// attempts counts the orders sent for the current target, per endpoint and model.
 	attempts map[key]int
 }
@@ -64,21 +69,46 @@
 func (p *Plan) Loads(now time.Time) []Load {
 	var out []Load
 	for k, s := range p.sent {
-		// The order was accepted acceptedTimeout before expiresAt.
-		if until := s.expiresAt.Add(loadTime - acceptedTimeout); s.accepted && now.Before(until) {
+		if until := s.acceptedAt.Add(p.loadTime()); s.accepted && now.Before(until) {
 			out = append(out, Load{Endpoint: k.endpoint, Model: k.model, Until: until})
 		}
 	}
 	return out
 }
 
+// loadTime returns the time for which an engine starts no samples of the model after it accepted
+// an order: the shortest of the last loads, because the catalog shows the others later than
+// they ended.
+func (p *Plan) loadTime() time.Duration {
+	if len(p.durations) == 0 {
+		return initialLoadTime
+	}
+	return slices.Min(p.durations)
+}
+
+// acceptedTimeout returns the time after which an accepted order is considered lost.
+func (p *Plan) acceptedTimeout() time.Duration {
+	if len(p.durations) == 0 {
+		return minAcceptedTimeout
+	}
+	return max(minAcceptedTimeout, acceptedTimeoutLoads*slices.Max(p.durations))
+}
+
+// observe records the duration of a load.
+func (p *Plan) observe(took time.Duration) {
+	p.durations = append(p.durations, took)
+	p.durations = p.durations[max(len(p.durations)-observedLoads, 0):]
+}
+
 // sentOrder is an order whose result is not visible in the catalog yet. It is dropped at
 // expiresAt.
 type sentOrder struct {
 	version     int
 	incarnation int64
 	expiresAt   time.Time
-	accepted    bool
+	// accepted is set if the endpoint accepted the order, at acceptedAt.
+	accepted   bool
+	acceptedAt time.Time
 }
 
 // NewPlan returns a plan without targets.
@@ -222,6 +252,9 @@
 	}
 	for k, s := range p.sent {
 		e, ok := byID[k.endpoint]
+		if ok && s.accepted && e.Versions[k.model] >= s.version && e.Incarnation == s.incarnation {
+			p.observe(now.Sub(s.acceptedAt))
+		}
 		if !ok || e.Versions[k.model] >= s.version || e.Incarnation != s.incarnation || !now.Before(s.expiresAt) {
 			delete(p.sent, k)
 		}
@@ -245,7 +278,7 @@
 func (p *Plan) Accepted(now time.Time, o LoadOrder) {
 	p.attempts[key{o.Endpoint.ID, o.Model}]++
 	p.sent[key{o.Endpoint.ID, o.Model}] = sentOrder{
-		version: o.Version, incarnation: o.Endpoint.Incarnation, expiresAt: now.Add(acceptedTimeout), accepted: true,
+		version: o.Version, incarnation: o.Endpoint.Incarnation, expiresAt: now.Add(p.acceptedTimeout()), accepted: true, acceptedAt: now,
 	}
 }
 
--- a/internal/coordination/upgrades/upgrades_test.go
+++ b/internal/coordination/upgrades/upgrades_test.go
@@ -78,7 +78,7 @@
 	// Ten endpoints can serve the newest step of a, and none that of b.
 	var order string
 	for i := range 8 {
-		order += orderedModels(startTime.Add(time.Duration(i) * loadTime))
+		order += orderedModels(startTime.Add(time.Duration(i) * initialLoadTime))
 	}
 	if order != "bbbbbabaabaabaab" {
 		t.Fatalf("ordered %s", order)
@@ -150,7 +150,7 @@
 }
 
 // A restart loses an accepted order, so the new incarnation is ordered without waiting for
-// acceptedTimeout.
+// minAcceptedTimeout.
 func TestNext_RestartedEndpoint(t *testing.T) {
 	p := NewPlan()
 	p.SetTarget("m", 2)
@@ -163,20 +163,52 @@
 }
 
 // An accepted order that the catalog never shows as complete is sent again after
-// acceptedTimeout.
+// minAcceptedTimeout.
 func TestAccepted_RetriedAfterTimeout(t *testing.T) {
 	p := NewPlan()
 	p.SetTarget("m", 2)
 	f := fleet(1)
 	p.Accepted(startTime, p.Next(startTime, f, idle)[0])
-	if got := formatOrders(p.Next(startTime.Add(acceptedTimeout-time.Millisecond), f, idle)); got != "" {
-		t.Fatalf("ordered %s before acceptedTimeout", got)
+	if got := formatOrders(p.Next(startTime.Add(minAcceptedTimeout-time.Millisecond), f, idle)); got != "" {
+		t.Fatalf("ordered %s before minAcceptedTimeout", got)
 	}
-	if got := formatOrders(p.Next(startTime.Add(acceptedTimeout), f, idle)); got != "e0:2 " {
+	if got := formatOrders(p.Next(startTime.Add(minAcceptedTimeout), f, idle)); got != "e0:2 " {
 		t.Fatalf("ordered %q", got)
 	}
 }
 
+// Loads that take three times as long as assumed must not be ordered again while they run, and
+// their engines must be left out until they end; loads that take a third must not keep engines
+// out. The first load is all that may be judged wrongly.
+func TestLoads_FollowObservedDurations(t *testing.T) {
+	for _, took := range []time.Duration{initialLoadTime / 3, initialLoadTime, 3 * initialLoadTime} {
+		p := NewPlan()
+		f := fleet(1, 1)
+		now := startTime
+		for version := 2; version < 5; version++ {
+			p.SetTarget("m", version)
+			for i := range f {
+				o := LoadOrder{Endpoint: f[i], Model: "m", Version: version}
+				p.Accepted(now, o)
+				loading := func(at time.Duration) bool { return len(p.Loads(now.Add(at))) > 0 }
+				if version > 2 && (!loading(took-time.Millisecond) || loading(took+time.Millisecond)) {
+					t.Errorf("version %d: a load of %v counts as in progress before its end: %v, after it: %v", version, took,
+						loading(took-time.Millisecond), loading(took+time.Millisecond))
+				}
+				if orders := p.Next(now.Add(took/2), f[i:i+1], idle); len(orders) > 0 {
+					t.Errorf("version %d: ordered again during a load of %v", version, took)
+				}
+				now = now.Add(took)
+				f[i].Versions = map[string]int{"m": version}
+				p.Next(now, f[i:i+1], idle)
+			}
+		}
+		if got := p.acceptedTimeout(); got < 3*took {
+			t.Errorf("an order counts as lost after %v where a load takes %v", got, took)
+		}
+	}
+}
+
 // An endpoint that accepts orders but never loads takes turns with the others and does not
 // block them.
 func TestNext_FailingEndpoint(t *testing.T) {
@@ -189,7 +221,7 @@
 		orders := p.Next(now, f, idle)
 		order += formatOrders(orders)
 		p.Accepted(now, orders[0])
-		now = now.Add(acceptedTimeout)
+		now = now.Add(minAcceptedTimeout)
 	}
 	if order != "e0:2 e1:2 e0:2 e1:2 " {
 		t.Fatalf("ordered %s", order)
