Give slow scorers their time

Cause: each attempt of a scoring request had 2 s. A scorer that takes longer was cut every time, and its samples were abandoned at the end of their time (TestScoring_SlowScorerIsWaitedFor fails so on the code before).

Change: the first attempt has eight times the objective of its route and at least 2 s, each attempt after a timeout twice as much, all within the operator's limit for the route.

--- a/internal/transport/front/admit.go
+++ b/internal/transport/front/admit.go
@@ -118,7 +118,7 @@
 		Retry:     c.f.gates.isRetry(c.began, c.route.Name, c.in.Budget),
 	}
 	if c.in.Scoring {
-		request.Caller, request.Priority, request.WaitLimit = scoringCaller, model.PriorityTraining, scoreTimeout
+		request.Caller, request.Priority, request.WaitLimit = scoringCaller, model.PriorityTraining, c.in.Budget
 	}
 	d := c.gate.Enter(ctx, request)
 	if d.Verdict == admission.Run {
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -163,6 +163,8 @@
 			ResultsObjective: 5 * time.Second, Targets: []catalog.Target{{Service: "engines", Weight: 1}}},
 		{Name: "plain", Host: "h", PathPrefix: "/plain/", Kind: catalog.KindSafe, MaxAttempts: 2, Objective: 150 * time.Millisecond,
 			Timeout: 2 * time.Second, Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
+		{Name: "slow", Host: "h", PathPrefix: "/slow/", Kind: catalog.KindSafe, MaxAttempts: 2, Objective: 150 * time.Millisecond,
+			Timeout: 20 * time.Second, Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
 		{Name: "once", Host: "h", PathPrefix: "/once/", Kind: catalog.KindUnsafe, MaxAttempts: 3, Objective: 150 * time.Millisecond,
 			Timeout: 2 * time.Second, Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
 	}})
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -596,6 +596,28 @@
 	}
 }
 
+// A scorer that is slow but sound must get its time, within the operator's limit of the route.
+// Every attempt was cut after two seconds, and its batch never ended.
+func TestScoring_SlowScorerIsWaitedFor(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	w.engines.setDo(func(r backend.Request) (*backend.Answer, error) {
+		if time.Until(r.Deadline) < 2500*time.Millisecond {
+			time.Sleep(time.Until(r.Deadline))
+			return nil, backend.ErrIncompleteAnswer
+		}
+		return &backend.Answer{Status: http.StatusOK, Signature: "signed-" + r.ID, Body: []byte("ok")}, nil
+	})
+	b := batch("b1", 1, 2)
+	for i := range b.Samples {
+		b.Samples[i].Scoring.Path = "/slow/score"
+	}
+	if err := n.Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	w.checkResults(b, w.readAll(n, b.ID))
+}
+
 // A scoring request that its endpoint refuses with a client error is repeated with growing
 // pauses. It must neither flood the endpoint nor be given up, as it has not run.
 func TestScoring_RefusedRequestBacksOff(t *testing.T) {
--- a/internal/transport/front/scoring.go
+++ b/internal/transport/front/scoring.go
@@ -10,8 +10,12 @@
 )
 
 const (
-	// scoreTimeout bounds one attempt of a scoring request.
-	scoreTimeout = 2 * time.Second
+	// minScoreTimeout bounds the first attempt of a scoring request, or scoreTimeoutObjectives
+	// times the objective of its route if that is more. After each attempt that timed out the
+	// next one has twice the time, so a scorer that is slow but sound is waited for.
+	minScoreTimeout        = 2 * time.Second
+	scoreTimeoutObjectives = 8
+	maxScoreTimeout        = 30 * time.Second
 	// scoreRetryDelay is the pause before a scoring request that did not run is sent again. It
 	// doubles up to maxScoreRetryDelay after each further answer that refuses the request.
 	scoreRetryDelay    = 60 * time.Millisecond
@@ -30,8 +34,9 @@
 // score sends a sample's scoring request until it has run or the batch is stopped, and sends
 // the result to the goroutine of the batch.
 func (a *activeBatch) score(i int, sc *batches.Scoring) {
+	timeouts := 0
 	for delay := scoreRetryDelay; a.ctx.Err() == nil; {
-		signature, failures, err := a.scoreOnce(sc)
+		signature, failures, err := a.scoreOnce(sc, timeouts)
 		if err == nil {
 			a.scores <- scoreResult{sample: i, score: signature}
 			return
@@ -45,16 +50,26 @@
 		case <-a.ctx.Done():
 		case <-time.After(delay):
 		}
+		if isCode(err, resultcode.DeadlineExceeded) {
+			timeouts++
+		}
 		if isCode(err, resultcode.EndpointRefused) {
 			delay = min(2*delay, maxScoreRetryDelay)
 		}
 	}
 }
 
+// scoreTimeout returns the time for a scoring request after a number of timeouts.
+func scoreTimeout(objective time.Duration, timeouts int) time.Duration {
+	first := max(minScoreTimeout, scoreTimeoutObjectives*objective)
+	return min(first<<min(timeouts, 8), max(first, maxScoreTimeout))
+}
+
 // scoreOnce sends a scoring request, to a second endpoint if the answer is slow or a failure,
 // and returns the signature of its answer, which is the sample's score. failures is the number
-// of attempts that ran and failed; it is zero if another attempt succeeded.
-func (a *activeBatch) scoreOnce(sc *batches.Scoring) (signature string, failures int, err error) {
+// of attempts that ran and failed; it is zero if another attempt succeeded. timeouts is the
+// number of earlier calls that timed out.
+func (a *activeBatch) scoreOnce(sc *batches.Scoring, timeouts int) (signature string, failures int, err error) {
 	route, err := a.parent.runner.forwarder.Route(sc.Host, sc.Path)
 	if err != nil {
 		return "", 0, err
@@ -63,7 +78,7 @@
 	scoringRoute.Kind, scoringRoute.MaxAttempts = catalog.KindSafe, 2 // allows a hedge at a second endpoint when the answer is slow
 	answer, failures, err := a.parent.runner.forwarder.forward(a.ctx, &scoringRoute, &Inbound{
 		ID: sc.ID, Host: sc.Host, Method: http.MethodPost, URI: sc.Path, Path: sc.Path,
-		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout, Scoring: true,
+		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout(route.Objective, timeouts), Scoring: true,
 	})
 	switch {
 	case err != nil:
