Distribute weight loads by the work that trainers submit

The plan evened out the engines that can serve each model, so the trainer with the smallest steps (17 % of the work) was always up to date, and the others waited 3 to 6 s for engines with their version.

Change: hosts report the expected tokens of the batches that they started within 20 s; the plan evens out the engines in proportion to the work, with at least 0.4 of an equal share for each. Replayed by TestNext_LoadsFollowSubmittedWork.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -189,6 +189,15 @@
 	return defaultTokens
 }
 
+// ExpectedTokens returns the expected length of all samples of a batch.
+func ExpectedTokens(b *batches.Batch) int {
+	n := 0
+	for i := range b.Samples {
+		n += expectedTokens(&b.Samples[i])
+	}
+	return n
+}
+
 // sortSamples sets the start order that the package comment describes.
 func (r *Run) sortSamples() {
 	longest := map[string]int{}
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -120,6 +120,9 @@
 	// Leaving lists the endpoints whose answers said that they are leaving, by
 	// placement.InstanceKey.
 	Leaving []uint32 `cbor:"34,keyasint,omitempty"`
+	// Work is the work in expected tokens that trainers recently submitted to the sender, by
+	// upgrades.ModelKey.
+	Work map[uint32]uint32 `cbor:"35,keyasint,omitempty"`
 	// Peers lists the addresses of the hosts known to the sender. It is set only in
 	// replies to hosts that are new or asked for a reply, in a small fleet.
 	Peers []string `cbor:"18,keyasint,omitempty"`
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -5,8 +5,10 @@
 // blocks an endpoint for about a second, and concurrent loads slow each other down.
 // Therefore only a fraction of the fleet loads at a time. If several models are trained on
 // the fleet, there is not enough time for all loads. The model that the fewest endpoints
-// can serve is then updated first, so that the loads of one model do not delay those of
-// the others. Within a model, the endpoints with the oldest version come first, because
+// can serve, relative to the work that its trainer submits, is then updated first: with equal
+// shares a trainer with small steps is always up to date, and the others are behind. Within a
+// model, engines that are slow or do not answer come last, since a load there adds little
+// capacity. Of the others the endpoints with the oldest version come first, because
 // one that is two versions behind can serve no open training step. Among endpoints with the
 // same version those with the most running requests come first: a load blocks new samples but
 // not running ones, so it costs least at an endpoint that could not start any.
@@ -169,8 +171,9 @@
 	return 1
 }
 
-// Next returns the orders to send now. state returns what is known about an engine.
-func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, state func(id string) EngineState) []LoadOrder {
+// Next returns the orders to send now. demand is the work that trainers recently submitted, by
+// ModelKey; state returns what is known about an engine.
+func (p *Plan) Next(now time.Time, endpoints []catalog.Endpoint, demand map[uint32]uint32, state func(id string) EngineState) []LoadOrder {
 	p.removeObsolete(now, endpoints)
 	serving := 0
 	for i := range endpoints {
@@ -188,12 +191,14 @@
 			backlogs = append(backlogs, remaining)
 		}
 	}
+	weight := weights(p.targets, demand)
 	slices.SortFunc(backlogs, func(a, b *modelBacklog) int { return cmp.Compare(a.model, b.model) })
 	var orders []LoadOrder
 	for ; available > 0; available-- {
 		var next *modelBacklog
 		for _, candidate := range backlogs {
-			if len(candidate.outdated) > 0 && (next == nil || candidate.ready < next.ready) {
+			if len(candidate.outdated) > 0 && (next == nil ||
+				float64(candidate.ready)*weight[next.model] < float64(next.ready)*weight[candidate.model]) {
 				next = candidate
 			}
 		}
--- a/internal/coordination/upgrades/upgrades_test.go
+++ b/internal/coordination/upgrades/upgrades_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -36,18 +37,18 @@
 	p := NewPlan()
 	p.SetTarget("m", 2)
 	f := fleet(1, 1, 1, 1, 1, 1, 1, 1, 1)
-	orders := p.Next(startTime, f, idle)
+	orders := p.Next(startTime, f, nil, idle)
 	if got := formatOrders(orders); got != "e0:2 e1:2 " {
 		t.Fatalf("ordered %s", got)
 	}
 	for _, o := range orders {
 		p.Accepted(startTime, o)
 	}
-	if got := formatOrders(p.Next(startTime, f, idle)); got != "" {
+	if got := formatOrders(p.Next(startTime, f, nil, idle)); got != "" {
 		t.Fatalf("ordered %s while two endpoints are loading", got)
 	}
 	f[0].Versions["m"] = 2
-	if got := formatOrders(p.Next(startTime.Add(time.Second), f, idle)); got != "e2:2 " {
+	if got := formatOrders(p.Next(startTime.Add(time.Second), f, nil, idle)); got != "e2:2 " {
 		t.Fatalf("ordered %s after one endpoint had loaded", got)
 	}
 }
@@ -64,7 +65,7 @@
 	}
 	orderedModels := func(now time.Time) string {
 		out := ""
-		for _, o := range p.Next(now, f, idle) {
+		for _, o := range p.Next(now, f, nil, idle) {
 			out += o.Model
 			p.Accepted(now, o)
 			for i := range f {
@@ -85,6 +86,55 @@
 	}
 }
 
+// Three trainers share a fleet; one submits a fraction of the work of the others. With equal
+// shares of the loads its engines are always up to date, while steps of the others wait for
+// engines with their version. Loads must follow the submitted work, but leave the small
+// trainer its least share.
+func TestNext_LoadsFollowSubmittedWork(t *testing.T) {
+	p := NewPlan()
+	var d Demand
+	versions := map[string]int{}
+	for _, model := range []string{"small", "large", "larger"} {
+		p.SetTarget(model, 9)
+		versions[model] = 1
+	}
+	for step := range 5 {
+		at := startTime.Add(time.Duration(step) * 4 * time.Second)
+		d.Add(at, "small", 100)
+		d.Add(at, "large", 2700)
+		d.Add(at, "larger", 3200)
+	}
+	var f []catalog.Endpoint
+	for i := range 40 {
+		f = append(f, catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Versions: maps.Clone(versions), Incarnation: 1})
+	}
+	counts := map[string]int{}
+	now := startTime.Add(20 * time.Second)
+	for range 5 {
+		for _, o := range p.Next(now, f, d.Recent(now), idle) {
+			counts[o.Model]++
+			i := slices.IndexFunc(f, func(e catalog.Endpoint) bool { return e.ID == o.Endpoint.ID })
+			f[i].Versions[o.Model] = o.Version
+		}
+	}
+	if counts["small"] < 4 || counts["small"] > 8 || counts["larger"] < 17 || counts["larger"] < counts["large"] {
+		t.Errorf("40 loads went to %v, want about 5, 16 and 19", counts)
+	}
+}
+
+// Work counts for demandWindow, and not for ever: a trainer that has ended leaves its share.
+func TestDemand_Expires(t *testing.T) {
+	var d Demand
+	d.Add(startTime, "a", 10)
+	d.Add(startTime.Add(demandWindow/2), "b", 20)
+	if got := d.Recent(startTime.Add(demandWindow)); got[ModelKey("a")] != 10 || got[ModelKey("b")] != 20 {
+		t.Errorf("work within the window: %v", got)
+	}
+	if got := d.Recent(startTime.Add(demandWindow + time.Millisecond)); got[ModelKey("a")] != 0 || got[ModelKey("b")] != 20 {
+		t.Errorf("work after the window of the first: %v", got)
+	}
+}
+
 // The endpoint with the oldest version comes first, because it can serve no step. Among equal
 // versions the one with the most running requests comes first, because it could not start
 // samples anyway.
@@ -92,11 +142,11 @@
 	p := NewPlan()
 	p.SetTarget("m", 4)
 	running := map[string]int{"e0": 1, "e2": 8, "e3": 2}
-	got := formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 2), func(id string) EngineState { return EngineState{Running: running[id]} }))
+	got := formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 2), nil, func(id string) EngineState { return EngineState{Running: running[id]} }))
 	if got != "e4:4 " {
 		t.Fatalf("ordered %s, want the endpoint that is two versions behind", got)
 	}
-	got = formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 4), func(id string) EngineState { return EngineState{Running: running[id]} }))
+	got = formatOrders(p.Next(startTime, fleet(3, 4, 3, 3, 4), nil, func(id string) EngineState { return EngineState{Running: running[id]} }))
 	if got != "e2:4 " {
 		t.Fatalf("ordered %s, want the endpoint with the most running requests", got)
 	}
@@ -112,7 +162,7 @@
 	state := func(id string) EngineState { return EngineState{Running: 1, Impaired: id == "e0" || id == "e2"} }
 	var order string
 	for range f {
-		for _, o := range p.Next(startTime, f, state) {
+		for _, o := range p.Next(startTime, f, nil, state) {
 			order += o.Endpoint.ID + " "
 			i := slices.IndexFunc(f, func(e catalog.Endpoint) bool { return e.ID == o.Endpoint.ID })
 			f[i].Versions["m"] = o.Version
@@ -130,7 +180,7 @@
 	if p.SetTarget("m", 2) {
 		t.Fatal("SetTarget accepted an older version")
 	}
-	if got := formatOrders(p.Next(startTime, fleet(3, 4), idle)); got != "" {
+	if got := formatOrders(p.Next(startTime, fleet(3, 4), nil, idle)); got != "" {
 		t.Fatalf("ordered %s", got)
 	}
 }
@@ -140,11 +190,11 @@
 	p := NewPlan()
 	p.SetTarget("m", 2)
 	f := fleet(1)
-	p.OutcomeUnknown(startTime, p.Next(startTime, f, idle)[0])
-	if got := formatOrders(p.Next(startTime.Add(100*time.Millisecond), f, idle)); got != "" {
+	p.OutcomeUnknown(startTime, p.Next(startTime, f, nil, idle)[0])
+	if got := formatOrders(p.Next(startTime.Add(100*time.Millisecond), f, nil, idle)); got != "" {
 		t.Fatalf("ordered %s before retryDelay", got)
 	}
-	if got := formatOrders(p.Next(startTime.Add(retryDelay), f, idle)); got != "e0:2 " {
+	if got := formatOrders(p.Next(startTime.Add(retryDelay), f, nil, idle)); got != "e0:2 " {
 		t.Fatalf("ordered %q after retryDelay", got)
 	}
 }
@@ -155,9 +205,9 @@
 	p := NewPlan()
 	p.SetTarget("m", 2)
 	f := fleet(1)
-	p.Accepted(startTime, p.Next(startTime, f, idle)[0])
+	p.Accepted(startTime, p.Next(startTime, f, nil, idle)[0])
 	f[0].Incarnation = 2
-	if got := formatOrders(p.Next(startTime.Add(time.Second), f, idle)); got != "e0:2 " {
+	if got := formatOrders(p.Next(startTime.Add(time.Second), f, nil, idle)); got != "e0:2 " {
 		t.Fatalf("ordered %q", got)
 	}
 }
@@ -168,11 +218,11 @@
 	p := NewPlan()
 	p.SetTarget("m", 2)
 	f := fleet(1)
-	p.Accepted(startTime, p.Next(startTime, f, idle)[0])
-	if got := formatOrders(p.Next(startTime.Add(minAcceptedTimeout-time.Millisecond), f, idle)); got != "" {
+	p.Accepted(startTime, p.Next(startTime, f, nil, idle)[0])
+	if got := formatOrders(p.Next(startTime.Add(minAcceptedTimeout-time.Millisecond), f, nil, idle)); got != "" {
 		t.Fatalf("ordered %s before minAcceptedTimeout", got)
 	}
-	if got := formatOrders(p.Next(startTime.Add(minAcceptedTimeout), f, idle)); got != "e0:2 " {
+	if got := formatOrders(p.Next(startTime.Add(minAcceptedTimeout), f, nil, idle)); got != "e0:2 " {
 		t.Fatalf("ordered %q", got)
 	}
 }
@@ -195,12 +245,12 @@
 					t.Errorf("version %d: a load of %v counts as in progress before its end: %v, after it: %v", version, took,
 						loading(took-time.Millisecond), loading(took+time.Millisecond))
 				}
-				if orders := p.Next(now.Add(took/2), f[i:i+1], idle); len(orders) > 0 {
+				if orders := p.Next(now.Add(took/2), f[i:i+1], nil, idle); len(orders) > 0 {
 					t.Errorf("version %d: ordered again during a load of %v", version, took)
 				}
 				now = now.Add(took)
 				f[i].Versions = map[string]int{"m": version}
-				p.Next(now, f[i:i+1], idle)
+				p.Next(now, f[i:i+1], nil, idle)
 			}
 		}
 		if got := p.acceptedTimeout(); got < 3*took {
@@ -218,7 +268,7 @@
 	now := startTime
 	var order string
 	for range 4 {
-		orders := p.Next(now, f, idle)
+		orders := p.Next(now, f, nil, idle)
 		order += formatOrders(orders)
 		p.Accepted(now, orders[0])
 		now = now.Add(minAcceptedTimeout)
@@ -238,6 +288,6 @@
 	}
 	f := fleet(versions...)
 	for b.Loop() {
-		p.Next(startTime, f, idle)
+		p.Next(startTime, f, nil, idle)
 	}
 }
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -14,8 +14,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/batchrun"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/coordination/upgrades"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
@@ -58,6 +60,8 @@
 
 	mu     sync.Mutex
 	active map[string]*activeBatch
+	// work is the work of the batches that this host has recently started to run.
+	work upgrades.Demand
 	// cachedLogs has the result logs of batches that this host has run, so that most later
 	// reads need no call to the store. cachedOrder has their ids, oldest first, for
 	// eviction; cachedBytes is their approximate size.
@@ -305,6 +309,14 @@
 	}
 }
 
+// RecentWork returns the work of the batches that this host has recently started to run, in
+// expected tokens by upgrades.ModelKey.
+func (s *Batches) RecentWork() map[uint32]uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.work.Recent(time.Now())
+}
+
 // start runs a batch at this host. entries are the existing log entries; nil means that
 // the batch was just accepted and has not run before. carried are the groups carried
 // over from earlier batches.
@@ -316,6 +328,7 @@
 	}
 	active := newActiveBatch(m, b, carried, entries, s)
 	s.active[m.ID] = active
+	s.work.Add(time.Now(), b.Model, batchrun.ExpectedTokens(b))
 	s.running.Add(1)
 	base := s.base
 	s.mu.Unlock()
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -144,6 +144,7 @@
 	n.weights = &Weights{
 		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
+		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
 	p.Endpoints.OnLeaving(n.endpointLeaving)
 	n.membership = &Membership{
@@ -191,7 +192,7 @@
 	h.StoreReachable = n.storePath.Reachable()
 	h.Generation = n.Catalog.Generation()
 	h.FencingToken = n.weights.FencingToken()
-	h.Batches = n.Batches.UnfinishedIDs()
+	h.Batches, h.Work = n.Batches.UnfinishedIDs(), n.Batches.RecentWork()
 	n.feed.FillHeartbeat(h)
 	n.Forwarder.quarantine.FillHeartbeat(h)
 	now := time.Now()
@@ -268,6 +269,7 @@
 	n.membership.onHeartbeat = func(h presence.Heartbeat, _ bool) {
 		n.feed.ReceiveHeartbeat(ctx, h)
 		n.Batches.ReceiveHeartbeat(h)
+		n.weights.ReceiveHeartbeat(h)
 		n.Forwarder.quarantine.ReceiveHeartbeat(h)
 	}
 	// Requests of callers announce state changes by heartbeat, so heartbeats start first.
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -20,6 +20,15 @@
 	planInterval = 100 * time.Millisecond
 )
 
+// maxPeerWorkAge is how long the work that a peer reported counts without another report.
+const maxPeerWorkAge = 5 * time.Second
+
+// peerWork is the work that a peer reported, by upgrades.ModelKey.
+type peerWork struct {
+	work map[uint32]uint32
+	at   time.Time
+}
+
 // orderCount is the number of load orders that one incarnation of an engine has accepted.
 type orderCount struct {
 	incarnation int64
@@ -69,6 +78,10 @@
 	lastOrderAt time.Duration
 	// orderCounts has the known order count of each engine whose last order this host sent.
 	orderCounts map[string]orderCount
+	// localWork returns the work that trainers recently submitted to this host, peerWork has
+	// that of its peers by host.
+	localWork func() map[uint32]uint32
+	peerWork  map[string]peerWork
 	// observedLeaseVersion is the version of the lease object that this host read last,
 	// leaseObservedAt when it first read it.
 	observedLeaseVersion uint64
@@ -124,7 +137,7 @@
 		w.mu.Unlock()
 		return
 	}
-	due := w.plan.Next(time.Now(), endpoints, func(id string) upgrades.EngineState { return states[id] })
+	due := w.plan.Next(time.Now(), endpoints, w.demand(now), func(id string) upgrades.EngineState { return states[id] })
 	w.mu.Unlock()
 	if len(due) == 0 || !w.renew(ctx) {
 		return
@@ -141,6 +154,32 @@
 	w.announce()
 }
 
+// demand returns the work that trainers recently submitted to all hosts, by upgrades.ModelKey.
+// The caller holds the lock.
+func (w *Weights) demand(now time.Time) map[uint32]uint32 {
+	out := w.localWork()
+	for host, p := range w.peerWork {
+		if now.Sub(p.at) > maxPeerWorkAge {
+			delete(w.peerWork, host)
+			continue
+		}
+		for model, tokens := range p.work {
+			out[model] += tokens
+		}
+	}
+	return out
+}
+
+// ReceiveHeartbeat records the work that a peer reports.
+func (w *Weights) ReceiveHeartbeat(h presence.Heartbeat) {
+	if len(h.Work) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peerWork[h.Host] = peerWork{h.Work, time.Now()}
+}
+
 // Loads returns the loads that this host has ordered and that are expected to be in progress
 // at time now. It returns none while this host does not hold the lease.
 func (w *Weights) Loads(now time.Time) []upgrades.Load {
