--- a/internal/coordination/upgrades/demand.go
+++ b/internal/coordination/upgrades/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"maps"
 	"time"
 )
 
@@ -64,7 +63,7 @@
 		}
 	}
 	out := map[string]float64{}
-	for model := range maps.Keys(models) {
+	for model := range models {
 		out[model] = 1
 		if tokens := demand[ModelKey(model)]; tokens > 0 {
 			out[model] = max(float64(tokens)*float64(known)/total, minDemandShare)
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -108,7 +108,8 @@
 	version     int
 	incarnation int64
 	expiresAt   time.Time
-	// accepted is set if the endpoint accepted the order, at acceptedAt.
+	// accepted is set if the endpoint accepted the order. acceptedAt is the time of that, and
+	// zero if the endpoint had the version already, so that no load took place.
 	accepted   bool
 	acceptedAt time.Time
 }
@@ -257,7 +258,7 @@
 	}
 	for k, s := range p.sent {
 		e, ok := byID[k.endpoint]
-		if ok && s.accepted && e.Versions[k.model] >= s.version && e.Incarnation == s.incarnation {
+		if ok && !s.acceptedAt.IsZero() && e.Versions[k.model] >= s.version && e.Incarnation == s.incarnation {
 			p.observe(now.Sub(s.acceptedAt))
 		}
 		if !ok || e.Versions[k.model] >= s.version || e.Incarnation != s.incarnation || !now.Before(s.expiresAt) {
@@ -287,6 +288,16 @@
 	}
 }
 
+// AlreadyApplied records that an endpoint answered an order with having the version. It is not
+// ordered again until the catalog shows that or the order times out.
+func (p *Plan) AlreadyApplied(now time.Time, o LoadOrder) {
+	p.Accepted(now, o)
+	k := key{o.Endpoint.ID, o.Model}
+	s := p.sent[k]
+	s.acceptedAt = time.Time{}
+	p.sent[k] = s
+}
+
 // OutcomeUnknown records that the outcome of an order is unknown, because the endpoint did
 // not answer or was in an unexpected state. The order is planned again after retryDelay. The
 // sender then first reads how many orders the endpoint has accepted, since the order may be
--- a/internal/coordination/upgrades/upgrades_test.go
+++ b/internal/coordination/upgrades/upgrades_test.go
@@ -259,6 +259,26 @@
 	}
 }
 
+// An engine that has the version already loads nothing: it must not be left out, and the moment
+// in which the catalog shows the version must not count as a load that took no time.
+func TestAlreadyApplied_NoLoad(t *testing.T) {
+	p := NewPlan()
+	p.SetTarget("m", 2)
+	f := fleet(1, 1)
+	p.AlreadyApplied(startTime, LoadOrder{Endpoint: f[0], Model: "m", Version: 2})
+	if loads := p.Loads(startTime); len(loads) > 0 {
+		t.Errorf("loads in progress: %v, want none", loads)
+	}
+	if got := formatOrders(p.Next(startTime, f[:1], nil, idle)); got != "" {
+		t.Errorf("ordered %s again", got)
+	}
+	f[0].Versions["m"] = 2
+	p.Next(startTime.Add(time.Millisecond), f, nil, idle)
+	if got := p.loadTime(); got != initialLoadTime {
+		t.Errorf("a load takes %v, want the assumed %v", got, initialLoadTime)
+	}
+}
+
 // An endpoint that accepts orders but never loads takes turns with the others and does not
 // block them.
 func TestNext_FailingEndpoint(t *testing.T) {
--- a/internal/paired/paired.go
+++ b/internal/paired/paired.go
@@ -71,6 +71,9 @@
 			out[build] = map[day]play{}
 		}
 		for _, d := range e.Days {
+			if d.Name == "" {
+				continue // the play did not finish
+			}
 			out[build][day{e.Site, d.Name, d.Seed}] = play{worth: d.Worth, broken: len(d.Rules) > 0}
 		}
 	}
--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -43,6 +43,7 @@
 	write(t, folder, "1.json", `{"why":"paired a","site":"s","days":[{"name":"d","seed":1,"G":0.9},{"name":"d","seed":2,"G":0.8}]}`)
 	write(t, folder, "2.json", `{"why":"paired b","site":"s","days":[{"name":"d","seed":1,"G":0.8},{"name":"d","seed":2,"G":0.8}]}`)
 	write(t, folder, "3.json", `{"why":"score","site":"s","days":[{"name":"d","seed":1,"G":0.1}]}`)
+	write(t, folder, "5.json", `{"why":"paired a","site":"s","days":[{"seed":1,"error":"stopped"}]}`)
 	write(t, folder, "4.json", `{"why":"paired a","site":"t","days":[{"name":"d","seed":1,"G":0.1}]}`)
 	plan := write(t, folder, "plan.ini", "[policy]\nanswers = a burst\nwith = a\nwithout = b\nverdict = kept\n[other]\nwith = a\nwithout = c\n")
 	out, err := os.Create(filepath.Join(folder, "out"))
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -182,7 +182,8 @@
 	}
 }
 
-// checkAttempts cancels attempts that have stalled or whose endpoint is unreachable. It also starts the periodic checks of the batch.
+// checkAttempts cancels attempts that have stalled or whose endpoint is unreachable. It also
+// starts the periodic checks of the batch.
 func (a *activeBatch) checkAttempts() {
 	now := time.Now()
 	a.run.Expire(now)
@@ -263,6 +264,9 @@
 	if now.Sub(at.began) < minTimeBeforeMove || at.events.Load() < minEventsBeforeMove {
 		return false
 	}
+	if a.route(a.batch.Host, a.run.Sample(i).Path) == nil {
+		return false // the sample could not start again
+	}
 	move := false
 	a.parent.runner.fleet.WithTable(func(t *placement.Table) {
 		move = t.ShouldMove(now, at.endpoint.ID, placement.Query{
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -239,7 +239,7 @@
 		}
 		w.orderCounts[s.Endpoint.ID] = orderCount{incarnation: s.Endpoint.Incarnation, count: orders + 1}
 	default:
-		w.plan.Accepted(time.Now(), s)
+		w.plan.AlreadyApplied(time.Now(), s)
 	}
 }
 
