--- a/internal/paired/chart.go
+++ b/internal/paired/chart.go
@@ -13,6 +13,10 @@
 	// rowHeight and chartWidth are the sizes of a row and of the whole chart.
 	rowHeight  = 0.9 * vg.Centimeter
 	chartWidth = 24 * vg.Centimeter
+	// maxLabelRunes bounds the label of a row, so that the points have room.
+	maxLabelRunes = 46
+	// legendRows is the room for the legend below the rows.
+	legendRows = 2.5
 	// siteOffset separates the points of two sites within a row, in rows.
 	siteOffset = 0.15
 )
@@ -29,7 +33,11 @@
 	p.X.Label.Text = "worth with the policy less worth without it (bars: standard error)"
 	var names []string
 	for i := range rows {
-		names = append(names, rows[len(rows)-1-i].policy) // the first row on top
+		name := []rune(rows[len(rows)-1-i].policy) // the first row on top
+		if len(name) > maxLabelRunes {
+			name = append(name[:maxLabelRunes-1], '…')
+		}
+		names = append(names, string(name))
 	}
 	p.NominalY(names...)
 	for n, site := range sites(rows) {
@@ -59,5 +67,11 @@
 		p.Legend.Add(site, scatter)
 	}
 	p.Add(plotter.NewGrid())
+	p.Y.Min, p.Y.Max = -legendRows, float64(len(rows))
+	zero, err := plotter.NewLine(plotter.XYs{{X: 0, Y: p.Y.Min}, {X: 0, Y: p.Y.Max}})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	p.Add(zero)
 	return Error.Wrap(p.Save(chartWidth, rowHeight*vg.Length(len(rows)+3), file))
 }
