Encode the state for peers once, and reuse the compressors

The cost of a change at the host that is asked no longer grows with the number of hosts, but for sending the bytes. TestFeed_AnswerEncodedOnceForAllPeers.

--- a/internal/transport/front/feed_test.go
+++ b/internal/transport/front/feed_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
@@ -61,6 +63,44 @@
 	}
 }
 
+// A change makes hundreds of hosts ask for the same state within a moment: it must be encoded
+// once for all of them, but never outlive a change, and its age must not be understated.
+func TestFeed_AnswerEncodedOnceForAllPeers(t *testing.T) {
+	f := newTestFeed(time.Second)
+	f.applyListing(testEndpoints(), sinceBoot())
+	decode := func(a peerAnswer) feedState {
+		t.Helper()
+		var s feedState
+		if err := cbor.Unmarshal(a.plain, &s); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	ask := func() peerAnswer {
+		t.Helper()
+		a, err := f.Answer(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	first, second := ask(), ask()
+	if &first.plain[0] != &second.plain[0] {
+		t.Error("the same state was encoded twice")
+	}
+	if age := decode(first).AgeMs; age < answerLifetime.Milliseconds() {
+		t.Errorf("age %d ms, less than it may be when the answer is sent", age)
+	}
+	f.applyListing(testEndpoints()[:1], sinceBoot()+time.Second)
+	if got := len(decode(ask()).Endpoints); got != 1 {
+		t.Errorf("%d endpoints after one was removed, want 1", got)
+	}
+	time.Sleep(answerLifetime)
+	if third := ask(); &third.plain[0] == &first.plain[0] || len(f.answers) > 1 {
+		t.Errorf("an answer outlived its time; %d are kept", len(f.answers))
+	}
+}
+
 // A configuration of more than a thousand routes took over three seconds to reach 53 hosts
 // when each change of an endpoint sent it again. It is sent compressed, and only to peers
 // that do not have it.
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -11,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -34,9 +32,6 @@
 	submitWait = 400 * time.Millisecond
 	// submitConflict is the answer to a forwarded batch that is known with other content.
 	submitConflict = "conflict"
-	// minCompressedBytes is the size from which an answer to a peer is compressed: smaller ones
-	// fit into one packet anyway.
-	minCompressedBytes = 1200
 	// maxPeerBody bounds the body of a call between hosts, which is at most a page of results
 	// or one object.
 	maxPeerBody = 4 << 20
@@ -185,10 +180,15 @@
 			http.Error(w, "have is no generation", http.StatusBadRequest)
 			return
 		}
-		writeCompressed(w, r, feed.State(have))
+		answer, err := feed.Answer(have)
+		if err != nil {
+			peerError(w, err)
+			return
+		}
+		answer.write(w, r)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/roster", func(w http.ResponseWriter, r *http.Request) {
-		writeCompressed(w, r, peers.Roster())
+		writeAnswer(w, r, peers.Roster())
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
@@ -206,7 +206,7 @@
 			peerError(w, err)
 			return
 		}
-		writeCompressed(w, r, page)
+		writeAnswer(w, r, page)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches/{id}/samples/{sample}", func(w http.ResponseWriter, r *http.Request) {
 		body, err := b.localBody(mux.Vars(r)["id"], mux.Vars(r)["sample"])
@@ -246,30 +246,6 @@
 	return r
 }
 
-// writeCompressed writes the encoding of v, compressed if the peer accepts that, as the HTTP
-// client of the standard library does by itself. Lists of hosts and of endpoints, which each
-// change sends to every host, shrink to a fraction.
-func writeCompressed(w http.ResponseWriter, r *http.Request, v any) {
-	raw, err := cbor.Marshal(v)
-	if err != nil {
-		peerError(w, err)
-		return
-	}
-	if len(raw) < minCompressedBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		_, _ = w.Write(raw)
-		return
-	}
-	w.Header().Set("Content-Encoding", "gzip")
-	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
-	if err != nil {
-		peerError(w, err)
-		return
-	}
-	// The peer notices an answer that ends early, so errors of the connection do not matter here.
-	_, _ = z.Write(raw)
-	_ = z.Close()
-}
-
 func peerError(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
 	var coded *resultcode.Error
--- a/internal/transport/front/peers_test.go
+++ b/internal/transport/front/peers_test.go
@@ -14,7 +14,7 @@
 // Peers of every build must be able to read an answer: it is compressed only for those that ask
 // for it, and small answers stay as they are. A list of similar records must shrink, because
 // each change of an engine sends the list of all of them to every host.
-func TestWriteCompressed_OnlyIfAccepted(t *testing.T) {
+func TestWriteAnswer_CompressedOnlyIfAccepted(t *testing.T) {
 	records := strings.Split(strings.Repeat("an endpoint of one of the services;", 200), ";")
 	for name, c := range map[string]struct {
 		accept     string
@@ -30,7 +30,7 @@
 			r.Header.Set("Accept-Encoding", c.accept)
 		}
 		w := httptest.NewRecorder()
-		writeCompressed(w, r, c.value)
+		writeAnswer(w, r, c.value)
 		body, sent := io.Reader(w.Body), w.Body.Len()
 		if got := w.Header().Get("Content-Encoding") == "gzip"; got != c.compressed {
 			t.Fatalf("%s: compressed %v, want %v", name, got, c.compressed)
