Judge weight loads by usual durations, and look up leaving instances by key

One load whose end the catalog shows after an outage of 8 s made it 24 s instead of 4 for the next 16 loads, in which each lost order holds one of the few concurrent loads; one odd load of 50 ms would have had engines used while they load. Each heartbeat that reports leaving endpoints hashed all known endpoints, a cost of hosts times endpoints at a hub.

Change: the median and the lower quartile take their place; instances are found by a map that Put and Remove keep. TestLoads_OddDurationsIgnored fails on the code before (24 s and 50 ms instead of 4 s and 1 s).

--- a/internal/coordination/placement/leaving.go
+++ b/internal/coordination/placement/leaving.go
@@ -29,15 +29,8 @@
 
 // MarkReportedLeaving records that peers reported the instances with these keys as leaving.
 func (t *Table) MarkReportedLeaving(keys []uint32) {
-	if len(keys) == 0 {
-		return
-	}
-	reported := make(map[uint32]bool, len(keys))
 	for _, key := range keys {
-		reported[key] = true
-	}
-	for _, e := range t.entries {
-		if reported[InstanceKey(&e.endpoint)] {
+		for _, e := range t.byInstance[key] {
 			e.leaving, e.endpoint.Draining = true, true
 		}
 	}
@@ -49,7 +42,7 @@
 	var out []uint32
 	for _, e := range t.entries {
 		if e.leaving && len(out) < maxReported {
-			out = append(out, InstanceKey(&e.endpoint))
+			out = append(out, e.instanceKey)
 		}
 	}
 	return out
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -84,8 +84,9 @@
 type entry struct {
 	// endpoint is the catalog's entry. Draining is also set if leaving is.
 	endpoint catalog.Endpoint
-	// key is EndpointKey(endpoint.ID).
-	key uint32
+	// key is EndpointKey(endpoint.ID), instanceKey is InstanceKey(&endpoint).
+	key         uint32
+	instanceKey uint32
 	// leaving is set once an answer of this instance, to this host or to a peer, said that the
 	// endpoint is leaving. The catalog may show that seconds later or not at all.
 	leaving bool
@@ -127,6 +128,8 @@
 	entries map[string]*entry
 	// byKey lists the entries of each key; two IDs may have the same hash.
 	byKey map[uint32][]*entry
+	// byInstance lists the entries of each instance key.
+	byInstance map[uint32][]*entry
 	// services lists the entries of each service, sorted by endpoint ID.
 	services map[string][]*entry
 	// baselines caches the last computed baseline of each service.
@@ -137,7 +140,7 @@
 
 // NewTable returns an empty table for a host in the given availability zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32][]*entry{}, loading: map[uint32]time.Time{},
+	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32][]*entry{}, byInstance: map[uint32][]*entry{}, loading: map[uint32]time.Time{},
 		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}}
 }
 
@@ -187,9 +190,10 @@
 		return
 	}
 	t.Remove(e.ID)
-	n := &entry{endpoint: e, key: EndpointKey(e.ID), loadByPeer: map[string]int{}}
+	n := &entry{endpoint: e, key: EndpointKey(e.ID), instanceKey: InstanceKey(&e), loadByPeer: map[string]int{}}
 	t.entries[e.ID] = n
 	t.byKey[n.key] = append(t.byKey[n.key], n)
+	t.byInstance[n.instanceKey] = append(t.byInstance[n.instanceKey], n)
 	list := append(t.services[e.Service], n)
 	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
 	t.services[e.Service] = list
@@ -202,13 +206,19 @@
 		return
 	}
 	delete(t.entries, id)
-	if t.byKey[e.key] = slices.DeleteFunc(t.byKey[e.key], func(o *entry) bool { return o == e }); len(t.byKey[e.key]) == 0 {
-		delete(t.byKey, e.key)
-	}
+	removeEntry(t.byKey, e.key, e)
+	removeEntry(t.byInstance, e.instanceKey, e)
 	service := e.endpoint.Service
 	t.services[service] = slices.DeleteFunc(t.services[service], func(o *entry) bool { return o == e })
 }
 
+// removeEntry removes an entry from the list under its key.
+func removeEntry(lists map[uint32][]*entry, key uint32, e *entry) {
+	if lists[key] = slices.DeleteFunc(lists[key], func(o *entry) bool { return o == e }); len(lists[key]) == 0 {
+		delete(lists, key)
+	}
+}
+
 // Get returns the last catalog entry of an endpoint, and whether there is one.
 func (t *Table) Get(id string) (catalog.Endpoint, bool) {
 	e, ok := t.entries[id]
--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -30,7 +30,7 @@
 	// With more, the weight store serves each load more slowly.
 	maxLoadingShare = 0.2
 	// minAcceptedTimeout is the least time after which an accepted order is considered lost if
-	// the catalog does not show the new version. It is acceptedTimeoutLoads times the longest
+	// the catalog does not show the new version. It is acceptedTimeoutLoads times the median
 	// of the last loads if that is more.
 	minAcceptedTimeout   = 4 * time.Second
 	acceptedTimeoutLoads = 3
@@ -79,21 +79,24 @@
 }
 
 // loadTime returns the time for which an engine starts no samples of the model after it accepted
-// an order: the shortest of the last loads, because the catalog shows the others later than
-// they ended.
-func (p *Plan) loadTime() time.Duration {
-	if len(p.durations) == 0 {
-		return initialLoadTime
-	}
-	return slices.Min(p.durations)
-}
+// an order: the lower quartile of the last loads, because the catalog shows most loads later
+// than they ended.
+func (p *Plan) loadTime() time.Duration { return p.durationAt(0.25, initialLoadTime) }
 
-// acceptedTimeout returns the time after which an accepted order is considered lost.
+// acceptedTimeout returns the time after which an accepted order is considered lost. The median
+// leaves out loads whose end the catalog showed only after an outage of the store.
 func (p *Plan) acceptedTimeout() time.Duration {
+	return max(minAcceptedTimeout, acceptedTimeoutLoads*p.durationAt(0.5, 0))
+}
+
+// durationAt returns the given quantile of the last loads' durations, or unknown if there are
+// none.
+func (p *Plan) durationAt(quantile float64, unknown time.Duration) time.Duration {
 	if len(p.durations) == 0 {
-		return minAcceptedTimeout
+		return unknown
 	}
-	return max(minAcceptedTimeout, acceptedTimeoutLoads*slices.Max(p.durations))
+	sorted := slices.Sorted(slices.Values(p.durations))
+	return sorted[int(quantile*float64(len(sorted)-1))]
 }
 
 // observe records the duration of a load.
--- a/internal/coordination/upgrades/upgrades_test.go
+++ b/internal/coordination/upgrades/upgrades_test.go
@@ -259,6 +259,26 @@
 	}
 }
 
+// A few loads whose end the catalog showed late, as after an outage of the store, or too early
+// must not change what is expected of the others: a lost order would hold one of the few
+// concurrent loads for half a minute, or engines would be used while they load.
+func TestLoads_OddDurationsIgnored(t *testing.T) {
+	p := NewPlan()
+	for range observedLoads - 4 {
+		p.observe(time.Second)
+	}
+	for range 3 {
+		p.observe(8 * time.Second)
+	}
+	p.observe(50 * time.Millisecond)
+	if got := p.acceptedTimeout(); got != minAcceptedTimeout {
+		t.Errorf("an order counts as lost after %v, want %v", got, minAcceptedTimeout)
+	}
+	if got := p.loadTime(); got != time.Second {
+		t.Errorf("a load takes %v, want 1s", got)
+	}
+}
+
 // An engine that has the version already loads nothing: it must not be left out, and the moment
 // in which the catalog shows the version must not count as a load that took no time.
 func TestAlreadyApplied_NoLoad(t *testing.T) {
