Use endpoints again after a single slow measurement has aged

A plain request had met a pause of the machine, so that endpoint was measured at more than ten times the other's few hundred microseconds. The excess of such a measurement was divided by 4 once, after 6 s, and then kept for ever: with 4 slots the other endpoint is preferred up to one and a half times its slots, and streams measure nothing.

Reproduced by delaying the plain answers of one endpoint by 10 ms before it leaves: the test fails with the same message after the same 26.8 s.

--- a/internal/coordination/placement/cost.go
+++ b/internal/coordination/placement/cost.go
@@ -59,17 +59,21 @@
 	return n > 0 && now.Sub(e.idleSince[n-1]) < idleConnTTL
 }
 
-// serviceTimeAt returns the endpoint's service time, or the baseline if it is unknown. A
-// slow measurement older than slowMeasurementTTL is reduced towards the baseline, so that a
-// recovered endpoint is tried again.
+// serviceTimeAt returns the endpoint's service time, or the baseline if it is unknown. The
+// excess of a slow measurement over the baseline is divided by 4 after each
+// slowMeasurementTTL without a new one, so that a recovered endpoint is tried again.
 func (e *entry) serviceTimeAt(now time.Time, baseline time.Duration) time.Duration {
 	if e.serviceTime == 0 {
 		return baseline
 	}
-	if e.serviceTime > baseline && now.Sub(e.measuredAt) > slowMeasurementTTL {
-		return baseline + (e.serviceTime-baseline)/4
+	if e.serviceTime <= baseline {
+		return e.serviceTime
 	}
-	return e.serviceTime
+	excess := e.serviceTime - baseline
+	for age := now.Sub(e.measuredAt); age > slowMeasurementTTL && excess > 0; age -= slowMeasurementTTL {
+		excess /= 4
+	}
+	return baseline + excess
 }
 
 // baseline returns the median service time of a service's endpoints, or 0 if none is known.
