--- a/internal/protocol/objectapi/envelope.go
+++ b/internal/protocol/objectapi/envelope.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -71,3 +72,23 @@
 	payload, _ := decodeEnvelope(value)
 	return payload
 }
+
+// PayloadReader reads objects with a single attempt each and returns their payloads, as a Client
+// does. Its writes and watches are those of the API.
+type PayloadReader struct{ API }
+
+// Get implements API.
+func (r PayloadReader) Get(ctx context.Context, key string) (Object, error) {
+	o, err := r.API.Get(ctx, key)
+	o.Value = Payload(o.Value)
+	return o, err
+}
+
+// List implements API.
+func (r PayloadReader) List(ctx context.Context, prefix, after string, limit int) (Page, error) {
+	page, err := r.API.List(ctx, prefix, after, limit)
+	for i := range page.Objects {
+		page.Objects[i].Value = Payload(page.Objects[i].Value)
+	}
+	return page, err
+}
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -19,9 +18,6 @@
 const (
 	// attemptCheckInterval is the interval of the check for stalled and slow samples.
 	attemptCheckInterval = 100 * time.Millisecond
-	// ownershipCheckInterval is the interval at which an owner checks in the store that it still owns an
-	// open batch and that the trainer has not ended it.
-	ownershipCheckInterval = 2200 * time.Millisecond
 )
 
 // runnerDeps are the host's services that running batches depends on.
@@ -35,7 +31,7 @@
 // attempts and scoring requests report to it over channels.
 type activeBatch struct {
 	parent   *Batches
-	manifest batches.Manifest
+	manifest storedManifest
 	batch    *batches.Batch
 	results  *resultLog
 	log      *slog.Logger
@@ -63,10 +59,8 @@
 	// abandonAt is when samples may be abandoned because of their age.
 	abandonAt time.Time
 	// resumed is true if another process has already run the batch.
-	resumed            bool
-	checkingOwnership  atomic.Bool
-	ownershipCheckedAt time.Time
-	stopped            atomic.Bool
+	resumed bool
+	stopped atomic.Bool
 	// ended is true once the trainer has ended the batch.
 	ended  atomic.Bool
 	cancel context.CancelFunc
@@ -75,16 +69,15 @@
 
 func newActiveBatch(m storedManifest, b *batches.Batch, carried map[string]bool, entries []batches.LogEntry, parent *Batches) *activeBatch {
 	a := &activeBatch{
-		parent: parent, manifest: m.Manifest, batch: b, results: newResultLog(len(b.Samples), entries),
+		parent: parent, manifest: m, batch: b, results: newResultLog(len(b.Samples), entries),
 		log: parent.log.With("batch", m.ID), attempts: map[int]*attempt{}, unlogged: map[string]batches.Result{}, probes: map[string]*probe{},
-		ends:               make(chan attemptEnd, len(b.Samples)+1),
-		scores:             make(chan scoreResult, len(b.Samples)+1),
-		pending:            make(chan []batches.Result, len(b.Samples)+1),
-		flushNow:           make(chan struct{}, 1),
-		ownershipCheckedAt: time.Now(),
-		savedAt:            time.Now(),
-		resumed:            entries != nil,
-		carried:            carried,
+		ends:     make(chan attemptEnd, len(b.Samples)+1),
+		scores:   make(chan scoreResult, len(b.Samples)+1),
+		pending:  make(chan []batches.Result, len(b.Samples)+1),
+		flushNow: make(chan struct{}, 1),
+		savedAt:  time.Now(),
+		resumed:  entries != nil,
+		carried:  carried,
 	}
 	a.ctx, a.cancel = context.WithCancel(parent.base)
 	return a
@@ -196,12 +189,9 @@
 // awaitEnd keeps the results in memory until the batch is stopped, usually because the trainer
 // has ended it, or until its retention period is over.
 func (a *activeBatch) awaitEnd() {
-	for a.ctx.Err() == nil && time.Since(a.manifest.Accepted()) < a.parent.settings.Retention {
-		select {
-		case <-a.ctx.Done():
-		case <-time.After(ownershipCheckInterval):
-			a.checkOwnership()
-		}
+	select {
+	case <-a.ctx.Done():
+	case <-time.After(time.Until(a.manifest.Accepted().Add(a.parent.settings.Retention))):
 	}
 }
 
@@ -247,20 +237,3 @@
 		a.startAttempt(i, e, route, a.run.Resume(i, e.Versions[a.batch.Model]))
 	}
 }
-
-// checkOwnership checks in the store that this host still owns the batch, unless a check is
-// running or the last one is recent.
-func (a *activeBatch) checkOwnership() {
-	if !a.checkingOwnership.CompareAndSwap(false, true) {
-		return
-	}
-	defer a.checkingOwnership.Store(false)
-	if time.Since(a.results.ownershipConfirmedAt()) < ownershipCheckInterval/2 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(a.ctx, storeWaitTimeout)
-	defer cancel()
-	if err := a.parent.confirmOwnership(ctx, a); err != nil && !errors.Is(err, errBatchNotActive) && a.ctx.Err() == nil {
-		a.log.Warn("Failed to check batch ownership", "err", err)
-	}
-}
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -183,14 +183,10 @@
 }
 
 // checkAttempts cancels attempts that have stalled or whose endpoint is unreachable. It also
-// starts the periodic checks of the batch.
+// saves unfinished samples when that is due.
 func (a *activeBatch) checkAttempts() {
 	now := time.Now()
 	a.run.Expire(now)
-	if now.Sub(a.ownershipCheckedAt) > ownershipCheckInterval {
-		a.ownershipCheckedAt = now
-		go a.checkOwnership()
-	}
 	if now.Sub(a.savedAt) > saveInterval {
 		a.savedAt = now
 		a.saveAsync()
--- /dev/null
+++ b/internal/transport/front/batchend.go
@@ -0,0 +1,112 @@
+package front
+
+import (
+	"context"
+	"errors"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+)
+
+// endNotifyAttempts is the number of attempts to notify a batch's owner that the trainer ended
+// the batch.
+const endNotifyAttempts = 2
+
+// End records in the manifest that the trainer wants no more results, and stops the
+// batch at its owner. It is idempotent. Its errors have a result code.
+//
+// The owner does so if it can be reached, because it knows the manifest and need not read it.
+func (s *Batches) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWaitTimeout)
+	defer cancel()
+	if s.endAtOwner(ctx, id) {
+		return nil
+	}
+	for {
+		m, err := s.readManifest(ctx, id)
+		if err != nil {
+			return err
+		}
+		if m.Ended {
+			s.stopEnded(id)
+			return nil
+		}
+		next := m.Manifest
+		next.Ended = true
+		stored, err := s.store.putManifest(ctx, next, m.version)
+		if errors.Is(err, objectapi.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return codedError(resultcode.StorageUnknown, err.Error())
+		}
+		s.log.Info("Ended batch", "batch", id, "owner", stored.Owner)
+		s.notifyEnd(ctx, stored.Owner, id)
+		return nil
+	}
+}
+
+// endAtOwner asks the host that probably runs a batch to record its end. It reports whether that
+// host has done so; if not, it may have done so nevertheless.
+func (s *Batches) endAtOwner(ctx context.Context, id string) bool {
+	owner := ""
+	if m, ok := s.store.cached(id); ok {
+		owner = m.Owner
+	} else if owners := s.currentOwners(); len(owners) > 0 {
+		owner = owners[0]
+	}
+	switch owner {
+	case "":
+		return false
+	case s.settings.Host:
+		return s.endOwn(ctx, id) == nil
+	}
+	err := s.peerClient.RecordEnd(ctx, owner, id)
+	if err != nil {
+		s.log.Debug("Batch owner did not record the end", "batch", id, "owner", owner, "err", err)
+	}
+	return err == nil
+}
+
+// endOwn records the end of a batch that this host runs.
+func (s *Batches) endOwn(ctx context.Context, id string) error {
+	b := s.activeByID(id)
+	if b == nil {
+		return errBatchNotActive
+	}
+	next := b.manifest.Manifest
+	next.Ended = true
+	if _, err := s.store.putManifest(ctx, next, b.manifest.version); err != nil {
+		return err // another host has changed the manifest, or the outcome is not known
+	}
+	s.log.Info("Ended batch", "batch", id, "owner", s.settings.Host)
+	s.stopEnded(id)
+	return nil
+}
+
+// notifyEnd notifies a batch's owner, which may be this host, that the trainer has ended the
+// batch.
+func (s *Batches) notifyEnd(ctx context.Context, owner, id string) {
+	if owner == s.settings.Host {
+		s.stopEnded(id)
+		return
+	}
+	var err error
+	for range endNotifyAttempts {
+		if err = s.peerClient.NotifyEnd(ctx, owner, id); err == nil {
+			return
+		}
+	}
+	if err != nil {
+		// The owner sees the end at its next ownership check.
+		s.log.Warn("Failed to notify batch owner of the batch's end", "batch", id, "owner", owner, "err", err)
+	}
+}
+
+// stopEnded stops a batch that the trainer has ended, if this host runs it.
+func (s *Batches) stopEnded(id string) {
+	if b := s.activeByID(id); b != nil {
+		b.ended.Store(true)
+		b.stop("ended by the trainer")
+	}
+}
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -26,9 +26,6 @@
 const (
 	// storeWaitTimeout bounds the store calls made while a caller waits.
 	storeWaitTimeout = 2500 * time.Millisecond
-	// endNotifyAttempts is the number of attempts to notify a batch's owner that the
-	// trainer ended the batch.
-	endNotifyAttempts = 2
 	// slotsPerOwner is the number of slots of engines for which one host runs the batches. A
 	// host of a fifth of a core handles the events of as many samples.
 	slotsPerOwner = 512
@@ -68,6 +65,8 @@
 	cachedLogs  map[string]*resultLog
 	cachedOrder []string
 	cachedBytes int
+	// ownershipRead is the last read that was started to confirm the ownership of batches.
+	ownershipRead *ownershipRead
 	// loadMu serializes loadEndedLog.
 	loadMu sync.Mutex
 	// takingOver has the ids of batches whose takeover is in progress.
@@ -243,72 +242,6 @@
 	return m, nil
 }
 
-// End records in the manifest that the trainer wants no more results, and stops the
-// batch at its owner. It is idempotent. Its errors have a result code.
-func (s *Batches) End(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWaitTimeout)
-	defer cancel()
-	for {
-		m, err := s.readManifest(ctx, id)
-		if err != nil {
-			return err
-		}
-		if m.Ended {
-			s.stopEnded(id)
-			return nil
-		}
-		next := m.Manifest
-		next.Ended = true
-		stored, err := s.store.putManifest(ctx, next, m.version)
-		if errors.Is(err, objectapi.ErrConflict) {
-			continue
-		}
-		if err != nil {
-			return codedError(resultcode.StorageUnknown, err.Error())
-		}
-		s.log.Info("Ended batch", "batch", id, "owner", stored.Owner)
-		s.notifyEnd(ctx, stored.Owner, id)
-		return nil
-	}
-}
-
-// notifyEnd notifies a batch's owner, which may be this host, that the trainer has ended the
-// batch.
-func (s *Batches) notifyEnd(ctx context.Context, owner, id string) {
-	if owner == s.settings.Host {
-		s.stopEnded(id)
-		return
-	}
-	var err error
-	for range endNotifyAttempts {
-		if err = s.peerClient.NotifyEnd(ctx, owner, id); err == nil {
-			return
-		}
-	}
-	if err != nil {
-		// The owner sees the end at its next ownership check.
-		s.log.Warn("Failed to notify batch owner of the batch's end", "batch", id, "owner", owner, "err", err)
-	}
-}
-
-// stop stops a batch if this host runs it.
-func (s *Batches) stop(id, reason string) {
-	s.mu.Lock()
-	b := s.active[id]
-	s.mu.Unlock()
-	if b != nil {
-		b.stop(reason)
-	}
-}
-
-// stopEnded stops a batch that the trainer has ended, if this host runs it.
-func (s *Batches) stopEnded(id string) {
-	if b := s.activeByID(id); b != nil {
-		b.ended.Store(true)
-		b.stop("ended by the trainer")
-	}
-}
-
 // RecentWork returns the work of the batches that this host has recently started to run, in
 // expected tokens by upgrades.ModelKey.
 func (s *Batches) RecentWork() map[uint32]uint32 {
--- a/internal/transport/front/batchlog.go
+++ b/internal/transport/front/batchlog.go
@@ -139,6 +139,7 @@
 		if err == nil {
 			a.log.Warn("Another host appended to the batch log", "entry", number, "count", len(other.Results))
 			a.results.add(other)
+			go a.checkOwnership()
 			return queue
 		}
 	}
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -26,6 +26,8 @@
 // result logs and saved partial samples.
 type batchStore struct {
 	api *objectapi.Client
+	// stale reads the store cheaply, but what it returns may be seconds old.
+	stale objectapi.API
 	// cache holds the newest manifest seen of each batch. Entries may be stale: they show
 	// which host to ask first, but a missing one does not mean that no batch exists.
 	mu    sync.Mutex
@@ -44,8 +46,8 @@
 	cachedAt time.Time
 }
 
-func newBatchStore(api *objectapi.Client) *batchStore {
-	return &batchStore{api: api, cache: map[string]storedManifest{}, entryStarts: map[string][]int{}}
+func newBatchStore(api *objectapi.Client, stale objectapi.API) *batchStore {
+	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}, entryStarts: map[string][]int{}}
 }
 
 // canonicalEncoding encodes equal content to equal bytes, so that digests can be compared.
@@ -97,100 +99,6 @@
 	return &b, nil
 }
 
-// cacheManifest caches a manifest unless a newer version is cached.
-func (s *batchStore) cacheManifest(m storedManifest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old, ok := s.cache[m.ID]
-	if ok && old.version >= m.version {
-		return
-	}
-	m.cachedAt = time.Now()
-	if ok {
-		m.cachedAt = old.cachedAt
-	}
-	s.cache[m.ID] = m
-}
-
-// cached returns the newest manifest that this host has seen.
-func (s *batchStore) cached(id string) (storedManifest, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m, ok := s.cache[id]
-	return m, ok
-}
-
-// openManifests returns the cached manifests that are not marked as ended.
-func (s *batchStore) openManifests() []storedManifest {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []storedManifest
-	for _, m := range s.cache {
-		if !m.Ended {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// manifest reads a manifest from the store. It returns objectapi.ErrNotFound when no such
-// batch exists.
-func (s *batchStore) manifest(ctx context.Context, id string) (storedManifest, error) {
-	o, err := s.api.Get(ctx, batches.ManifestKey(id))
-	if err != nil {
-		return storedManifest{}, err
-	}
-	return s.decodeManifest(o)
-}
-
-func (s *batchStore) decodeManifest(o objectapi.Object) (storedManifest, error) {
-	m := storedManifest{version: o.Version}
-	if err := batches.Decode(o.Value, &m.Manifest); err != nil {
-		return storedManifest{}, err
-	}
-	s.cacheManifest(m)
-	return m, nil
-}
-
-// putManifest writes a manifest if its stored version is still expect; zero creates it.
-// It returns objectapi.ErrConflict otherwise.
-func (s *batchStore) putManifest(ctx context.Context, m batches.Manifest, expect uint64) (storedManifest, error) {
-	value, err := batches.Encode(m)
-	if err != nil {
-		return storedManifest{}, err
-	}
-	version, err := s.api.Put(ctx, batches.ManifestKey(m.ID), value, expect)
-	if err != nil {
-		return storedManifest{}, err
-	}
-	stored := storedManifest{Manifest: m, version: version}
-	s.cacheManifest(stored)
-	return stored, nil
-}
-
-// listManifests reads all manifests from the store, page by page.
-func (s *batchStore) listManifests(ctx context.Context) ([]storedManifest, error) {
-	var out []storedManifest
-	after := ""
-	for {
-		page, err := s.api.List(ctx, batches.ManifestPrefix, after, 0)
-		if err != nil {
-			return nil, err
-		}
-		for _, o := range page.Objects {
-			m, err := s.decodeManifest(o)
-			if err != nil {
-				return nil, fmt.Errorf("%s: %w", o.Key, err)
-			}
-			out = append(out, m)
-		}
-		if !page.More || len(page.Objects) == 0 {
-			return out, nil
-		}
-		after = page.Objects[len(page.Objects)-1].Key
-	}
-}
-
 // entry reads the nth entry of a batch's log, from zero. It returns
 // objectapi.ErrNotFound past the end.
 func (s *batchStore) entry(ctx context.Context, id string, n int) (batches.LogEntry, error) {
@@ -214,9 +122,20 @@
 // many bytes as a whole log, so this takes one or two calls instead of one for each entry. The
 // result is not nil, which says that the batch has run before.
 func (s *batchStore) entries(ctx context.Context, id string) ([]batches.LogEntry, error) {
+	return s.entriesFrom(ctx, s.api, id)
+}
+
+// staleEntries is entries, but the last ones may be missing.
+func (s *batchStore) staleEntries(ctx context.Context, id string) ([]batches.LogEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
+	defer cancel()
+	return s.entriesFrom(ctx, s.stale, id)
+}
+
+func (s *batchStore) entriesFrom(ctx context.Context, store lister, id string) ([]batches.LogEntry, error) {
 	found := map[int]batches.LogEntry{}
 	for after, more := batches.BatchLogPrefix(id), true; more; {
-		page, err := s.api.List(ctx, batches.LogPrefix, after, 0)
+		page, err := store.List(ctx, batches.LogPrefix, after, 0)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"compress/flate"
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"slices"
@@ -34,28 +33,6 @@
 }
 
 const (
-	// endpointPollInterval is the time between listings of the endpoints by the host that
-	// reads for all hosts. Draining endpoints must stop receiving new work within seconds. A
-	// watch is not sufficient for that, because it may deliver no events for seconds after
-	// the store has dropped its history.
-	endpointPollInterval = 450 * time.Millisecond
-	// configPollInterval is the time between reads of the configuration by that host. It is
-	// well below the time within which an accepted configuration must be in force.
-	configPollInterval = 900 * time.Millisecond
-	// maxReadAge is the age of the last known read of the store above which any host reads
-	// the store itself. maxReadAgePerRank is added for each rank, so that the hosts do not
-	// all start at the same time.
-	maxReadAge        = 1100 * time.Millisecond
-	maxReadAgePerRank = 100 * time.Millisecond
-	// maxReaders is the number of first-ranked hosts that may read the store. When the store
-	// returns after an outage, the state is old at every host; with a bound these do not all
-	// read at once.
-	maxReaders = 3
-	// firstReadDelay is the time after the start of this process in which it does not read the
-	// store. Live peers answer within a few milliseconds.
-	firstReadDelay = 150 * time.Millisecond
-	// feedInterval is the time between checks of the age of the last read.
-	feedInterval = 50 * time.Millisecond
 	// minFetchGain is how much newer a peer's last read must be for its state to be fetched.
 	minFetchGain = 100 * time.Millisecond
 	// entryExpiryGap is the time without a read by any host after which endpoint entries may
@@ -70,8 +47,6 @@
 	entryExpiryWindow = 3 * time.Second
 	// fromStore stands for the store among the hosts from which state was fetched.
 	fromStore = "store"
-	// feedTask is the task name for the succession order of the hosts that read the store.
-	feedTask = "feed"
 )
 
 // feedState is the state that one host has read from the store for all hosts.
@@ -83,11 +58,15 @@
 	// AgeMs is the time since the endpoints were read, in milliseconds. It is negative if
 	// they have never been read.
 	AgeMs int64 `json:"age_ms"`
+	// Revision is the store's revision at which the endpoints were listed.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // feedDeps are the dependencies of a Feed.
 type feedDeps struct {
-	store      *objectapi.Client
+	store *objectapi.Client
+	// stale reads the store cheaply, but what it returns may be seconds old.
+	stale      objectapi.API
 	path       *StorePath
 	decoder    Decoder
 	catalog    *Catalog
@@ -116,6 +95,8 @@
 	endpointsReadAt time.Duration
 	configReadAt    time.Duration
 	endpointsDigest uint64
+	// endpointsRevision is the highest store revision of a known listing of the endpoints.
+	endpointsRevision uint64
 	// startedAt is the boot time at which this host started.
 	startedAt time.Duration
 	// entryExpiryUntil is the end of the current entryExpiryWindow.
@@ -135,86 +116,6 @@
 	return &Feed{feedDeps: d, startedAt: sinceBoot(), graceUntil: map[string]time.Time{}, invalidKeys: map[string]bool{}, answers: map[answerKey]keptAnswer{}}
 }
 
-// Run reads the store whenever it is this host's turn, until ctx is done.
-func (f *Feed) Run(ctx context.Context) {
-	var endpointsAt, configAt time.Time
-	started := time.Now()
-	ticker := time.NewTicker(feedInterval)
-	defer ticker.Stop()
-	for {
-		// A new process first waits for its peers, one of which may have read the store already.
-		if time.Since(started) > firstReadDelay && f.shouldRead(endpointsAt) {
-			withConfig := time.Since(configAt) >= configPollInterval-feedInterval || f.catalog.Config() == nil
-			endpointsAt = time.Now()
-			if f.readStore(ctx, withConfig) && withConfig {
-				configAt = endpointsAt
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// shouldRead reports whether this host should read the store now. last is the time of its
-// last read.
-func (f *Feed) shouldRead(last time.Time) bool {
-	if time.Since(last) < endpointPollInterval-feedInterval/2 {
-		return false
-	}
-	if !f.isHub() {
-		return false
-	}
-	rank := f.rank()
-	if rank == 0 {
-		return true
-	}
-	if rank >= maxReaders {
-		return false
-	}
-	f.mu.Lock()
-	oldest := max(min(f.endpointsReadAt, f.configReadAt), f.startedAt)
-	f.mu.Unlock()
-	return sinceBoot()-oldest > maxReadAge+time.Duration(rank)*maxReadAgePerRank
-}
-
-// readStore reads the endpoints, and the configuration if withConfig is set. It reports
-// whether all reads succeeded.
-func (f *Feed) readStore(ctx context.Context, withConfig bool) bool {
-	began := sinceBoot()
-	if withConfig {
-		o, err := f.store.Get(ctx, f.decoder.ConfigKey())
-		if err != nil {
-			if !errors.Is(err, objectapi.ErrNotFound) {
-				f.log.Warn("Failed to read configuration", "err", err)
-			}
-			return false
-		}
-		f.applyConfig(o.Value, fromStore)
-		f.mu.Lock()
-		f.configReadAt = max(f.configReadAt, began)
-		f.mu.Unlock()
-	}
-	var objects []objectapi.Object
-	after := ""
-	for {
-		page, err := f.store.List(ctx, f.decoder.EndpointPrefix(), after, 0)
-		if err != nil {
-			f.log.Warn("Failed to list endpoints", "err", err)
-			return false
-		}
-		objects = append(objects, page.Objects...)
-		if !page.More || len(page.Objects) == 0 {
-			break
-		}
-		after = page.Objects[len(page.Objects)-1].Key
-	}
-	f.applyListing(f.decodeEndpoints(objects), began)
-	return true
-}
-
 // applyConfig decodes a configuration and puts it in force if its generation is higher. from is
 // the host from which it was fetched, or fromStore.
 func (f *Feed) applyConfig(value []byte, from string) {
@@ -423,6 +324,7 @@
 	}
 	at := bootTimeAtAge(state.AgeMs)
 	f.mu.Lock()
+	f.endpointsRevision = max(f.endpointsRevision, state.Revision)
 	newer := at > f.endpointsReadAt+minFetchGain
 	f.mu.Unlock()
 	if newer {
@@ -438,7 +340,7 @@
 		s.Config = f.catalog.Compressed()
 	}
 	f.mu.Lock()
-	s.AgeMs = ageMillis(f.endpointsReadAt)
+	s.AgeMs, s.Revision = ageMillis(f.endpointsReadAt), f.endpointsRevision
 	f.mu.Unlock()
 	f.fleet.WithTable(func(t *placement.Table) { s.Endpoints = t.All() })
 	return s
--- /dev/null
+++ b/internal/transport/front/feedreads_test.go
@@ -0,0 +1,198 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+// The tests of this file guard against a host that acts on a stale answer of the store, and
+// against one that reads the store more often than the freshness of the state needs.
+
+// laggingReplica answers stale reads with the state of the store at the time of the last sync.
+type laggingReplica struct {
+	objectapi.API
+	endpoints objectapi.Page
+	config    objectapi.Object
+	reads     atomic.Int64
+}
+
+// sync brings the replica up to date.
+func (r *laggingReplica) sync(t *testing.T, store objectapi.API) {
+	t.Helper()
+	var err error
+	if r.endpoints, err = store.List(context.Background(), testDecoder{}.EndpointPrefix(), "", 0); err != nil {
+		t.Fatal(err)
+	}
+	if r.config, err = store.Get(context.Background(), testDecoder{}.ConfigKey()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (r *laggingReplica) Get(context.Context, string) (objectapi.Object, error) { return r.config, nil }
+
+func (r *laggingReplica) List(context.Context, string, string, int) (objectapi.Page, error) {
+	r.reads.Add(1)
+	return r.endpoints, nil
+}
+
+// countedStore counts the reads that are not stale.
+type countedStore struct {
+	objectapi.API
+	gets, lists atomic.Int64
+}
+
+func (s *countedStore) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	s.gets.Add(1)
+	return s.API.Get(ctx, key)
+}
+
+func (s *countedStore) List(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
+	s.lists.Add(1)
+	return s.API.List(ctx, prefix, after, limit)
+}
+
+// replicaFeed is a feed that reads a store and its replica.
+type replicaFeed struct {
+	*Feed
+	t       *testing.T
+	objects objectapi.API
+	store   *countedStore
+	replica *laggingReplica
+}
+
+func newReplicaFeed(t *testing.T) *replicaFeed {
+	objects := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	f := &replicaFeed{t: t, objects: objects, store: &countedStore{API: objects}, replica: &laggingReplica{}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	path := NewStorePath(f.store, func() []string { return nil }, log)
+	f.Feed = NewFeed(feedDeps{
+		store: objectapi.NewClient(path, objectapi.ClientOptions{}), stale: f.replica, path: path, decoder: testDecoder{},
+		catalog: &Catalog{}, fleet: NewFleet("a"), announce: func() {}, rank: func() int { return 0 }, isHub: func() bool { return true }, log: log,
+	})
+	f.put("conf/main", catalog.Config{Generation: 1})
+	f.put("endpoints/e0", catalog.Endpoint{ID: "e0", Service: "s", Slots: 1})
+	f.put("endpoints/e1", catalog.Endpoint{ID: "e1", Service: "s", Slots: 1})
+	f.replica.sync(t, objects)
+	return f
+}
+
+func (f *replicaFeed) put(key string, value any) {
+	f.t.Helper()
+	b, err := json.Marshal(value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	current, _ := f.objects.Get(context.Background(), key) // a missing object has version zero
+	if _, err := f.objects.Put(context.Background(), key, b, current.Version); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *replicaFeed) draining(id string) (draining bool) {
+	f.fleet.WithTable(func(t *placement.Table) {
+		e, _ := t.Get(id)
+		draining = e.Draining
+	})
+	return draining
+}
+
+// An endpoint that drains must be seen by the next read of a replica that is up to date.
+func TestFeed_CurrentReplicaApplied(t *testing.T) {
+	f := newReplicaFeed(t)
+	f.readStore(context.Background(), true)
+	f.put("endpoints/e0", catalog.Endpoint{ID: "e0", Service: "s", Slots: 1, Draining: true})
+	f.put("conf/main", catalog.Config{Generation: 2})
+	f.replica.sync(t, f.objects)
+	if !f.readStale(context.Background()) {
+		t.Error("a listing of the replica at the newest revision was not used")
+	}
+	if !f.draining("e0") {
+		t.Error("the endpoint is not known to drain")
+	}
+	if got := f.catalog.Generation(); got != 2 {
+		t.Errorf("configuration %d in force, want 2", got)
+	}
+}
+
+// A replica that lags behind must not bring back what a later read has shown to be gone.
+func TestFeed_LaggingReplicaIgnored(t *testing.T) {
+	f := newReplicaFeed(t)
+	f.put("endpoints/e0", catalog.Endpoint{ID: "e0", Service: "s", Slots: 1, Draining: true})
+	o, err := f.objects.Get(context.Background(), "endpoints/e1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.objects.Delete(context.Background(), "endpoints/e1", o.Version); err != nil {
+		t.Fatal(err)
+	}
+	f.put("conf/main", catalog.Config{Generation: 2})
+	f.readStore(context.Background(), true)
+	if f.readStale(context.Background()) {
+		t.Error("a listing older than the known one was used")
+	}
+	if !f.draining("e0") || knownEndpoints(f.Feed) != 1 {
+		t.Errorf("e0 draining: %v, %d endpoints in use; want the state of the store", f.draining("e0"), knownEndpoints(f.Feed))
+	}
+	if got := f.catalog.Generation(); got != 2 {
+		t.Errorf("configuration %d in force, want 2", got)
+	}
+}
+
+// The state that another host has read may be newer than this host's replica.
+func TestFeed_ReplicaOlderThanPeerIgnored(t *testing.T) {
+	f := newReplicaFeed(t)
+	f.readStore(context.Background(), true)
+	revision := f.State(0).Revision
+	if revision == 0 {
+		t.Fatal("the state for peers has no revision")
+	}
+	f.recordRevision(revision + 1) // as after fetching the state of a peer
+	if f.readStale(context.Background()) {
+		t.Error("a listing older than that of a peer was used")
+	}
+}
+
+// While the replica is up to date, most reads are stale ones. While it lags, the store itself is
+// read as often as without a replica, so that changes arrive as fast.
+func TestFeed_StoreReadWhileReplicaLags(t *testing.T) {
+	const period = 4 * time.Second
+	for name, c := range map[string]struct {
+		lagging bool
+		// Bounds of the reads of the endpoints and of the configuration from the store itself.
+		leastLists, mostLists, leastGets, mostGets int64
+	}{
+		"current": {false, 1, int64(period/endpointReadInterval) + 1, 1, int64(period/maxStaleConfig) + 1},
+		"lagging": {true, int64(period/readInterval) - 2, int64(period/readInterval) + 1,
+			int64(period/configReadInterval) - 1, int64(period/configReadInterval) + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newReplicaFeed(t)
+			if c.lagging {
+				f.put("endpoints/e0", catalog.Endpoint{ID: "e0", Service: "s", Slots: 2})
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), period)
+			defer cancel()
+			f.Run(ctx)
+			if got := f.store.lists.Load(); got < c.leastLists || got > c.mostLists {
+				t.Errorf("%d listings of the store in %v, want %d to %d", got, period, c.leastLists, c.mostLists)
+			}
+			if got := f.store.gets.Load(); got < c.leastGets || got > c.mostGets {
+				t.Errorf("%d reads of the configuration from the store in %v, want %d to %d", got, period, c.leastGets, c.mostGets)
+			}
+			if age := sinceBoot() - f.configReadAt; age > maxReadAge {
+				t.Errorf("the last read of the configuration is %v old, so that other hosts would read it too", age)
+			}
+		})
+	}
+}
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -128,28 +128,29 @@
 		AttemptTimeout: storeAttemptTimeout, CallTimeout: storeCallTimeout,
 		Seed: uint64(time.Now().UnixNano()) ^ hashSeed(p.Settings.Host), Registerer: p.Registry,
 	})
+	stale := objectapi.PayloadReader{API: p.Stale}
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: component("forward"), metrics: n.Metrics,
 		gates:      NewGates(fleet, func() int { return 1 + n.peers.Count() }),
 		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
-		settings: p.Settings, store: newBatchStore(store), outage: store.OutageFor, peers: n.peers, peerClient: calls,
+		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, cachedLogs: map[string]*resultLog{}, groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
 		runner:    &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder},
 		candidate: n.candidate,
 	}
 	n.feed = NewFeed(feedDeps{
-		store: store, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
+		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
 		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, log: component("feed"),
 	})
 	n.weights = &Weights{
-		settings: p.Settings, store: store, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
+		settings: p.Settings, store: store, stale: stale, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
 	p.Endpoints.OnLeaving(n.endpointLeaving)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
-		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: p.Stale,
+		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: stale,
 		fillHeartbeat: n.fillHeartbeat, log: component("hosts"),
 	}
 	return n
@@ -219,7 +220,7 @@
 
 // candidate returns this host as a candidate for a task.
 func (n *Node) candidate() presence.Candidate {
-	return presence.Candidate{Host: n.Settings.Host, Ready: true, StoreReachable: n.storePath.Reachable(), Hub: n.peers.IsHub()}
+	return presence.Candidate{Host: n.Settings.Host, Ready: true, Draining: n.draining.Load(), StoreReachable: n.storePath.Reachable(), Hub: n.peers.IsHub()}
 }
 
 // Ready reports whether this host accepts requests: it is not draining and has a
@@ -293,7 +294,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.Batches.Watch} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -44,6 +44,7 @@
 type testNode struct {
 	*Node
 	store *hostStore
+	stale *staleReads
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -111,17 +112,18 @@
 func (w *testCluster) startWith(s Settings) *testNode {
 	w.t.Helper()
 	path := &hostStore{ObjectStore: w.store}
+	stale := &staleReads{hostStore: path}
 	path.stalledReads.Store(w.stalledReads)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if os.Getenv("FRONT_TEST_LOG") != "" { // prints the logs of the hosts
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("host", s.Host)
 	}
-	n := NewNode(Params{Settings: s, Store: path, Stale: path, Endpoints: w.engines, Decoder: testDecoder{},
+	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: w.engines, Decoder: testDecoder{},
 		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry()})
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
-	tn := &testNode{Node: n, store: path}
+	tn := &testNode{Node: n, store: path, stale: stale}
 	w.nodes[s.Host] = tn
 	return tn
 }
@@ -267,6 +269,8 @@
 	deletesAllowed atomic.Int64
 	// logReads counts the reads and the listings of entries of batches' logs.
 	logReads atomic.Int64
+	// manifestReads counts the reads and the listings of manifests that must not be stale.
+	manifestReads atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
 }
@@ -282,9 +286,21 @@
 	if s.refusing.Load() {
 		return objectapi.Object{}, objectapi.ErrRefused
 	}
-	if strings.HasPrefix(key, "batchlogs/") {
+	s.count(key)
+	return s.get(ctx, key)
+}
+
+// count counts a read of a key or of the keys with a prefix.
+func (s *hostStore) count(key string) {
+	switch {
+	case strings.HasPrefix(key, batches.LogPrefix):
 		s.logReads.Add(1)
+	case strings.HasPrefix(key, batches.ManifestPrefix):
+		s.manifestReads.Add(1)
 	}
+}
+
+func (s *hostStore) get(ctx context.Context, key string) (objectapi.Object, error) {
 	if prefix := s.stalledReads.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
 		<-ctx.Done()
 		return objectapi.Object{}, errors.Join(objectapi.ErrUnavailable, ctx.Err())
@@ -308,8 +324,32 @@
 	if s.refusing.Load() {
 		return objectapi.Page{}, objectapi.ErrRefused
 	}
-	if strings.HasPrefix(prefix, "batchlogs/") {
-		s.logReads.Add(1)
+	s.count(prefix)
+	return s.ObjectStore.List(ctx, prefix, after, limit)
+}
+
+// staleReads answers a host's stale reads with the current objects, or with those of old.
+type staleReads struct {
+	*hostStore
+	old atomic.Pointer[standin.ObjectStore]
+}
+
+func (s *staleReads) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if old := s.old.Load(); old != nil {
+		return old.Get(ctx, key)
+	}
+	if s.refusing.Load() {
+		return objectapi.Object{}, objectapi.ErrRefused
+	}
+	return s.get(ctx, key)
+}
+
+func (s *staleReads) List(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
+	if old := s.old.Load(); old != nil {
+		return old.List(ctx, prefix, after, limit)
+	}
+	if s.refusing.Load() {
+		return objectapi.Page{}, objectapi.ErrRefused
 	}
 	return s.ObjectStore.List(ctx, prefix, after, limit)
 }
--- a/internal/transport/front/hostrecords.go
+++ b/internal/transport/front/hostrecords.go
@@ -102,8 +102,7 @@
 	var found []string
 	for _, o := range page.Objects {
 		var r hostRecord
-		payload := objectapi.Payload(o.Value)
-		if err := batches.Decode(payload, &r); err != nil || r.PeerAddress == "" {
+		if err := batches.Decode(o.Value, &r); err != nil || r.PeerAddress == "" {
 			m.log.Warn("Invalid host record ignored", "key", o.Key, "err", err)
 			continue
 		}
--- a/internal/transport/front/lease.go
+++ b/internal/transport/front/lease.go
@@ -72,9 +72,16 @@
 	return false
 }
 
-// reacquire acquires the lease immediately if this host held it before its restart.
+// reacquire acquires the lease immediately if this host held it before its restart. A stale
+// answer is enough: a host that acquired the lease just before its restart acquires it again
+// as a successor would.
 func (w *Weights) reacquire(ctx context.Context) {
-	o, err := w.store.Get(ctx, weightsLeaseKey)
+	readCtx, cancel := context.WithTimeout(ctx, staleReadTimeout)
+	defer cancel()
+	o, err := w.stale.Get(readCtx, weightsLeaseKey)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		o, err = w.store.Get(ctx, weightsLeaseKey)
+	}
 	var current leaseRecord
 	if err == nil {
 		err = batches.Decode(o.Value, &current)
--- /dev/null
+++ b/internal/transport/front/manifests.go
@@ -0,0 +1,151 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+)
+
+// cacheManifest caches a manifest unless a newer version is cached.
+func (s *batchStore) cacheManifest(m storedManifest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.cache[m.ID]
+	if ok && old.version >= m.version {
+		return
+	}
+	m.cachedAt = time.Now()
+	if ok {
+		m.cachedAt = old.cachedAt
+	}
+	s.cache[m.ID] = m
+}
+
+// cached returns the newest manifest that this host has seen.
+func (s *batchStore) cached(id string) (storedManifest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.cache[id]
+	return m, ok
+}
+
+// openManifests returns the cached manifests that are not marked as ended.
+func (s *batchStore) openManifests() []storedManifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []storedManifest
+	for _, m := range s.cache {
+		if !m.Ended {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// manifest reads a manifest from the store. It returns objectapi.ErrNotFound when no such
+// batch exists.
+func (s *batchStore) manifest(ctx context.Context, id string) (storedManifest, error) {
+	o, err := s.api.Get(ctx, batches.ManifestKey(id))
+	if err != nil {
+		return storedManifest{}, err
+	}
+	return s.decodeManifest(o)
+}
+
+func (s *batchStore) decodeManifest(o objectapi.Object) (storedManifest, error) {
+	m := storedManifest{version: o.Version}
+	if err := batches.Decode(o.Value, &m.Manifest); err != nil {
+		return storedManifest{}, err
+	}
+	s.cacheManifest(m)
+	return m, nil
+}
+
+// putManifest writes a manifest if its stored version is still expect; zero creates it.
+// It returns objectapi.ErrConflict otherwise.
+func (s *batchStore) putManifest(ctx context.Context, m batches.Manifest, expect uint64) (storedManifest, error) {
+	value, err := batches.Encode(m)
+	if err != nil {
+		return storedManifest{}, err
+	}
+	version, err := s.api.Put(ctx, batches.ManifestKey(m.ID), value, expect)
+	if err != nil {
+		return storedManifest{}, err
+	}
+	stored := storedManifest{Manifest: m, version: version}
+	s.cacheManifest(stored)
+	return stored, nil
+}
+
+// staleManifest reads a manifest that may be outdated.
+func (s *batchStore) staleManifest(ctx context.Context, id string) (storedManifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
+	defer cancel()
+	o, err := s.stale.Get(ctx, batches.ManifestKey(id))
+	if err != nil {
+		return storedManifest{}, err
+	}
+	return s.decodeManifest(o)
+}
+
+// maxListedPerManifest is the number of known manifests for each one to read above which they
+// are read one by one instead of by a listing of all.
+const maxListedPerManifest = 64
+
+// manifests reads the manifests of the given batches. The result lacks those that do not exist.
+func (s *batchStore) manifests(ctx context.Context, ids []string) (map[string]storedManifest, error) {
+	out := map[string]storedManifest{}
+	s.mu.Lock()
+	known := len(s.cache)
+	s.mu.Unlock()
+	if len(ids) > 1 && known <= maxListedPerManifest*len(ids) {
+		all, err := s.listManifests(ctx)
+		for _, m := range all {
+			out[m.ID] = m
+		}
+		return out, err
+	}
+	for _, id := range ids {
+		m, err := s.manifest(ctx, id)
+		if errors.Is(err, objectapi.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		out[id] = m
+	}
+	return out, nil
+}
+
+// listManifests reads all manifests from the store, page by page.
+func (s *batchStore) listManifests(ctx context.Context) ([]storedManifest, error) {
+	return s.listManifestsFrom(ctx, s.api)
+}
+
+// staleManifests reads all manifests, which may be outdated.
+func (s *batchStore) staleManifests(ctx context.Context) ([]storedManifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
+	defer cancel()
+	return s.listManifestsFrom(ctx, s.stale)
+}
+
+func (s *batchStore) listManifestsFrom(ctx context.Context, store lister) ([]storedManifest, error) {
+	objects, _, err := listAll(ctx, store, batches.ManifestPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]storedManifest, 0, len(objects))
+	for _, o := range objects {
+		m, err := s.decodeManifest(o)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", o.Key, err)
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -147,7 +147,7 @@
 // (10 before 2), and the entries of a batch whose ID begins with this one's lie between them.
 func TestBatchStore_EntriesListedByPage(t *testing.T) {
 	store := &pagedStore{ObjectStore: standin.NewObjectStore(standin.ObjectStoreOptions{})}
-	s := newBatchStore(objectapi.NewClient(store, objectapi.ClientOptions{}))
+	s := newBatchStore(objectapi.NewClient(store, objectapi.ClientOptions{}), nil)
 	for _, id := range []string{"b1", "b1-2", "b2"} {
 		for n := range 12 {
 			e := batches.LogEntry{First: 3 * n, Results: []batches.Result{{ID: fmt.Sprintf("%s/%d", id, n)}}}
@@ -567,7 +567,7 @@
 
 // What a host has cached about batches, also about those of its peers, must not stay forever.
 func TestBatchStore_ForgetsOldManifests(t *testing.T) {
-	s := newBatchStore(nil)
+	s := newBatchStore(nil, nil)
 	s.cacheManifest(storedManifest{Manifest: batches.Manifest{ID: "b1", Owner: "h2"}})
 	s.forgetOld(time.Now().Add(-time.Minute))
 	if _, ok := s.cached("b1"); !ok {
@@ -661,6 +661,25 @@
 	}
 }
 
+// A batch that a caller submits to a draining host, whose address it has cached, must run at
+// another host. Regression test (patio-comum scale-2 --seed 1): the draining host regarded itself
+// as the owner, could not hand the batch over during an outage of the store, and the step was
+// late by 11 s.
+func TestStop_NewBatchRunsElsewhere(t *testing.T) {
+	w := newTestCluster(t)
+	w.start("h1", "h2")
+	w.engines.eventInterval = 30 * time.Millisecond
+	owner := w.nodes[w.nodes["h1"].Batches.ownerFor("m")]
+	owner.draining.Store(true)
+	id := submit(t, owner, 3, 50)
+	if owner.Batches.activeByID(id) != nil {
+		t.Errorf("the draining host %s runs the batch", owner.Settings.Host)
+	}
+	if runs, _ := w.owner(id); runs == owner {
+		t.Errorf("the draining host %s owns the batch", owner.Settings.Host)
+	}
+}
+
 // A draining host is no longer ready, and its peers stop listing its address before it exits.
 func TestStop_LeavesDirectoryImmediately(t *testing.T) {
 	w := newTestCluster(t)
--- /dev/null
+++ b/internal/transport/front/ownership.go
@@ -0,0 +1,190 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+)
+
+const (
+	// ownershipCheckInterval is the interval at which a host checks in the store that it still
+	// owns the batches that it runs, and that their trainers have not ended them.
+	ownershipCheckInterval = 2200 * time.Millisecond
+	// checksPerExactOne is the number of these checks of which one allows no stale answers. A
+	// new owner and an end are visible in stale answers too, only later.
+	checksPerExactOne = 4
+	// maxOwnershipCheckAge is the maximum age of the last confirmation when an owner answers
+	// that a position has no result yet. It is shorter than the time within which all hosts
+	// must agree.
+	maxOwnershipCheckAge = 700 * time.Millisecond
+)
+
+// ownershipRead is a read of the manifests of the batches that this host runs.
+type ownershipRead struct {
+	began time.Time
+	// batches are those whose manifests are read.
+	batches map[string]*activeBatch
+	// done is closed once the read has ended with err.
+	done chan struct{}
+	err  error
+	// missing has the batches without a manifest.
+	missing map[string]bool
+}
+
+// WatchOwnership stops the batches at this host that another host has taken over or whose trainer
+// has ended them, until ctx ends. Usually this host is told of both; see NotifyEnd and handOver.
+func (s *Batches) WatchOwnership(ctx context.Context) {
+	ticker := time.NewTicker(ownershipCheckInterval)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !s.ownershipCheckDue() {
+			continue
+		}
+		if n%checksPerExactOne != 0 && s.checkStaleManifests(ctx) == nil {
+			continue
+		}
+		r := s.joinOwnershipRead(time.Now(), "")
+		<-r.done
+		if r.err != nil && ctx.Err() == nil {
+			s.log.Warn("Failed to check batch ownership", "err", r.err)
+		}
+	}
+}
+
+// ownershipCheckDue reports whether the ownership of any batch was not confirmed recently.
+func (s *Batches) ownershipCheckDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.active {
+		if time.Since(b.results.ownershipConfirmedAt()) > ownershipCheckInterval/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// checkStaleManifests stops batches by manifests that may be outdated: an end and a higher epoch
+// are final, whereas a manifest without them confirms nothing.
+func (s *Batches) checkStaleManifests(ctx context.Context) error {
+	all, err := s.store.staleManifests(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range all {
+		b := s.activeByID(m.ID)
+		switch {
+		case b == nil:
+		case m.Epoch > b.manifest.Epoch && m.Owner != s.settings.Host:
+			b.stop("another host owns the batch")
+		case m.Ended:
+			s.stopEnded(m.ID)
+		}
+	}
+	return nil
+}
+
+// joinOwnershipRead returns a read of the manifests of all batches that this host runs. It is a
+// new one unless the last one began at since or later and includes the given batch.
+func (s *Batches) joinOwnershipRead(since time.Time, id string) *ownershipRead {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.ownershipRead; r != nil && !r.began.Before(since) && r.batches[id] != nil {
+		return r
+	}
+	r := &ownershipRead{began: time.Now(), batches: map[string]*activeBatch{}, done: make(chan struct{}), missing: map[string]bool{}}
+	for id, b := range s.active {
+		r.batches[id] = b
+	}
+	s.ownershipRead = r
+	go func() {
+		defer close(r.done)
+		ctx, cancel := context.WithTimeout(s.base, storeWaitTimeout)
+		defer cancel()
+		r.err = s.runOwnershipRead(ctx, r)
+	}()
+	return r
+}
+
+// runOwnershipRead confirms the ownership of the batches of a read. It stops those that another
+// host owns and those that have ended.
+func (s *Batches) runOwnershipRead(ctx context.Context, r *ownershipRead) error {
+	ids := make([]string, 0, len(r.batches))
+	for id := range r.batches {
+		ids = append(ids, id)
+	}
+	manifests, err := s.store.manifests(ctx, ids)
+	if err != nil {
+		return err
+	}
+	for id, b := range r.batches {
+		m, ok := manifests[id]
+		switch {
+		case !ok:
+			r.missing[id] = true
+			continue
+		case m.Owner != s.settings.Host:
+			b.stop("another host owns the batch")
+			continue
+		case m.Ended:
+			s.stopEnded(id)
+		}
+		b.results.setOwnershipConfirmed(r.began)
+	}
+	return nil
+}
+
+// confirmOwnership confirms in the store that this host still owns a batch, as of at most
+// maxOwnershipCheckAge before the call. It stops the batch and returns errBatchNotActive if
+// another host owns it. It also stops an ended batch.
+func (s *Batches) confirmOwnership(ctx context.Context, b *activeBatch) error {
+	id := b.manifest.ID
+	r := s.joinOwnershipRead(time.Now().Add(-maxOwnershipCheckAge), id)
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	switch {
+	case r.err != nil:
+		return r.err
+	case r.missing[id]:
+		return fmt.Errorf("manifest of batch %s: %w", id, objectapi.ErrNotFound)
+	case r.batches[id] == nil || b.results.ownershipConfirmedAt().Before(r.began):
+		return errBatchNotActive
+	}
+	return nil
+}
+
+// checkOwnership confirms the ownership of a batch and logs a failure to do so.
+func (a *activeBatch) checkOwnership() {
+	if err := a.parent.confirmOwnership(a.ctx, a); err != nil && !errors.Is(err, errBatchNotActive) && a.ctx.Err() == nil {
+		a.log.Warn("Failed to check batch ownership", "err", err)
+	}
+}
+
+// confirmedPage checks the ownership of the batch. It returns the results that arrive during
+// the check, or an empty page once the ownership is confirmed.
+func (s *Batches) confirmedPage(ctx context.Context, b *activeBatch, after int) (Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	confirmed := make(chan error, 1)
+	go func() {
+		confirmed <- s.confirmOwnership(ctx, b)
+		cancel()
+	}()
+	if page := b.results.page(ctx, after, storeWaitTimeout); len(page.Results) > 0 {
+		return page, nil
+	}
+	if err := <-confirmed; err != nil {
+		return Page{}, err
+	}
+	return b.results.page(ctx, after, 0), nil
+}
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -132,6 +132,12 @@
 	return c.call(ctx, host, http.MethodGet, "/batches/"+id+"/samples/"+url.PathEscape(sample), nil, 0)
 }
 
+// RecordEnd asks the batch's owner to record in its manifest that the trainer has ended it.
+func (c *PeerClient) RecordEnd(ctx context.Context, host, id string) error {
+	_, err := c.call(ctx, host, http.MethodPost, "/batches/"+id+"/record-end", nil, 0)
+	return err
+}
+
 // NotifyEnd notifies the batch's owner that the trainer has ended the batch.
 func (c *PeerClient) NotifyEnd(ctx context.Context, host, id string) error {
 	_, err := c.call(ctx, host, http.MethodPost, "/batches/"+id+"/end", nil, 0)
@@ -240,6 +246,11 @@
 	r.HandleFunc("/batches/{id}/end", func(_ http.ResponseWriter, r *http.Request) {
 		b.stopEnded(mux.Vars(r)["id"])
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/batches/{id}/record-end", func(w http.ResponseWriter, r *http.Request) {
+		if err := b.endOwn(context.WithoutCancel(r.Context()), mux.Vars(r)["id"]); err != nil {
+			peerError(w, err)
+		}
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/batches/{id}/adopt", func(_ http.ResponseWriter, r *http.Request) {
 		go b.tryTakeOver(context.WithoutCancel(r.Context()), mux.Vars(r)["id"], "handed over")
 	}).Methods(http.MethodPost)
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -18,10 +18,6 @@
 	// storePollInterval is the time between reads of the store for a waiting caller while
 	// the owner of the batch does not answer.
 	storePollInterval = 500 * time.Millisecond
-	// maxOwnershipCheckAge is the maximum age of the last ownership check when an owner answers
-	// that a position has no result yet. It is shorter than the time within which all hosts
-	// must agree.
-	maxOwnershipCheckAge = 700 * time.Millisecond
 )
 
 // Results returns the results of a batch from position after on. If there are none, it
@@ -81,6 +77,13 @@
 			return m, &page, nil
 		}
 	}
+	// A stale manifest may name the owner as well, since owners change rarely.
+	if m, err := s.store.staleManifest(ctx, id); err == nil && m.Owner != s.settings.Host && !slices.Contains(asked, m.Owner) {
+		if page, err := s.peerClient.Results(ctx, m.Owner, id, after, wait); err == nil {
+			return m, &page, nil
+		}
+		asked = append(asked, m.Owner)
+	}
 	m, err := s.readManifest(ctx, id)
 	if err != nil || m.Owner == s.settings.Host || slices.Contains(asked, m.Owner) {
 		return m, nil, err
@@ -127,14 +130,7 @@
 	if cached {
 		return errBatchNotActive // cachedResults has found it too short
 	}
-	m, err := s.readManifest(ctx, id)
-	if err != nil {
-		return err
-	}
-	if !m.Ended {
-		return errBatchNotActive
-	}
-	entries, err := s.store.entries(ctx, id)
+	m, entries, err := s.endedBatch(ctx, id)
 	if err != nil {
 		return err
 	}
@@ -145,42 +141,23 @@
 	return nil
 }
 
-// confirmedPage checks the ownership of the batch. It returns the results that arrive during
-// the check, or an empty page once the ownership is confirmed.
-func (s *Batches) confirmedPage(ctx context.Context, b *activeBatch, after int) (Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	confirmed := make(chan error, 1)
-	go func() {
-		confirmed <- s.confirmOwnership(ctx, b)
-		cancel()
-	}()
-	if page := b.results.page(ctx, after, storeWaitTimeout); len(page.Results) > 0 {
-		return page, nil
-	}
-	if err := <-confirmed; err != nil {
-		return Page{}, err
+// endedBatch reads the manifest and the log of an ended batch. It returns errBatchNotActive if
+// the batch has not ended. Stale answers are enough if they show the end of the batch and the
+// last entry of its log, since neither changes afterwards.
+func (s *Batches) endedBatch(ctx context.Context, id string) (storedManifest, []batches.LogEntry, error) {
+	m, err := s.store.staleManifest(ctx, id)
+	if err == nil && m.Ended && !m.Removed {
+		if entries, err := s.store.staleEntries(ctx, id); err == nil && newResultLog(m.Total, entries).final() {
+			return m, entries, nil
+		}
+	} else if m, err = s.readManifest(ctx, id); err != nil {
+		return m, nil, err
 	}
-	return b.results.page(ctx, after, 0), nil
-}
-
-// confirmOwnership reads the manifest to confirm that this host still owns the batch. It stops
-// the batch and returns errBatchNotActive if another host owns it. It also stops an ended
-// batch.
-func (s *Batches) confirmOwnership(ctx context.Context, b *activeBatch) error {
-	began := time.Now()
-	m, err := s.store.manifest(ctx, b.manifest.ID)
-	switch {
-	case err != nil:
-		return err
-	case m.Owner != s.settings.Host:
-		s.stop(m.ID, "another host owns the batch")
-		return errBatchNotActive
-	case m.Ended:
-		s.stopEnded(m.ID)
+	if !m.Ended {
+		return m, nil, errBatchNotActive
 	}
-	b.results.setOwnershipConfirmed(began)
-	return nil
+	entries, err := s.store.entries(ctx, id)
+	return m, entries, err
 }
 
 // Body returns the request body of a sample. Its errors have a result code.
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -45,6 +45,8 @@
 type Weights struct {
 	settings Settings
 	store    *objectapi.Client
+	// stale reads the store cheaply, but what it returns may be seconds old.
+	stale    objectapi.API
 	statuses StatusWriter
 	decoder  Decoder
 	fleet    *Fleet
