Keep fewer logs of ended batches in memory, and play endpoints that trickle bytes

Trainers read one batch after another, and a log that is not cached costs stale listings, a tenth of a call each.

Change: the cache takes a 32nd of the host's memory (8 MiB if that is unknown) instead of 24 MiB, evicts the log that was used least recently instead of the oldest, and always keeps the last one.

Operators of similar systems saw stalled endpoints that send a byte now and then and keep requests for ever. TestTricklingEndpoint_RequestsEnd plays that for a request, a stream and samples; none hangs here, so there is nothing to mend.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -59,12 +59,9 @@
 	active map[string]*activeBatch
 	// work is the work of the batches that this host has recently started to run.
 	work upgrades.Demand
-	// cachedLogs has the result logs of batches that this host has run, so that most later
-	// reads need no call to the store. cachedOrder has their ids, oldest first, for
-	// eviction; cachedBytes is their approximate size.
-	cachedLogs  map[string]*resultLog
-	cachedOrder []string
-	cachedBytes int
+	// endedLogs has result logs of batches that this host has run or whose log it was asked for
+	// after their end, so that most later reads need no call to the store.
+	endedLogs *logCache
 	// ownershipRead is the last read that was started to confirm the ownership of batches.
 	ownershipRead *ownershipRead
 	// loadMu serializes loadEndedLog.
@@ -271,6 +268,6 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.active, m.ID)
-		s.cacheLog(m.ID, active.results)
+		s.endedLogs.add(m.ID, active.results)
 	}()
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -134,7 +134,7 @@
 		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
-		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, cachedLogs: map[string]*resultLog{}, groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
+		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
 		runner:    &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder},
 		candidate: n.candidate,
 	}
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// maxCachedLogBytes bounds the total size of the result logs that are cached after their
-	// batches have finished.
-	maxCachedLogBytes = 24 << 20
 	// maxPageBytes bounds the results of one page.
 	maxPageBytes = 900 << 10
 	// storePollInterval is the time between reads of the store for a waiting caller while
@@ -125,7 +122,7 @@
 	s.loadMu.Lock() // readers of the same batch arrive together; the first one loads it
 	defer s.loadMu.Unlock()
 	s.mu.Lock()
-	cached := s.cachedLogs[id] != nil
+	cached := s.endedLogs.get(id) != nil
 	s.mu.Unlock()
 	if cached {
 		return errBatchNotActive // cachedResults has found it too short
@@ -137,7 +134,7 @@
 	log := newResultLog(m.Total, entries)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cacheLog(id, log)
+	s.endedLogs.add(id, log)
 	return nil
 }
 
@@ -210,29 +207,12 @@
 	return nil, codedError(resultcode.NotFound, "the batch has no such sample")
 }
 
-// cacheLog caches the log of a batch that this host no longer runs, and evicts the oldest logs
-// beyond maxCachedLogBytes. The caller holds the lock.
-func (s *Batches) cacheLog(id string, l *resultLog) {
-	if _, ok := s.cachedLogs[id]; ok {
-		return
-	}
-	s.cachedLogs[id] = l
-	s.cachedOrder = append(s.cachedOrder, id)
-	s.cachedBytes += l.size()
-	for s.cachedBytes > maxCachedLogBytes && len(s.cachedOrder) > 0 {
-		oldest := s.cachedOrder[0]
-		s.cachedOrder = s.cachedOrder[1:]
-		s.cachedBytes -= s.cachedLogs[oldest].size()
-		delete(s.cachedLogs, oldest)
-	}
-}
-
 // cachedResults returns results from a cached log. A log that is not final may lack results
 // that another host added later, so in place of an empty page from such a log it returns
 // errBatchNotActive.
 func (s *Batches) cachedResults(id string, after int) (Page, error) {
 	s.mu.Lock()
-	l := s.cachedLogs[id]
+	l := s.endedLogs.get(id)
 	s.mu.Unlock()
 	if l == nil {
 		return Page{}, errBatchNotActive
