--- a/internal/coordination/upgrades/upgrades.go
+++ b/internal/coordination/upgrades/upgrades.go
@@ -8,12 +8,10 @@
 // can serve, relative to the work that its trainer submits, is then updated first: with equal
 // shares a trainer with small steps is always up to date, and the others are behind. Within a
 // model, engines that are slow or do not answer come last, since a load there adds little
-// capacity. Of the others those come first that can serve the fewest other models: otherwise the
-// new versions of several models meet at some endpoints while others can serve no step at all.
-// Among these the endpoints with the oldest version come first, because one that is two versions
-// behind can serve no open training step, and then those with the most running requests: a load
-// blocks new samples but not running ones, so it costs least at an endpoint that could not
-// start any.
+// capacity. Of the others the endpoints with the oldest version come first, because
+// one that is two versions behind can serve no open training step. Among endpoints with the
+// same version those with the most running requests come first: a load blocks new samples but
+// not running ones, so it costs least at an endpoint that could not start any.
 //
 // Invariant: at most one load of a model is in progress at an endpoint, and no endpoint is
 // ordered to load a version below the one that it reported.
@@ -154,7 +152,7 @@
 	// those that can also serve the step after it: an endpoint counts once at the version
 	// below the target and twice at the target. Loads in progress count as complete.
 	ready int
-	// outdated lists the endpoints that need an order.
+	// outdated lists the endpoints that need an order, in the order of sending.
 	outdated []catalog.Endpoint
 }
 
@@ -193,13 +191,12 @@
 	}
 	var backlogs []*modelBacklog
 	for m := range p.targets {
-		if remaining := p.backlog(now, m, endpoints); len(remaining.outdated) > 0 {
+		if remaining := p.backlog(now, m, endpoints, state); len(remaining.outdated) > 0 {
 			backlogs = append(backlogs, remaining)
 		}
 	}
 	weight := weights(p.targets, demand)
 	slices.SortFunc(backlogs, func(a, b *modelBacklog) int { return cmp.Compare(a.model, b.model) })
-	usable := p.usableModels(now, endpoints)
 	var orders []LoadOrder
 	for ; available > 0; available-- {
 		var next *modelBacklog
@@ -212,82 +209,18 @@
 		if next == nil {
 			break
 		}
-		e := next.takeFirst(func(a, b *catalog.Endpoint) int { return p.compareOutdated(next, usable, state, a, b) })
-		orders = append(orders, LoadOrder{Endpoint: e, Model: next.model, Version: next.target})
-		next.ready += next.gain(e.Versions[next.model])
-		usable.add(e.ID, next.model)
+		orders = append(orders, LoadOrder{Endpoint: next.outdated[0], Model: next.model, Version: next.target})
+		next.ready += next.gain(next.outdated[0].Versions[next.model])
+		next.outdated = next.outdated[1:]
 	}
 	return orders
 }
 
-// takeFirst removes the first outdated endpoint in an order and returns it.
-func (b *modelBacklog) takeFirst(compare func(a, b *catalog.Endpoint) int) catalog.Endpoint {
-	first := 0
-	for i := range b.outdated {
-		if compare(&b.outdated[i], &b.outdated[first]) < 0 {
-			first = i
-		}
-	}
-	e := b.outdated[first]
-	b.outdated = slices.Delete(b.outdated, first, first+1)
-	return e
-}
-
-// compareOutdated orders the endpoints that need a load of a model.
-func (p *Plan) compareOutdated(m *modelBacklog, usable usableModels, state func(id string) EngineState, a, b *catalog.Endpoint) int {
-	return cmp.Or(
-		// A load at an impaired engine adds little capacity and holds up those of the others.
-		compareBool(state(a.ID).Impaired, state(b.ID).Impaired),
-		cmp.Compare(usable.others(a.ID, m.model), usable.others(b.ID, m.model)),
-		cmp.Compare(a.Versions[m.model], b.Versions[m.model]),
-		// An endpoint that repeatedly fails to load must not block the others.
-		cmp.Compare(p.attempts[key{a.ID, m.model}], p.attempts[key{b.ID, m.model}]),
-		cmp.Compare(state(b.ID).Running, state(a.ID).Running),
-		cmp.Compare(a.ID, b.ID),
-	)
-}
-
-// usableModels has the models whose newest step each endpoint can serve, or can serve once its
-// loads in progress are complete.
-type usableModels map[string]map[string]bool
-
-func (u usableModels) add(endpoint, model string) {
-	if u[endpoint] == nil {
-		u[endpoint] = map[string]bool{}
-	}
-	u[endpoint][model] = true
-}
-
-// others returns the number of an endpoint's usable models other than the given one.
-func (u usableModels) others(endpoint, model string) int {
-	n := len(u[endpoint])
-	if u[endpoint][model] {
-		n--
-	}
-	return n
-}
-
-func (p *Plan) usableModels(now time.Time, endpoints []catalog.Endpoint) usableModels {
-	out := usableModels{}
-	for i := range endpoints {
-		e := &endpoints[i]
-		for model, v := range e.Versions {
-			if s, ok := p.sent[key{e.ID, model}]; ok && s.accepted && now.Before(s.expiresAt) {
-				v = max(v, s.version)
-			}
-			if target := p.targets[model]; target > 0 && v >= target-1 {
-				out.add(e.ID, model)
-			}
-		}
-	}
-	return out
-}
-
 // gain returns by how much ready increases when an endpoint with version loads the target.
 func (b *modelBacklog) gain(version int) int { return min(max(b.target-version, 0), 2) }
 
 // backlog returns the remaining work for a model.
-func (p *Plan) backlog(now time.Time, model string, endpoints []catalog.Endpoint) *modelBacklog {
+func (p *Plan) backlog(now time.Time, model string, endpoints []catalog.Endpoint, state func(id string) EngineState) *modelBacklog {
 	out := &modelBacklog{model: model, target: p.targets[model]}
 	for _, e := range endpoints {
 		v, ok := e.Versions[model]
@@ -305,6 +238,17 @@
 			out.outdated = append(out.outdated, e)
 		}
 	}
+	slices.SortFunc(out.outdated, func(a, b catalog.Endpoint) int {
+		return cmp.Or(
+			// A load at an impaired engine adds little capacity and holds up those of the others.
+			compareBool(state(a.ID).Impaired, state(b.ID).Impaired),
+			cmp.Compare(a.Versions[model], b.Versions[model]),
+			// An endpoint that repeatedly fails to load must not block the others.
+			cmp.Compare(p.attempts[key{a.ID, model}], p.attempts[key{b.ID, model}]),
+			cmp.Compare(state(b.ID).Running, state(a.ID).Running),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
 	return out
 }
 
