Count the loads that peers report also while a service is busy

Cause: from 40 % utilization on, a host ignored the loads that its peers report on single endpoints and took for granted that they spread their requests as it does. Since one host runs all batches, nearly all load of a service with scoring requests is that one host's: the others sent their callers' requests to the endpoints that it had filled, and scoring waited.

Ownership: a caller joins a running read of manifests only if it began at most 0.35 s ago, so that the confirmation is not too old when the read has ended; the periodic read is started by a function of its own.

--- a/internal/coordination/placement/cost.go
+++ b/internal/coordination/placement/cost.go
@@ -6,18 +6,13 @@
 )
 
 // cost returns the expected service time relative to the service's baseline, plus
-// penalties. If loadScale is not zero, the total load is estimated as loadScale times
-// the local load and the loads of peers are ignored.
-func (e *entry) cost(now time.Time, zone string, baseline time.Duration, loadScale float64, random uint64) float64 {
+// penalties.
+func (e *entry) cost(now time.Time, zone string, baseline time.Duration, random uint64) float64 {
 	cost := 1.0
 	if baseline > 0 {
 		cost = float64(e.serviceTimeAt(now, baseline)) / float64(baseline)
 	}
-	load := float64(e.load())
-	if loadScale > 0 {
-		load = loadScale * float64(e.localLoad)
-	}
-	utilization := load / float64(max(e.endpoint.Slots, 1))
+	utilization := float64(e.load()) / float64(max(e.endpoint.Slots, 1))
 	if utilization >= 1 {
 		cost *= 1 + utilization
 	}
@@ -94,12 +89,7 @@
 		slices.Sort(serviceTimes)
 		median = serviceTimes[(len(serviceTimes)-1)/2]
 	}
-	slots, local, remote := t.SlotUsage(now, service)
-	cached = serviceBaseline{serviceTime: median, computedAt: now}
-	if float64(local+remote) > crowdedUtilization*float64(slots) {
-		cached.loadScale = float64(local+remote) / float64(max(local, 1))
-	}
-	t.baselines[service] = cached
+	t.baselines[service] = serviceBaseline{serviceTime: median, computedAt: now}
 	return median
 }
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -144,14 +144,10 @@
 		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}}
 }
 
-// serviceBaseline is the median service time of a service's endpoints and the ratio of
-// total to local load, both as of computedAt.
+// serviceBaseline is the median service time of a service's endpoints as of computedAt.
 type serviceBaseline struct {
 	serviceTime time.Duration
-	// loadScale is the number of requests of all hosts per local request. It is zero while
-	// utilization is at most crowdedUtilization.
-	loadScale  float64
-	computedAt time.Time
+	computedAt  time.Time
 }
 
 // EndpointKey returns the 32-bit hash that identifies an endpoint in messages between hosts.
@@ -265,15 +261,11 @@
 	var best *entry
 	bestCost := math.Inf(1)
 	baseline := t.baseline(now, q.Service)
-	loadScale := 0.0
-	if q.Model == "" {
-		loadScale = t.baselines[q.Service].loadScale
-	}
 	consider := func(e *entry) bool {
 		if !e.eligible(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.isLoading(now, e, q.Model)) {
 			return false
 		}
-		cost := e.cost(now, t.zone, baseline, loadScale, random)
+		cost := e.cost(now, t.zone, baseline, random)
 		if q.Model != "" {
 			cost += versionCost * float64(min(e.version(q.Model)-q.MinVersion, maxVersionSteps))
 		}
@@ -309,12 +301,6 @@
 // a large service gains little and costs time for each sample.
 const maxCandidates = 48
 
-// crowdedUtilization is the share of a service's slots in use above which the loads of
-// peers on single endpoints are ignored. These are known with a delay, so all hosts
-// would select the same endpoint until the next report. Instead, each host spreads its
-// own requests evenly and assumes that the others do the same.
-const crowdedUtilization = 0.4
-
 func (t *Table) isLoading(now time.Time, e *entry, model string) bool {
 	if len(t.loading) == 0 {
 		return false
--- a/internal/transport/front/ownership.go
+++ b/internal/transport/front/ownership.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
@@ -20,6 +22,9 @@
 	// that a position has no result yet. It is shorter than the time within which all hosts
 	// must agree.
 	maxOwnershipCheckAge = 700 * time.Millisecond
+	// sharedReadAge is how long before a caller asks for a confirmation the read may have begun
+	// that it shares with others. The confirmation must not be too old once the read has ended.
+	sharedReadAge = maxOwnershipCheckAge / 2
 )
 
 // ownershipRead is a read of the manifests of the batches that this host runs.
@@ -55,7 +60,9 @@
 			}
 			s.log.Debug("Failed to list stale manifests", "err", err)
 		}
-		r := s.joinOwnershipRead(time.Now(), "")
+		s.mu.Lock()
+		r := s.startOwnershipRead()
+		s.mu.Unlock()
 		<-r.done
 		if r.err != nil && ctx.Err() == nil {
 			s.log.Warn("Failed to check batch ownership", "err", r.err)
@@ -95,18 +102,21 @@
 	return nil
 }
 
-// joinOwnershipRead returns a read of the manifests of all batches that this host runs. It is a
-// new one unless the last one began at since or later and includes the given batch.
-func (s *Batches) joinOwnershipRead(since time.Time, id string) *ownershipRead {
+// joinOwnershipRead returns a read that includes the given batch: the last one if it began within
+// sharedReadAge, else a new one.
+func (s *Batches) joinOwnershipRead(id string) *ownershipRead {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.ownershipRead; r != nil && !r.began.Before(since) && r.batches[id] != nil {
+	if r := s.ownershipRead; r != nil && time.Since(r.began) <= sharedReadAge && r.batches[id] != nil {
 		return r
 	}
-	r := &ownershipRead{began: time.Now(), batches: map[string]*activeBatch{}, done: make(chan struct{}), missing: map[string]bool{}}
-	for id, b := range s.active {
-		r.batches[id] = b
-	}
+	return s.startOwnershipRead()
+}
+
+// startOwnershipRead starts a read of the manifests of all batches that this host runs. The caller
+// holds the lock.
+func (s *Batches) startOwnershipRead() *ownershipRead {
+	r := &ownershipRead{began: time.Now(), batches: maps.Clone(s.active), done: make(chan struct{}), missing: map[string]bool{}}
 	s.ownershipRead = r
 	go func() {
 		defer close(r.done)
@@ -120,11 +130,7 @@
 // runOwnershipRead confirms the ownership of the batches of a read. It stops those that another
 // host owns and those that have ended.
 func (s *Batches) runOwnershipRead(ctx context.Context, r *ownershipRead) error {
-	ids := make([]string, 0, len(r.batches))
-	for id := range r.batches {
-		ids = append(ids, id)
-	}
-	manifests, err := s.store.manifests(ctx, ids)
+	manifests, err := s.store.manifests(ctx, slices.Collect(maps.Keys(r.batches)))
 	if err != nil {
 		return err
 	}
@@ -146,11 +152,11 @@
 }
 
 // confirmOwnership confirms in the store that this host still owns a batch, as of at most
-// maxOwnershipCheckAge before the call. It stops the batch and returns errBatchNotActive if
+// sharedReadAge before the call. It stops the batch and returns errBatchNotActive if
 // another host owns it. It also stops an ended batch.
 func (s *Batches) confirmOwnership(ctx context.Context, b *activeBatch) error {
 	id := b.manifest.ID
-	r := s.joinOwnershipRead(time.Now().Add(-maxOwnershipCheckAge), id)
+	r := s.joinOwnershipRead(id)
 	select {
 	case <-r.done:
 	case <-ctx.Done():
