List target versions without stale answers again

When the watch of the versions hears nothing, three of four listings came from a replica that lags, so a version was known up to 8 s late and steps waited for it.

Change: each listing of the target versions, every 2 s, comes from the store itself again.

--- a/internal/transport/front/targets.go
+++ b/internal/transport/front/targets.go
@@ -12,18 +12,15 @@
 const (
 	// targetPollInterval is the time between listings of the target versions.
 	targetPollInterval = 2 * time.Second
-	// pollsPerExactOne is the number of these listings of which one must not be stale.
-	pollsPerExactOne = 4
 	// statusRetryDelay is the delay before a failed status update is retried.
 	statusRetryDelay = 500 * time.Millisecond
 )
 
 // pollTargets lists the target versions periodically in addition to the watch, which may
-// deliver no events for seconds after the store has dropped its history. An old target does
-// no harm, since targets only increase.
+// deliver no events for seconds after the store has dropped its history.
 func (w *Weights) pollTargets(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
-		page, err := w.listTargets(ctx, n%pollsPerExactOne != 0)
+	for ctx.Err() == nil {
+		page, err := w.store.List(ctx, w.decoder.ModelPrefix(), "", 0)
 		if err != nil && ctx.Err() == nil {
 			w.log.Warn("Failed to list target versions", "err", err)
 		}
@@ -35,16 +32,6 @@
 	}
 }
 
-// listTargets lists the target versions, which may be outdated if stale is set.
-func (w *Weights) listTargets(ctx context.Context, stale bool) (objectapi.Page, error) {
-	if !stale {
-		return w.store.List(ctx, w.decoder.ModelPrefix(), "", 0)
-	}
-	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
-	defer cancel()
-	return w.stale.List(ctx, w.decoder.ModelPrefix(), "", 0)
-}
-
 // targetFollower applies the target versions that trainers set to the plan.
 type targetFollower struct{ w *Weights }
 
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -45,7 +45,7 @@
 type Weights struct {
 	settings Settings
 	store    *objectapi.Client
-	// stale reads the store cheaply, but what it returns may be seconds old.
+	// stale reads the lease after a restart; what it returns may be seconds old.
 	stale    objectapi.API
 	statuses StatusWriter
 	decoder  Decoder
