--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -132,7 +132,7 @@
 	return s.entriesFrom(ctx, s.stale, id)
 }
 
-func (s *batchStore) entriesFrom(ctx context.Context, store lister, id string) ([]batches.LogEntry, error) {
+func (s *batchStore) entriesFrom(ctx context.Context, store reader, id string) ([]batches.LogEntry, error) {
 	found := map[int]batches.LogEntry{}
 	for after, more := batches.BatchLogPrefix(id), true; more; {
 		page, err := store.List(ctx, batches.LogPrefix, after, 0)
--- a/internal/transport/front/feedreads.go
+++ b/internal/transport/front/feedreads.go
@@ -167,13 +167,14 @@
 	f.configReadAt = max(f.configReadAt, at)
 }
 
-// lister is the part of objectapi.API that lists objects.
-type lister interface {
+// reader is the part of objectapi.API that reads objects: the store, or its stale replica.
+type reader interface {
+	Get(ctx context.Context, key string) (objectapi.Object, error)
 	List(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error)
 }
 
 // listAll reads all pages of the objects with a prefix. It returns the lowest of their revisions.
-func listAll(ctx context.Context, store lister, prefix string) (objects []objectapi.Object, revision uint64, err error) {
+func listAll(ctx context.Context, store reader, prefix string) (objects []objectapi.Object, revision uint64, err error) {
 	after := ""
 	for {
 		page, err := store.List(ctx, prefix, after, 0)
--- a/internal/transport/front/manifests.go
+++ b/internal/transport/front/manifests.go
@@ -49,7 +49,11 @@
 // manifest reads a manifest from the store. It returns objectapi.ErrNotFound when no such
 // batch exists.
 func (s *batchStore) manifest(ctx context.Context, id string) (storedManifest, error) {
-	o, err := s.api.Get(ctx, batches.ManifestKey(id))
+	return s.manifestFrom(ctx, s.api, id)
+}
+
+func (s *batchStore) manifestFrom(ctx context.Context, store reader, id string) (storedManifest, error) {
+	o, err := store.Get(ctx, batches.ManifestKey(id))
 	if err != nil {
 		return storedManifest{}, err
 	}
@@ -85,32 +89,40 @@
 func (s *batchStore) staleManifest(ctx context.Context, id string) (storedManifest, error) {
 	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
 	defer cancel()
-	o, err := s.stale.Get(ctx, batches.ManifestKey(id))
-	if err != nil {
-		return storedManifest{}, err
-	}
-	return s.decodeManifest(o)
+	return s.manifestFrom(ctx, s.stale, id)
 }
 
 // maxListedPerManifest is the number of known manifests for each one to read above which they
 // are read one by one instead of by a listing of all.
 const maxListedPerManifest = 64
 
-// manifests reads the manifests of the given batches. The result lacks those that do not exist.
+// manifests reads the manifests of the given batches. The result lacks those that do not exist,
+// and may have others.
 func (s *batchStore) manifests(ctx context.Context, ids []string) (map[string]storedManifest, error) {
+	return s.manifestsFrom(ctx, s.api, ids)
+}
+
+// staleManifests is manifests, but the result may be outdated.
+func (s *batchStore) staleManifests(ctx context.Context, ids []string) (map[string]storedManifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
+	defer cancel()
+	return s.manifestsFrom(ctx, s.stale, ids)
+}
+
+func (s *batchStore) manifestsFrom(ctx context.Context, store reader, ids []string) (map[string]storedManifest, error) {
 	out := map[string]storedManifest{}
 	s.mu.Lock()
 	known := len(s.cache)
 	s.mu.Unlock()
 	if len(ids) > 1 && known <= maxListedPerManifest*len(ids) {
-		all, err := s.listManifests(ctx)
+		all, err := s.listManifestsFrom(ctx, store)
 		for _, m := range all {
 			out[m.ID] = m
 		}
 		return out, err
 	}
 	for _, id := range ids {
-		m, err := s.manifest(ctx, id)
+		m, err := s.manifestFrom(ctx, store, id)
 		if errors.Is(err, objectapi.ErrNotFound) {
 			continue
 		}
@@ -127,14 +139,7 @@
 	return s.listManifestsFrom(ctx, s.api)
 }
 
-// staleManifests reads all manifests, which may be outdated.
-func (s *batchStore) staleManifests(ctx context.Context) ([]storedManifest, error) {
-	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
-	defer cancel()
-	return s.listManifestsFrom(ctx, s.stale)
-}
-
-func (s *batchStore) listManifestsFrom(ctx context.Context, store lister) ([]storedManifest, error) {
+func (s *batchStore) listManifestsFrom(ctx context.Context, store reader) ([]storedManifest, error) {
 	objects, _, err := listAll(ctx, store, batches.ManifestPrefix)
 	if err != nil {
 		return nil, err
--- a/internal/transport/front/ownership_test.go
+++ b/internal/transport/front/ownership_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// A store with very many batches is not listed for the few that a host runs.
+func TestOwnership_ManyBatchesNotListed(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.runBatches(2)
+	for i := range 2*maxListedPerManifest + 1 {
+		n.Batches.store.cacheManifest(storedManifest{Manifest: batches.Manifest{ID: fmt.Sprintf("other%d", i), Ended: true}, version: 1})
+	}
+	n.store.manifestReads.Store(0)
+	found, err := n.Batches.store.manifests(background, []string{"b0", "b1"})
+	if err != nil || len(found) != 2 {
+		t.Fatalf("manifests %v, %v", found, err)
+	}
+	if got := n.store.manifestReads.Load(); got != 2 {
+		t.Errorf("%d reads, want one for each of the two batches", got)
+	}
+}
+
 // An old manifest must not confirm the ownership of a batch that another host has taken over:
 // the answer that a position has no result yet would be wrong.
 func TestOwnership_StaleManifestConfirmsNothing(t *testing.T) {
