Keep to the request limits that endpoints name, at all hosts together

Callers saw nothing; the operators did: an endpoint in need got several times the rate that its answers named.

Cause: nothing read the header. The class: what an endpoint says of itself in an answer was taken in only where a rule named it (leaving), and a shared quantity was enforced nowhere. The logs told the hypotheses apart: the endpoints received callers' and scoring requests from all hosts as before, and one host alone, the one that runs every batch, exceeded the limit with its scoring requests (35 in 2.5 s at a limit of 6.4 a second). So neither a limit at each host nor one for callers' requests would have done.

Change: one host, found by rendezvous hash, issues permits for an endpoint with a limit, and placement passes over such an endpoint without a permit, for requests of every kind. Hosts that do not reach the issuer use the limit divided by the hosts they know, and the issuer leaves out the share of silent ones, so the parts of a fleet that is cut add up to the limit. Limits and their ends travel in heartbeats. If every endpoint is at its limit, a request is refused at once with the time to come back.

Measured: on the code before, TestLimit_HoldsForAllHostsAndKinds counts 5,243 requests in 4 s where 65 are allowed, TestLimit_Lowered 4,988 where 32 are, and TestLimit_AllEndpointsRefuseAtOnce sees no refusal. Now they pass, as do the tests of hosts that do not hear each other.

--- a/internal/coordination/admission/rate.go
+++ b/internal/coordination/admission/rate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/tokenbucket"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 )
 
@@ -36,8 +37,8 @@
 type Rate struct {
 	// limit is in requests per second; 0 means no limit.
 	limit       float64
-	tokens      float64
-	lastRefill  time.Time
+	bucket      tokenbucket.Bucket
+	started     bool
 	demand      float64
 	arrivals    int
 	windowStart time.Time
@@ -58,17 +59,14 @@
 		return true, 0
 	}
 	capacity := max(1, r.limit*burstPeriod.Seconds())
-	if r.lastRefill.IsZero() {
-		r.tokens = capacity
-	} else {
-		r.tokens = min(capacity, r.tokens+r.limit*now.Sub(r.lastRefill).Seconds())
+	if !r.started {
+		r.bucket, r.started = tokenbucket.New(now, capacity), true
 	}
-	r.lastRefill = now
-	if r.tokens >= 1 {
-		r.tokens--
+	r.bucket.Refill(now, r.limit, capacity)
+	if r.bucket.Take(1) == 1 {
 		return true, 0
 	}
-	return false, time.Duration((1 - r.tokens) / r.limit * float64(time.Second))
+	return false, r.bucket.Wait(r.limit)
 }
 
 func (r *Rate) countArrival(now time.Time) {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -11,6 +11,9 @@
 // routing. The ejection rules here are separate from those of package health, which routing
 // uses: the periods are shorter, and there is no limit on the share of ejected endpoints.
 //
+// Endpoints may limit the rate of requests from all hosts together. One with a limit is selected
+// only while this host has a permit for it, see package permits.
+//
 // Invariant: an endpoint that is draining, leaving or absent from the catalog is never
 // selected. An instance that was once marked as leaving stays so.
 package placement
@@ -119,6 +122,7 @@
 	// observedVersions holds the weight versions that the endpoint's own answers named, by
 	// model. Each Put of the endpoint clears it.
 	observedVersions map[string]int
+	limit            requestLimit
 }
 
 // Table holds the load, health and service time of each endpoint as one host sees them.
@@ -136,12 +140,14 @@
 	baselines map[string]serviceBaseline
 	// loading holds when each weights load in progress ends, by WeightsKey.
 	loading map[uint32]time.Time
+	// wantingPermits has the entries of endpoints for which permits are wanted.
+	wantingPermits map[*entry]struct{}
 }
 
 // NewTable returns an empty table for a host in the given availability zone.
 func NewTable(zone string) *Table {
 	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32][]*entry{}, byInstance: map[uint32][]*entry{}, loading: map[uint32]time.Time{},
-		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}}
+		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}}
 }
 
 // serviceBaseline is the median service time of a service's endpoints as of computedAt.
@@ -202,6 +208,7 @@
 		return
 	}
 	delete(t.entries, id)
+	delete(t.wantingPermits, e)
 	removeEntry(t.byKey, e.key, e)
 	removeEntry(t.byInstance, e.instanceKey, e)
 	service := e.endpoint.Service
@@ -256,10 +263,12 @@
 const preferBonus = 0.6
 
 // Pick returns the endpoint with the lowest cost for a query, and false if none meets
-// it. random breaks ties and sets where the scan of a large service starts.
+// it. random breaks ties and sets where the scan of a large service starts. If an endpoint with a
+// request limit would have been returned but for a permit, a request for permits becomes due.
 func (t *Table) Pick(now time.Time, q Query, random uint64) (catalog.Endpoint, bool) {
 	var best *entry
 	bestCost := math.Inf(1)
+	var limited []limitedCandidate
 	baseline := t.baseline(now, q.Service)
 	consider := func(e *entry) bool {
 		if !e.eligible(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.isLoading(now, e, q.Model)) {
@@ -277,6 +286,10 @@
 			// before the others.
 			cost += ejectedCost + e.ejectedUntil.Sub(now).Seconds()
 		}
+		if !e.limit.permitAvailable(now) {
+			limited = append(limited, limitedCandidate{e, cost})
+			return false
+		}
 		if cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -291,6 +304,7 @@
 			usable++
 		}
 	}
+	t.wantPermits(now, limited, best != nil, bestCost)
 	if best == nil || q.FreeSlot && bestCost >= ejectedCost {
 		return catalog.Endpoint{}, false
 	}
@@ -356,6 +370,7 @@
 // the same instance.
 func (t *Table) Begin(now time.Time, ep catalog.Endpoint) {
 	if e := t.instance(&ep); e != nil {
+		e.limit.usePermit(now)
 		e.localLoad++
 		if n := len(e.idleSince); n > 0 {
 			e.idleSince = e.idleSince[:n-1] // the connection used last is reused first
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/permits"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -72,6 +74,21 @@
 		n := 0
 		d.ScanArgs(t, "n", &n)
 		s.table.SetPeerLoads("h2", map[uint32]uint16{EndpointKey(id): uint16(n)})
+	case "limit":
+		return fmt.Sprintln(s.table.RecordLimit(s.now, s.table.entries[id].endpoint, perSecond(t, d)))
+	case "unlimited":
+		return fmt.Sprintln(s.table.RecordUnlimited(s.now, s.table.entries[id].endpoint, s.now.Add(-duration)))
+	case "reported-limit":
+		e := s.table.entries[id]
+		return fmt.Sprintln(s.table.MergeLimit(s.now, permits.LimitReport{Instance: e.instanceKey, PerSecond: float32(perSecond(t, d)), AgeMs: uint32(ms)}))
+	case "wanted":
+		return s.wanted()
+	case "permits":
+		n := 0
+		d.MaybeScanArgs(t, "n", &n)
+		s.table.AddPermits(s.now, s.table.entries[id].endpoint, permits.Grant{Count: n, RetryAfter: duration})
+	case "permit-wait":
+		return fmt.Sprintln(s.table.PermitWait(s.now, Query{Service: "s"}))
 	case "pick":
 		return s.pick(t, d)
 	default:
@@ -80,6 +97,26 @@
 	return ""
 }
 
+func perSecond(t *testing.T, d *datadriven.TestData) float64 {
+	var arg string
+	d.ScanArgs(t, "per-second", &arg)
+	v, err := strconv.ParseFloat(arg, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// wanted takes the requests for permits that are due.
+func (s *traceRunner) wanted() string {
+	var out []string
+	for _, w := range s.table.TakePermitsWanted(s.now) {
+		out = append(out, fmt.Sprintf("%s count=%d unpermitted=%d", w.Endpoint.ID, w.Count, w.Unpermitted))
+	}
+	slices.Sort(out)
+	return strings.Join(append(out, ""), "\n")
+}
+
 func (s *traceRunner) put(t *testing.T, d *datadriven.TestData, id string) {
 	e := catalog.Endpoint{ID: id, Service: "s", Address: id + ":1", Zone: "a", Slots: 2, Versions: map[string]int{}}
 	version := 1
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/permits"
 )
 
 const (
@@ -120,6 +122,8 @@
 	// Leaving lists the endpoints whose answers said that they are leaving, by
 	// placement.InstanceKey.
 	Leaving []uint32 `cbor:"34,keyasint,omitempty"`
+	// Limits lists the request limits of endpoints that the sender knows.
+	Limits []permits.LimitReport `cbor:"36,keyasint,omitempty"`
 	// Work is the work in expected tokens that trainers recently submitted to the sender, by
 	// upgrades.ModelKey.
 	Work map[uint32]uint32 `cbor:"35,keyasint,omitempty"`
--- a/internal/coordination/presence/table.go
+++ b/internal/coordination/presence/table.go
@@ -190,6 +190,25 @@
 	return n
 }
 
+// Known returns the number of hosts, including this one, that are not draining and are alive or
+// have been silent for less than silentRetention, and how many of them are alive. A silent host may
+// be running and only be cut off from this one.
+func (t *Table) Known(now time.Time) (known, alive int) {
+	if !t.self.Draining {
+		known, alive = 1, 1
+	}
+	for _, p := range t.peers {
+		if p.Draining {
+			continue
+		}
+		known++
+		if t.alive(now, p) {
+			alive++
+		}
+	}
+	return known, alive
+}
+
 // Addresses returns the sorted addresses of all known hosts.
 func (t *Table) Addresses() []string {
 	out := make([]string, 0, len(t.peers))
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -65,6 +65,21 @@
 	Signature string
 }
 
+// Notice is what an answer says about its endpoint.
+type Notice struct {
+	// Leaving reports that the endpoint is about to exit.
+	Leaving bool
+	// Limited reports that the endpoint names a limit for the requests of all hosts together:
+	// LimitPerSecond, in requests per second.
+	Limited        bool
+	LimitPerSecond float64
+	// Unlimited reports that the answer is a success and names no limit. Other answers without
+	// a limit say nothing about it.
+	Unlimited bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
 // GenerateRequest is a request that is answered with an event stream: for a sample of a batch,
 // or from a caller.
 type GenerateRequest struct {
@@ -137,10 +152,10 @@
 	Order(ctx context.Context, o Order) (OrderResult, error)
 	// CheckConnection returns nil if a connection to the endpoint's address can be opened.
 	CheckConnection(ctx context.Context, e catalog.Endpoint) error
-	// OnLeaving registers the function that is called with the endpoint of each answer, also of
-	// a refusal, that says that the endpoint is leaving: before the answer is returned, and
-	// from several goroutines. It must be called before the first request.
-	OnLeaving(f func(catalog.Endpoint))
+	// OnNotice registers the function that is called with the endpoint and the notice of each
+	// answer, also of a refusal: before the answer is returned, and from several goroutines. It
+	// must be called before the first request.
+	OnNotice(f func(catalog.Endpoint, Notice))
 	// ReadReport reads an engine's report of its state.
 	ReadReport(ctx context.Context, e catalog.Endpoint) (Report, error)
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -96,6 +96,7 @@
 	membership *Membership
 	weights    *Weights
 	feed       *Feed
+	permits    *Permits
 	params     Params
 
 	draining atomic.Bool
@@ -147,7 +148,8 @@
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
-	p.Endpoints.OnLeaving(n.endpointLeaving)
+	n.permits = newPermits(p.Settings.Host, fleet, n.peers, calls, n.candidate, component("permits"), p.Registry)
+	p.Endpoints.OnNotice(n.endpointNotice)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
 		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: stale,
@@ -156,9 +158,17 @@
 	return n
 }
 
-// endpointLeaving stops new work for an endpoint whose answer said that it is leaving, and
-// reports it to the peers.
-func (n *Node) endpointLeaving(e catalog.Endpoint) {
+// endpointNotice records what an answer says about its endpoint. If that is new, it is reported to
+// the peers at once.
+func (n *Node) endpointNotice(e catalog.Endpoint, notice backend.Notice) {
+	if n.Forwarder.fleet.RecordLimit(e, notice) {
+		n.log.Info("Request limit of endpoint changed", "endpoint", e.ID, "service", e.Service,
+			"limited", notice.Limited, "per_second", notice.LimitPerSecond)
+		n.membership.Announce()
+	}
+	if !notice.Leaving {
+		return
+	}
 	isNew := false
 	n.Forwarder.fleet.WithTable(func(t *placement.Table) { isNew = t.MarkLeaving(e) })
 	if isNew {
@@ -198,7 +208,7 @@
 	n.Forwarder.quarantine.FillHeartbeat(h)
 	now := time.Now()
 	n.Forwarder.fleet.WithTable(func(t *placement.Table) {
-		h.Unreachable, h.Slow, h.Leaving = t.Unreachable(now), t.Slow(now), t.Leaving()
+		h.Unreachable, h.Slow, h.Leaving, h.Limits = t.Unreachable(now), t.Slow(now), t.Leaving(), t.Limits(now)
 	})
 	for _, l := range n.weights.Loads(now) {
 		if h.LoadingMs == nil {
@@ -284,7 +294,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.PeerAddress, peerHandler(n.params.Store, n.peers, n.feed, n.Batches)},
+		{s.PeerAddress, peerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits)},
 		{s.ReadyAddress, n.params.Handlers.Readiness(n)},
 		{s.DirectoryAddress, n.params.Handlers.Directory(n)},
 		{s.CallerAddress, n.params.Handlers.Callers(n)},
@@ -294,7 +304,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -439,6 +439,8 @@
 	connectAttempts map[string]int
 	// runs counts the attempts of each request id.
 	runs map[string]int
+	// notices are the functions that hosts registered with OnNotice.
+	notices []func(catalog.Endpoint, backend.Notice)
 	// do, when set, handles plain requests.
 	do func(r backend.Request) (*backend.Answer, error)
 	// loaded, when set, is called for each load.
@@ -556,8 +558,12 @@
 	e.silent[id] = true
 }
 
-// OnLeaving does nothing: platform/leaving_test.go plays leaving endpoints over real connections.
-func (e *fakeEngines) OnLeaving(func(catalog.Endpoint)) {}
+// OnNotice adds the function of a host to those that answers with a limit are reported to.
+func (e *fakeEngines) OnNotice(f func(catalog.Endpoint, backend.Notice)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notices = append(e.notices, f)
+}
 
 func (e *fakeEngines) ReadReport(_ context.Context, ep catalog.Endpoint) (backend.Report, error) {
 	e.mu.Lock()
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -340,6 +340,7 @@
 	}
 	m.recordLoads(h, hub, primary)
 	m.recordQuarantine(h)
+	m.fleet.MergeLimits(h.Limits)
 	m.fleet.WithTable(func(t *placement.Table) {
 		for key, ms := range h.LoadingMs {
 			t.SetLoading(now, key, now.Add(time.Duration(ms)*time.Millisecond))
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -177,7 +177,7 @@
 
 // peerHandler serves the calls of PeerClient, and relays store calls for hosts that the store
 // does not serve directly.
-func peerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches) http.Handler {
+func peerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
 	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
 	r.HandleFunc("/feed", func(w http.ResponseWriter, r *http.Request) {
@@ -235,6 +235,14 @@
 			peerError(w, err)
 		}
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/permits", func(w http.ResponseWriter, r *http.Request) {
+		var call permitCall
+		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&call); err != nil {
+			http.Error(w, "no call for permits", http.StatusBadRequest)
+			return
+		}
+		writeAnswer(w, r, p.answer(call))
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
 		var hashes []uint64
 		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/permits"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -15,11 +17,13 @@
 	mu      sync.Mutex
 	table   *placement.Table
 	changed chan struct{}
+	// permitsWanted receives a value when permits are wanted.
+	permitsWanted chan struct{}
 }
 
 // NewFleet returns an empty fleet for a host in zone.
 func NewFleet(zone string) *Fleet {
-	return &Fleet{table: placement.NewTable(zone), changed: make(chan struct{})}
+	return &Fleet{table: placement.NewTable(zone), changed: make(chan struct{}), permitsWanted: make(chan struct{}, 1)}
 }
 
 // WithTable calls run with the table while holding the lock. run must not keep the table.
@@ -39,9 +43,65 @@
 	if ok {
 		f.table.Begin(now, e)
 	}
+	if _, wanted := f.table.NextPermits(); wanted {
+		select {
+		case f.permitsWanted <- struct{}{}:
+		default: // a value is pending already
+		}
+	}
 	return e, ok
 }
 
+// PermitWait reports whether and for how long requests wait for permits; see
+// placement.Table.PermitWait.
+func (f *Fleet) PermitWait(q placement.Query) (wait time.Duration, atLimit bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.PermitWait(time.Now(), q)
+}
+
+// AddPermits records the answer to a request for permits of an endpoint.
+func (f *Fleet) AddPermits(e catalog.Endpoint, g permits.Grant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table.AddPermits(time.Now(), e, g) {
+		f.notifyChanged()
+	}
+}
+
+// RecordLimit records what an endpoint's answer says about its request limit. It reports whether
+// the limit changed.
+func (f *Fleet) RecordLimit(e catalog.Endpoint, n backend.Notice) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch now := time.Now(); {
+	case n.Limited:
+		changed = f.table.RecordLimit(now, e, n.LimitPerSecond)
+	case n.Unlimited:
+		changed = f.table.RecordUnlimited(now, e, n.SentAt)
+	}
+	if changed {
+		f.notifyChanged()
+	}
+	return changed
+}
+
+// MergeLimits records the limits that a peer reported.
+func (f *Fleet) MergeLimits(reports []permits.LimitReport) {
+	if len(reports) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	for _, r := range reports {
+		changed = f.table.MergeLimit(time.Now(), r) || changed
+	}
+	if changed {
+		f.notifyChanged()
+	}
+}
+
 // End records the outcome of a request. took is the time for an answer or event, or zero
 // if it was not measured.
 func (f *Fleet) End(e catalog.Endpoint, outcome placement.Outcome, took time.Duration) {
@@ -99,6 +159,14 @@
 	return p.table.Count(time.Now())
 }
 
+// Known returns the number of hosts that may be running and how many of them are alive, including
+// this one; see presence.Table.Known.
+func (p *Peers) Known() (known, alive int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Known(time.Now())
+}
+
 // Get returns a peer if it is alive.
 func (p *Peers) Get(host string) (presence.Member, bool) {
 	p.mu.Lock()
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -42,9 +42,9 @@
 
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
 	for c.sent < c.route.MaxAttempts && (c.sent == 0 || !c.quarantined()) {
-		e, ok := c.f.fleet.Pick(placement.Query{Service: c.service, Avoid: c.tried})
-		if !ok {
-			return c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
+		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Avoid: c.tried})
+		if err != nil {
+			return err
 		}
 		c.tried = append(c.tried, e.ID)
 		c.sent++
@@ -55,7 +55,7 @@
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
 			return out.WriteHead(a)
 		}
-		err := c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
+		err = c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
 		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, out.WriteChunk)
@@ -79,3 +79,18 @@
 	}
 	return c.refuse(resultcode.RetryBudgetExhausted, c.lastError())
 }
+
+// pickForStream picks an endpoint. It waits only for permits.
+func (c *call) pickForStream(ctx context.Context, q placement.Query) (e catalog.Endpoint, err error) {
+	pick := func() (ok bool) {
+		e, ok = c.f.fleet.Pick(q)
+		return ok
+	}
+	if pick() {
+		return e, nil
+	}
+	if _, atLimit := c.f.fleet.PermitWait(q); !atLimit {
+		return e, c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
+	}
+	return e, c.awaitEndpoint(ctx, pick)
+}
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -213,6 +213,7 @@
 	w.mu.Lock()
 	w.lastOrderAt = sinceBoot()
 	w.mu.Unlock()
+	w.fleet.WithTable(func(t *placement.Table) { t.RecordCall(time.Now(), s.Endpoint) })
 	state, err := w.client.Order(ctx, backend.Order{
 		Endpoint: s.Endpoint, Model: s.Model, Version: s.Version, KeepRunning: w.keepRunning(s.Endpoint.Service),
 		Holder: lease.Holder, FencingToken: lease.FencingToken, ExpectOrders: orders,
@@ -254,6 +255,7 @@
 	if ok && known.incarnation == e.Incarnation {
 		return known.count, nil
 	}
+	w.fleet.WithTable(func(t *placement.Table) { t.RecordCall(time.Now(), e) })
 	report, err := w.client.ReadReport(ctx, e)
 	if err != nil {
 		return 0, err
