--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -150,6 +150,9 @@
 	Draining bool
 	// Versions maps each model that the endpoint serves to its weight version.
 	Versions map[string]int
+	// Software is the version of the endpoint's software, which is independent of the weight
+	// versions. A stream can be continued only at the version that began it.
+	Software string
 	// Incarnation is the endpoint's start time in Unix milliseconds, zero if it was not
 	// reported.
 	Incarnation int64
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -174,7 +174,7 @@
 	delete(a.attempts, e.sample)
 	a.run.Ended(time.Now(), e.sample, e.outcome, e.partial)
 	sample := a.run.Sample(e.sample)
-	a.log.Info("Sample attempt ended", "sample", sample.ID, "endpoint", at.endpoint.ID,
+	a.log.Info("Sample attempt ended", "sample", sample.ID, "endpoint", at.endpoint.ID, "software", at.endpoint.Software,
 		"events", e.partial.Events, "versions", e.partial.Versions, "took_ms", time.Since(at.began).Milliseconds(),
 		"longest_gap_ms", at.longestGapMs.Load(), "expected_tokens", sample.ExpectedTokens, "err", e.err)
 	if e.outcome == batchrun.Complete && sample.Scoring != nil {
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -243,7 +243,7 @@
 	}
 	if from == fromStore {
 		f.log.Info("Endpoint added or changed", "endpoint", e.ID, "service", e.Service, "address", e.Address,
-			"draining", e.Draining, "incarnation", e.Incarnation)
+			"software", e.Software, "draining", e.Draining, "incarnation", e.Incarnation)
 	}
 	return true
 }
