Continue samples only at the software version that began them

Trainers could get texts that two versions of the engines' software had written, which do not fit together.

The class: output is bound to more of its maker than was recorded with it. Every such text had a broken stream before, and the same host continued it; a takeover and a move from a slow engine lacked the version in the same way.

Change: the output of a sample names its software version, also in what is saved for the batch's next owner. It continues only there. If no such engine is free, the sample waits for no longer than it takes to generate its output again, and then starts over; if there is none, at once. A move goes only to an engine of the same version. Output that an earlier build saved has no version and is generated again.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -10,7 +10,8 @@
 //
 // Invariant: a sample ends exactly once, either completed (with its score, if it is
 // scored) or abandoned because it reached the failure limit, is invalid, or reached the
-// time limit. Partial text is only continued under weight versions that the batch allows.
+// time limit. Partial text is only continued under weight versions that the batch allows, and by
+// the software version that generated it.
 package batchrun
 
 import (
@@ -58,15 +59,20 @@
 	Events int    `json:"events"`
 	// Versions are the weight versions that generated an event, ascending and unique.
 	Versions []int `json:"versions"`
+	// Software is the version of the software that generated the events. No other version can
+	// continue them.
+	Software string `json:"software"`
 }
 
 // Clone returns a deep copy of p.
 func (p *Partial) Clone() Partial {
-	return Partial{Text: slices.Clone(p.Text), Events: p.Events, Versions: slices.Clone(p.Versions)}
+	return Partial{Text: slices.Clone(p.Text), Events: p.Events, Versions: slices.Clone(p.Versions), Software: p.Software}
 }
 
-// Add appends the data of an event. Events are separated by line feeds.
-func (p *Partial) Add(data string, version int) {
+// Add appends the data of an event that an endpoint with the given weight version and software
+// generated. Events are separated by line feeds.
+func (p *Partial) Add(data string, version int, software string) {
+	p.Software = software
 	if p.Events > 0 {
 		p.Text = append(p.Text, '\n')
 	}
@@ -124,7 +130,10 @@
 	scoreFailures int
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
-	endpoint  string
+	// softwareMissingSince is when the sample was first passed over because no endpoint of the
+	// software of its partial output was free.
+	softwareMissingSince time.Time
+	endpoint             string
 }
 
 // The priority classes of groups, highest priority first.
@@ -261,12 +270,13 @@
 	return tokens[len(tokens)/2]
 }
 
-// Next returns the index of the sample to start next; ok is false when none may start now.
-func (r *Run) Next(now time.Time) (index int, ok bool) {
+// Next returns the index of the sample to start next, apart from those in skip; ok is false when
+// none may start now.
+func (r *Run) Next(now time.Time, skip map[int]bool) (index int, ok bool) {
 	first := -1 // the first sample without partial output
 	for _, i := range r.order {
 		s := r.samples[i]
-		if s.phase != waiting || now.Before(s.notBefore) {
+		if s.phase != waiting || now.Before(s.notBefore) || skip[i] {
 			continue
 		}
 		// A sample with partial output takes precedence over samples without.
@@ -280,6 +290,24 @@
 	return first, first >= 0
 }
 
+// Software returns the software version at which a waiting sample can continue; ok is false if it
+// has no output.
+func (r *Run) Software(i int) (software string, ok bool) {
+	p := &r.samples[i].partial
+	return p.Software, p.Events > 0
+}
+
+// AwaitSoftware records that no endpoint of a sample's software is free, and reports whether the
+// sample should wait for one: for no longer than it takes to generate its output again at
+// another software version. eventInterval is the usual time between two events.
+func (r *Run) AwaitSoftware(now time.Time, i int, eventInterval time.Duration) bool {
+	s := r.samples[i]
+	if s.softwareMissingSince.IsZero() {
+		s.softwareMissingSince = now
+	}
+	return now.Sub(s.softwareMissingSince) < time.Duration(s.partial.Events)*eventInterval
+}
+
 // Sample returns the sample with index i.
 func (r *Run) Sample(i int) *batches.Sample { return &r.samples[i].Sample }
 
@@ -314,10 +342,14 @@
 	return r.groups[r.samples[i].Group].endpoint
 }
 
-// Resume returns the partial output after which a sample can continue under the weight
-// version. With SingleVersion, output that another version generated is discarded.
-func (r *Run) Resume(i, version int) Partial {
+// Resume returns the partial output after which a sample can continue at an endpoint with the weight
+// version and software. Output of another software version is discarded, and with SingleVersion
+// that of another weight version.
+func (r *Run) Resume(i, version int, software string) Partial {
 	s := r.samples[i]
+	if s.partial.Software != software {
+		s.partial = Partial{}
+	}
 	if r.opt.SingleVersion && s.partial.Events > 0 && (len(s.partial.Versions) > 1 || s.partial.Versions[0] != version) {
 		s.partial = Partial{}
 	}
@@ -354,7 +386,7 @@
 // Started records that a sample was started at an endpoint.
 func (r *Run) Started(i int, endpoint string) {
 	s := r.samples[i]
-	s.phase, s.endpoint = running, endpoint
+	s.phase, s.endpoint, s.softwareMissingSince = running, endpoint, time.Time{}
 	r.groups[s.Group].endpoint = endpoint
 }
 
--- a/internal/coordination/batchrun/batchrun_test.go
+++ b/internal/coordination/batchrun/batchrun_test.go
@@ -19,6 +19,8 @@
 type traceRunner struct {
 	run *Run
 	now time.Time
+	// software is the software version of the endpoints that start samples.
+	software string
 }
 
 // TestTraces replays the traces in testdata: start order, failures, retries and results.
@@ -62,14 +64,14 @@
 		d.ScanArgs(t, "id", &id)
 		d.ScanArgs(t, "events", &events)
 		d.ScanArgs(t, "version", &version)
-		return fmt.Sprintf("%v\n", s.run.Restore(id, partial(events, version)))
+		return fmt.Sprintf("%v\n", s.run.Restore(id, partial(events, version, s.software)))
 	case "restore-complete":
 		var id string
 		var events, version int
 		d.ScanArgs(t, "id", &id)
 		d.ScanArgs(t, "events", &events)
 		d.ScanArgs(t, "version", &version)
-		_, ok := s.run.RestoreComplete(id, partial(events, version))
+		_, ok := s.run.RestoreComplete(id, partial(events, version, s.software))
 		return fmt.Sprintf("%v\n", ok)
 	case "stall-timeouts":
 		var id string
@@ -82,6 +84,15 @@
 		var id string
 		d.ScanArgs(t, "id", &id)
 		return fmt.Sprintf("%q\n", s.run.PreferredEndpoint(s.run.byID[id]))
+	case "software":
+		s.software = d.CmdArgs[0].Key
+		return ""
+	case "await-software":
+		var id string
+		d.ScanArgs(t, "id", &id)
+		i := s.run.byID[id]
+		software, began := s.run.Software(i)
+		return fmt.Sprintf("software %q, began %v, wait %v\n", software, began, s.run.AwaitSoftware(s.now, i, 40*time.Millisecond))
 	case "expire":
 		s.run.Expire(s.now)
 		return s.results()
@@ -117,22 +128,22 @@
 func (s *traceRunner) start(n int) string {
 	var out strings.Builder
 	for range n {
-		i, ok := s.run.Next(s.now)
+		i, ok := s.run.Next(s.now, nil)
 		if !ok {
 			out.WriteString("none\n")
 			break
 		}
-		p := s.run.Resume(i, 2)
+		p := s.run.Resume(i, 2, s.software)
 		s.run.Started(i, "e1")
 		fmt.Fprintf(&out, "%s spare=%v after=%d\n", s.run.Sample(i).ID, s.run.IsSpare(i), p.Events)
 	}
 	return out.String()
 }
 
-func partial(events, version int) Partial {
+func partial(events, version int, software string) Partial {
 	var p Partial
 	for i := range events {
-		p.Add("e"+strconv.Itoa(i+1), version)
+		p.Add("e"+strconv.Itoa(i+1), version, software)
 	}
 	return p
 }
@@ -145,7 +156,7 @@
 	d.ScanArgs(t, "how", &how)
 	d.MaybeScanArgs(t, "events", &events)
 	d.MaybeScanArgs(t, "version", &version)
-	s.run.Ended(s.now, s.run.byID[id], ends[how], partial(events, version))
+	s.run.Ended(s.now, s.run.byID[id], ends[how], partial(events, version, s.software))
 	return s.results()
 }
 
@@ -172,7 +183,7 @@
 		running := map[int]bool{}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			if i, ok := r.Next(now); ok && rapid.Bool().Draw(t, "start") {
+			if i, ok := r.Next(now, nil); ok && rapid.Bool().Draw(t, "start") {
 				r.Started(i, "e")
 				running[i] = true
 			}
@@ -181,7 +192,7 @@
 				if end == Failed || end == Invalid {
 					failures[r.Sample(i).ID]++
 				}
-				r.Ended(now, i, end, partial(rapid.IntRange(0, 3).Draw(t, "events"), 1))
+				r.Ended(now, i, end, partial(rapid.IntRange(0, 3).Draw(t, "events"), 1, ""))
 				delete(running, i)
 				if end == Complete && !r.ScoreFailed(i) {
 					failures[r.Sample(i).ID]++
@@ -215,7 +226,7 @@
 	}
 	r := New(batch, Options{AbandonAt: testStart.Add(time.Hour), MaxFailures: 3}, nil)
 	for b.Loop() {
-		if _, ok := r.Next(testStart); !ok {
+		if _, ok := r.Next(testStart, nil); !ok {
 			b.Fatal("Next found no sample to start")
 		}
 	}
--- a/internal/coordination/placement/cost.go
+++ b/internal/coordination/placement/cost.go
@@ -93,6 +93,11 @@
 	return median
 }
 
+// Baseline returns the median service time of a service's endpoints; zero is unknown.
+func (t *Table) Baseline(now time.Time, service string) time.Duration {
+	return t.baseline(now, service)
+}
+
 // ServiceTime returns an endpoint's service time and its service's baseline; zero is unknown.
 func (t *Table) ServiceTime(now time.Time, id string) (serviceTime, baseline time.Duration) {
 	e, ok := t.entries[id]
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -249,6 +249,8 @@
 	MinVersion int
 	// ExactVersion, when not zero, is the only accepted version.
 	ExactVersion int
+	// Software, when set, is the only accepted software version.
+	Software string
 	// FreeSlot requires an endpoint that can start the work immediately.
 	FreeSlot bool
 	// Prefer is the ID of an endpoint to select unless its cost is higher than the best by
@@ -311,6 +313,12 @@
 	return best.endpoint, true
 }
 
+// Serves reports whether an endpoint meets the query, whether or not it has a free slot.
+func (t *Table) Serves(q Query) bool {
+	q.FreeSlot = false
+	return slices.ContainsFunc(t.services[q.Service], func(e *entry) bool { return e.eligible(&q) })
+}
+
 // maxCandidates bounds the usable endpoints that one scan compares. Comparing more of
 // a large service gains little and costs time for each sample.
 const maxCandidates = 48
@@ -332,7 +340,7 @@
 	if ep.Draining || slices.Contains(q.Avoid, ep.ID) {
 		return false
 	}
-	if q.FreeSlot && e.load() >= ep.Slots {
+	if q.Software != "" && ep.Software != q.Software || q.FreeSlot && e.load() >= ep.Slots {
 		return false
 	}
 	if q.Model == "" {
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -215,8 +215,9 @@
 	if a.moveFromSlowEndpoint(now) {
 		return // the end of the attempt triggers the next round
 	}
+	skip := map[int]bool{}
 	for {
-		i, ok := a.run.Next(now)
+		i, ok := a.run.Next(now, skip)
 		if !ok {
 			return
 		}
@@ -230,10 +231,40 @@
 			Service: route.PickService(rand.Uint64()), Model: a.batch.Model, MinVersion: a.batch.MinVersion,
 			FreeSlot: true, Prefer: a.run.PreferredEndpoint(i),
 		}
-		e, ok := a.parent.runner.fleet.Pick(q)
-		if !ok {
+		e, ok, wait := a.pick(now, i, q)
+		switch {
+		case ok:
+			a.startAttempt(i, e, route, a.run.Resume(i, e.Versions[a.batch.Model], e.Software))
+		case wait:
+			skip[i] = true
+		default:
 			return // a change of the fleet triggers the next round
 		}
-		a.startAttempt(i, e, route, a.run.Resume(i, e.Versions[a.batch.Model]))
 	}
 }
+
+// pick picks an endpoint for a sample. If the sample has output, that is one of the software version
+// that generated it. wait is set if none is free and the sample should wait for one; otherwise it
+// may start over at any endpoint.
+func (a *activeBatch) pick(now time.Time, i int, q placement.Query) (e catalog.Endpoint, ok, wait bool) {
+	fleet := a.parent.runner.fleet
+	software, began := a.run.Software(i)
+	if !began {
+		e, ok = fleet.Pick(q)
+		return e, ok, false
+	}
+	continuing := q
+	continuing.Software = software
+	if e, ok = fleet.Pick(continuing); ok {
+		return e, true, false
+	}
+	serves, interval := false, time.Duration(0)
+	fleet.WithTable(func(t *placement.Table) { serves, interval = t.Serves(continuing), t.Baseline(now, q.Service) })
+	if serves && a.run.AwaitSoftware(now, i, interval) {
+		return e, false, true
+	}
+	if e, ok = fleet.Pick(q); ok {
+		a.log.Info("Sample starts over at another software version", "sample", a.run.Sample(i).ID, "from", software, "to", e.Software)
+	}
+	return e, ok, false
+}
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -115,7 +115,7 @@
 			return errVersionNotAllowed
 		}
 		at.mu.Lock()
-		output.Add(e.Data, e.Version)
+		output.Add(e.Data, e.Version, g.Endpoint.Software)
 		at.mu.Unlock()
 		now := time.Now()
 		at.events.Add(1)
@@ -267,6 +267,7 @@
 	a.parent.runner.fleet.WithTable(func(t *placement.Table) {
 		move = t.ShouldMove(now, at.endpoint.ID, placement.Query{
 			Service: at.endpoint.Service, Model: a.batch.Model, MinVersion: a.batch.MinVersion, FreeSlot: true,
+			Software: at.endpoint.Software,
 		})
 	})
 	return move
