Continue callers' streams only at the software version that began them

A caller that took a broken stream up again could get its rest from another version of an endpoint's software, which does not fit what it had.

Cause: a host knew nothing of a stream that began at another host, or earlier at itself, but the number of the last event.

Change: the host that passes on the first event remembers the service and the software version of the stream, and so do two keepers by rendezvous hash; a host at which it is taken up asks for them.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -140,6 +140,8 @@
 	baselines map[string]serviceBaseline
 	// loading holds when each weights load in progress ends, by WeightsKey.
 	loading map[uint32]time.Time
+	// softwareSeen holds when each software version was last seen, by service and version.
+	softwareSeen map[string]map[string]time.Time
 	// wantingPermits has the entries of endpoints for which permits are wanted.
 	wantingPermits map[*entry]struct{}
 }
@@ -147,7 +149,7 @@
 // NewTable returns an empty table for a host in the given availability zone.
 func NewTable(zone string) *Table {
 	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32][]*entry{}, byInstance: map[uint32][]*entry{}, loading: map[uint32]time.Time{},
-		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}}
+		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}, softwareSeen: map[string]map[string]time.Time{}}
 }
 
 // serviceBaseline is the median service time of a service's endpoints as of computedAt.
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -207,6 +207,9 @@
 	}
 	listed := make(map[string]bool, len(endpoints))
 	putCount, removedCount := 0, 0
+	observeSoftware := func(t *placement.Table) { t.ObserveSoftware(time.Now()) }
+	f.fleet.WithTable(observeSoftware)
+	defer f.fleet.WithTable(observeSoftware)
 	for i := range endpoints {
 		e := &endpoints[i]
 		listed[e.ID] = true
@@ -248,6 +251,14 @@
 	return true
 }
 
+// EndpointsReadAt returns the boot time at which the list of endpoints in use was read from the
+// store, by this or another host.
+func (f *Feed) EndpointsReadAt() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpointsReadAt
+}
+
 // digestOf returns a hash by which hosts compare their lists of endpoints.
 func digestOf(endpoints []catalog.Endpoint) uint64 {
 	b, err := canonicalEncoding.Marshal(endpoints)
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -60,6 +60,9 @@
 	Budget time.Duration
 	// ResumeAfter is the ID of the last stream event that the caller received, or zero.
 	ResumeAfter int
+	// Resumes is the ID of the caller's request that brought the stream's first event, if
+	// ResumeAfter is not zero.
+	Resumes string
 	// Scoring marks a scoring request of this host, for which no caller waits.
 	Scoring bool
 }
@@ -85,6 +88,8 @@
 	announce func()
 
 	gates *Gates
+	// origins remembers which software version began each stream.
+	origins *StreamOrigins
 
 	mu sync.Mutex
 	// retryBudgets limit, for each service, hedged requests and retries after an endpoint
@@ -222,10 +227,12 @@
 
 // call is the state of one request while it is forwarded.
 type call struct {
-	f            *Forwarder
-	route        *catalog.Route
-	in           *Inbound
-	service      string
+	f       *Forwarder
+	route   *catalog.Route
+	in      *Inbound
+	service string
+	// software is the only software version that may run the request, empty for any.
+	software     string
 	gate         *gate.Gate
 	began        time.Time
 	deadline     time.Time
@@ -354,7 +361,7 @@
 			return c.refuse(resultcode.NoEndpoint, "every endpoint of the service is leaving")
 		}
 		now := time.Now()
-		permitWait, atLimit := c.f.fleet.PermitWait(placement.Query{Service: c.service})
+		permitWait, atLimit := c.f.fleet.PermitWait(placement.Query{Service: c.service, Software: c.software})
 		switch {
 		case atLimit && now.Add(permitWait).After(giveUpAt):
 			return c.refuseFor(permitWait, resultcode.NoEndpoint, "every endpoint is at its request limit")
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -143,6 +143,7 @@
 		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
 		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, log: component("feed"),
 	})
+	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, component("streams"))
 	n.weights = &Weights{
 		settings: p.Settings, store: store, stale: stale, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
 		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
@@ -294,7 +295,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.PeerAddress, peerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits)},
+		{s.PeerAddress, peerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins)},
 		{s.ReadyAddress, n.params.Handlers.Readiness(n)},
 		{s.DirectoryAddress, n.params.Handlers.Directory(n)},
 		{s.CallerAddress, n.params.Handlers.Callers(n)},
@@ -304,7 +305,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -177,7 +177,7 @@
 
 // peerHandler serves the calls of PeerClient, and relays store calls for hosts that the store
 // does not serve directly.
-func peerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits) http.Handler {
+func peerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits, o *StreamOrigins) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
 	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
 	r.HandleFunc("/feed", func(w http.ResponseWriter, r *http.Request) {
@@ -243,6 +243,8 @@
 		}
 		writeAnswer(w, r, p.answer(call))
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/origins", o.receive).Methods(http.MethodPost)
+	r.HandleFunc("/origins", o.answer).Methods(http.MethodGet)
 	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
 		var hashes []uint64
 		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/admission"
+	"oleanderfall.example/oleanderfall/internal/coordination/origins"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
@@ -25,24 +26,57 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64())}
-	endTrial, err := c.checkQuarantine()
+	err := c.findOrigin(ctx)
 	if err == nil {
-		defer endTrial()
-		err = c.runInSlot(ctx, func() (admission.Observation, error) {
-			if err := c.stream(ctx, out); err != nil {
-				return admission.Observation{Kind: admission.ObservationNone}, err
-			}
-			f.quarantine.recordAnswer(c.fingerprint)
-			return admission.Observation{Kind: admission.ObservationEnded, TotalTime: time.Since(began)}, nil
-		})
+		err = c.streamUnlessQuarantined(ctx, out)
 	}
 	f.recordResult(c, nil, err)
 	return err
 }
 
+// findOrigin binds a request that takes a stream up again to the service and the software version
+// that began it.
+func (c *call) findOrigin(ctx context.Context) error {
+	if c.in.ResumeAfter <= 0 {
+		return nil
+	}
+	origin, ok := c.f.origins.find(ctx, c.in.Resumes, c.service, sinceBoot())
+	switch {
+	case !ok:
+		return c.refuse(resultcode.NoEndpoint, "the software version that began the stream is not known")
+	case !c.route.Serves(origin.Service):
+		return c.refuse(resultcode.NoEndpoint, "the route no longer leads to the service that began the stream")
+	}
+	c.service, c.software = origin.Service, origin.Software
+	return nil
+}
+
+func (c *call) streamUnlessQuarantined(ctx context.Context, out StreamWriter) error {
+	endTrial, err := c.checkQuarantine()
+	if err != nil {
+		return err
+	}
+	defer endTrial()
+	return c.runInSlot(ctx, func() (admission.Observation, error) {
+		if err := c.stream(ctx, out); err != nil {
+			return admission.Observation{Kind: admission.ObservationNone}, err
+		}
+		c.f.quarantine.recordAnswer(c.fingerprint)
+		return admission.Observation{Kind: admission.ObservationEnded, TotalTime: time.Since(c.began)}, nil
+	})
+}
+
+// recordOrigin records the endpoint's software version before the first event of a new stream is
+// passed on. A stream that was taken up again keeps its origin.
+func (c *call) recordOrigin(e catalog.Endpoint) {
+	if c.in.ResumeAfter <= 0 {
+		c.f.origins.began(origins.Record{ID: c.in.ID, Origin: origins.Origin{Service: e.Service, Software: e.Software}})
+	}
+}
+
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
 	for c.sent < c.route.MaxAttempts && (c.sent == 0 || !c.quarantined()) {
-		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Avoid: c.tried})
+		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried})
 		if err != nil {
 			return err
 		}
@@ -55,10 +89,18 @@
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
 			return out.WriteHead(a)
 		}
+		passedOn := false
+		chunk := func(b []byte) error {
+			if !passedOn {
+				passedOn = true
+				c.recordOrigin(e)
+			}
+			return out.WriteChunk(b)
+		}
 		err = c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
-		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, out.WriteChunk)
+		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, chunk)
 		c.f.recordOutcome(e, err, ctx.Err() != nil, 0)
 		if err == nil {
 			return nil
@@ -90,7 +132,11 @@
 		return e, nil
 	}
 	if _, atLimit := c.f.fleet.PermitWait(q); !atLimit {
-		return e, c.refuse(resultcode.NoEndpoint, "no endpoint can take the request")
+		detail := "no endpoint can take the request"
+		if c.software != "" {
+			detail = "no endpoint of the software version that began the stream can take the request"
+		}
+		return e, c.refuse(resultcode.NoEndpoint, detail)
 	}
 	return e, c.awaitEndpoint(ctx, pick)
 }
--- /dev/null
+++ b/internal/transport/front/streamorigins.go
@@ -0,0 +1,245 @@
+package front
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/origins"
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+)
+
+const (
+	// originKeepers is the number of hosts that remember a stream besides the one that began it.
+	originKeepers = 2
+	// originLookups is the number of hosts that are asked for the origin of a stream: the
+	// keepers, and those that hosts which have appeared since have displaced. In a fleet of up
+	// to presence.FullMeshHosts all are asked.
+	originLookups = 4
+	// originFlushInterval is the interval at which new origins are sent to their keepers.
+	originFlushInterval = 20 * time.Millisecond
+	// originLookupTimeout bounds the search for an origin at other hosts.
+	originLookupTimeout = 250 * time.Millisecond
+	// freshListTimeout bounds the wait for a list of endpoints that was read after a stream was
+	// taken up. The list is read about twice a second.
+	freshListTimeout = 1200 * time.Millisecond
+	// freshListPollInterval is the interval at which that list is waited for.
+	freshListPollInterval = 30 * time.Millisecond
+)
+
+// errOriginUnknown means that the peer does not remember a stream.
+var errOriginUnknown = errors.New("the peer does not know the origin of the stream")
+
+// StreamOrigins remembers the origins of callers' streams together with the other hosts; see
+// package origins.
+type StreamOrigins struct {
+	settings   Settings
+	fleet      *Fleet
+	peers      *Peers
+	peerClient *PeerClient
+	feed       *Feed
+	log        *slog.Logger
+	startedAt  time.Time
+
+	mu    sync.Mutex
+	table *origins.Table
+	// unsent holds the new origins for each keeper.
+	unsent map[string][]origins.Record
+}
+
+func newStreamOrigins(s Settings, fleet *Fleet, peers *Peers, peerClient *PeerClient, feed *Feed, log *slog.Logger) *StreamOrigins {
+	return &StreamOrigins{settings: s, fleet: fleet, peers: peers, peerClient: peerClient, feed: feed, log: log,
+		startedAt: time.Now(), table: origins.NewTable(), unsent: map[string][]origins.Record{}}
+}
+
+// Run sends new origins to their keepers until ctx ends.
+func (o *StreamOrigins) Run(ctx context.Context) {
+	ticker := time.NewTicker(originFlushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		o.mu.Lock()
+		unsent := o.unsent
+		if len(unsent) > 0 {
+			o.unsent = map[string][]origins.Record{}
+		}
+		o.mu.Unlock()
+		for host, records := range unsent {
+			go func() {
+				if err := o.peerClient.SendOrigins(ctx, host, records); err != nil {
+					o.log.Info("Failed to send origins of streams", "host", host, "count", len(records), "err", err)
+				}
+			}()
+		}
+	}
+}
+
+// began remembers a stream whose first event is about to be passed on.
+func (o *StreamOrigins) began(r origins.Record) {
+	keepers := o.keepers(r.ID, originKeepers)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Add(time.Now(), r)
+	for _, k := range keepers {
+		o.unsent[k] = append(o.unsent[k], r)
+	}
+}
+
+// add remembers the streams that a peer sent.
+func (o *StreamOrigins) add(records []origins.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range records {
+		o.table.Add(time.Now(), r)
+	}
+}
+
+func (o *StreamOrigins) get(id string) (origins.Origin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Get(time.Now(), id)
+}
+
+// keepers returns the first n live peers by rendezvous hash of a stream's id.
+func (o *StreamOrigins) keepers(id string, n int) []string {
+	candidates := o.peers.Candidates()
+	for i := range candidates {
+		// Hosts that see these differently would not agree on the keepers.
+		candidates[i].Ready, candidates[i].Draining, candidates[i].StoreReachable, candidates[i].Hub = true, false, true, false
+	}
+	order := presence.SuccessionOrder("streams/"+id, candidates)
+	return order[:min(n, len(order))]
+}
+
+// find returns the origin of the stream whose first event answered the request id. ok is false if
+// it is not known; the stream must not be continued then. arrivedAt is the boot time at which the
+// stream was taken up, and service the one that its route selects now.
+func (o *StreamOrigins) find(ctx context.Context, id, service string, arrivedAt time.Duration) (origin origins.Origin, ok bool) {
+	if id == "" || len(id) > origins.MaxIDBytes {
+		return o.onlyOrigin(ctx, service, arrivedAt)
+	}
+	if origin, ok = o.get(id); ok {
+		return origin, true
+	}
+	if origin, ok = o.askPeers(ctx, id); ok {
+		o.add([]origins.Record{{ID: id, Origin: origin}})
+		return origin, true
+	}
+	return o.onlyOrigin(ctx, service, arrivedAt)
+}
+
+// askPeers asks other hosts for the origin of a stream at the same time.
+func (o *StreamOrigins) askPeers(ctx context.Context, id string) (origins.Origin, bool) {
+	n := originLookups
+	if o.peers.Count() <= cmp.Or(o.settings.FullMeshHosts, presence.FullMeshHosts) {
+		n = o.peers.Count()
+	}
+	hosts := o.keepers(id, n)
+	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
+	defer cancel()
+	found := make(chan *origins.Origin, len(hosts))
+	for _, host := range hosts {
+		go func() {
+			origin, err := o.peerClient.Origin(ctx, host, id)
+			if err != nil {
+				found <- nil
+				return
+			}
+			found <- &origin
+		}()
+	}
+	for range hosts {
+		if origin := <-found; origin != nil {
+			return *origin, true
+		}
+	}
+	return origins.Origin{}, false
+}
+
+// onlyOrigin returns the software version of a service if no other one can have begun a stream: it
+// is the only one that this host has seen for as long as streams last, up to a list of endpoints
+// that was read after the stream was taken up.
+func (o *StreamOrigins) onlyOrigin(ctx context.Context, service string, arrivedAt time.Duration) (origins.Origin, bool) {
+	now := time.Now()
+	if !o.settings.FirstStart && now.Sub(o.startedAt) < origins.Retention {
+		return origins.Origin{}, false
+	}
+	only := func() (software string, ok bool) {
+		o.fleet.WithTable(func(t *placement.Table) { software, ok = t.OnlySoftware(now.Add(-origins.Retention), service) })
+		return software, ok
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshListTimeout)
+	defer cancel()
+	for fresh := false; ; {
+		software, ok := only()
+		if !ok || fresh {
+			return origins.Origin{Service: service, Software: software}, ok
+		}
+		// The list is applied shortly after its time is known, so it counts from the next round on.
+		fresh = o.feed.EndpointsReadAt() > arrivedAt
+		select {
+		case <-ctx.Done():
+			return origins.Origin{}, false
+		case <-time.After(freshListPollInterval):
+		}
+	}
+}
+
+// receive serves a peer's call SendOrigins.
+func (o *StreamOrigins) receive(w http.ResponseWriter, r *http.Request) {
+	var records []origins.Record
+	if err := cbor.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBody)).Decode(&records); err != nil {
+		http.Error(w, "no list of origins", http.StatusBadRequest)
+		return
+	}
+	o.add(records)
+}
+
+// answer answers a peer's call Origin: a list with the origin, or an empty one.
+func (o *StreamOrigins) answer(w http.ResponseWriter, r *http.Request) {
+	known := []origins.Origin{}
+	if origin, ok := o.get(r.URL.Query().Get("id")); ok {
+		known = slices.Insert(known, 0, origin)
+	}
+	writeAnswer(w, r, known)
+}
+
+// SendOrigins sends the origins of streams to a peer that remembers them.
+func (c *PeerClient) SendOrigins(ctx context.Context, host string, records []origins.Record) error {
+	raw, err := cbor.Marshal(records)
+	if err != nil {
+		return err
+	}
+	_, err = c.call(ctx, host, http.MethodPost, "/origins", raw, 0)
+	return err
+}
+
+// Origin asks a peer for the origin of a stream. The error is errOriginUnknown if the peer does not
+// remember it.
+func (c *PeerClient) Origin(ctx context.Context, host, id string) (origins.Origin, error) {
+	raw, err := c.call(ctx, host, http.MethodGet, "/origins?"+url.Values{"id": {id}}.Encode(), nil, 0)
+	if err != nil {
+		return origins.Origin{}, err
+	}
+	var known []origins.Origin
+	if err := cbor.Unmarshal(raw, &known); err != nil {
+		return origins.Origin{}, err
+	}
+	if len(known) == 0 {
+		return origins.Origin{}, errOriginUnknown
+	}
+	return known[0], nil
+}
