Place samples again however often endpoints crash under them

A trainer lost sound samples: one under which four attempts in a row had crashed was not started again, and the sample of a scoring request that had crashed two endpoints waited for the two minutes of its quarantine, both longer than the batch lasts.

Cause: the guards against requests that crash endpoints applied to trainers' batches, whose requests never do.

Change: a crash delays the next start of a sample by at most 0.8 s, as other failures do, and nothing defers it.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -31,11 +31,6 @@
 	defaultTokens = 512
 	// longFactor is the multiple of the median length above which a sample is long.
 	longFactor = 2
-	// crashesToDefer is the number of crashed attempts (outcome Crashed) without progress in
-	// between after which a sample is not started again. It then waits until it may be
-	// abandoned, because it probably crashes its endpoints: lost answers alone rarely occur
-	// that often in a row.
-	crashesToDefer = 4
 )
 
 // Options are the rules of a run that are not part of the batch.
@@ -99,7 +94,8 @@
 	Interrupted
 	// NotRun: the engine did not start the sample.
 	NotRun
-	// Crashed: the connection closed before the first event, without a response.
+	// Crashed: the connection closed before the first event, without a response. However often
+	// that happens, the sample is not taken for the cause: trainers' samples are sound.
 	Crashed
 )
 
@@ -119,9 +115,7 @@
 	phase    phase
 	partial  Partial
 	failures int
-	// crashes and backoffs count the crashed attempts and the retry delays since the last
-	// attempt with progress.
-	crashes  int
+	// backoffs counts the retry delays since the last attempt with progress.
 	backoffs int
 	// stalls counts the interrupted attempts without an event since the last attempt with
 	// progress.
@@ -420,8 +414,6 @@
 		s.failures++
 	case Invalid:
 		s.invalid = true
-	case Crashed:
-		s.crashes++
 	case Interrupted:
 		s.stalls++
 	}
@@ -430,11 +422,7 @@
 		return
 	}
 	if progressed {
-		s.backoffs, s.crashes, s.stalls = 0, 0, 0
-		return
-	}
-	if s.crashes >= crashesToDefer {
-		s.notBefore = r.opt.AbandonAt
+		s.backoffs, s.stalls = 0, 0
 		return
 	}
 	s.notBefore = now.Add(min(minBackoff<<min(s.backoffs, 8), maxBackoff))
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -174,7 +174,7 @@
 		}
 		return admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: c.took, TotalTime: time.Since(began)}, nil
 	})
-	if err == nil && answer.Status/100 == 2 {
+	if err == nil && answer.Status/100 == 2 && c.mayBeQuarantined() {
 		c.f.quarantine.recordAnswer(c.fingerprint)
 	}
 	return answer, err
@@ -183,6 +183,9 @@
 // checkQuarantine returns an error if requests like this one are quarantined. Otherwise the
 // caller must call endTrial after the request.
 func (c *call) checkQuarantine() (endTrial func(), err error) {
+	if !c.mayBeQuarantined() {
+		return func() {}, nil
+	}
 	c.fingerprint = fingerprint(c.in)
 	switch verdict, _ := c.f.quarantine.check(c.fingerprint); verdict {
 	case quarantine.Refuse:
@@ -318,8 +321,15 @@
 	}
 }
 
+// mayBeQuarantined reports whether the request may be what crashes endpoints. Requests of trainers'
+// batches never are.
+func (c *call) mayBeQuarantined() bool { return !c.in.Scoring }
+
 // quarantined reports whether the request has been quarantined since it was admitted.
 func (c *call) quarantined() bool {
+	if !c.mayBeQuarantined() {
+		return false
+	}
 	verdict, _ := c.f.quarantine.check(c.fingerprint)
 	if verdict == quarantine.Suspect {
 		c.f.quarantine.endTrial(c.fingerprint)
@@ -404,7 +414,7 @@
 		} else {
 			c.f.recordOutcome(e, err, ctx.Err() != nil, took)
 		}
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && c.mayBeQuarantined() {
 			c.f.checkForCrash(c.fingerprint, e, began, err)
 		}
 		results <- attemptResult{endpoint: e, answer: answer, err: err, took: took}
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -437,8 +437,10 @@
 	// CheckConnection for it.
 	openStreams     map[string]int
 	connectAttempts map[string]int
-	// runs counts the attempts of each request id.
-	runs map[string]int
+	// runs counts the attempts of each request id. The first crashes attempts of each sample end
+	// without a response.
+	runs    map[string]int
+	crashes int
 	// notices are the functions that hosts registered with OnNotice.
 	notices []func(catalog.Endpoint, backend.Notice)
 	// do, when set, handles plain requests.
@@ -469,11 +471,15 @@
 	e.mu.Lock()
 	down := e.down[g.Endpoint.ID] || e.silent[g.Endpoint.ID]
 	e.runs[g.ID]++
+	crash := e.runs[g.ID] <= e.crashes
 	e.started = append(e.started, startedSample{g.ID, g.Endpoint.ID, g.ResumeAfter})
 	e.mu.Unlock()
 	if down {
 		return errors.Join(backend.ErrNotRun, backend.ErrUnreachable)
 	}
+	if crash {
+		return backend.ErrIncompleteAnswer
+	}
 	if g.ResumeAfter > 0 {
 		e.resumed.Add(1)
 	}
