Take unsent origins of streams under the lock, and wait for them without polling

The race detector found that the loop which sends new origins to their keepers iterated over a map while streams added to it, if the map had been empty a moment before; a host could have crashed. The loop replaced the map only if it had entries, and iterated over it either way. It now always takes the map under the lock. It also woke 50 times a second at every host; it now waits until there is an origin.

Seen in one run of all tests of platform with the race detector; TestResume, TestLeaving and TestTrickling, which send such streams, pass with it now.

--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -25,7 +25,8 @@
 	// keepers, and those that hosts which have appeared since have displaced. In a fleet of up
 	// to presence.FullMeshHosts all are asked.
 	originLookups = 4
-	// originFlushInterval is the interval at which new origins are sent to their keepers.
+	// originFlushInterval is how long new origins are collected before they are sent to their
+	// keepers.
 	originFlushInterval = 20 * time.Millisecond
 	// originLookupTimeout bounds the search for an origin at other hosts.
 	originLookupTimeout = 250 * time.Millisecond
@@ -54,30 +55,29 @@
 	table *origins.Table
 	// unsent holds the new origins for each keeper.
 	unsent map[string][]origins.Record
+	// added receives a value when origins were added to unsent.
+	added chan struct{}
 }
 
 func newStreamOrigins(s Settings, fleet *Fleet, peers *Peers, peerClient *PeerClient, feed *Feed, log *slog.Logger) *StreamOrigins {
 	return &StreamOrigins{settings: s, fleet: fleet, peers: peers, peerClient: peerClient, feed: feed, log: log,
-		startedAt: time.Now(), table: origins.NewTable(), unsent: map[string][]origins.Record{}}
+		startedAt: time.Now(), table: origins.NewTable(), unsent: map[string][]origins.Record{}, added: make(chan struct{}, 1)}
 }
 
 // Run sends new origins to their keepers until ctx ends.
 func (o *StreamOrigins) Run(ctx context.Context) {
-	ticker := time.NewTicker(originFlushInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-o.added:
 		}
-		o.mu.Lock()
-		unsent := o.unsent
-		if len(unsent) > 0 {
-			o.unsent = map[string][]origins.Record{}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(originFlushInterval):
 		}
-		o.mu.Unlock()
-		for host, records := range unsent {
+		for host, records := range o.takeUnsent() {
 			go func() {
 				if err := o.peerClient.SendOrigins(ctx, host, records); err != nil {
 					o.log.Info("Failed to send origins of streams", "host", host, "count", len(records), "err", err)
@@ -87,6 +87,14 @@
 	}
 }
 
+func (o *StreamOrigins) takeUnsent() map[string][]origins.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	unsent := o.unsent
+	o.unsent = map[string][]origins.Record{}
+	return unsent
+}
+
 // began remembers a stream whose first event is about to be passed on.
 func (o *StreamOrigins) began(r origins.Record) {
 	keepers := o.keepers(r.ID, originKeepers)
@@ -96,6 +104,10 @@
 	for _, k := range keepers {
 		o.unsent[k] = append(o.unsent[k], r)
 	}
+	select {
+	case o.added <- struct{}{}:
+	default: // a value is pending already
+	}
 }
 
 // add remembers the streams that a peer sent.
