--- a/internal/coordination/placement/limits.go
+++ b/internal/coordination/placement/limits.go
@@ -127,8 +127,11 @@
 
 // PermitsWanted is a request for permits that is due.
 type PermitsWanted struct {
-	Endpoint    catalog.Endpoint
-	Limit       permits.LimitReport
+	Endpoint catalog.Endpoint
+	// Limit is the endpoint's limit as this host knows it.
+	Limit permits.LimitReport
+	// Count is how many permits to ask for, and Unpermitted how many requests were sent without
+	// one since the last request for permits.
 	Count       int
 	Unpermitted int
 }
--- a/internal/transport/front/permits_test.go
+++ b/internal/transport/front/permits_test.go
@@ -72,7 +72,7 @@
 		for range 4 {
 			all.Go(func() {
 				for ctx.Err() == nil {
-					if _, err := forwardFrom(n, ctx); err != nil {
+					if _, err := forwardFrom(ctx, n); err != nil {
 						time.Sleep(5 * time.Millisecond)
 					}
 				}
@@ -105,7 +105,7 @@
 }
 
 // forwardFrom sends a plain request through a host.
-func forwardFrom(n *testNode, ctx context.Context) (*backend.Answer, error) {
+func forwardFrom(ctx context.Context, n *testNode) (*backend.Answer, error) {
 	route, err := n.Forwarder.Route("h", "/plain/x")
 	if err != nil {
 		return nil, err
@@ -131,12 +131,12 @@
 		}
 	}()
 	time.Sleep(200 * time.Millisecond)
-	if _, err := forwardFrom(n, ctx); err != nil {
+	if _, err := forwardFrom(ctx, n); err != nil {
 		t.Fatal(err)
 	}
 	sent := 0
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
-		if _, err := forwardFrom(n, ctx); err == nil {
+		if _, err := forwardFrom(ctx, n); err == nil {
 			sent++
 		}
 	}
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"net/url"
-	"slices"
 	"sync"
 	"time"
 
@@ -224,7 +223,7 @@
 func (o *StreamOrigins) answer(w http.ResponseWriter, r *http.Request) {
 	known := []origins.Origin{}
 	if origin, ok := o.get(r.URL.Query().Get("id")); ok {
-		known = slices.Insert(known, 0, origin)
+		known = append(known, origin)
 	}
 	writeAnswer(w, r, known)
 }
