Accumulate permits for the samples of a new batch

Cause: the issuer accumulated the permits of 250 ms, less than one at a limit of two a second. Change: it accumulates those of a second and up to four more, those of two seconds at most. With a window of 4 s that stays under 1.5 times the limit and leaves room for a second in which two hosts issue. A host that issues to itself accumulates one, since many hosts may do so. A wait is at least 1 ms, which a call between hosts can carry.

--- a/internal/coordination/permits/permits.go
+++ b/internal/coordination/permits/permits.go
@@ -8,7 +8,7 @@
 // it knows, and the issuer leaves out the shares of the hosts that it does not hear. So the limit
 // also holds for hosts that are cut off from each other, in any number of parts.
 //
-// Invariant: hosts that agree on the issuer send no more than the limit, apart from one burst of
+// Invariant: hosts that agree on the issuer send no more than the limit, apart from one burst; see
 // burstPeriod. While a new issuer is being agreed on, each issuer starts with no permits.
 package permits
 
@@ -19,9 +19,11 @@
 )
 
 const (
-	// burstPeriod sets how many permits an issuer accumulates: as many as it may issue in this
-	// period.
-	burstPeriod = 250 * time.Millisecond
+	// burstPeriod and extraBurst set how many permits the issuer of all hosts accumulates for a
+	// burst, such as the samples of a new batch: as many as it issues in burstPeriod, and up to
+	// extraBurst more, but no more than in twice the period.
+	burstPeriod = time.Second
+	extraBurst  = 4
 	// minPerSecond is the rate at which requests are sent to an endpoint that names a lower
 	// limit, also zero: its answers are the only sign that the limit has ended.
 	minPerSecond = 0.2
@@ -36,8 +38,9 @@
 	// prefetchPeriod sets how many permits a host asks for at once: as many as the limit
 	// allows in this period.
 	prefetchPeriod = 100 * time.Millisecond
-	// maxRetryAfter bounds the time after which a host asks again, since the limit may have
-	// been raised meanwhile.
+	// minRetryAfter and maxRetryAfter bound the time after which a host asks again. It is not
+	// longer, since the limit may have been raised meanwhile.
+	minRetryAfter = time.Millisecond
 	maxRetryAfter = time.Second
 )
 
@@ -79,6 +82,8 @@
 	// not used for that long is replaced by a new one.
 	initial    func() float64
 	resetAfter time.Duration
+	// capacity returns how many permits a bucket accumulates, by its rate per second.
+	capacity func(perSecond float64) float64
 }
 
 type endpointBucket struct {
@@ -89,15 +94,20 @@
 // NewIssuer returns the issuer that serves all hosts. Its buckets start empty, since the former
 // issuer may just have issued permits.
 func NewIssuer() *Issuer {
-	return &Issuer{buckets: map[uint32]*endpointBucket{}, initial: func() float64 { return 0 }}
+	return &Issuer{buckets: map[uint32]*endpointBucket{}, initial: func() float64 { return 0 },
+		capacity: func(perSecond float64) float64 {
+			burst := perSecond * burstPeriod.Seconds()
+			return max(1, min(2*burst, burst+extraBurst))
+		}}
 }
 
 // NewFallback returns the issuer that serves one host while it cannot reach the one that serves all
 // hosts. random returns a number from 0 to 1. Each bucket starts with that part of a permit:
 // otherwise, after the loss of an issuer, all hosts would send their first requests at the same
-// time.
+// time. For the same reason it accumulates no more than one.
 func NewFallback(random func() float64) *Issuer {
-	return &Issuer{buckets: map[uint32]*endpointBucket{}, initial: random, resetAfter: 2 * maxRetryAfter}
+	return &Issuer{buckets: map[uint32]*endpointBucket{}, initial: random, resetAfter: 2 * maxRetryAfter,
+		capacity: func(float64) float64 { return 1 }}
 }
 
 // Issue answers a request for permits of the endpoint with an instance key.
@@ -113,12 +123,12 @@
 	if rate == 0 {
 		return Grant{RetryAfter: maxRetryAfter}
 	}
-	b.Refill(now, rate, max(1, rate*burstPeriod.Seconds()))
+	b.Refill(now, rate, i.capacity(rate))
 	b.Spend(r.Unpermitted, rate*maxDebtPeriod.Seconds())
 	if n := b.Take(r.Count); n > 0 {
 		return Grant{Count: n}
 	}
-	return Grant{RetryAfter: min(b.Wait(rate), maxRetryAfter)}
+	return Grant{RetryAfter: max(minRetryAfter, min(b.Wait(rate), maxRetryAfter))}
 }
 
 // forgetUnused deletes the buckets that were not used for bucketRetention.
