Test request limits in a large fleet that loses a hub

Hosts outside the hubs learn of limits through summaries only. The test passes on the code as it is, also with the race detector: ten hosts with hubs keep to a limit of 20 a second while a hub is killed.

--- a/internal/transport/front/permits_test.go
+++ b/internal/transport/front/permits_test.go
@@ -66,21 +66,7 @@
 	hosts := w.start("n1", "n2", "n3")
 	e := &limitedEndpoint{limit: 30}
 	e.serve(w, hosts)
-	ctx, cancel := context.WithCancel(context.Background())
-	var all sync.WaitGroup
-	for _, n := range hosts {
-		for range 4 {
-			all.Go(func() {
-				for ctx.Err() == nil {
-					if _, err := forwardFrom(ctx, n); err != nil {
-						time.Sleep(5 * time.Millisecond)
-					}
-				}
-			})
-		}
-	}
-	defer all.Wait()
-	defer cancel()
+	defer loadHosts(hosts, 4)()
 	time.Sleep(500 * time.Millisecond)
 	named := time.Now()
 	time.Sleep(2 * time.Second)
@@ -104,6 +90,51 @@
 	}
 }
 
+// The limit also holds in a large fleet, in which most hosts hear of it only through their hubs and
+// one of the hubs is lost.
+func TestLimit_HoldsInALargeFleet(t *testing.T) {
+	w := newTestCluster(t)
+	hosts := w.startLarge(10)
+	e := &limitedEndpoint{limit: 20}
+	e.serve(w, hosts)
+	stop := loadHosts(hosts, 2)
+	time.Sleep(500 * time.Millisecond)
+	named := time.Now()
+	time.Sleep(2 * time.Second)
+	hubs, _ := roles(hosts)
+	w.kill(hubs[0])
+	time.Sleep(5 * time.Second)
+	stop()
+	// The bound of the platform: 1.5 times the limit and 5 requests.
+	if got, want := e.mostInWindow(named), int(1.5*e.limit*4)+5; got > want {
+		t.Errorf("the endpoint received %d requests in 4 s, want at most %d", got, want)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if got, want := len(e.arrivals), 7*int(e.limit)/2; got < want {
+		t.Errorf("the endpoint received %d requests in over 7 s, want at least %d", got, want)
+	}
+}
+
+// loadHosts sends plain requests through hosts, from several callers each, until the returned
+// function is called.
+func loadHosts(hosts []*testNode, callersPerHost int) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for _, n := range hosts {
+		for range callersPerHost {
+			all.Go(func() {
+				for ctx.Err() == nil {
+					if _, err := forwardFrom(ctx, n); err != nil {
+						time.Sleep(5 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	return func() { cancel(); all.Wait() }
+}
+
 // forwardFrom sends a plain request through a host.
 func forwardFrom(ctx context.Context, n *testNode) (*backend.Answer, error) {
 	route, err := n.Forwarder.Route("h", "/plain/x")
