Send requests to endpoints through a peer while a host has no links to them

Cause: a host knows one way to an endpoint, its own links. Calls to the store have had a second one for long (StorePath); calls to endpoints had none. The evidence is in the logs: requests fail with "endpoint unreachable" at the cut off hosts while the same endpoints answer the others in the same second.

EndpointPath implements backend.Client, so that requests of every kind go through it. A connection that fails or breaks, and a quarter of a second without any answer, lead to a check: does any of three endpoints of different zones accept a connection? If none does, the host is cut off, says so in its heartbeats, and sends requests to the same endpoint through a peer with links, until a check reaches an endpoint again (every 0.5 s). A peer uses its own links only, refuses endpoints that it knows to leave, and sends a request once; if its answer is lost, the request counts as possibly run. What certainly did not run, and repeatable requests without an answer, are sent again within the same attempt. Orders to load weights never go through a peer: engines would see a second holder. Hosts with links come first for new batches.

TestUnreachable_OneProbePerSilence counts the probes of one endpoint; the check of the links is another connection, so the test now calls the fake endpoints directly. Its bound is the same.

Tests: TestCutOff_CallersServedThroughPeers, _StreamsServedAndTakenUpAgain and _OwnerContinuesBatch, with links that are silenced, refused or reset. Run on the code before (with the dial of the adapter exchangeable), all failed except CallersServedThroughPeers/refused, which passes on open connections there. On this code all pass, 29 s without the race detector.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -68,6 +68,8 @@
 	FencingToken uint64 `cbor:"11,keyasint"`
 	// Capacity is the host's share of processor time, in cores; zero is unknown.
 	Capacity float32 `cbor:"24,keyasint,omitempty"`
+	// CutOff reports that the host has lost its links to all endpoints; see package links.
+	CutOff bool `cbor:"37,keyasint,omitempty"`
 	// Protocol is protocolHubs, or zero for builds that send heartbeats to every host and
 	// must receive them from every host.
 	Protocol int `cbor:"25,keyasint,omitempty"`
--- a/internal/coordination/presence/succession.go
+++ b/internal/coordination/presence/succession.go
@@ -12,6 +12,8 @@
 	Ready          bool
 	Draining       bool
 	StoreReachable bool
+	// CutOff is set if the host has no links to endpoints.
+	CutOff bool
 	// Hub is set if the host is a hub (see Table.Hubs).
 	Hub bool
 }
@@ -41,17 +43,18 @@
 	return out
 }
 
-// The highest bits of a score rank hosts that reach the store above all others, and hubs
-// above other hosts that do or do not.
+// The highest bits of a score rank hosts with links to the endpoints above all others, among these
+// and among the others those that reach the store, and then the hubs.
 const (
-	storeRankBit = 1 << 63
-	hubRankBit   = 1 << 62
+	linkRankBit  = 1 << 63
+	storeRankBit = 1 << 62
+	hubRankBit   = 1 << 61
 )
 
 // SuccessionOrder returns the hosts in the order in which they are to take over the given
-// task, by rendezvous hash. Hosts that reach the store come first, and among these the hubs,
-// which know the loads of the fleet with the least delay. Draining hosts and hosts that are
-// not ready are left out.
+// task, by rendezvous hash. Hosts with links to the endpoints come first, among these the hosts that
+// reach the store, and among these the hubs, which know the loads of the fleet with the least delay.
+// Draining hosts and hosts that are not ready are left out.
 func SuccessionOrder(task string, candidates []Candidate) []string {
 	score := map[string]uint64{}
 	var out []string
@@ -61,10 +64,13 @@
 		}
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(task + "\x00" + c.Host))
-		s := h.Sum64() >> 2
+		s := h.Sum64() >> 3
 		if c.Hub {
 			s |= hubRankBit
 		}
+		if !c.CutOff {
+			s |= linkRankBit
+		}
 		if c.StoreReachable {
 			s |= storeRankBit
 		}
--- a/internal/coordination/presence/table.go
+++ b/internal/coordination/presence/table.go
@@ -230,7 +230,7 @@
 }
 
 func (t *Table) candidate(m Member) Candidate {
-	return Candidate{Host: m.Host, Ready: m.Ready, Draining: m.Draining, StoreReachable: m.StoreReachable, Hub: t.hubs[m.Host]}
+	return Candidate{Host: m.Host, Ready: m.Ready, Draining: m.Draining, StoreReachable: m.StoreReachable, CutOff: m.CutOff, Hub: t.hubs[m.Host]}
 }
 
 // LeftHost is a host that ceased to be alive. Own is set if this host received its heartbeats,
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -29,6 +29,9 @@
 	// ErrIncompleteAnswer means that the connection ended early or that the data received is not a
 	// complete answer to this request. The request may have run.
 	ErrIncompleteAnswer = errors.New("answer broken")
+	// ErrPathLost means that the way to the endpoint was lost: the links of this host, or the peer
+	// through which the request went. It says nothing about the endpoint.
+	ErrPathLost = errors.New("the way to the endpoint was lost")
 	// ErrFailed means that the endpoint ran the request and answered with a failure.
 	ErrFailed = errors.New("endpoint failed the request")
 	// ErrInvalidRequest means that the endpoint answered that the request can never succeed.
@@ -53,6 +56,8 @@
 	Body   []byte
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
+	// Repeatable allows the endpoint to run the request more than once.
+	Repeatable bool
 }
 
 // Answer is an endpoint's answer: complete, or only the status and header at the start of a
--- /dev/null
+++ b/internal/transport/front/endpointrelayserver.go
@@ -0,0 +1,155 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/placement"
+	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+// relayServer sends requests to endpoints for peers without links, over this host's own links only.
+// The peer has chosen the endpoint, counts its load and holds the permit if it has a request limit.
+type relayServer struct {
+	path     *EndpointPath
+	fleet    *Fleet
+	draining func() bool
+	// track counts a request as in flight until the returned function is called.
+	track   func() func()
+	log     *slog.Logger
+	running atomic.Int64
+}
+
+var (
+	errRelayUnavailable = errors.New("the host is stopping, has no links or sends too many requests for others")
+	errEndpointNotInUse = errors.New("the endpoint is leaving or not known")
+)
+
+// ServeHTTP serves the calls of endpointRelays.
+func (s *relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardedBatch))
+	var request relayedRequest
+	if err == nil {
+		err = cbor.Unmarshal(raw, &request)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	defer s.track()()
+	out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+	err = s.serve(r.Context(), &request, out)
+	end := newRelayedEnd(err)
+	end.Declined = errors.Is(err, errRelayUnavailable)
+	if err := out.write(&relayedPart{End: end}); err != nil && r.Context().Err() == nil {
+		s.log.Info("Failed to send an answer to the peer that asked for it", "request", request.ID, "endpoint", request.Endpoint.ID, "err", err)
+	}
+}
+
+// partWriter writes the parts of an answer to a peer, each of which is sent at once.
+type partWriter struct {
+	parts *cbor.Encoder
+	flush func() error
+}
+
+func (w *partWriter) write(p *relayedPart) error {
+	if err := w.parts.Encode(p); err != nil {
+		return err
+	}
+	return w.flush()
+}
+
+func (w *partWriter) writeHead(a *backend.Answer) error {
+	return w.write(&relayedPart{Head: &relayedHead{Status: a.Status, Header: a.Header, Signature: a.Signature}})
+}
+
+func (w *partWriter) writeChunk(b []byte) error { return w.write(&relayedPart{Chunk: b}) }
+
+func (s *relayServer) serve(ctx context.Context, r *relayedRequest, out *partWriter) error {
+	defer s.running.Add(-1)
+	if s.running.Add(1) > maxRelayedRequests || s.draining() || s.path.CutOff() {
+		return errors.Join(errRelayUnavailable, backend.ErrNotRun)
+	}
+	if !s.inUse(&r.Endpoint) {
+		return errors.Join(errEndpointNotInUse, backend.ErrNotRun)
+	}
+	err := s.path.sendForPeer(ctx, r, out)
+	if errors.Is(err, backend.ErrPathLost) && errors.Is(err, backend.ErrNotRun) {
+		return errors.Join(errRelayUnavailable, err)
+	}
+	return err
+}
+
+// inUse reports whether this host would itself send requests to an endpoint.
+func (s *relayServer) inUse(e *catalog.Endpoint) bool {
+	var known catalog.Endpoint
+	var ok bool
+	s.fleet.WithTable(func(t *placement.Table) { known, ok = t.Get(e.ID) })
+	return ok && known.SameInstance(e) && !known.Draining
+}
+
+// silence returns how long a request may be without progress once this host is cut off; see
+// EndpointPath.beginDirect.
+func (r *relayedRequest) silence() time.Duration {
+	switch {
+	case r.Kind == relayedGenerate:
+		return lostStreamTimeout
+	case r.Kind == relayedDo && r.Repeatable:
+		return lostAnswerTimeout
+	}
+	return 0
+}
+
+// sendForPeer sends a peer's request over this host's own links and passes on the answer.
+func (p *EndpointPath) sendForPeer(ctx context.Context, r *relayedRequest, out *partWriter) error {
+	request := backend.Request{
+		Endpoint: r.Endpoint, ID: r.ID, Host: r.Host, Method: r.Method, URI: r.URI, Header: r.Header, Body: r.Body, Repeatable: r.Repeatable,
+		Deadline: time.Now().Add(time.Duration(r.RemainingMs) * time.Millisecond),
+	}
+	c, ok := p.beginDirect(ctx, r.silence())
+	if !ok {
+		return errors.Join(backend.ErrNotRun, backend.ErrPathLost, errLinksLost)
+	}
+	g := backend.GenerateRequest{Request: request, ResumeAfter: r.ResumeAfter, Urgency: r.Urgency}
+	switch r.Kind {
+	case relayedDo:
+		answer, err := p.direct.Do(c.ctx, request)
+		if err = c.end(err); err != nil {
+			return err
+		}
+		return out.writeAnswer(answer)
+	case relayedStream:
+		return c.end(p.direct.Stream(c.ctx, g, out.writeHead, out.writeChunk))
+	case relayedGenerate:
+		return c.end(p.direct.Generate(c.ctx, g, func(e backend.Event) error {
+			c.progress()
+			return out.write(&relayedPart{Event: &e})
+		}))
+	case relayedCheck:
+		return c.end(p.direct.CheckConnection(c.ctx, r.Endpoint))
+	}
+	return c.end(errors.Join(backend.ErrNotRun, errUnexpectedPart))
+}
+
+// writeAnswer writes a complete answer.
+func (w *partWriter) writeAnswer(a *backend.Answer) error {
+	if err := w.writeHead(a); err != nil {
+		return err
+	}
+	for rest := a.Body; len(rest) > 0; {
+		n := min(len(rest), relayChunkBytes)
+		if err := w.writeChunk(rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return nil
+}
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -371,7 +371,7 @@
 		began := time.Now()
 		answer, err := c.f.client.Do(ctx, backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
-			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
+			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: idempotent(c.route),
 		})
 		took := time.Since(began)
 		if errors.Is(context.Cause(ctx), errHedgeLost) && err != nil {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -93,6 +93,7 @@
 	log        *slog.Logger
 	peers      *Peers
 	storePath  *StorePath
+	endpoints  *EndpointPath
 	membership *Membership
 	weights    *Weights
 	feed       *Feed
@@ -130,13 +131,14 @@
 		Seed: uint64(time.Now().UnixNano()) ^ hashSeed(p.Settings.Host), Registerer: p.Registry,
 	})
 	stale := objectapi.PayloadReader{API: p.Stale}
-	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: p.Endpoints, log: component("forward"), metrics: n.Metrics,
+	n.endpoints = newEndpointPath(p.Endpoints, newEndpointRelays(p.Settings, n.peers, p.Registry), fleet.Endpoints, n.linksChanged, component("endpoints"), p.Registry)
+	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: n.endpoints, log: component("forward"), metrics: n.Metrics,
 		gates:      NewGates(fleet, func() int { return 1 + n.peers.Count() }),
 		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
-		runner:    &runnerDeps{fleet: fleet, client: p.Endpoints, forwarder: n.Forwarder},
+		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder},
 		candidate: n.candidate,
 	}
 	n.feed = NewFeed(feedDeps{
@@ -146,11 +148,11 @@
 	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, component("streams"))
 	n.weights = &Weights{
 		settings: p.Settings, store: store, stale: stale, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
-		catalog: n.Catalog, client: p.Endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
+		catalog: n.Catalog, client: n.endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
 	n.permits = newPermits(p.Settings.Host, fleet, n.peers, calls, n.candidate, component("permits"), p.Registry)
-	p.Endpoints.OnNotice(n.endpointNotice)
+	n.endpoints.OnNotice(n.endpointNotice)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
 		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: stale,
@@ -199,9 +201,13 @@
 	return out
 }
 
+// linksChanged tells the rest of the host and its peers that this host lost its links to all endpoints
+// or has them again.
+func (n *Node) linksChanged(bool) { n.membership.Announce() }
+
 func (n *Node) fillHeartbeat(h *presence.Heartbeat) {
 	h.Ready, h.Draining = n.Ready(), n.draining.Load()
-	h.StoreReachable = n.storePath.Reachable()
+	h.StoreReachable, h.CutOff = n.storePath.Reachable(), n.endpoints.CutOff()
 	h.Generation = n.Catalog.Generation()
 	h.FencingToken = n.weights.FencingToken()
 	h.Batches, h.Work = n.Batches.UnfinishedIDs(), n.Batches.RecentWork()
@@ -224,14 +230,14 @@
 func (n *Node) rank(task string) int {
 	candidates := append(n.peers.Candidates(), n.candidate())
 	for i := range candidates {
-		candidates[i].Ready = true
+		candidates[i].Ready, candidates[i].CutOff = true, false
 	}
 	return slices.Index(presence.SuccessionOrder(task, candidates), n.Settings.Host)
 }
 
 // candidate returns this host as a candidate for a task.
 func (n *Node) candidate() presence.Candidate {
-	return presence.Candidate{Host: n.Settings.Host, Ready: true, Draining: n.draining.Load(), StoreReachable: n.storePath.Reachable(), Hub: n.peers.IsHub()}
+	return presence.Candidate{Host: n.Settings.Host, Ready: true, Draining: n.draining.Load(), StoreReachable: n.storePath.Reachable(), CutOff: n.endpoints.CutOff(), Hub: n.peers.IsHub()}
 }
 
 // Ready reports whether this host accepts requests: it is not draining and has a
@@ -241,6 +247,9 @@
 // Draining reports whether this host drains before it shuts down.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
+// CutOff reports whether this host has lost its links to all endpoints and sends requests through peers.
+func (n *Node) CutOff() bool { return n.endpoints.CutOff() }
+
 // Addresses returns the addresses to which callers of a zone may connect now: those of all
 // ready hosts in a small fleet, else those of up to maxAddresses hosts, the ones of the zone
 // first. An unknown zone is allowed.
@@ -295,7 +304,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.PeerAddress, peerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins)},
+		{s.PeerAddress, n.peerHandler()},
 		{s.ReadyAddress, n.params.Handlers.Readiness(n)},
 		{s.DirectoryAddress, n.params.Handlers.Directory(n)},
 		{s.CallerAddress, n.params.Handlers.Callers(n)},
@@ -375,6 +384,7 @@
 // close stops the background tasks and closes the listeners.
 func (n *Node) close() {
 	n.cancel()
+	n.endpoints.Close()
 	n.membership.close()
 	for _, s := range n.servers {
 		_ = s.Close() // the process is shutting down, so errors do not matter
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -217,6 +217,7 @@
 func TestUnreachable_OneProbePerSilence(t *testing.T) {
 	w := newTestCluster(t)
 	n := w.start("h1")[0]
+	n.Batches.runner.client = w.engines // without the checks of the host's own links
 	a := &activeBatch{parent: n.Batches, probes: map[string]*probe{}, ctx: background, log: slog.New(slog.DiscardHandler)}
 	at := &attempt{endpoint: catalog.Endpoint{ID: "e0"}}
 	now := time.Now()
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -19,6 +19,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
+	"oleanderfall.example/oleanderfall/internal/transport/logging"
 )
 
 const (
@@ -175,9 +176,15 @@
 	return err
 }
 
-// peerHandler serves the calls of PeerClient, and relays store calls for hosts that the store
-// does not serve directly.
-func peerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits, o *StreamOrigins) http.Handler {
+// peerHandler serves the calls of the other hosts.
+func (n *Node) peerHandler() http.Handler {
+	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, track: n.TrackRequest, log: logging.Component(n.params.Log, "endpoints")}
+	return newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay)
+}
+
+// newPeerHandler returns the handler of the calls of PeerClient. It also relays store calls for hosts
+// that the store does not serve directly, and requests to endpoints for hosts without links to them.
+func newPeerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits, o *StreamOrigins, relay http.Handler) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
 	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
 	r.HandleFunc("/feed", func(w http.ResponseWriter, r *http.Request) {
@@ -243,6 +250,7 @@
 		}
 		writeAnswer(w, r, p.answer(call))
 	}).Methods(http.MethodPost)
+	r.Handle(relayPath, relay).Methods(http.MethodPost)
 	r.HandleFunc("/origins", o.receive).Methods(http.MethodPost)
 	r.HandleFunc("/origins", o.answer).Methods(http.MethodGet)
 	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/front/permits.go
+++ b/internal/transport/front/permits.go
@@ -114,7 +114,7 @@
 	candidates := append(p.peers.Candidates(), p.candidate())
 	for i := range candidates {
 		// Hosts that see these differently would not agree on the issuer.
-		candidates[i].Ready, candidates[i].StoreReachable, candidates[i].Hub = true, true, false
+		candidates[i].Ready, candidates[i].StoreReachable, candidates[i].CutOff, candidates[i].Hub = true, true, false, false
 	}
 	return cmp.Or(presence.Successor("permits/"+strconv.FormatUint(uint64(instance), 16), candidates), p.host)
 }
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -134,6 +134,12 @@
 	f.notifyChanged()
 }
 
+// Endpoints returns all known endpoints.
+func (f *Fleet) Endpoints() (all []catalog.Endpoint) {
+	f.WithTable(func(t *placement.Table) { all = t.All() })
+	return all
+}
+
 // Peers is the host's view of the other hosts.
 type Peers struct {
 	mu    sync.Mutex
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -99,7 +99,7 @@
 		}
 		err = c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
-			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline,
+			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: c.route.Resumable,
 		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, chunk)
 		c.f.recordOutcome(e, err, ctx.Err() != nil, 0)
 		if err == nil {
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -129,7 +129,7 @@
 	candidates := o.peers.Candidates()
 	for i := range candidates {
 		// Hosts that see these differently would not agree on the keepers.
-		candidates[i].Ready, candidates[i].Draining, candidates[i].StoreReachable, candidates[i].Hub = true, false, true, false
+		candidates[i].Ready, candidates[i].Draining, candidates[i].StoreReachable, candidates[i].CutOff, candidates[i].Hub = true, false, true, false, false
 	}
 	order := presence.SuccessionOrder("streams/"+id, candidates)
 	return order[:min(n, len(order))]
