Do not blame endpoints and requests for the lost links of a host

What callers saw: after a host had lost its links, sound endpoints were avoided by it for up to 4 s and by the others for a second, and a request was refused as one that crashes endpoints (result 24), also at hosts with links.

Cause: every failure on the way to an endpoint counted as the endpoint's. Hedges that lost against a slow attempt, streams that stalled and connections that timed out ejected endpoints; a connection that broke, followed by a failed dial, counted as a crash caused by the request; an answer that had waited for the loss to be noticed counted as the endpoint's service time. All of it went to the other hosts by heartbeat.

Errors that come with backend.ErrPathLost now change nothing about the endpoint or the request. When a host finds itself cut off it forgets the failures that led there; while it is, it reports no endpoint as unreachable or slow, ejects none for a stalled stream and measures no answers. If no peer reaches the endpoints either, a request is refused at once instead of being sent again.

--- a/internal/coordination/placement/health.go
+++ b/internal/coordination/placement/health.go
@@ -21,6 +21,14 @@
 	}
 }
 
+// ForgetFailures ends all ejections and forgets the failures that led to them. It is called when they
+// prove to have another cause than the endpoints.
+func (t *Table) ForgetFailures() {
+	for _, e := range t.entries {
+		e.failures, e.ejections, e.ejectedUntil, e.unreachable = 0, 0, time.Time{}, false
+	}
+}
+
 // Unreachable returns the keys of suspect endpoints that this host ejected with Eject and
 // that have not answered it since, at most 24 in no particular order.
 func (t *Table) Unreachable(now time.Time) []uint32 {
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -25,6 +25,8 @@
 	fleet     *Fleet
 	client    backend.Client
 	forwarder *Forwarder
+	// cutOff reports whether this host has lost its links to all endpoints.
+	cutOff func() bool
 }
 
 // activeBatch is a batch that this host runs. The goroutine of runUntilDone owns its state;
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -161,7 +161,7 @@
 		return batchrun.Failed, placement.OK
 	case errors.Is(err, backend.ErrNotRun):
 		return batchrun.NotRun, placement.Refused
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, backend.ErrPathLost):
 		return batchrun.Interrupted, placement.Cancelled
 	case events == 0:
 		return batchrun.Crashed, placement.Broken
@@ -197,6 +197,9 @@
 			stalled = append(stalled, at.endpoint.ID)
 		}
 	}
+	if a.parent.runner.cutOff() {
+		stalled = nil // the peer through which a stream goes may have stalled
+	}
 	for _, id := range stalled {
 		a.parent.runner.fleet.WithTable(func(t *placement.Table) { t.Eject(now, id) })
 		a.log.Warn("Endpoint ejected after a stalled stream", "endpoint", id)
@@ -248,6 +251,9 @@
 			return
 		}
 		p.failed.Store(true)
+		if errors.Is(err, backend.ErrPathLost) {
+			return
+		}
 		a.parent.runner.fleet.WithTable(func(t *placement.Table) { t.Eject(time.Now(), at.endpoint.ID) })
 		a.log.Warn("Endpoint of a silent stream unreachable", "endpoint", at.endpoint.ID, "err", err)
 	}()
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -84,6 +84,8 @@
 	metrics *Metrics
 	// quarantine refuses requests that crash endpoints.
 	quarantine *Quarantine
+	// cutOff reports whether this host has lost its links to all endpoints.
+	cutOff func() bool
 	// announce sends a heartbeat immediately, which reports such a request to the other hosts.
 	announce func()
 
@@ -374,7 +376,7 @@
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: idempotent(c.route),
 		})
 		took := time.Since(began)
-		if errors.Is(context.Cause(ctx), errHedgeLost) && err != nil {
+		if errors.Is(context.Cause(ctx), errHedgeLost) && err != nil && !errors.Is(err, backend.ErrPathLost) {
 			// An endpoint that never answers is detected only when another endpoint answers
 			// its request first. Two such attempts in a row eject it for some time.
 			c.f.fleet.End(e, placement.Broken, 0)
@@ -394,6 +396,9 @@
 func (f *Forwarder) recordOutcome(e catalog.Endpoint, err error, abandoned bool, took time.Duration) {
 	switch {
 	case err == nil:
+		if f.cutOff() {
+			took = 0 // includes the loss of the links, or a peer
+		}
 		f.withRetryBudget(e.Service, deposit)
 		f.fleet.End(e, placement.OK, took)
 	case errors.Is(err, backend.ErrReplaced), errors.Is(err, backend.ErrUnreachable) && !abandoned:
@@ -401,7 +406,7 @@
 		f.fleet.End(e, placement.Refused, 0)
 	case errors.Is(err, backend.ErrNotRun) && !abandoned:
 		f.fleet.End(e, placement.Refused, 0)
-	case abandoned:
+	case abandoned, errors.Is(err, backend.ErrPathLost):
 		f.fleet.End(e, placement.Cancelled, 0)
 	default:
 		f.fleet.End(e, placement.Broken, 0)
@@ -423,6 +428,8 @@
 	}
 	c.err = r.err
 	switch {
+	case errors.Is(r.err, backend.ErrNotRun) && errors.Is(r.err, backend.ErrPathLost):
+		return nil, false // no host reaches the endpoints
 	case errors.Is(r.err, backend.ErrUnreachable), errors.Is(r.err, backend.ErrReplaced):
 		return nil, true
 	case errors.Is(r.err, backend.ErrNotRun):
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -134,11 +134,11 @@
 	n.endpoints = newEndpointPath(p.Endpoints, newEndpointRelays(p.Settings, n.peers, p.Registry), fleet.Endpoints, n.linksChanged, component("endpoints"), p.Registry)
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: n.endpoints, log: component("forward"), metrics: n.Metrics,
 		gates:      NewGates(fleet, func() int { return 1 + n.peers.Count() }),
-		quarantine: NewQuarantine(), announce: func() { n.membership.Announce() }}
+		quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
-		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder},
+		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder, cutOff: n.endpoints.CutOff},
 		candidate: n.candidate,
 	}
 	n.feed = NewFeed(feedDeps{
@@ -203,7 +203,12 @@
 
 // linksChanged tells the rest of the host and its peers that this host lost its links to all endpoints
 // or has them again.
-func (n *Node) linksChanged(bool) { n.membership.Announce() }
+func (n *Node) linksChanged(cutOff bool) {
+	if cutOff {
+		n.Forwarder.fleet.WithTable((*placement.Table).ForgetFailures)
+	}
+	n.membership.Announce()
+}
 
 func (n *Node) fillHeartbeat(h *presence.Heartbeat) {
 	h.Ready, h.Draining = n.Ready(), n.draining.Load()
@@ -217,6 +222,9 @@
 	n.Forwarder.fleet.WithTable(func(t *placement.Table) {
 		h.Unreachable, h.Slow, h.Leaving, h.Limits = t.Unreachable(now), t.Slow(now), t.Leaving(), t.Limits(now)
 	})
+	if h.CutOff {
+		h.Unreachable, h.Slow = nil, nil // they may stem from the peers through which requests go
+	}
 	for _, l := range n.weights.Loads(now) {
 		if h.LoadingMs == nil {
 			h.LoadingMs = map[uint32]uint16{}
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -45,6 +45,7 @@
 	*Node
 	store *hostStore
 	stale *staleReads
+	links *hostLinks
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -118,12 +119,13 @@
 	if os.Getenv("FRONT_TEST_LOG") != "" { // prints the logs of the hosts
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("host", s.Host)
 	}
-	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: w.engines, Decoder: testDecoder{},
+	links := &hostLinks{fakeEngines: w.engines}
+	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: links, Decoder: testDecoder{},
 		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry()})
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
-	tn := &testNode{Node: n, store: path, stale: stale}
+	tn := &testNode{Node: n, store: path, stale: stale, links: links}
 	w.nodes[s.Host] = tn
 	return tn
 }
--- a/internal/transport/front/quarantine.go
+++ b/internal/transport/front/quarantine.go
@@ -93,12 +93,12 @@
 // checkForCrash checks whether the endpoint still accepts connections if the connection of an
 // attempt has broken. If it does not, it records a crash for the request's fingerprint.
 func (f *Forwarder) checkForCrash(fingerprint uint64, e catalog.Endpoint, began time.Time, err error) {
-	if !errors.Is(err, backend.ErrIncompleteAnswer) {
+	if !errors.Is(err, backend.ErrIncompleteAnswer) || errors.Is(err, backend.ErrPathLost) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), connectionCheckTimeout)
 	defer cancel()
-	if f.client.CheckConnection(ctx, e) == nil {
+	if checked := f.client.CheckConnection(ctx, e); checked == nil || errors.Is(checked, backend.ErrPathLost) {
 		return
 	}
 	if f.quarantine.recordCrash(fingerprint, e, began) {
