Release the weights lease while its holder has no links to the engines

Cause: only a draining or silent holder lost the lease. One that reaches the store and its peers but no engine kept it, and its orders cannot go through a peer: to the engines the peer would be a second holder with the same token.

A holder that has been cut off for 0.7 s releases the lease if another host ranks before it, which hosts with links do. The next holder waits out the required time since the last order, as after any release. Reports and orders now also start a check of the links when they fail, since a holder may send nothing else.

TestCutOff_HolderKeepsLeaseIfNoHostHasLinks guards against a lease that wanders while nobody can use it.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -155,3 +156,54 @@
 	}
 	callers.Wait()
 }
+
+// A holder of the weights lease that loses its links leaves the lease to a host that has them. Orders
+// never go through a peer, which would be a second holder to the engines.
+func TestCutOff_HolderReleasesLease(t *testing.T) {
+	w := newTestCluster(t)
+	w.engines.loaded = w.register
+	hosts := w.start("h1", "h2", "h3")
+	loaded := func(version int) func() bool {
+		return func() bool {
+			w.engines.mu.Lock()
+			defer w.engines.mu.Unlock()
+			return w.engines.versions["e0"] == version && w.engines.versions["e1"] == version && w.engines.versions["e2"] == version
+		}
+	}
+	w.put("models/m", 2)
+	w.waitUntil("version 2 is loaded", loaded(2))
+	holder := hosts[slices.IndexFunc(hosts, func(n *testNode) bool { return n.weights.FencingToken() != 0 })]
+	holder.links.silenced.Store(true)
+	w.put("models/m", 3)
+	began := time.Now()
+	w.waitUntil("version 3 is loaded", loaded(3))
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("the engines loaded the next version %v after the holder had lost its links", took)
+	}
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	checkOrders(t, w.engines.received, holder.Settings.Lease)
+	for _, o := range w.engines.received {
+		if o.version == 3 && o.holder == holder.Settings.Host {
+			t.Errorf("engine %s received an order of %s, which has no links", o.endpoint, o.holder)
+		}
+	}
+}
+
+// While no host has links, the holder keeps the lease: nobody else could order more.
+func TestCutOff_HolderKeepsLeaseIfNoHostHasLinks(t *testing.T) {
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2")
+	w.waitUntil("a host holds the lease", func() bool { return hosts[0].weights.FencingToken()+hosts[1].weights.FencingToken() != 0 })
+	token := hosts[0].weights.FencingToken() + hosts[1].weights.FencingToken()
+	for _, n := range hosts {
+		n.links.silenced.Store(true)
+		_, _ = n.forward(plainRequest("r-"+n.Settings.Host, "/plain/x"))
+	}
+	w.waitUntil("both hosts know that they are cut off", func() bool { return hosts[0].CutOff() && hosts[1].CutOff() })
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if now := hosts[0].weights.FencingToken() + hosts[1].weights.FencingToken(); now != token {
+			t.Fatalf("fencing tokens add up to %d, want %d: the lease moved", now, token)
+		}
+	}
+}
--- a/internal/transport/front/endpointpath.go
+++ b/internal/transport/front/endpointpath.go
@@ -407,18 +407,22 @@
 
 // Order implements backend.Client.
 func (p *EndpointPath) Order(ctx context.Context, o backend.Order) (backend.OrderResult, error) {
-	if p.CutOff() {
+	c, ok := p.beginDirect(ctx, 0)
+	if !ok {
 		return 0, errors.Join(backend.ErrPathLost, errLinksLost)
 	}
-	return p.direct.Order(ctx, o)
+	result, err := p.direct.Order(c.ctx, o)
+	return result, c.end(err)
 }
 
 // ReadReport implements backend.Client.
 func (p *EndpointPath) ReadReport(ctx context.Context, e catalog.Endpoint) (backend.Report, error) {
-	if p.CutOff() {
+	c, ok := p.beginDirect(ctx, 0)
+	if !ok {
 		return backend.Report{}, errors.Join(backend.ErrPathLost, errLinksLost)
 	}
-	return p.direct.ReadReport(ctx, e)
+	report, err := p.direct.ReadReport(c.ctx, e)
+	return report, c.end(err)
 }
 
 // OnNotice implements backend.Client.
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -148,7 +148,7 @@
 	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, component("streams"))
 	n.weights = &Weights{
 		settings: p.Settings, store: store, stale: stale, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
-		catalog: n.Catalog, client: n.endpoints, ready: n.Ready, draining: n.Draining, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
+		catalog: n.Catalog, client: n.endpoints, ready: n.Ready, draining: n.Draining, cutOffFor: n.endpoints.CutOffFor, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
 		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
 	n.permits = newPermits(p.Settings.Host, fleet, n.peers, calls, n.candidate, component("permits"), p.Registry)
--- a/internal/transport/front/lease.go
+++ b/internal/transport/front/lease.go
@@ -105,6 +105,11 @@
 			return false
 		}
 	}
+	return w.ranksFirst()
+}
+
+// ranksFirst reports whether this host is the first in the succession order of the lease holders.
+func (w *Weights) ranksFirst() bool {
 	return presence.Successor(weightsTask, append(w.peers.Candidates(), w.candidate())) == w.settings.Host
 }
 
@@ -185,8 +190,8 @@
 
 // release stops holding the lease and marks it as released in the store, so that the next
 // holder need not wait until it expires.
-func (w *Weights) release(ctx context.Context) {
-	w.stopHolding("the host is stopping")
+func (w *Weights) release(ctx context.Context, reason string) {
+	w.stopHolding(reason)
 	w.mu.Lock()
 	last, version := w.lease, w.leaseVersion
 	last.LastOrderAgoMs = (sinceBoot() - w.lastOrderAt).Milliseconds()
--- a/internal/transport/front/weights.go
+++ b/internal/transport/front/weights.go
@@ -20,6 +20,11 @@
 	planInterval = 100 * time.Millisecond
 )
 
+// cutOffBeforeRelease is how long a holder has been without links to endpoints before it releases the
+// lease. It is longer than the time from a failed check of the links to the next one, so that one
+// failed check does not move the lease.
+const cutOffBeforeRelease = 700 * time.Millisecond
+
 // maxPeerWorkAge is how long the work that a peer reported counts without another report.
 const maxPeerWorkAge = 5 * time.Second
 
@@ -56,6 +61,8 @@
 	ready    func() bool
 	// draining reports whether this host drains before it shuts down.
 	draining func() bool
+	// cutOffFor returns how long this host has had no links to endpoints, zero if it has.
+	cutOffFor func() time.Duration
 	// announce sends a heartbeat immediately, so that peers learn which engines are loading
 	// weights.
 	announce func()
@@ -108,7 +115,9 @@
 		}
 		switch {
 		case w.FencingToken() != 0 && w.draining():
-			w.release(ctx)
+			w.release(ctx, "the host is stopping")
+		case w.FencingToken() != 0 && w.cutOffFor() > cutOffBeforeRelease && !w.ranksFirst():
+			w.release(ctx, "the host has no links to the engines")
 		case w.FencingToken() != 0 && w.superseded():
 			w.stopHolding("another host has a higher fencing token")
 		case w.FencingToken() != 0 && !w.ready():
