Test what hosts without links promise to callers and endpoints

Requests through peers must keep what requests over a host's own links keep: a request that may run only once does so when its answer is lost with the peer, a repeatable one is sent again, a leaving endpoint gets nothing, deadlines and cancellations reach the endpoint, a truncated answer is not a complete one, and nothing hangs while no host has links. Peers that drain or have lost their own links unnoticed cost no request.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -5,15 +5,21 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -207,3 +213,216 @@
 		}
 	}
 }
+
+// cutOffHost returns three hosts, the first of which knows that it is cut off.
+func cutOffHost(t *testing.T) (w *testCluster, cut, linked1, linked2 *testNode) {
+	w = newTestCluster(t)
+	hosts := w.start("h1", "h2", "h3")
+	hosts[0].links.silenced.Store(true)
+	w.waitUntil("a request is served at the host without links", func() bool {
+		_, err := hosts[0].forward(plainRequest("first", "/plain/x"))
+		return err == nil
+	})
+	if !hosts[0].CutOff() {
+		t.Fatal("a request was served at a host with silenced links that does not know it is cut off")
+	}
+	w.waitUntil("the others know it too", func() bool {
+		m, _ := hosts[1].peers.Get("h1")
+		return m.CutOff
+	})
+	return w, hosts[0], hosts[1], hosts[2]
+}
+
+// blockingDo makes plain requests block until release is called, and returns a channel that receives
+// the id of each request that has begun to run.
+func (w *testCluster) blockingDo() (running <-chan string, release func()) {
+	began, released := make(chan string, 64), make(chan struct{})
+	w.engines.setDo(func(r backend.Request) (*backend.Answer, error) {
+		began <- r.ID
+		<-released
+		return &backend.Answer{Status: http.StatusOK, Signature: "signed-" + r.ID}, nil
+	})
+	return began, sync.OnceFunc(func() { close(released) })
+}
+
+func (w *testCluster) runs(id string) int {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	return w.engines.runs[id]
+}
+
+// relayOf returns which of two hosts runs a request for a peer.
+func (w *testCluster) relayOf(a, b *testNode) *testNode {
+	w.t.Helper()
+	var relay *testNode
+	w.waitUntil("a host runs the request for its peer", func() bool {
+		for _, n := range []*testNode{a, b} {
+			if n.inflight.Load() > 0 {
+				relay = n
+			}
+		}
+		return relay != nil
+	})
+	return relay
+}
+
+// The answer to a request that may run only once is lost with the peer that sent it. The request runs
+// once, and the caller is not told that it did not run.
+func TestCutOff_LostPeerNotRepeatedUnlessAllowed(t *testing.T) {
+	for path, want := range map[string]struct {
+		served bool
+		runs   int
+	}{"/once/x": {false, 1}, "/slow/x": {true, 2}} {
+		t.Run(path, func(t *testing.T) {
+			w, cut, a, b := cutOffHost(t)
+			running, release := w.blockingDo()
+			defer release()
+			in := plainRequest("lost", path)
+			in.Budget = 10 * time.Second
+			done := make(chan error, 1)
+			go func() {
+				_, err := cut.forward(in)
+				done <- err
+			}()
+			<-running
+			w.kill(w.relayOf(a, b))
+			if want.served {
+				<-running // sent again through the other peer
+			}
+			time.Sleep(200 * time.Millisecond)
+			release()
+			err := <-done
+			var coded *resultcode.Error
+			switch {
+			case want.served && err != nil:
+				t.Errorf("the repeatable request failed: %v", err)
+			case !want.served && (!errors.As(err, &coded) || coded.Code.Info().Outcome == resultcode.NotRun):
+				t.Errorf("the request ended with %v, want an error that does not say it did not run", err)
+			}
+			if got := w.runs("lost"); got != want.runs {
+				t.Errorf("the request ran %d times, want %d", got, want.runs)
+			}
+		})
+	}
+}
+
+// Peers that stop, or have lost their links without knowing it, cost no request.
+func TestCutOff_PeerThatCannotSendIsPassedOver(t *testing.T) {
+	w, cut, a, b := cutOffHost(t)
+	a.draining.Store(true)
+	for i := range 20 {
+		if _, err := cut.forward(plainRequest(fmt.Sprintf("draining-%d", i), "/plain/x")); err != nil {
+			t.Errorf("request %d while a peer drains: %v", i, err)
+		}
+	}
+	a.draining.Store(false)
+	w.waitUntil("the peer is used again", func() bool {
+		m, ok := cut.peers.Get(a.Settings.Host)
+		return ok && !m.Draining
+	})
+	b.links.silenced.Store(true)
+	for i := range 20 {
+		if _, err := cut.forward(plainRequest(fmt.Sprintf("silenced-%d", i), "/plain/x")); err != nil {
+			t.Errorf("request %d while a peer has lost its links: %v", i, err)
+		}
+	}
+}
+
+// A peer that knows an endpoint to be leaving sends it nothing, whatever the host without links knows.
+func TestCutOff_PeerSendsNothingToLeavingEndpoint(t *testing.T) {
+	w, _, a, _ := cutOffHost(t)
+	var e catalog.Endpoint
+	a.Forwarder.fleet.WithTable(func(table *placement.Table) {
+		e, _ = table.Get("p0")
+		table.MarkLeaving(e)
+	})
+	relay := &relayServer{path: a.endpoints, fleet: a.Forwarder.fleet, draining: a.Draining}
+	err := relay.serve(background, &relayedRequest{Kind: relayedDo, Endpoint: e, ID: "late", RemainingMs: 1000}, &partWriter{})
+	if !errors.Is(err, backend.ErrNotRun) || errors.Is(err, errRelayUnavailable) || w.runs("late") != 0 {
+		t.Errorf("error %v and %d runs, want a refusal that is final", err, w.runs("late"))
+	}
+}
+
+// While no host has links, a request is refused at once as not run, and the caller is told when to
+// come back. No request hangs until its deadline.
+func TestCutOff_RefusedAtOnceIfNoHostHasLinks(t *testing.T) {
+	w, cut, a, b := cutOffHost(t)
+	for _, n := range []*testNode{a, b} {
+		n.links.silenced.Store(true)
+		_, _ = n.forward(plainRequest("last-"+n.Settings.Host, "/plain/x"))
+	}
+	w.waitUntil("every host knows that it is cut off", func() bool { return a.CutOff() && b.CutOff() })
+	w.waitUntil("the hosts know it of each other", func() bool { return cut.endpoints.relays.count() == 0 })
+	for i := range 20 {
+		id := fmt.Sprintf("refused-%d", i)
+		began := time.Now()
+		_, err := cut.forward(plainRequest(id, "/plain/x"))
+		var coded *resultcode.Error
+		if !errors.As(err, &coded) || coded.Code.Info().Outcome != resultcode.NotRun || coded.RetryAfterMillis == 0 {
+			t.Errorf("error %v, want a refusal as not run with a time to come back", err)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("the refusal took %v", took)
+		}
+		if got := w.runs(id); got != 0 {
+			t.Errorf("a refused request ran %d times", got)
+		}
+	}
+}
+
+// Endpoints are not given more time through a peer than the caller still has, and a caller that gives
+// up ends its request at the endpoint.
+func TestCutOff_DeadlineAndCancellationReachEndpoint(t *testing.T) {
+	w, cut, _, _ := cutOffHost(t)
+	deadlines := make(chan time.Time, 1)
+	w.engines.setDo(func(r backend.Request) (*backend.Answer, error) {
+		deadlines <- r.Deadline
+		return &backend.Answer{Status: http.StatusOK, Signature: "signed-" + r.ID}, nil
+	})
+	latest := time.Now().Add(time.Second)
+	if _, err := cut.forward(plainRequest("deadline", "/plain/x")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-deadlines; got.After(latest.Add(50 * time.Millisecond)) {
+		t.Errorf("the endpoint was given %v more than the caller has", got.Sub(latest))
+	}
+	ctx, cancel := context.WithCancel(background)
+	ended := make(chan error, 1)
+	e := catalog.Endpoint{ID: "e0"}
+	cut.Forwarder.fleet.WithTable(func(table *placement.Table) { e, _ = table.Get("e0") })
+	go func() {
+		ended <- cut.endpoints.Generate(ctx, backend.GenerateRequest{Request: backend.Request{
+			Endpoint: e, ID: "long", Header: http.Header{"Events": {"100000"}}, Deadline: time.Now().Add(time.Minute),
+		}}, func(backend.Event) error { return nil })
+	}()
+	open := func() int {
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		return w.engines.openStreams["e0"]
+	}
+	w.waitUntil("the stream runs", func() bool { return open() == 1 })
+	cancel()
+	<-ended
+	cancelled := time.Now()
+	w.waitUntil("the stream ends at the endpoint", func() bool { return open() == 0 })
+	if took := time.Since(cancelled); took > 500*time.Millisecond {
+		t.Errorf("the endpoint worked for %v after the caller had given up", took)
+	}
+}
+
+// An answer whose end is lost on the way through a peer is not taken for a complete one.
+func TestCutOff_TruncatedAnswerOfPeerIsIncomplete(t *testing.T) {
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+		_ = out.writeHead(&backend.Answer{Status: http.StatusOK, Signature: "signed"})
+		_ = out.writeChunk([]byte("half of the answer"))
+	}))
+	defer peer.Close()
+	peers := NewPeers(presence.Member{Host: "h1"}, 0)
+	peers.table.Receive(time.Now(), presence.Heartbeat{Member: presence.Member{Host: "h2", Incarnation: 1, PeerAddress: strings.TrimPrefix(peer.URL, "http://")}, Sequence: 1})
+	relays := newEndpointRelays(Settings{Host: "h1"}, peers, prometheus.NewRegistry())
+	answer, err := relays.do(background, backend.Request{ID: "r", Method: http.MethodPost, Deadline: time.Now().Add(time.Second)})
+	if answer != nil || !errors.Is(err, backend.ErrIncompleteAnswer) || errors.Is(err, backend.ErrNotRun) {
+		t.Errorf("answer %v, error %v, want an incomplete answer", answer, err)
+	}
+}
