End a caller's stream on silent links before the caller gives up

What callers would see: a stream that had begun when the host lost its links hung until TCP gave the connection up after 3 s, or until the caller left after 2 s without an event, and only then was taken up again elsewhere. Found by reading; the sites have no streaming routes.

Cause: a stream was watched for the loss of the links only until its head. Now one that can be taken up again ends after 1.5 s without an event while the host is cut off, which is well above the gaps that callers accept and below their patience. Streams on connections that still work go on, since events arrive.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -31,15 +31,20 @@
 	*fakeEngines
 	// silenced links lose all packets: dials time out, and open connections get no answer.
 	silenced atomic.Bool
-	// orders counts the orders sent over these links.
-	orders atomic.Int64
+	// refusing links refuse new connections; open ones work.
+	refusing atomic.Bool
+	// eventGap is the time between the two events of a caller's stream.
+	eventGap time.Duration
 }
 
 // silentDialTimeout is the time after which a dial over silenced links fails.
 const silentDialTimeout = 50 * time.Millisecond
 
 func (l *hostLinks) dial() error {
-	if !l.silenced.Load() {
+	switch {
+	case l.refusing.Load():
+		return errors.Join(backend.ErrNotRun, backend.ErrUnreachable, errors.New("connection refused"))
+	case !l.silenced.Load():
 		return nil
 	}
 	time.Sleep(silentDialTimeout)
@@ -68,6 +73,26 @@
 	})
 }
 
+// Stream sends a stream of two events.
+func (l *hostLinks) Stream(ctx context.Context, _ backend.GenerateRequest, writeHead func(*backend.Answer) error, writeChunk func([]byte) error) error {
+	if err := l.dial(); err != nil {
+		return err
+	}
+	if err := errors.Join(writeHead(&backend.Answer{Status: http.StatusOK}), writeChunk([]byte("1"))); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return errors.Join(backend.ErrIncompleteAnswer, ctx.Err())
+	case <-time.After(l.eventGap):
+	}
+	if l.silenced.Load() {
+		<-ctx.Done()
+		return errors.Join(backend.ErrIncompleteAnswer, ctx.Err())
+	}
+	return writeChunk([]byte("2"))
+}
+
 func (l *hostLinks) CheckConnection(ctx context.Context, e catalog.Endpoint) error {
 	if err := l.dial(); err != nil {
 		return err
@@ -79,7 +104,6 @@
 	if err := l.dial(); err != nil {
 		return 0, err
 	}
-	l.orders.Add(1)
 	return l.fakeEngines.Order(ctx, o)
 }
 
@@ -426,3 +450,45 @@
 		t.Errorf("answer %v, error %v, want an incomplete answer", answer, err)
 	}
 }
+
+// A caller's stream that has begun on silenced links ends, so that the caller can take it up again
+// before it gives up, which callers do after 2 s without an event. One on a connection that still works
+// goes on, even if its events are a second apart.
+func TestCutOff_BegunStreamEndsOnlyIfSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose    func(l *hostLinks)
+		resumed bool
+		broken  bool
+	}{
+		"silenced":                  {func(l *hostLinks) { l.silenced.Store(true) }, true, true},
+		"refused":                   {func(l *hostLinks) { l.refusing.Store(true) }, true, false},
+		"refused and not resumable": {func(l *hostLinks) { l.refusing.Store(true) }, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCluster(t)
+			n := w.start("h1", "h2")[0]
+			n.links.eventGap = time.Second
+			e := catalog.Endpoint{ID: "p0"}
+			w.waitUntil("the endpoint is known", func() bool {
+				n.Forwarder.fleet.WithTable(func(table *placement.Table) { e, _ = table.Get("p0") })
+				return e.Address != ""
+			})
+			var received string
+			err := n.endpoints.Stream(background, backend.GenerateRequest{Request: backend.Request{Endpoint: e, ID: "s", Repeatable: c.resumed}},
+				func(*backend.Answer) error { return nil },
+				func(b []byte) error {
+					if received += string(b); received == "1" {
+						c.lose(n.links)
+						go func() { _ = n.endpoints.CheckConnection(background, e) }() // another request notices the loss
+					}
+					return nil
+				})
+			if broken := err != nil; broken != c.broken || !broken && received != "12" {
+				t.Errorf("received %q, error %v", received, err)
+			}
+			if err != nil && !errors.Is(err, backend.ErrPathLost) {
+				t.Errorf("error %v, want one that does not blame the endpoint", err)
+			}
+		})
+	}
+}
--- a/internal/transport/front/endpointpath.go
+++ b/internal/transport/front/endpointpath.go
@@ -28,13 +28,19 @@
 	// host is cut off, or is afterwards, before it is sent again through a peer. Connections that
 	// were open before may still work.
 	lostAnswerTimeout = 150 * time.Millisecond
-	// lostStreamTimeout is lostAnswerTimeout for the events of a stream.
+	// lostStreamTimeout is lostAnswerTimeout for the head of a stream, and for the events of a sample.
 	lostStreamTimeout = 600 * time.Millisecond
+	// lostBegunStreamTimeout is lostAnswerTimeout for the events of a caller's stream that can be
+	// taken up again. Callers wait at least 2 s for an event.
+	lostBegunStreamTimeout = 1500 * time.Millisecond
 )
 
 // errLinksLost cancels a request whose connection was lost with the links of the host.
 var errLinksLost = errors.New("this host is cut off from the endpoints")
 
+// errCutOff is the error of a request that was not sent because this host is cut off.
+var errCutOff = errors.Join(backend.ErrNotRun, backend.ErrPathLost, errLinksLost)
+
 // EndpointPath sends requests to endpoints directly, or through a peer while this host has lost its
 // links to all endpoints. It implements backend.Client and is safe for concurrent use.
 //
@@ -245,17 +251,17 @@
 	began  time.Time
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// progressAt is the Unix time of the last progress in nanoseconds.
-	progressAt atomic.Int64
-	// unwatched is set once the call is no longer cancelled when the links are lost.
-	unwatched   atomic.Bool
+	// progressAt is the Unix time of the last progress, maxSilence how long the call may be without
+	// progress while the host is cut off; zero is unlimited. Both are in nanoseconds.
+	progressAt  atomic.Int64
+	maxSilence  atomic.Int64
 	stopWaiting func() bool
 }
 
 // beginDirect returns a call on the host's own links. It is cancelled with errLinksLost when the host
-// is cut off and the call has made no progress for silence, unless silence is zero. ok is false
-// if the host is cut off already.
-func (p *EndpointPath) beginDirect(ctx context.Context, silence time.Duration) (c *directCall, ok bool) {
+// is cut off and the call has made no progress for maxSilence, unless that is zero. ok is false if
+// the host is cut off already.
+func (p *EndpointPath) beginDirect(ctx context.Context, maxSilence time.Duration) (c *directCall, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.monitor.CutOff() {
@@ -263,19 +269,20 @@
 	}
 	c = &directCall{path: p, began: time.Now(), stopWaiting: func() bool { return true }}
 	c.progressAt.Store(c.began.UnixNano())
+	c.maxSilence.Store(int64(maxSilence))
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
-	if silence > 0 {
-		c.stopWaiting = context.AfterFunc(p.lost, func() { c.cancelWhenSilent(silence) })
+	if maxSilence > 0 {
+		c.stopWaiting = context.AfterFunc(p.lost, c.cancelWhenSilent)
 	}
 	p.monitor.Begin(c.began)
 	p.scheduleSilenceCheck()
 	return c, true
 }
 
-// cancelWhenSilent cancels the call once it has made no progress for the given time.
-func (c *directCall) cancelWhenSilent(silence time.Duration) {
-	for c.ctx.Err() == nil && !c.unwatched.Load() {
-		left := silence - time.Since(time.Unix(0, c.progressAt.Load()))
+// cancelWhenSilent cancels the call once it has made no progress for maxSilence.
+func (c *directCall) cancelWhenSilent() {
+	for c.ctx.Err() == nil {
+		left := time.Duration(c.maxSilence.Load()) - time.Since(time.Unix(0, c.progressAt.Load()))
 		if left <= 0 {
 			c.cancel(errLinksLost)
 			return
@@ -287,12 +294,6 @@
 	}
 }
 
-// unwatch keeps the call from being cancelled when the links are lost.
-func (c *directCall) unwatch() {
-	c.unwatched.Store(true)
-	c.stopWaiting()
-}
-
 // progress records an answer or an event of the call.
 func (c *directCall) progress() {
 	now := time.Now()
@@ -305,7 +306,7 @@
 // end ends the call and returns its error. The error also is backend.ErrPathLost if the host is cut
 // off and the request failed for that reason or for an unknown one.
 func (c *directCall) end(err error) error {
-	c.unwatch()
+	c.stopWaiting()
 	c.path.mu.Lock()
 	c.path.monitor.End()
 	c.path.mu.Unlock()
@@ -337,79 +338,113 @@
 
 // Do implements backend.Client.
 func (p *EndpointPath) Do(ctx context.Context, r backend.Request) (*backend.Answer, error) {
-	silence := time.Duration(0)
+	answer, err := p.doDirect(ctx, r)
+	if !sendsAgain(ctx, err, r.Repeatable) {
+		return answer, err
+	}
+	return p.relays.do(ctx, r)
+}
+
+// doDirect is Do over this host's own links.
+func (p *EndpointPath) doDirect(ctx context.Context, r backend.Request) (*backend.Answer, error) {
+	maxSilence := time.Duration(0)
 	if r.Repeatable {
-		silence = lostAnswerTimeout
+		maxSilence = lostAnswerTimeout
 	}
-	if c, ok := p.beginDirect(ctx, silence); ok {
-		answer, err := p.direct.Do(c.ctx, r)
-		if err == nil {
-			c.progress()
-		}
-		if err = c.end(err); !sendsAgain(ctx, err, r.Repeatable) {
-			return answer, err
-		}
+	c, ok := p.beginDirect(ctx, maxSilence)
+	if !ok {
+		return nil, errCutOff
 	}
-	return p.relays.do(ctx, r)
+	answer, err := p.direct.Do(c.ctx, r)
+	if err == nil {
+		c.progress()
+	}
+	return answer, c.end(err)
 }
 
 // Stream implements backend.Client. A stream that has begun is not sent again.
 func (p *EndpointPath) Stream(ctx context.Context, g backend.GenerateRequest, writeHead func(*backend.Answer) error, writeChunk func([]byte) error) error {
-	silence := time.Duration(0)
+	began := false
+	err := p.streamDirect(ctx, g, func(a *backend.Answer) error {
+		began = true
+		return writeHead(a)
+	}, writeChunk)
+	if began || !sendsAgain(ctx, err, g.Repeatable) {
+		return err
+	}
+	return p.relays.stream(ctx, g, writeHead, writeChunk)
+}
+
+// streamDirect is Stream over this host's own links.
+func (p *EndpointPath) streamDirect(ctx context.Context, g backend.GenerateRequest, writeHead func(*backend.Answer) error, writeChunk func([]byte) error) error {
+	maxSilence := time.Duration(0)
 	if g.Repeatable {
-		silence = lostStreamTimeout
+		maxSilence = lostStreamTimeout
 	}
-	if c, ok := p.beginDirect(ctx, silence); ok {
-		began := false
-		err := p.direct.Stream(c.ctx, g, func(a *backend.Answer) error {
-			began = true
-			c.unwatch()
-			c.progress()
-			return writeHead(a)
-		}, func(b []byte) error {
-			c.progress()
-			return writeChunk(b)
-		})
-		if err = c.end(err); began || !sendsAgain(ctx, err, g.Repeatable) {
-			return err
-		}
+	c, ok := p.beginDirect(ctx, maxSilence)
+	if !ok {
+		return errCutOff
 	}
-	return p.relays.stream(ctx, g, writeHead, writeChunk)
+	return c.end(p.direct.Stream(c.ctx, g, func(a *backend.Answer) error {
+		if g.Repeatable {
+			c.maxSilence.Store(int64(lostBegunStreamTimeout))
+		}
+		c.progress()
+		return writeHead(a)
+	}, func(b []byte) error {
+		c.progress()
+		return writeChunk(b)
+	}))
 }
 
 // Generate implements backend.Client. After a loss of the links its caller continues the sample with
 // another request.
 func (p *EndpointPath) Generate(ctx context.Context, g backend.GenerateRequest, emit func(backend.Event) error) error {
-	if c, ok := p.beginDirect(ctx, lostStreamTimeout); ok {
-		err := p.direct.Generate(c.ctx, g, func(e backend.Event) error {
-			c.progress()
-			return emit(e)
-		})
-		if err = c.end(err); !sendsAgain(ctx, err, false) {
-			return err
-		}
+	if err := p.generateDirect(ctx, g, emit); !sendsAgain(ctx, err, false) {
+		return err
 	}
 	return p.relays.generate(ctx, g, emit)
 }
 
+// generateDirect is Generate over this host's own links.
+func (p *EndpointPath) generateDirect(ctx context.Context, g backend.GenerateRequest, emit func(backend.Event) error) error {
+	c, ok := p.beginDirect(ctx, lostStreamTimeout)
+	if !ok {
+		return errCutOff
+	}
+	return c.end(p.direct.Generate(c.ctx, g, func(e backend.Event) error {
+		c.progress()
+		return emit(e)
+	}))
+}
+
 // CheckConnection implements backend.Client. Its error is backend.ErrPathLost if the host has lost its
 // links and no peer could check the connection instead.
 func (p *EndpointPath) CheckConnection(ctx context.Context, e catalog.Endpoint) error {
-	if !p.CutOff() {
-		began := time.Now()
-		err := p.direct.CheckConnection(ctx, e)
-		if err == nil || !p.checkAfterFailure(ctx, began, err) {
-			return err
-		}
+	if err := p.checkDirect(ctx, e); !errors.Is(err, backend.ErrPathLost) {
+		return err
 	}
 	return p.relays.checkConnection(ctx, e)
 }
 
+// checkDirect is CheckConnection over this host's own links.
+func (p *EndpointPath) checkDirect(ctx context.Context, e catalog.Endpoint) error {
+	if p.CutOff() {
+		return errCutOff
+	}
+	began := time.Now()
+	err := p.direct.CheckConnection(ctx, e)
+	if err != nil && p.checkAfterFailure(ctx, began, err) {
+		return errors.Join(backend.ErrNotRun, backend.ErrPathLost, err)
+	}
+	return err
+}
+
 // Order implements backend.Client.
 func (p *EndpointPath) Order(ctx context.Context, o backend.Order) (backend.OrderResult, error) {
 	c, ok := p.beginDirect(ctx, 0)
 	if !ok {
-		return 0, errors.Join(backend.ErrPathLost, errLinksLost)
+		return 0, errCutOff
 	}
 	result, err := p.direct.Order(c.ctx, o)
 	return result, c.end(err)
@@ -419,7 +454,7 @@
 func (p *EndpointPath) ReadReport(ctx context.Context, e catalog.Endpoint) (backend.Report, error) {
 	c, ok := p.beginDirect(ctx, 0)
 	if !ok {
-		return backend.Report{}, errors.Join(backend.ErrPathLost, errLinksLost)
+		return backend.Report{}, errCutOff
 	}
 	report, err := p.direct.ReadReport(c.ctx, e)
 	return report, c.end(err)
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -46,7 +46,12 @@
 	}
 	defer s.track()()
 	out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+	began := time.Now()
 	err = s.serve(r.Context(), &request, out)
+	if request.Kind != relayedCheck {
+		s.log.Info("Request sent for a peer", "request", request.ID, "peer", r.RemoteAddr, "endpoint", request.Endpoint.ID,
+			"took_ms", time.Since(began).Milliseconds(), "err", err)
+	}
 	end := newRelayedEnd(err)
 	end.Declined = errors.Is(err, errRelayUnavailable)
 	if err := out.write(&relayedPart{End: end}); err != nil && r.Context().Err() == nil {
@@ -96,47 +101,28 @@
 	return ok && known.SameInstance(e) && !known.Draining
 }
 
-// silence returns how long a request may be without progress once this host is cut off; see
-// EndpointPath.beginDirect.
-func (r *relayedRequest) silence() time.Duration {
-	switch {
-	case r.Kind == relayedGenerate:
-		return lostStreamTimeout
-	case r.Kind == relayedDo && r.Repeatable:
-		return lostAnswerTimeout
-	}
-	return 0
-}
-
 // sendForPeer sends a peer's request over this host's own links and passes on the answer.
 func (p *EndpointPath) sendForPeer(ctx context.Context, r *relayedRequest, out *partWriter) error {
 	request := backend.Request{
 		Endpoint: r.Endpoint, ID: r.ID, Host: r.Host, Method: r.Method, URI: r.URI, Header: r.Header, Body: r.Body, Repeatable: r.Repeatable,
 		Deadline: time.Now().Add(time.Duration(r.RemainingMs) * time.Millisecond),
 	}
-	c, ok := p.beginDirect(ctx, r.silence())
-	if !ok {
-		return errors.Join(backend.ErrNotRun, backend.ErrPathLost, errLinksLost)
-	}
 	g := backend.GenerateRequest{Request: request, ResumeAfter: r.ResumeAfter, Urgency: r.Urgency}
 	switch r.Kind {
 	case relayedDo:
-		answer, err := p.direct.Do(c.ctx, request)
-		if err = c.end(err); err != nil {
+		answer, err := p.doDirect(ctx, request)
+		if err != nil {
 			return err
 		}
 		return out.writeAnswer(answer)
 	case relayedStream:
-		return c.end(p.direct.Stream(c.ctx, g, out.writeHead, out.writeChunk))
+		return p.streamDirect(ctx, g, out.writeHead, out.writeChunk)
 	case relayedGenerate:
-		return c.end(p.direct.Generate(c.ctx, g, func(e backend.Event) error {
-			c.progress()
-			return out.write(&relayedPart{Event: &e})
-		}))
+		return p.generateDirect(ctx, g, func(e backend.Event) error { return out.write(&relayedPart{Event: &e}) })
 	case relayedCheck:
-		return c.end(p.direct.CheckConnection(c.ctx, r.Endpoint))
+		return p.checkDirect(ctx, r.Endpoint)
 	}
-	return c.end(errors.Join(backend.ErrNotRun, errUnexpectedPart))
+	return errors.Join(backend.ErrNotRun, errUnexpectedPart)
 }
 
 // writeAnswer writes a complete answer.
