Watch requests by the state of the links, not by their first loss

What callers would see: a stream that was silent for 1.5 s, or a sample for 0.6 s, was ended for links that had been lost for a moment and were back long before. A second loss during the same request was not noticed. Found by reading.

Cause: the loss started a wait that nothing ended but the request. The wait now ends once the host has its links again, and the request is watched anew. Besides, a check of a connection through a peer is bounded, since a paused peer accepts connections and answers nothing, and the list of peers with links is kept for 50 ms instead of being made for each request from all hosts.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -492,3 +492,44 @@
 		})
 	}
 }
+
+// A stream that is silent for longer than a loss of the links lasted is not ended because of the loss
+// afterwards, but is when the links are lost again.
+func TestCutOff_StreamOutlastsShortLoss(t *testing.T) {
+	for name, again := range map[string]bool{"once": false, "again": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t)
+			n := w.start("h1", "h2")[0]
+			n.links.eventGap = 2500 * time.Millisecond
+			e := catalog.Endpoint{ID: "p0"}
+			w.waitUntil("the endpoint is known", func() bool {
+				n.Forwarder.fleet.WithTable(func(table *placement.Table) { e, _ = table.Get("p0") })
+				return e.Address != ""
+			})
+			lose := func() {
+				n.links.refusing.Store(true)
+				_ = n.endpoints.CheckConnection(background, e)
+			}
+			err := n.endpoints.Stream(background, backend.GenerateRequest{Request: backend.Request{Endpoint: e, ID: "s", Repeatable: true}},
+				func(*backend.Answer) error { return nil },
+				func(b []byte) error {
+					if string(b) != "1" {
+						return nil
+					}
+					go func() {
+						lose()
+						n.links.refusing.Store(false)
+						time.Sleep(1700 * time.Millisecond) // the next check finds the links back
+						if again {
+							lose()
+						}
+					}()
+					return nil
+				})
+			if broken := err != nil; broken != again {
+				t.Errorf("error %v, want one: %v", err, again)
+			}
+		})
+	}
+}
--- a/internal/transport/front/endpointpath.go
+++ b/internal/transport/front/endpointpath.go
@@ -253,9 +253,10 @@
 	cancel context.CancelCauseFunc
 	// progressAt is the Unix time of the last progress, maxSilence how long the call may be without
 	// progress while the host is cut off; zero is unlimited. Both are in nanoseconds.
-	progressAt  atomic.Int64
-	maxSilence  atomic.Int64
-	stopWaiting func() bool
+	progressAt atomic.Int64
+	maxSilence atomic.Int64
+	// unwatch keeps the call from being cancelled when the host becomes cut off; path.mu guards it.
+	unwatch func() bool
 }
 
 // beginDirect returns a call on the host's own links. It is cancelled with errLinksLost when the host
@@ -267,19 +268,23 @@
 	if p.monitor.CutOff() {
 		return nil, false
 	}
-	c = &directCall{path: p, began: time.Now(), stopWaiting: func() bool { return true }}
+	c = &directCall{path: p, began: time.Now(), unwatch: func() bool { return true }}
 	c.progressAt.Store(c.began.UnixNano())
 	c.maxSilence.Store(int64(maxSilence))
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if maxSilence > 0 {
-		c.stopWaiting = context.AfterFunc(p.lost, c.cancelWhenSilent)
+		c.watch()
 	}
 	p.monitor.Begin(c.began)
 	p.scheduleSilenceCheck()
 	return c, true
 }
 
-// cancelWhenSilent cancels the call once it has made no progress for maxSilence.
+// watch has the call cancelled if the host becomes cut off. The caller holds the lock of the path.
+func (c *directCall) watch() { c.unwatch = context.AfterFunc(c.path.lost, c.cancelWhenSilent) }
+
+// cancelWhenSilent cancels the call once it has made no progress for maxSilence, unless the host has
+// its links again before.
 func (c *directCall) cancelWhenSilent() {
 	for c.ctx.Err() == nil {
 		left := time.Duration(c.maxSilence.Load()) - time.Since(time.Unix(0, c.progressAt.Load()))
@@ -291,6 +296,12 @@
 		case <-c.ctx.Done():
 		case <-time.After(left):
 		}
+		if !c.path.CutOff() {
+			c.path.mu.Lock()
+			defer c.path.mu.Unlock()
+			c.watch()
+			return
+		}
 	}
 }
 
@@ -306,8 +317,8 @@
 // end ends the call and returns its error. The error also is backend.ErrPathLost if the host is cut
 // off and the request failed for that reason or for an unknown one.
 func (c *directCall) end(err error) error {
-	c.stopWaiting()
 	c.path.mu.Lock()
+	c.unwatch()
 	c.path.monitor.End()
 	c.path.mu.Unlock()
 	defer c.cancel(nil)
@@ -315,7 +326,7 @@
 	case err == nil || !concernsPath(err):
 		return err
 	case errors.Is(context.Cause(c.ctx), errLinksLost):
-		return errors.Join(backend.ErrPathLost, backend.ErrIncompleteAnswer, errLinksLost, err)
+		return errors.Join(backend.ErrPathLost, errLinksLost, err)
 	case c.path.checkAfterFailure(c.ctx, c.began, err):
 		return errors.Join(backend.ErrPathLost, err)
 	}
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/links"
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
@@ -34,6 +35,9 @@
 	maxRelayedAnswerBytes = 16 << 20
 	// maxIdleRelayConns is the number of idle connections to a peer that are kept.
 	maxIdleRelayConns = 24
+	// linkedPeersTTL is how long the list of peers with links is used, since a large fleet has
+	// hundreds of hosts. A peer that lost its links meanwhile declines.
+	linkedPeersTTL = 50 * time.Millisecond
 	// relayPath is the path of the calls with which a peer has requests sent to endpoints.
 	relayPath = "/endpoint-requests"
 )
@@ -141,6 +145,9 @@
 	mu sync.Mutex
 	// running is the number of requests that run through each peer.
 	running map[string]int
+	// linked are the peers with links that do not drain, as of linkedAt.
+	linked   []presence.Member
+	linkedAt time.Time
 }
 
 func newEndpointRelays(s Settings, peers *Peers, reg prometheus.Registerer) *endpointRelays {
@@ -164,12 +171,15 @@
 
 // candidates returns the peers through which a request to an endpoint in the given zone can be sent.
 func (r *endpointRelays) candidates(tried []string, zone string) []links.Relay {
-	alive := r.peers.Alive()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []links.Relay
-	for _, p := range alive {
-		if p.CutOff || p.Draining || slices.Contains(tried, p.Host) {
+	if time.Since(r.linkedAt) > linkedPeersTTL {
+		r.linked = slices.DeleteFunc(r.peers.Alive(), func(p presence.Member) bool { return p.CutOff || p.Draining })
+		r.linkedAt = time.Now()
+	}
+	out := make([]links.Relay, 0, len(r.linked))
+	for _, p := range r.linked {
+		if slices.Contains(tried, p.Host) {
 			continue
 		}
 		out = append(out, links.Relay{Host: p.Host, Near: p.Zone == r.settings.Zone || p.Zone == zone, Requests: r.running[p.Host], Capacity: float64(p.Capacity)})
@@ -365,6 +375,8 @@
 
 // checkConnection is backend.Client.CheckConnection through a peer.
 func (r *endpointRelays) checkConnection(ctx context.Context, e catalog.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
 	return r.send(ctx, &relayedRequest{Kind: relayedCheck, Endpoint: e}, func(*relayedPart) error {
 		return errors.Join(backend.ErrIncompleteAnswer, errUnexpectedPart)
 	})
