Make two tests of hosts without links able to fail

With the cancellation not passed on, the test of it still passed, because the delivery of the next event failed; the stream is now silent. That a peer declines while it drains was covered by no test: requests were served either way. Found by taking each rule out of the code; the second check for links in relayServer was redundant and is gone.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -360,13 +360,37 @@
 		e, _ = table.Get("p0")
 		table.MarkLeaving(e)
 	})
-	relay := &relayServer{path: a.endpoints, fleet: a.Forwarder.fleet, draining: a.Draining}
-	err := relay.serve(background, &relayedRequest{Kind: relayedDo, Endpoint: e, ID: "late", RemainingMs: 1000}, &partWriter{})
+	err := a.sendForPeer(relayedDo, e, "late")
 	if !errors.Is(err, backend.ErrNotRun) || errors.Is(err, errRelayUnavailable) || w.runs("late") != 0 {
 		t.Errorf("error %v and %d runs, want a refusal that is final", err, w.runs("late"))
 	}
 }
 
+// sendForPeer has a host send a request for a peer, and returns the error that the peer gets.
+func (n *testNode) sendForPeer(kind relayedKind, e catalog.Endpoint, id string) error {
+	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining}
+	return relay.serve(background, &relayedRequest{Kind: kind, Endpoint: e, ID: id, RemainingMs: 1000}, &partWriter{})
+}
+
+// A host that drains or has no links itself declines the requests of its peers, so that they ask
+// another one. It sends none of them.
+func TestCutOff_UnavailablePeerDeclines(t *testing.T) {
+	w, cut, a, _ := cutOffHost(t)
+	a.draining.Store(true)
+	var e catalog.Endpoint
+	a.Forwarder.fleet.WithTable(func(table *placement.Table) { e, _ = table.Get("p0") })
+	for _, n := range []*testNode{cut, a} {
+		for kind := relayedDo; kind <= relayedCheck; kind++ {
+			if err := n.sendForPeer(kind, e, "declined"); !errors.Is(err, errRelayUnavailable) || !errors.Is(err, backend.ErrNotRun) {
+				t.Errorf("kind %d at %s: error %v, want that the host is not available", kind, n.Settings.Host, err)
+			}
+		}
+	}
+	if got := w.runs("declined"); got != 0 {
+		t.Errorf("declined requests ran %d times", got)
+	}
+}
+
 // While no host has links, a request is refused at once as not run, and the caller is told when to
 // come back. No request hangs until its deadline.
 func TestCutOff_RefusedAtOnceIfNoHostHasLinks(t *testing.T) {
@@ -425,6 +449,11 @@
 		return w.engines.openStreams["e0"]
 	}
 	w.waitUntil("the stream runs", func() bool { return open() == 1 })
+	// No event follows whose delivery could fail, so only the cancellation can end the stream.
+	w.engines.mu.Lock()
+	w.engines.eventInterval = time.Minute
+	w.engines.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
 	cancel()
 	<-ended
 	cancelled := time.Now()
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -29,7 +29,7 @@
 }
 
 var (
-	errRelayUnavailable = errors.New("the host is stopping, has no links or sends too many requests for others")
+	errRelayUnavailable = errors.New("the host is stopping, has no links itself or sends too many requests for others")
 	errEndpointNotInUse = errors.New("the endpoint is leaving or not known")
 )
 
@@ -80,7 +80,7 @@
 
 func (s *relayServer) serve(ctx context.Context, r *relayedRequest, out *partWriter) error {
 	defer s.running.Add(-1)
-	if s.running.Add(1) > maxRelayedRequests || s.draining() || s.path.CutOff() {
+	if s.running.Add(1) > maxRelayedRequests || s.draining() {
 		return errors.Join(errRelayUnavailable, backend.ErrNotRun)
 	}
 	if !s.inUse(&r.Endpoint) {
