Test that a request under way at the loss of the links is not repeated unless allowed

With the rule taken out (a broken request sent again through a peer whether or not it is repeatable), no test failed. TestCutOff_RequestUnderWayNotRepeatedUnlessAllowed fails then, and passes on the code as it is (2 of 2 runs with the race detector).

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,6 +36,8 @@
 	silenced atomic.Bool
 	// refusing links refuse new connections; open ones work.
 	refusing atomic.Bool
+	// losingAnswers links deliver requests but no answers, and break after answerLossTime.
+	losingAnswers atomic.Bool
 	// eventGap is the time between the two events of a caller's stream.
 	eventGap time.Duration
 }
@@ -40,6 +45,10 @@
 // silentDialTimeout is the time after which a dial over silenced links fails.
 const silentDialTimeout = 50 * time.Millisecond
 
+// answerLossTime is the time after which a connection without an answer breaks. The links are found to
+// be lost before.
+const answerLossTime = 700 * time.Millisecond
+
 func (l *hostLinks) dial() error {
 	switch {
 	case l.refusing.Load():
@@ -53,6 +62,14 @@
 
 // Do hangs on silenced links, as on a connection that was open before.
 func (l *hostLinks) Do(ctx context.Context, r backend.Request) (*backend.Answer, error) {
+	if l.losingAnswers.Load() {
+		_, _ = l.fakeEngines.Do(ctx, r)
+		select {
+		case <-ctx.Done():
+		case <-time.After(answerLossTime):
+		}
+		return nil, errors.Join(backend.ErrIncompleteAnswer, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT})
+	}
 	if l.silenced.Load() {
 		<-ctx.Done()
 		return nil, errors.Join(backend.ErrIncompleteAnswer, ctx.Err())
@@ -330,6 +347,34 @@
 	}
 }
 
+// A request is under way when the links are lost, and its answer never arrives. If it may run only
+// once it is not sent again, and the caller is not told that it did not run.
+func TestCutOff_RequestUnderWayNotRepeatedUnlessAllowed(t *testing.T) {
+	for path, want := range map[string]struct {
+		served bool
+		runs   int
+	}{"/once/x": {false, 1}, "/plain/x": {true, 2}} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t)
+			n := w.start("h1", "h2")[0]
+			n.links.losingAnswers.Store(true)
+			n.links.silenced.Store(true)
+			_, err := n.forward(plainRequest("lost", path))
+			var coded *resultcode.Error
+			switch {
+			case want.served && err != nil:
+				t.Errorf("the repeatable request failed: %v", err)
+			case !want.served && (!errors.As(err, &coded) || coded.Code.Info().Outcome == resultcode.NotRun):
+				t.Errorf("the request ended with %v, want an error that does not say it did not run", err)
+			}
+			if got := w.runs("lost"); got != want.runs {
+				t.Errorf("the request ran %d times, want %d", got, want.runs)
+			}
+		})
+	}
+}
+
 // Peers that stop, or have lost their links without knowing it, cost no request.
 func TestCutOff_PeerThatCannotSendIsPassedOver(t *testing.T) {
 	w, cut, a, b := cutOffHost(t)
@@ -369,7 +414,8 @@
 // sendForPeer has a host send a request for a peer, and returns the error that the peer gets.
 func (n *testNode) sendForPeer(kind relayedKind, e catalog.Endpoint, id string) error {
 	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining}
-	return relay.serve(background, &relayedRequest{Kind: kind, Endpoint: e, ID: id, RemainingMs: 1000}, &partWriter{})
+	return relay.serve(background, &relayedRequest{Kind: kind, Endpoint: e, ID: id, RemainingMs: 1000},
+		&partWriter{parts: cbor.NewEncoder(io.Discard), flush: func() error { return nil }})
 }
 
 // A host that drains or has no links itself declines the requests of its peers, so that they ask
