Do not blame an endpoint for peers that have no links themselves

What callers would see: when all peers asked have just lost their links too, the endpoint of the request is ejected for up to 4 s. Cause: a peer that declines reports why, a connection that failed, and the error kept that kind on its way to the placement of requests. It is text only now. The line in the log of the peer now also fits requests that it declined.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -509,23 +509,40 @@
 	}
 }
 
-// An answer whose end is lost on the way through a peer is not taken for a complete one.
-func TestCutOff_TruncatedAnswerOfPeerIsIncomplete(t *testing.T) {
+// relaysThrough returns the relays of a host whose only peer answers with the given parts.
+func relaysThrough(t *testing.T, parts ...*relayedPart) *endpointRelays {
 	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
-		_ = out.writeHead(&backend.Answer{Status: http.StatusOK, Signature: "signed"})
-		_ = out.writeChunk([]byte("half of the answer"))
+		for _, p := range parts {
+			_ = out.write(p)
+		}
 	}))
-	defer peer.Close()
+	t.Cleanup(peer.Close)
 	peers := NewPeers(presence.Member{Host: "h1"}, 0)
 	peers.table.Receive(time.Now(), presence.Heartbeat{Member: presence.Member{Host: "h2", Incarnation: 1, PeerAddress: strings.TrimPrefix(peer.URL, "http://")}, Sequence: 1})
-	relays := newEndpointRelays(Settings{Host: "h1"}, peers, prometheus.NewRegistry())
+	return newEndpointRelays(Settings{Host: "h1"}, peers, prometheus.NewRegistry())
+}
+
+// An answer whose end is lost on the way through a peer is not taken for a complete one.
+func TestCutOff_TruncatedAnswerOfPeerIsIncomplete(t *testing.T) {
+	relays := relaysThrough(t, &relayedPart{Head: &relayedHead{Status: http.StatusOK, Signature: "signed"}}, &relayedPart{Chunk: []byte("half of the answer")})
 	answer, err := relays.do(background, backend.Request{ID: "r", Method: http.MethodPost, Deadline: time.Now().Add(time.Second)})
 	if answer != nil || !errors.Is(err, backend.ErrIncompleteAnswer) || errors.Is(err, backend.ErrNotRun) {
 		t.Errorf("answer %v, error %v, want an incomplete answer", answer, err)
 	}
 }
 
+// A peer that finds that it has no links itself reports the connection that failed. The endpoint is not
+// to be blamed for it.
+func TestCutOff_DecliningPeerBlamesNoEndpoint(t *testing.T) {
+	end := newRelayedEnd(errors.Join(backend.ErrNotRun, backend.ErrUnreachable, backend.ErrPathLost))
+	end.Declined = true
+	_, err := relaysThrough(t, &relayedPart{End: end}).do(background, backend.Request{ID: "r", Method: http.MethodPost, Deadline: time.Now().Add(time.Second)})
+	if !errors.Is(err, backend.ErrNotRun) || !errors.Is(err, backend.ErrPathLost) || errors.Is(err, backend.ErrUnreachable) {
+		t.Errorf("error %v, want one that says not run and blames no endpoint", err)
+	}
+}
+
 // A caller's stream that has begun on silenced links ends, so that the caller can take it up again
 // before it gives up, which callers do after 2 s without an event. One on a connection that still works
 // goes on, even if its events are a second apart.
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return errors.Join(backend.ErrNotRun, err)
 	}
-	last := errors.New("no peer reaches the endpoints")
+	declined := errors.New("no peer reaches the endpoints")
 	var tried []string
 	for len(tried) < maxRelaysTried && ctx.Err() == nil {
 		relay, ok := links.PickRelay(r.candidates(tried, request.Endpoint.Zone), rand.IntN)
@@ -222,10 +222,11 @@
 			r.requests.WithLabelValues(outcomeOf(err)).Inc()
 			return err
 		}
-		last = err
+		declined = err
 	}
 	r.requests.WithLabelValues("no_peer").Inc()
-	return errors.Join(backend.ErrNotRun, backend.ErrPathLost, last)
+	// The errors of peers that declined are only text here: they say nothing about the endpoint.
+	return errors.Join(backend.ErrNotRun, backend.ErrPathLost, errors.New(declined.Error()))
 }
 
 // outcomeOf returns the outcome of a relayed request for the metrics.
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -49,7 +49,7 @@
 	began := time.Now()
 	err = s.serve(r.Context(), &request, out)
 	if request.Kind != relayedCheck {
-		s.log.Info("Request sent for a peer", "request", request.ID, "peer", r.RemoteAddr, "endpoint", request.Endpoint.ID,
+		s.log.Info("Request of a peer ended", "request", request.ID, "peer", r.RemoteAddr, "endpoint", request.Endpoint.ID,
 			"took_ms", time.Since(began).Milliseconds(), "err", err)
 	}
 	end := newRelayedEnd(err)
