--- a/internal/transport/front/endpointpath.go
+++ b/internal/transport/front/endpointpath.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
-	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,12 +15,6 @@
 )
 
 const (
-	// linkCheckTimeout bounds a connection attempt of a check of the links. A running endpoint
-	// accepts within a few milliseconds.
-	linkCheckTimeout = 250 * time.Millisecond
-	// linkCheckStagger is how long a check waits for its first connection before it tries the
-	// others, so that it usually takes one connection.
-	linkCheckStagger = 60 * time.Millisecond
 	// lostAnswerTimeout is how long a repeatable request may have been without an answer when the
 	// host is cut off, or is afterwards, before it is sent again through a peer. Connections that
 	// were open before may still work.
@@ -73,9 +64,6 @@
 
 var _ backend.Client = (*EndpointPath)(nil)
 
-// linkCheck is a check whether any endpoint accepts a connection of this host.
-type linkCheck struct{ done chan struct{} }
-
 func newEndpointPath(direct backend.Client, relays *endpointRelays, endpoints func() []catalog.Endpoint, changed func(bool), log *slog.Logger, reg prometheus.Registerer) *EndpointPath {
 	p := &EndpointPath{direct: direct, relays: relays, endpoints: endpoints, changed: changed, log: log,
 		cutOffs: prometheus.NewCounter(prometheus.CounterOpts{
@@ -114,232 +102,6 @@
 	p.closed = true
 }
 
-// startCheck returns the check in progress, or starts one. The caller holds the lock.
-func (p *EndpointPath) startCheck() *linkCheck {
-	if p.check == nil {
-		p.check = &linkCheck{done: make(chan struct{})}
-		go p.runCheck(p.check)
-	}
-	return p.check
-}
-
-func (p *EndpointPath) runCheck(c *linkCheck) {
-	began := time.Now()
-	reached := p.reachesAny()
-	p.mu.Lock()
-	p.check = nil
-	changed := p.monitor.RecordCheck(began, reached)
-	if changed && !reached {
-		p.cutOffSince = time.Now()
-		p.setLost()
-	} else if changed {
-		p.lost, p.setLost = context.WithCancel(context.Background())
-	}
-	p.scheduleSilenceCheck()
-	p.mu.Unlock()
-	if changed {
-		p.report(!reached)
-	}
-	close(c.done)
-	if !reached {
-		time.AfterFunc(links.ProbeInterval, p.probe)
-	}
-}
-
-// probe checks the links while the host is cut off.
-func (p *EndpointPath) probe() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.closed {
-		p.startCheck()
-	}
-}
-
-// report makes a change known: in the log, in the metrics and to the rest of the host.
-func (p *EndpointPath) report(cutOff bool) {
-	if cutOff {
-		p.cutOffs.Inc()
-		p.isCut.Set(1)
-		p.log.Warn("No endpoint accepts connections of this host; sending requests through peers", "relays", p.relays.count())
-	} else {
-		p.isCut.Set(0)
-		p.log.Info("Endpoints accept connections of this host again")
-	}
-	p.changed(cutOff)
-}
-
-// reachesAny reports whether any of a few endpoints accepts a connection, or none is known.
-func (p *EndpointPath) reachesAny() bool {
-	targets := links.CheckTargets(p.endpoints(), rand.Shuffle)
-	if len(targets) == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), linkCheckStagger+linkCheckTimeout)
-	defer cancel()
-	results := make(chan error, len(targets))
-	connect := func(e catalog.Endpoint) { results <- p.direct.CheckConnection(ctx, e) }
-	go connect(targets[0])
-	stagger := time.NewTimer(linkCheckStagger)
-	defer stagger.Stop()
-	pending, next := 1, 1
-	for pending > 0 {
-		select {
-		case <-stagger.C:
-		case err := <-results:
-			if err == nil {
-				return true
-			}
-			pending--
-		}
-		for ; next < len(targets); next++ {
-			go connect(targets[next])
-			pending++
-		}
-	}
-	return false
-}
-
-// checkAfterFailure reports whether the host is cut off, after a request that began at the given
-// time failed on the host's own links. It checks the links if that is not known.
-func (p *EndpointPath) checkAfterFailure(ctx context.Context, began time.Time, err error) bool {
-	var connection *net.OpError
-	p.mu.Lock()
-	var c *linkCheck
-	switch {
-	case ctx.Err() != nil:
-	case errors.Is(err, backend.ErrUnreachable):
-		if p.monitor.CheckAfterFailedConnection(began) {
-			c = p.startCheck()
-		}
-	case errors.As(err, &connection):
-		if p.monitor.CheckAfterBrokenConnection(time.Now()) {
-			c = p.startCheck()
-		}
-	}
-	p.mu.Unlock()
-	if c != nil {
-		select {
-		case <-c.done:
-		case <-ctx.Done():
-		}
-	}
-	return p.CutOff()
-}
-
-// scheduleSilenceCheck schedules the next check because of silence. The caller holds the lock.
-func (p *EndpointPath) scheduleSilenceCheck() {
-	at, ok := p.monitor.NextSilenceCheck()
-	if !ok || p.silenceTimer || p.closed {
-		return
-	}
-	p.silenceTimer = true
-	time.AfterFunc(time.Until(at), func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.silenceTimer = false
-		if at, ok := p.monitor.NextSilenceCheck(); ok && !time.Now().Before(at) {
-			p.startCheck()
-			return // its end schedules the next one
-		}
-		p.scheduleSilenceCheck()
-	})
-}
-
-// directCall is a request on the host's own links.
-type directCall struct {
-	path   *EndpointPath
-	began  time.Time
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	// progressAt is the Unix time of the last progress, maxSilence how long the call may be without
-	// progress while the host is cut off; zero is unlimited. Both are in nanoseconds.
-	progressAt atomic.Int64
-	maxSilence atomic.Int64
-	// unwatch keeps the call from being cancelled when the host becomes cut off; path.mu guards it.
-	unwatch func() bool
-}
-
-// beginDirect returns a call on the host's own links. It is cancelled with errLinksLost when the host
-// is cut off and the call has made no progress for maxSilence, unless that is zero. ok is false if
-// the host is cut off already.
-func (p *EndpointPath) beginDirect(ctx context.Context, maxSilence time.Duration) (c *directCall, ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.monitor.CutOff() {
-		return nil, false
-	}
-	c = &directCall{path: p, began: time.Now(), unwatch: func() bool { return true }}
-	c.progressAt.Store(c.began.UnixNano())
-	c.maxSilence.Store(int64(maxSilence))
-	c.ctx, c.cancel = context.WithCancelCause(ctx)
-	if maxSilence > 0 {
-		c.watch()
-	}
-	p.monitor.Begin(c.began)
-	p.scheduleSilenceCheck()
-	return c, true
-}
-
-// watch has the call cancelled if the host becomes cut off. The caller holds the lock of the path.
-func (c *directCall) watch() { c.unwatch = context.AfterFunc(c.path.lost, c.cancelWhenSilent) }
-
-// cancelWhenSilent cancels the call once it has made no progress for maxSilence, unless the host has
-// its links again before.
-func (c *directCall) cancelWhenSilent() {
-	for c.ctx.Err() == nil {
-		left := time.Duration(c.maxSilence.Load()) - time.Since(time.Unix(0, c.progressAt.Load()))
-		if left <= 0 {
-			c.cancel(errLinksLost)
-			return
-		}
-		select {
-		case <-c.ctx.Done():
-		case <-time.After(left):
-		}
-		if !c.path.CutOff() {
-			c.path.mu.Lock()
-			defer c.path.mu.Unlock()
-			c.watch()
-			return
-		}
-	}
-}
-
-// progress records an answer or an event of the call.
-func (c *directCall) progress() {
-	now := time.Now()
-	c.progressAt.Store(now.UnixNano())
-	c.path.mu.Lock()
-	c.path.monitor.Progress(now)
-	c.path.mu.Unlock()
-}
-
-// end ends the call and returns its error. The error also is backend.ErrPathLost if the host is cut
-// off and the request failed for that reason or for an unknown one.
-func (c *directCall) end(err error) error {
-	c.path.mu.Lock()
-	c.unwatch()
-	c.path.monitor.End()
-	c.path.mu.Unlock()
-	defer c.cancel(nil)
-	switch {
-	case err == nil || !concernsPath(err):
-		return err
-	case errors.Is(context.Cause(c.ctx), errLinksLost):
-		return errors.Join(backend.ErrPathLost, errLinksLost, err)
-	case c.path.checkAfterFailure(c.ctx, c.began, err):
-		return errors.Join(backend.ErrPathLost, err)
-	}
-	return err
-}
-
-// concernsPath reports whether an error may come from the loss of the links. Others are the
-// endpoint's own answers, and errors of the caller.
-func concernsPath(err error) bool {
-	var connection *net.OpError
-	return errors.Is(err, backend.ErrUnreachable) || errors.Is(err, backend.ErrIncompleteAnswer) || errors.As(err, &connection)
-}
-
 // sendsAgain reports whether a request with this error on the host's own links is to be sent through a
 // peer: the links are lost, and the request did not run or may run again.
 func sendsAgain(ctx context.Context, err error, repeatable bool) bool {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -124,7 +124,7 @@
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
 	fleet := NewFleet(p.Settings.Zone)
 	calls := NewPeerClient(n.peers)
-	n.storePath = NewStorePath(p.Store, n.relays, component("store"))
+	n.storePath = NewStorePath(p.Store, n.storeRelays, component("store"))
 	store := objectapi.NewClient(n.storePath, objectapi.ClientOptions{
 		ReadsPerSecond: p.Settings.StoreReads, WritesPerSecond: p.Settings.StoreWrites,
 		AttemptTimeout: storeAttemptTimeout, CallTimeout: storeCallTimeout,
@@ -190,8 +190,8 @@
 	return h
 }
 
-// relays returns the addresses of the peers that reach the store directly.
-func (n *Node) relays() []string {
+// storeRelays returns the addresses of the peers that reach the store directly.
+func (n *Node) storeRelays() []string {
 	var out []string
 	for _, p := range n.peers.Alive() {
 		if p.StoreReachable {
