Close the listener of a stand-in that stops before it serves

Cause: the stand-in opens its listener and starts http.Server.Serve in a goroutine. Close knows only listeners that Serve has registered. A stop before that goroutine has run leaves the port open: the kernel accepts the call, and resets it when Serve finds the server closed. For the caller the request may have run, so its answer was right and the stand-in was wrong.

The test is unchanged.

--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -54,6 +54,7 @@
 	address     string
 	handler     http.Handler
 	httpServer  *http.Server
+	listener    net.Listener
 	// onStop, if set, discards the endpoint's state. Each stop calls it: that of a crash, of the
 	// fault Down and of Close.
 	onStop func()
@@ -121,7 +122,7 @@
 	srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second}
 	s.mu.Lock()
 	s.address = l.Addr().String()
-	s.httpServer = srv
+	s.httpServer, s.listener = srv, l
 	s.stopped = false
 	s.mu.Unlock()
 	go func() { _ = srv.Serve(l) }()
@@ -131,7 +132,7 @@
 // stop increments the incarnation, calls onStop, and closes the listener and all connections.
 func (s *server) stop() {
 	s.mu.Lock()
-	srv := s.httpServer
+	srv, l := s.httpServer, s.listener
 	s.stopped = true
 	s.incarnation++
 	onStop := s.onStop
@@ -140,6 +141,7 @@
 		onStop()
 	}
 	if srv != nil {
+		_ = l.Close() // the server does not know it yet if Serve has not run
 		_ = srv.Close()
 	}
 }
