--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -187,6 +187,20 @@
 	w.put("endpoints/"+id, catalog.Endpoint{ID: id, Service: "engines", Address: id + ":1", Zone: "a", Slots: 4, Versions: map[string]int{"m": version}})
 }
 
+// loaded returns a condition for waitUntil: every engine has loaded a weight version.
+func (w *testCluster) loaded(version int) func() bool {
+	return func() bool {
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		for _, loaded := range w.engines.versions {
+			if loaded != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 // batch returns a batch with the given number of groups, each of two samples for which an
 // engine generates the given number of events.
 func batch(id string, groups, events int) *batches.Batch {
