--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -525,6 +525,41 @@
 	}
 }
 
+// Header values and events may hold bytes that are no valid UTF-8. They reach the endpoint and the
+// caller unchanged through a peer.
+func TestCutOff_AnyBytesPassThroughPeer(t *testing.T) {
+	w, cut, _, _ := cutOffHost(t)
+	received := make(chan string, 1)
+	w.engines.setDo(func(r backend.Request) (*backend.Answer, error) {
+		received <- r.Header.Get("Name")
+		return &backend.Answer{Status: http.StatusOK, Signature: "signed-" + r.ID, Header: http.Header{"Name": {"\xe9"}}, Body: []byte{0xff, 0}}, nil
+	})
+	in := plainRequest("bytes", "/plain/x")
+	in.Header = http.Header{"Name": {"caf\xe9"}}
+	answer, err := cut.forward(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := <-received; got != "caf\xe9" {
+		t.Errorf("the endpoint received %q", got)
+	}
+	if answer.Header.Get("Name") != "\xe9" || string(answer.Body) != "\xff\x00" {
+		t.Errorf("the caller received %q and %q", answer.Header.Get("Name"), answer.Body)
+	}
+	var e catalog.Endpoint
+	cut.Forwarder.fleet.WithTable(func(table *placement.Table) { e, _ = table.Get("e0") })
+	var events []string
+	err = cut.endpoints.Generate(background, backend.GenerateRequest{Request: backend.Request{
+		Endpoint: e, ID: "\xe9", Header: http.Header{"Events": {"2"}}, Deadline: time.Now().Add(time.Second),
+	}}, func(e backend.Event) error {
+		events = append(events, e.Data)
+		return nil
+	})
+	if err != nil || len(events) != 2 || events[0] != "\xe9#1" {
+		t.Errorf("received events %q, error %v", events, err)
+	}
+}
+
 // A peer that finds that it has no links itself reports the connection that failed. The endpoint is not
 // to be blamed for it.
 func TestCutOff_DecliningPeerBlamesNoEndpoint(t *testing.T) {
