Read stored results and messages between hosts whatever bytes their text has

What trainers would see: one event of an engine with bytes that are no valid UTF-8, as a garbled one may have, and the batch can no longer be read at any host but its owner; after the owner's loss nobody can take it over, since the entry of its log cannot be decoded.

CBOR text that is not UTF-8 is written as it is and refused when it is read, and with it the whole entry, page or list. All CBOR of the package is now decoded with one mode that accepts any bytes; entries that are stored already become readable too.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oleanderfall.example/oleanderfall/internal/coordination/batchrun"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
@@ -146,7 +144,7 @@
 // submitEncoded accepts a batch that another host forwards.
 func (s *Batches) submitEncoded(ctx context.Context, content []byte) error {
 	var b batches.Batch
-	if err := cbor.Unmarshal(content, &b); err != nil {
+	if err := decoding.Unmarshal(content, &b); err != nil {
 		return codedError(resultcode.BadRequest, err.Error())
 	}
 	if s.draining() {
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -93,7 +93,7 @@
 		content = append(content, o.Value...)
 	}
 	var b batches.Batch
-	if err := cbor.Unmarshal(content, &b); err != nil {
+	if err := decoding.Unmarshal(content, &b); err != nil {
 		return nil, batches.Error.Wrap(err)
 	}
 	return &b, nil
@@ -107,7 +107,7 @@
 		return batches.LogEntry{}, err
 	}
 	var e batches.LogEntry
-	if err := cbor.Unmarshal(o.Value, &e); err != nil {
+	if err := decoding.Unmarshal(o.Value, &e); err != nil {
 		return batches.LogEntry{}, batches.Error.Wrap(err)
 	}
 	s.mu.Lock()
@@ -150,7 +150,7 @@
 				continue // an entry of a batch whose ID begins with this one's
 			}
 			var e batches.LogEntry
-			if err := cbor.Unmarshal(o.Value, &e); err != nil {
+			if err := decoding.Unmarshal(o.Value, &e); err != nil {
 				return nil, batches.Error.Wrap(err)
 			}
 			found[n] = e
@@ -273,7 +273,7 @@
 		return nil, 0, err
 	}
 	var out []savedSample
-	if err := cbor.Unmarshal(o.Value, &out); err != nil {
+	if err := decoding.Unmarshal(o.Value, &out); err != nil {
 		return nil, 0, batches.Error.Wrap(err)
 	}
 	return out, o.Version, nil
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -130,16 +130,6 @@
 	return errors.Join(append(kinds, fmt.Errorf("through peer %q: %s", relay, e.Detail))...)
 }
 
-// relayDecoding decodes the messages between a host and its relay. Header values and events may hold
-// any bytes.
-var relayDecoding = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
-	if err != nil {
-		panic(err) // unreachable: the options are constant
-	}
-	return mode
-}()
-
 // errDeclined means that a relay did not send a request. It comes with backend.ErrNotRun.
 var errDeclined = errors.New("the peer does not send requests for others now")
 
@@ -260,7 +250,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	parts := relayDecoding.NewDecoder(resp.Body)
+	parts := decoding.NewDecoder(resp.Body)
 	for {
 		var part relayedPart
 		if err := parts.Decode(&part); err != nil {
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -38,7 +38,7 @@
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardedBatch))
 	var request relayedRequest
 	if err == nil {
-		err = relayDecoding.Unmarshal(raw, &request)
+		err = decoding.Unmarshal(raw, &request)
 	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -319,7 +319,7 @@
 			continue // an ICMP error caused by an earlier datagram
 		}
 		var h presence.Heartbeat
-		if err := cbor.Unmarshal(buffer[:n], &h); err != nil {
+		if err := decoding.Unmarshal(buffer[:n], &h); err != nil {
 			m.log.Warn("Failed to decode heartbeat", "bytes", n, "err", err)
 			continue
 		}
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// An engine may send events with bytes that are no valid UTF-8. Its sample and the others of the same
+// log entry can be read at every host, also by the one that takes the batch over.
+func TestResults_AnyBytesReadableAtEveryHost(t *testing.T) {
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2", "h3")
+	b := batch("b1", 4, 5)
+	// The fake engines repeat the ID in each event.
+	b.Samples[0].ID, b.Samples[0].Scoring.ID = "\xe9", "score-\xe9"
+	if err := hosts[0].Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	owner, others := w.owner("b1")
+	for _, n := range append(others, owner) {
+		w.checkResults(b, w.readAll(n, "b1"))
+	}
+	w.kill(owner)
+	for _, n := range others {
+		w.checkResults(b, w.readAll(n, "b1"))
+	}
+}
+
 // All hosts have restarted, as after a loss of power, and readers ask every host for an ended
 // batch from every position. The entries of its log must be read from the store once, not once
 // for each host and reader.
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -103,7 +103,7 @@
 		return feedState{}, err
 	}
 	var s feedState
-	return s, cbor.Unmarshal(raw, &s)
+	return s, decoding.Unmarshal(raw, &s)
 }
 
 // Roster returns the live hosts that a peer knows, including itself.
@@ -113,7 +113,7 @@
 		return nil, err
 	}
 	var roster []presence.RosterEntry
-	return roster, cbor.Unmarshal(raw, &roster)
+	return roster, decoding.Unmarshal(raw, &roster)
 }
 
 // Results reads results from the batch's owner. It waits up to the given time if there are
@@ -125,7 +125,7 @@
 		return Page{}, err
 	}
 	var page Page
-	return page, cbor.Unmarshal(raw, &page)
+	return page, decoding.Unmarshal(raw, &page)
 }
 
 // Body reads the request body of a sample from the batch's owner.
@@ -244,7 +244,7 @@
 	}).Methods(http.MethodPost)
 	r.HandleFunc("/permits", func(w http.ResponseWriter, r *http.Request) {
 		var call permitCall
-		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&call); err != nil {
+		if err := decoding.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&call); err != nil {
 			http.Error(w, "no call for permits", http.StatusBadRequest)
 			return
 		}
@@ -255,7 +255,7 @@
 	r.HandleFunc("/origins", o.answer).Methods(http.MethodGet)
 	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
 		var hashes []uint64
-		if err := cbor.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
+		if err := decoding.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
 			http.Error(w, "no list of hashes", http.StatusBadRequest)
 			return
 		}
--- a/internal/transport/front/permits.go
+++ b/internal/transport/front/permits.go
@@ -176,7 +176,7 @@
 		return permits.Grant{}, err
 	}
 	var a permitAnswer
-	if err := cbor.Unmarshal(raw, &a); err != nil {
+	if err := decoding.Unmarshal(raw, &a); err != nil {
 		return permits.Grant{}, err
 	}
 	if a.Declined {
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -212,7 +212,7 @@
 // receive serves a peer's call SendOrigins.
 func (o *StreamOrigins) receive(w http.ResponseWriter, r *http.Request) {
 	var records []origins.Record
-	if err := cbor.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBody)).Decode(&records); err != nil {
+	if err := decoding.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBody)).Decode(&records); err != nil {
 		http.Error(w, "no list of origins", http.StatusBadRequest)
 		return
 	}
@@ -246,7 +246,7 @@
 		return origins.Origin{}, err
 	}
 	var known []origins.Origin
-	if err := cbor.Unmarshal(raw, &known); err != nil {
+	if err := decoding.Unmarshal(raw, &known); err != nil {
 		return origins.Origin{}, err
 	}
 	if len(known) == 0 {
