--- a/internal/coordination/links/links.go
+++ b/internal/coordination/links/links.go
@@ -64,15 +64,15 @@
 // Progress records an answer or an event of a running request.
 func (m *Monitor) Progress(now time.Time) { m.progressAt = now }
 
-// CheckAfterFailedConnection reports whether a check is needed after no connection was made for a
+// FailedConnectionNeedsCheck reports whether a check is needed after no connection was made for a
 // request that began at the given time.
-func (m *Monitor) CheckAfterFailedConnection(began time.Time) bool {
+func (m *Monitor) FailedConnectionNeedsCheck(began time.Time) bool {
 	return !m.cutOff && !m.reachedAt.After(began)
 }
 
-// CheckAfterBrokenConnection reports whether a check is needed after a connection has broken.
-func (m *Monitor) CheckAfterBrokenConnection(now time.Time) bool {
-	return m.CheckAfterFailedConnection(now.Add(-recentCheck))
+// BrokenConnectionNeedsCheck reports whether a check is needed after a connection has broken.
+func (m *Monitor) BrokenConnectionNeedsCheck(now time.Time) bool {
+	return m.FailedConnectionNeedsCheck(now.Add(-recentCheck))
 }
 
 // NextSilenceCheck returns when the links are to be checked unless a request is answered before. ok
--- a/internal/coordination/links/links_test.go
+++ b/internal/coordination/links/links_test.go
@@ -17,17 +17,17 @@
 // after the failure began is not repeated.
 func TestMonitor_FailedConnectionIsChecked(t *testing.T) {
 	var m Monitor
-	if !m.CheckAfterFailedConnection(at(0)) || m.CutOff() {
+	if !m.FailedConnectionNeedsCheck(at(0)) || m.CutOff() {
 		t.Fatal("no check after a failed connection, or cut off without one")
 	}
 	m.RecordCheck(at(100), true)
-	if m.CheckAfterFailedConnection(at(50)) {
+	if m.FailedConnectionNeedsCheck(at(50)) {
 		t.Error("a check that began after the failed request did is repeated")
 	}
-	if !m.CheckAfterFailedConnection(at(200)) {
+	if !m.FailedConnectionNeedsCheck(at(200)) {
 		t.Error("no check for a request that began after the last one")
 	}
-	if !m.CheckAfterBrokenConnection(at(1000)) || m.CheckAfterBrokenConnection(at(150)) {
+	if !m.BrokenConnectionNeedsCheck(at(1000)) || m.BrokenConnectionNeedsCheck(at(150)) {
 		t.Error("a connection that breaks is checked unless a check has just been made")
 	}
 }
--- a/internal/transport/front/linkcheck.go
+++ b/internal/transport/front/linkcheck.go
@@ -118,11 +118,11 @@
 	switch {
 	case ctx.Err() != nil:
 	case errors.Is(err, backend.ErrUnreachable):
-		if p.monitor.CheckAfterFailedConnection(began) {
+		if p.monitor.FailedConnectionNeedsCheck(began) {
 			c = p.startCheck()
 		}
 	case errors.As(err, &connection):
-		if p.monitor.CheckAfterBrokenConnection(time.Now()) {
+		if p.monitor.BrokenConnectionNeedsCheck(time.Now()) {
 			c = p.startCheck()
 		}
 	}
