--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -61,6 +61,9 @@
 	// caller's retry is a new request.
 	MaxAttempts int
 	Targets     []Target
+	// Public routes serve requests without a key. It has no effect in a configuration without
+	// teams.
+	Public bool
 }
 
 // Serves reports whether service is a target of the route.
@@ -105,6 +108,30 @@
 	ConnectionLimit int
 	// Models lists the models of the service's engines.
 	Models []string
+	// Scaling bounds the number of endpoints that this system orders for the service. It is nil
+	// if others decide the number.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of a service's endpoints in each availability zone.
+type Scaling struct {
+	// Min and Max hold for each zone, and for spot and other endpoints together.
+	Min, Max int
+	// BootTime is the time from an order to the first request that a new endpoint serves.
+	BootTime time.Duration
+	// SpotPrice is the price of a spot endpoint relative to that of another endpoint of its zone.
+	SpotPrice float64
+	// ZonePrices is the price of an endpoint per second, by zone.
+	ZonePrices map[string]float64
+}
+
+// Team is a group of callers that share keys.
+type Team struct {
+	Name string
+	Keys []string
+	// Urgency is the priority of the team's requests; it takes precedence over that of the route.
+	// It is nil if the team has none.
+	Urgency *int
 }
 
 // Limits bounds the requests that a caller may send.
@@ -121,6 +148,8 @@
 	Routes     []Route
 	Services   []Service
 	Limits     Limits
+	// Teams is empty if requests need no keys.
+	Teams []Team
 }
 
 // Match returns the route of host with the longest prefix of path, nil if there is none.
@@ -156,6 +185,8 @@
 	// Incarnation is the endpoint's start time in Unix milliseconds, zero if it was not
 	// reported.
 	Incarnation int64
+	// Spot endpoints cost less, and the platform may take back all of a zone at once.
+	Spot bool `json:",omitempty"`
 }
 
 // SameInstance reports whether e and other have the same ID, incarnation, address and service.
--- a/internal/transport/front/settings.go
+++ b/internal/transport/front/settings.go
@@ -45,6 +45,30 @@
 	Lease time.Duration
 	// Retention is how long a batch can be read after its submission.
 	Retention time.Duration
+	// RevocationBound is the time after the confirmation of a configuration from which no key that
+	// it took away may be admitted; zero is no bound.
+	RevocationBound time.Duration
+	// OperatorAPI is the API through which one host reports usage and orders endpoints.
+	OperatorAPI OperatorAPI
+	// FencingRequired is set if endpoints and the operator's API refuse calls with a lower fencing
+	// token than they have seen.
+	FencingRequired bool
+	// UsageWindow is the length of the time windows of which usage is reported, UsageDue the time
+	// after its end at which a window's report is due, and UsageTolerance its allowed relative error.
+	UsageWindow    time.Duration
+	UsageDue       time.Duration
+	UsageTolerance float64
+}
+
+// OperatorAPI configures the calls to the operator's API.
+type OperatorAPI struct {
+	// Address has the form IP:PORT. It is empty if there is no such API.
+	Address string
+	// CallsPerSecond is the limit on calls, shared by all hosts.
+	CallsPerSecond float64
+	// ReportsUsage and ScalesServices say which duties this system has.
+	ReportsUsage   bool
+	ScalesServices bool
 }
 
 // Check checks the host name, the addresses and the durations. It returns an error that lists
