Record the software versions of callers' streams in the store

Cause: a host that knew no origin of a stream trusted the setting first_start or its own uptime and took the only version it saw for the origin. After a kill of all hosts with settings that still said first_start, streams of v1 were continued at v2 once v1 had left (TestRejoin_AllHostsRestarted on: every stream of the other version joined, at every host), and with a moved route at another service. Change: software/streams in the store lists the versions at which streams may have begun. A version is added before the first resumable stream begins there, and a stream of unknown origin goes on only if a read of the record made after its arrival names one. One host keeps the list. Deployments without resumable streams make no call. Two tests relied on first_start alone: they now begin a stream first, so that the record exists, with the same checks. Result: TestRejoin_* fail before and pass now; tests of front, platform and coordination/origins pass.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -100,6 +100,8 @@
 	permits    *Permits
 	params     Params
 
+	streamSoftware *streamSoftware
+
 	draining atomic.Bool
 	inflight atomic.Int64
 	servers  []*http.Server
@@ -145,7 +147,8 @@
 		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
 		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, log: component("feed"),
 	})
-	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, component("streams"))
+	n.streamSoftware = &streamSoftware{settings: p.Settings, store: store, catalog: n.Catalog, fleet: fleet, feed: n.feed, rank: n.rank, log: component("streams")}
+	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, n.streamSoftware, component("streams"))
 	n.weights = &Weights{
 		settings: p.Settings, store: store, stale: stale, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
 		catalog: n.Catalog, client: n.endpoints, ready: n.Ready, draining: n.Draining, cutOffFor: n.endpoints.CutOffFor, candidate: n.candidate, announce: func() { n.membership.Announce() }, log: component("weights"),
@@ -322,7 +325,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.streamSoftware.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -74,13 +74,28 @@
 	}
 }
 
+// maxUnrecorded is the number of endpoints at which a stream is not begun because their software
+// version cannot be recorded, before it is refused. The store answers none of these calls in time.
+const maxUnrecorded = 2
+
+// errUnrecordedSoftware means that a stream cannot begin at an endpoint because its software version
+// is not recorded in the store.
+var errUnrecordedSoftware = errors.New("the software version of the endpoint could not be recorded")
+
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
-	for c.sent < c.route.MaxAttempts && (c.sent == 0 || !c.quarantined()) {
+	unrecorded := 0
+	for c.sent < c.route.MaxAttempts && unrecorded < maxUnrecorded && (c.sent == 0 || !c.quarantined()) {
 		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried})
 		if err != nil {
 			return err
 		}
 		c.tried = append(c.tried, e.ID)
+		if c.route.Resumable && c.in.ResumeAfter <= 0 && !c.f.origins.mayBegin(ctx, origins.Origin{Service: e.Service, Software: e.Software}) {
+			c.f.fleet.End(e, placement.Cancelled, 0)
+			unrecorded++
+			c.err = errUnrecordedSoftware
+			continue
+		}
 		c.sent++
 		c.lastEndpoint = e.ID
 		started, sentAt := false, time.Now()
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -47,8 +47,8 @@
 	peers      *Peers
 	peerClient *PeerClient
 	feed       *Feed
+	software   *streamSoftware
 	log        *slog.Logger
-	startedAt  time.Time
 
 	mu    sync.Mutex
 	table *origins.Table
@@ -58,9 +58,9 @@
 	added chan struct{}
 }
 
-func newStreamOrigins(s Settings, fleet *Fleet, peers *Peers, peerClient *PeerClient, feed *Feed, log *slog.Logger) *StreamOrigins {
-	return &StreamOrigins{settings: s, fleet: fleet, peers: peers, peerClient: peerClient, feed: feed, log: log,
-		startedAt: time.Now(), table: origins.NewTable(), unsent: map[string][]origins.Record{}, added: make(chan struct{}, 1)}
+func newStreamOrigins(s Settings, fleet *Fleet, peers *Peers, peerClient *PeerClient, feed *Feed, software *streamSoftware, log *slog.Logger) *StreamOrigins {
+	return &StreamOrigins{settings: s, fleet: fleet, peers: peers, peerClient: peerClient, feed: feed, software: software, log: log,
+		table: origins.NewTable(), unsent: map[string][]origins.Record{}, added: make(chan struct{}, 1)}
 }
 
 // Run sends new origins to their keepers until ctx ends.
@@ -94,6 +94,12 @@
 	return unsent
 }
 
+// mayBegin reports whether a stream may begin at a service and software version: only if the store
+// records it, so that it is known also if all hosts are killed.
+func (o *StreamOrigins) mayBegin(ctx context.Context, origin origins.Origin) bool {
+	return o.software.record(ctx, origin)
+}
+
 // began remembers a stream whose first event is about to be passed on.
 func (o *StreamOrigins) began(r origins.Record) {
 	keepers := o.keepers(r.ID, originKeepers)
@@ -180,24 +186,28 @@
 	return origins.Origin{}, false
 }
 
-// onlyOrigin returns the software version of a service if no other one can have begun a stream: it
-// is the only one that this host has seen for as long as streams last, up to a list of endpoints
-// that was read after the stream was taken up.
+// onlyOrigin returns the service and software version of a stream that no host remembers, if all
+// streams that may still be taken up began there: the store records no other one, and neither has this
+// host seen one, up to a list of endpoints that was read after the stream was taken up.
 func (o *StreamOrigins) onlyOrigin(ctx context.Context, service string, arrivedAt time.Duration) (origins.Origin, bool) {
-	now := time.Now()
-	if !o.settings.FirstStart && now.Sub(o.startedAt) < origins.Retention {
+	ctx, cancel := context.WithTimeout(ctx, freshListTimeout)
+	defer cancel()
+	recorded, ok := o.software.only(ctx, arrivedAt)
+	if !ok || recorded.Service != service {
 		return origins.Origin{}, false
 	}
+	since := time.Now().Add(-origins.Retention)
 	only := func() (software string, ok bool) {
-		o.fleet.WithTable(func(t *placement.Table) { software, ok = t.OnlySoftware(now.Add(-origins.Retention), service) })
+		o.fleet.WithTable(func(t *placement.Table) { software, ok = t.OnlySoftware(since, service) })
 		return software, ok
 	}
-	ctx, cancel := context.WithTimeout(ctx, freshListTimeout)
-	defer cancel()
 	for fresh := false; ; {
 		software, ok := only()
-		if !ok || fresh {
-			return origins.Origin{Service: service, Software: software}, ok
+		if !ok || software != recorded.Software {
+			return origins.Origin{}, false
+		}
+		if fresh {
+			return recorded, true
 		}
 		// The list is applied shortly after its time is known, so it counts from the next round on.
 		fresh = o.feed.EndpointsReadAt() > arrivedAt
--- a/internal/transport/front/streamorigins_test.go
+++ b/internal/transport/front/streamorigins_test.go
@@ -33,6 +33,9 @@
 	s.FirstStart = true
 	n := w.startWith(s)
 	w.waitUntil("the host is ready", n.Ready)
+	w.waitUntil("the software of the first stream is recorded", func() bool {
+		return n.Forwarder.origins.mayBegin(background, origins.Origin{Service: "plain"})
+	})
 	if _, ok := n.Forwarder.origins.find(background, "r1", "plain", sinceBoot()); !ok {
 		t.Error("the only software version is not taken for the origin while the store is reached")
 	}
