Start samples where they end first, and move them only for a gain

A slow engine was also tried again by as many samples as it has slots once its last measurement was 6 s old.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -97,7 +97,9 @@
 	// softwareMissingSince is when the sample was first passed over because no endpoint of the
 	// software of its partial output was free.
 	softwareMissingSince time.Time
-	endpoint             string
+	// fasterAwaitedSince is when the sample first left a slot at a slow endpoint free.
+	fasterAwaitedSince time.Time
+	endpoint           string
 }
 
 // The priority classes of groups, highest priority first.
@@ -117,6 +119,8 @@
 	order []int
 	// longThreshold is the number of expected tokens above which a sample is long.
 	longThreshold int
+	// meanTokens is the average expected length of the samples, in tokens.
+	meanTokens int
 	// open is the number of samples that have not ended.
 	open int
 	// results are the results added since the last TakeResults.
@@ -152,6 +156,7 @@
 		r.open++
 	}
 	r.sortSamples()
+	r.meanTokens = ExpectedTokens(b) / max(len(b.Samples), 1)
 	return r
 }
 
@@ -350,7 +355,8 @@
 // Started records that a sample was started at an endpoint.
 func (r *Run) Started(i int, endpoint string) {
 	s := r.samples[i]
-	s.phase, s.endpoint, s.softwareMissingSince = running, endpoint, time.Time{}
+	s.phase, s.endpoint = running, endpoint
+	s.softwareMissingSince, s.fasterAwaitedSince = time.Time{}, time.Time{}
 	r.groups[s.Group].endpoint = endpoint
 }
 
--- a/internal/coordination/placement/cost.go
+++ b/internal/coordination/placement/cost.go
@@ -71,6 +71,16 @@
 	return baseline + excess
 }
 
+// forgottenExcess returns the part of a slow measurement that serviceTimeAt leaves out for its age,
+// relative to the baseline, while a request of this host runs at the endpoint. That request will show
+// whether the endpoint has recovered; until then no further one is sent there as a trial.
+func (e *entry) forgottenExcess(now time.Time, baseline time.Duration) float64 {
+	if e.localLoad == 0 || baseline <= 0 || e.serviceTime <= baseline {
+		return 0
+	}
+	return float64(e.serviceTime-e.serviceTimeAt(now, baseline)) / float64(baseline)
+}
+
 // baseline returns the median service time of a service's endpoints, or 0 if none is known.
 // It also updates t.baselines, which caches the result for up to baselineTTL.
 func (t *Table) baseline(now time.Time, service string) time.Duration {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -142,6 +142,9 @@
 	loading map[uint32]time.Time
 	// softwareSeen holds when each software version was last seen, by service and version.
 	softwareSeen map[string]map[string]time.Time
+	// tokenTimes holds the average time of a sample for each expected token, by service, at
+	// endpoints that are not slow.
+	tokenTimes map[string]time.Duration
 	// wantingPermits has the entries of endpoints for which permits are wanted.
 	wantingPermits map[*entry]struct{}
 }
@@ -149,7 +152,7 @@
 // NewTable returns an empty table for a host in the given availability zone.
 func NewTable(zone string) *Table {
 	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32][]*entry{}, byInstance: map[uint32][]*entry{}, loading: map[uint32]time.Time{},
-		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}, softwareSeen: map[string]map[string]time.Time{}}
+		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}, tokenTimes: map[string]time.Duration{}, softwareSeen: map[string]map[string]time.Time{}}
 }
 
 // serviceBaseline is the median service time of a service's endpoints as of computedAt.
@@ -280,6 +283,7 @@
 		}
 		cost := e.cost(now, t.zone, baseline, random)
 		if q.Model != "" {
+			cost += e.forgottenExcess(now, baseline)
 			cost += versionCost * float64(min(e.version(q.Model)-q.MinVersion, maxVersionSteps))
 		}
 		if e.endpoint.ID == q.Prefer {
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -38,7 +38,9 @@
 	results  *resultLog
 	log      *slog.Logger
 
-	run      *batchrun.Run
+	run *batchrun.Run
+	// waiting is the number of samples that wait to be started, as of the last round.
+	waiting  atomic.Int64
 	attempts map[int]*attempt
 	// probes has the last probe of each endpoint with a silent stream.
 	probes  map[string]*probe
@@ -218,7 +220,9 @@
 		return // the end of the attempt triggers the next round
 	}
 	skip := map[int]bool{}
-	for {
+	awaiting := 0
+	defer func() { a.waiting.Store(int64(a.run.Waiting())) }()
+	for awaiting < maxAwaitingFaster {
 		i, ok := a.run.Next(now, skip)
 		if !ok {
 			return
@@ -233,40 +237,97 @@
 			Service: route.PickService(rand.Uint64()), Model: a.batch.Model, MinVersion: a.batch.MinVersion,
 			FreeSlot: true, Prefer: a.run.PreferredEndpoint(i),
 		}
-		e, ok, wait := a.pick(now, i, q)
-		switch {
-		case ok:
+		e, outcome := a.pick(now, i, awaiting, q)
+		switch outcome {
+		case picked:
 			a.startAttempt(i, e, route, a.run.Resume(i, e.Versions[a.batch.Model], e.Software))
-		case wait:
+		case awaitsSoftware:
 			skip[i] = true
-		default:
+		case awaitsFaster:
+			skip[i] = true
+			awaiting++
+		case noneFree:
 			return // a change of the fleet triggers the next round
 		}
 	}
 }
 
-// pick picks an endpoint for a sample. If the sample has output, that is one of the software version
-// that generated it. wait is set if none is free and the sample should wait for one; otherwise it
-// may start over at any endpoint.
-func (a *activeBatch) pick(now time.Time, i int, q placement.Query) (e catalog.Endpoint, ok, wait bool) {
+// awaitFaster returns a condition for Fleet.PickUnless: the endpoint is slow, and the sample should wait
+// for a usual one.
+func (a *activeBatch) awaitFaster(i, ahead int, q placement.Query) func(*placement.Table, time.Time, catalog.Endpoint) bool {
+	return func(t *placement.Table, now time.Time, e catalog.Endpoint) bool {
+		if !t.IsSlow(now, e.ID) {
+			return false
+		}
+		slow, usual := t.ServiceTime(now, e.ID)
+		return a.run.AwaitFaster(now, i, batchrun.SlowOffer{Slow: slow, Usual: usual, UsualSlots: t.UsualSlots(now, q),
+			Ahead: ahead, TokenTime: t.TokenTime(q.Service)})
+	}
+}
+
+// waitingElsewhere returns the number of waiting samples of the other batches of this host.
+func (s *Batches) waitingElsewhere(except *activeBatch) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(0)
+	for _, b := range s.active {
+		if b != except {
+			n += b.waiting.Load()
+		}
+	}
+	return int(n)
+}
+
+// maxAwaitingFaster bounds the samples that one round passes over because they wait for a particular
+// endpoint, and with it the time that a round takes.
+const maxAwaitingFaster = 16
+
+// pickOutcome is the outcome of the search for an endpoint for a sample.
+type pickOutcome int
+
+const (
+	picked pickOutcome = iota
+	noneFree
+	// awaitsSoftware: no endpoint of the software version that generated the sample's output is free.
+	awaitsSoftware
+	// awaitsFaster: only slow endpoints are free, and the sample should wait for another one.
+	awaitsFaster
+)
+
+// pick picks an endpoint for a sample before which the given number of this batch's samples await a
+// faster one. If the sample has output, that is an endpoint of the software version that generated it,
+// unless waiting for one takes too long.
+func (a *activeBatch) pick(now time.Time, i, awaiting int, q placement.Query) (e catalog.Endpoint, outcome pickOutcome) {
 	fleet := a.parent.runner.fleet
+	ahead := awaiting + a.parent.waitingElsewhere(a)
+	try := func(q placement.Query) pickOutcome {
+		var ok, rejected bool
+		e, ok, rejected = fleet.PickUnless(q, a.awaitFaster(i, ahead, q))
+		switch {
+		case ok:
+			return picked
+		case rejected:
+			return awaitsFaster
+		}
+		return noneFree
+	}
 	software, began := a.run.Software(i)
 	if !began {
-		e, ok = fleet.Pick(q)
-		return e, ok, false
+		outcome = try(q)
+		return e, outcome
 	}
 	continuing := q
 	continuing.Software = software
-	if e, ok = fleet.Pick(continuing); ok {
-		return e, true, false
+	if outcome = try(continuing); outcome != noneFree {
+		return e, outcome
 	}
 	serves, interval := false, time.Duration(0)
 	fleet.WithTable(func(t *placement.Table) { serves, interval = t.Serves(continuing), t.Baseline(now, q.Service) })
 	if serves && a.run.AwaitSoftware(now, i, interval) {
-		return e, false, true
+		return e, awaitsSoftware
 	}
-	if e, ok = fleet.Pick(q); ok {
+	if outcome = try(q); outcome == picked {
 		a.log.Info("Sample starts over at another software version", "sample", a.run.Sample(i).ID, "from", software, "to", e.Software)
 	}
-	return e, ok, false
+	return e, outcome
 }
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -172,8 +172,11 @@
 func (a *activeBatch) attemptEnded(e attemptEnd) {
 	at := a.attempts[e.sample]
 	delete(a.attempts, e.sample)
-	a.run.Ended(time.Now(), e.sample, e.outcome, e.partial)
 	sample := a.run.Sample(e.sample)
+	if now, took := time.Now(), time.Since(at.began); e.outcome == batchrun.Complete && int(at.events.Load()) == e.partial.Events {
+		a.parent.runner.fleet.WithTable(func(t *placement.Table) { t.RecordSample(now, at.endpoint, sample.ExpectedTokens, took) })
+	}
+	a.run.Ended(time.Now(), e.sample, e.outcome, e.partial)
 	a.log.Info("Sample attempt ended", "sample", sample.ID, "endpoint", at.endpoint.ID, "software", at.endpoint.Software,
 		"events", e.partial.Events, "versions", e.partial.Versions, "took_ms", time.Since(at.began).Milliseconds(),
 		"longest_gap_ms", at.longestGapMs.Load(), "expected_tokens", sample.ExpectedTokens, "err", e.err)
@@ -271,6 +274,10 @@
 	}
 	move := false
 	a.parent.runner.fleet.WithTable(func(t *placement.Table) {
+		slow, usual := t.ServiceTime(now, at.endpoint.ID)
+		if !a.run.WorthMoving(i, int(at.events.Load()), batchrun.SlowOffer{Slow: slow, Usual: usual, TokenTime: t.TokenTime(at.endpoint.Service)}) {
+			return
+		}
 		move = t.ShouldMove(now, at.endpoint.ID, placement.Query{
 			Service: at.endpoint.Service, Model: a.batch.Model, MinVersion: a.batch.MinVersion, FreeSlot: true,
 			Software: at.endpoint.Software,
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -36,10 +36,20 @@
 // Pick selects an endpoint and records the start of a request to it. The caller must call
 // End for it. Pick returns false if no endpoint meets the query.
 func (f *Fleet) Pick(q placement.Query) (catalog.Endpoint, bool) {
+	e, ok, _ := f.PickUnless(q, nil)
+	return e, ok
+}
+
+// PickUnless is Pick. If reject is not nil and returns true for the selected endpoint, no request
+// starts and rejected is true. reject is called with the lock held.
+func (f *Fleet) PickUnless(q placement.Query, reject func(*placement.Table, time.Time, catalog.Endpoint) bool) (e catalog.Endpoint, ok, rejected bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	e, ok := f.table.Pick(now, q, rand.Uint64())
+	e, ok = f.table.Pick(now, q, rand.Uint64())
+	if ok && reject != nil && reject(f.table, now, e) {
+		return catalog.Endpoint{}, false, true
+	}
 	if ok {
 		f.table.Begin(now, e)
 	}
@@ -49,7 +59,7 @@
 		default: // a value is pending already
 		}
 	}
-	return e, ok
+	return e, ok, false
 }
 
 // PermitWait reports whether and for how long requests wait for permits; see
