Prove that the configuration is recent before keys are admitted

Cause: where strict_revocation is set, a request with a removed key must not run later than revoke_ms after the store confirmed the configuration without it, also at a host that was frozen, cut off or has just started. A host knew the age of its configuration only from stale reads and from ages in heartbeats, which may wait in a socket. Change: coordination/freshness keeps linearizable reads as proofs with the boot time at which they were sent. transport/configproof obtains them on demand from a hub, further peers (GET /config-proof) or the store, and Node.Check refuses with result 58 (configuration_stale) when there is none. The reader reads the configuration from the store itself each 0.9 s while the configuration has teams. Nothing calls Node.Check yet. Without a bound or without teams no call, message or metric is added. Result: go test -race ./internal/coordination/freshness ./internal/transport/configproof and the tests TestFeed*, TestCheck*, TestStorePath* of transport/front pass. With ages counted from the arrival of an answer, TestProver_FrozenWithAnswerInSocket fails.

--- a/internal/protocol/resultcode/resultcode.go
+++ b/internal/protocol/resultcode/resultcode.go
@@ -56,6 +56,7 @@
 	NotOwner             Code = 55
 	StaleEpoch           Code = 56
 	Unreachable          Code = 57
+	ConfigurationStale   Code = 58
 	StepConflict         Code = 60
 	StepUnknown          Code = 61
 	BatchNotReady        Code = 62
@@ -109,6 +110,7 @@
 	{NotOwner, "not_owner", NotRun, http.StatusMisdirectedRequest, true, "This host does not own the shard."},
 	{StaleEpoch, "stale_epoch", NotRun, http.StatusConflict, true, "The shard has a newer owner."},
 	{Unreachable, "unreachable", NotRun, http.StatusServiceUnavailable, true, "No control program can be reached; nothing was sent."},
+	{ConfigurationStale, "configuration_stale", NotRun, http.StatusServiceUnavailable, true, "This host cannot show that its configuration is recent, so it admits no keys; see Retry-After."},
 	{StepConflict, "step_conflict", NotRun, http.StatusConflict, false, "The trainer opened this step with other contents."},
 	{StepUnknown, "step_unknown", NotRun, http.StatusNotFound, false, "The trainer has no such step open."},
 	{BatchNotReady, "batch_not_ready", NotRun, http.StatusAccepted, true, "No batch is ready yet; ask again."},
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -17,6 +17,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	"oleanderfall.example/oleanderfall/internal/transport/configproof"
 )
 
 // Decoder decodes the objects that other systems write to the store.
@@ -79,7 +80,9 @@
 	// isHub reports whether this host is a hub, as it is while it knows no peers. Only hubs
 	// read the store.
 	isHub func() bool
-	log   *slog.Logger
+	// proofs receives the reads of the configuration that are not stale, nil if nothing needs them.
+	proofs *configproof.Prover
+	log    *slog.Logger
 }
 
 // Feed keeps this host's configuration and endpoints in sync with the store. One host reads the
@@ -117,12 +120,13 @@
 }
 
 // applyConfig decodes a configuration and puts it in force if its generation is higher. from is
-// the host from which it was fetched, or fromStore.
-func (f *Feed) applyConfig(value []byte, from string) {
+// the host from which it was fetched, or fromStore. It returns the generation of the configuration; ok is
+// false if that could not be decoded.
+func (f *Feed) applyConfig(value []byte, from string) (generation uint64, ok bool) {
 	config, err := f.decoder.Config(value)
 	if err != nil {
 		f.log.Error("Failed to decode configuration; the previous one stays in force", "err", err)
-		return
+		return 0, false
 	}
 	compressed, err := compress(value)
 	if err != nil {
@@ -130,8 +134,10 @@
 	}
 	if f.catalog.Apply(config, compressed) {
 		f.log.Info("Configuration in force", "generation", config.Generation, "routes", len(config.Routes), "from", from)
+		f.proofs.ConfigChanged()
 		f.announce()
 	}
+	return config.Generation, true
 }
 
 // decodeEndpoints returns the valid endpoints among the objects. It logs each invalid
--- a/internal/transport/front/feedreads.go
+++ b/internal/transport/front/feedreads.go
@@ -54,7 +54,7 @@
 		if time.Since(started) > firstReadDelay && f.shouldRead(readAt) {
 			readAt = time.Now()
 			if readAt.Sub(endpointsAt) >= endpointReadInterval-feedInterval || !f.path.Reachable() || !f.readStale(ctx) {
-				withConfig := f.configDue() || readAt.Sub(configAt) >= maxStaleConfig-feedInterval
+				withConfig := f.configDue() || readAt.Sub(configAt) >= f.maxConfigAge()-feedInterval
 				if f.readStore(ctx, withConfig) {
 					endpointsAt = readAt
 					if withConfig {
@@ -112,8 +112,7 @@
 			}
 			return false
 		}
-		f.applyConfig(o.Value, fromStore)
-		f.recordConfigRead(began)
+		f.applyProven(o.Value, began)
 	}
 	objects, revision, err := listAll(ctx, f.store, f.decoder.EndpointPrefix())
 	if err != nil {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -21,6 +21,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	"oleanderfall.example/oleanderfall/internal/transport/configproof"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 )
 
@@ -98,6 +99,7 @@
 	weights    *Weights
 	feed       *Feed
 	permits    *Permits
+	proofs     *configproof.Prover
 	params     Params
 
 	draining atomic.Bool
@@ -141,9 +143,10 @@
 		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder, cutOff: n.endpoints.CutOff},
 		candidate: n.candidate,
 	}
+	n.proofs = newConfigProofs(n)
 	n.feed = NewFeed(feedDeps{
 		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
-		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, log: component("feed"),
+		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, proofs: n.proofs, log: component("feed"),
 	})
 	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, component("streams"))
 	n.weights = &Weights{
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -179,12 +179,16 @@
 // peerHandler serves the calls of the other hosts.
 func (n *Node) peerHandler() http.Handler {
 	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, track: n.TrackRequest, log: logging.Component(n.params.Log, "endpoints")}
-	return newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay)
+	r := newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay)
+	if n.proofs != nil {
+		r.Handle(configProofPath, n.proofs).Methods(http.MethodGet)
+	}
+	return r
 }
 
 // newPeerHandler returns the handler of the calls of PeerClient. It also relays store calls for hosts
 // that the store does not serve directly, and requests to endpoints for hosts without links to them.
-func newPeerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits, o *StreamOrigins, relay http.Handler) http.Handler {
+func newPeerHandler(direct objectapi.API, peers *Peers, feed *Feed, b *Batches, p *Permits, o *StreamOrigins, relay http.Handler) *mux.Router {
 	r := mux.NewRouter().SkipClean(true)
 	r.PathPrefix("/v1/").Handler(objectapi.NewHandler(direct))
 	r.HandleFunc("/feed", func(w http.ResponseWriter, r *http.Request) {
