Let hosts read the store for a proof from 70 % of the bound on

Cause: at 80 % a host whose hubs are of a build without proofs has 1 s of its 5 s left, as long as the longest pause between two of its attempts. Change: urgentShare is 0.7. Result: go test -race ./internal/transport/configproof passes.

--- a/internal/transport/configproof/refresh.go
+++ b/internal/transport/configproof/refresh.go
@@ -35,7 +35,7 @@
 	readSpacingPerHost = 20 * time.Millisecond
 	// urgentShare is the share of the bound after which hosts that are no hubs read the store
 	// themselves. Until then the hubs have time to do it for them.
-	urgentShare = 0.8
+	urgentShare = 0.7
 	// unsupportedRetry is the time after which a peer without proofs is asked again. It may have been
 	// replaced by a newer build.
 	unsupportedRetry = 10 * time.Second
