--- a/internal/transport/front/configproof_test.go
+++ b/internal/transport/front/configproof_test.go
@@ -104,3 +104,24 @@
 	}
 	w.waitUntil("all hosts admit keys again", admitted)
 }
+
+// A peer of a build that does not know the call for a proof answers 404. The host must then prove its
+// configuration itself, and not refuse keys for the time of a replacement of the hosts.
+func TestCheck_PeersOfOlderBuild(t *testing.T) {
+	w := newTestCluster(t)
+	w.put("conf/main", catalog.Config{Generation: 2, Teams: []catalog.Team{{Name: "t", Keys: []string{"k"}}}})
+	older := w.startWith(w.settings("a")) // without a bound it serves the same calls as an older build
+	s := w.settings("b")
+	s.RevocationBound = revocationBound
+	n := w.startWith(s)
+	check := func() bool { return n.Check(context.Background(), 200*time.Millisecond) == nil }
+	w.waitUntil("keys are admitted", check)
+	if _, err := n.feed.peerClient.ConfigProof(context.Background(), older.Settings.Host, false); !errors.Is(err, configproof.ErrUnsupported) {
+		t.Errorf("a peer without proofs answered %v", err)
+	}
+	for end := time.Now().Add(revocationBound + 2*time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if !check() {
+			t.Fatal("a key was refused")
+		}
+	}
+}
