Limit how often a hub refreshes its proof while the reader is slow

Cause: with proofs over a quarter of the bound from the reader, each question of a host made its hub ask the reader again. Change: refreshes are at least 5 % of the bound apart, also after one that succeeded. Result: TestProver_SlowReader: 100 questions to the reader in a second before, within the limit of 5 after. go test -race ./internal/transport/configproof passes.

--- a/internal/transport/configproof/configproof.go
+++ b/internal/transport/configproof/configproof.go
@@ -84,8 +84,8 @@
 	changed chan struct{}
 	// refreshing is closed at the end of the refresh that runs now. It is nil if none does.
 	refreshing chan struct{}
-	// failures counts the refreshes in a row that brought no fresh proof. After one, the next starts
-	// at retryAt at the earliest.
+	// failures counts the refreshes in a row that brought no recent proof. The next refresh starts at
+	// retryAt at the earliest.
 	failures int
 	retryAt  time.Duration
 	// answered is set if a peer has answered since the start of the last refresh, and unanswered counts
--- a/internal/transport/configproof/configproof_test.go
+++ b/internal/transport/configproof/configproof_test.go
@@ -178,6 +178,24 @@
 	}
 }
 
+// While the reader is slow, so that no proof is young, a hub that many hosts ask must not ask the reader
+// for each of them, but as often as retryShare says.
+func TestProver_SlowReader(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		f := newTestFleet(2, 2)
+		_ = f.read(f.hosts[0])
+		time.Sleep(bound / 4)
+		const period, questions = time.Second, 100
+		for range questions {
+			f.hosts[1].awaitYoung(context.Background())
+			time.Sleep(period / questions)
+		}
+		if most := int64(float64(period)/(retryShare*float64(bound))) + 1; f.asked.Load() > most {
+			t.Errorf("the reader was asked %d times in %v, want at most %d", f.asked.Load(), period, most)
+		}
+	})
+}
+
 // A host that reaches neither the store nor hubs, only one other host, must still get proofs.
 func TestProver_OnePeerSuffices(t *testing.T) {
 	simulate(t, func(t *testing.T) {
--- a/internal/transport/configproof/refresh.go
+++ b/internal/transport/configproof/refresh.go
@@ -23,8 +23,8 @@
 	// answered it is four times as high, up to maxPeersAsked: few peers may be in reach.
 	peersAsked    = 4
 	maxPeersAsked = 256
-	// retryShare is the share of the bound between refreshes that bring no fresh proof. It doubles
-	// twice while they bring none, since all hosts ask when the store is away.
+	// retryShare is the share of the bound between two refreshes. It doubles twice while they bring no
+	// proof, since all hosts ask when the store is away.
 	retryShare     = 0.05
 	retryDoublings = 2
 	// readTimeout bounds a read of the store, which answers within a few hundred milliseconds even
@@ -81,11 +81,11 @@
 	}
 	if p.tracker.Due(now, p.bound) || p.tracker.Generation() > generation {
 		p.failures++
-		p.retryAt = now + time.Duration(retryShare*float64(p.bound))<<min(p.failures-1, retryDoublings)
 		source = "failed"
 	} else {
-		p.failures, p.retryAt = 0, 0
+		p.failures = 0
 	}
+	p.retryAt = now + time.Duration(retryShare*float64(p.bound))<<min(max(p.failures-1, 0), retryDoublings)
 	p.metrics.refreshes.WithLabelValues(source).Inc()
 	close(p.refreshing)
 	p.refreshing = nil
