--- a/internal/protocol/resultcode/resultcode.go
+++ b/internal/protocol/resultcode/resultcode.go
@@ -32,6 +32,7 @@
 	KeyRequired          Code = 13
 	KeyReused            Code = 14
 	TooLarge             Code = 15
+	UnknownKey           Code = 16
 	OverRate             Code = 20
 	Overloaded           Code = 21
 	DeadlineTooShort     Code = 22
@@ -85,6 +86,7 @@
 	{KeyRequired, "key_required", NotRun, http.StatusBadRequest, false, "A non-idempotent call needs an idempotency key."},
 	{KeyReused, "key_reused", NotRun, http.StatusConflict, false, "The idempotency key was used for different content; this content did not run."},
 	{TooLarge, "too_large", NotRun, http.StatusRequestEntityTooLarge, false, "The request exceeds the size limit."},
+	{UnknownKey, "unknown_key", NotRun, http.StatusUnauthorized, false, "The request has no key of a team that the configuration names."},
 	{OverRate, "over_rate", NotRun, http.StatusTooManyRequests, true, "The caller is over its rate; see Retry-After."},
 	{Overloaded, "overloaded", NotRun, http.StatusServiceUnavailable, true, "The limit of the service or deployment is reached; see Retry-After."},
 	{DeadlineTooShort, "deadline_too_short", NotRun, http.StatusServiceUnavailable, true, "The request cannot end before its deadline and was not started."},
