Admit requests by key and carry the team to endpoints and batches

Cause: endpoints need the name of the team on whose behalf a request runs, and must not get its key; a team may not see the batches of others. The team travels in backend.Request, in relayed requests (field 13) and in batches; the content holds it, so that another team's submission conflicts, and the manifest, with which later calls are checked. Calls between hosts about batches name the asking team. A team's urgency precedes that of the route.

--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -58,6 +58,8 @@
 	Deadline time.Time
 	// Repeatable allows the endpoint to run the request more than once.
 	Repeatable bool
+	// Team is the name of the team on whose behalf the request is sent, empty for none.
+	Team string
 }
 
 // Answer is an endpoint's answer: complete, or only the status and header at the start of a
--- a/internal/state/batches/batches.go
+++ b/internal/state/batches/batches.go
@@ -56,6 +56,9 @@
 	// DesiredGroups is the number of complete groups for which the trainer waits.
 	DesiredGroups int      `json:"desired_groups"`
 	Samples       []Sample `json:"samples"`
+	// Team is the name of the team to which the batch belongs, empty for none. It is part of the
+	// content, so that another team's submission of the same batch is a conflict.
+	Team string `json:"team,omitempty"`
 }
 
 // Manifest is the object whose creation accepts a batch.
@@ -78,6 +81,8 @@
 	Ended bool `json:"ended"`
 	// Removed reports that the batch has expired and that its objects are being deleted.
 	Removed bool `json:"removed,omitempty"`
+	// Team is that of the content. Calls about the batch are checked with it.
+	Team string `json:"team,omitempty"`
 }
 
 // Accepted returns the time of acceptance.
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -81,6 +81,7 @@
 		resumed:  entries != nil,
 		carried:  carried,
 	}
+	a.results.team = b.Team
 	a.ctx, a.cancel = context.WithCancel(parent.base)
 	return a
 }
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -73,7 +73,7 @@
 	at.lastEvent.Store(at.began.UnixNano())
 	a.attempts[i] = at
 	a.run.Started(i, e.ID)
-	urgency := route.Urgency
+	urgency := a.parent.runner.forwarder.forTeam(route, a.batch.Team).Urgency
 	if a.run.IsSpare(i) {
 		urgency += spareUrgency
 	}
@@ -97,7 +97,7 @@
 	return backend.GenerateRequest{
 		Request: backend.Request{
 			Endpoint: e, ID: sample.ID, Host: a.batch.Host, Method: http.MethodPost, URI: sample.Path,
-			Header: header, Body: sample.Body, Deadline: a.abandonAt,
+			Header: header, Body: sample.Body, Deadline: a.abandonAt, Team: a.batch.Team,
 		},
 		ResumeAfter: resumeAfter,
 	}
--- a/internal/transport/front/batchend.go
+++ b/internal/transport/front/batchend.go
@@ -16,14 +16,15 @@
 // batch at its owner. It is idempotent. Its errors have a result code.
 //
 // The owner does so if it can be reached, because it knows the manifest and need not read it.
-func (s *Batches) End(ctx context.Context, id string) error {
+func (t TeamBatches) End(ctx context.Context, id string) error {
+	s := t.batches
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWaitTimeout)
 	defer cancel()
-	if s.endAtOwner(ctx, id) {
+	if s.endAtOwner(ctx, t.team, id) {
 		return nil
 	}
 	for {
-		m, err := s.readManifest(ctx, id)
+		m, err := s.readManifestFor(ctx, t.team, id)
 		if err != nil {
 			return err
 		}
@@ -48,7 +49,7 @@
 
 // endAtOwner asks the host that probably runs a batch to record its end. It reports whether that
 // host has done so; if not, it may have done so nevertheless.
-func (s *Batches) endAtOwner(ctx context.Context, id string) bool {
+func (s *Batches) endAtOwner(ctx context.Context, team, id string) bool {
 	owner := ""
 	if m, ok := s.store.cached(id); ok {
 		owner = m.Owner
@@ -59,19 +60,19 @@
 	case "":
 		return false
 	case s.settings.Host:
-		return s.endOwn(ctx, id) == nil
+		return s.endOwn(ctx, team, id) == nil
 	}
-	err := s.peerClient.RecordEnd(ctx, owner, id)
+	err := s.peerClient.RecordEnd(ctx, owner, team, id)
 	if err != nil {
 		s.log.Debug("Batch owner did not record the end", "batch", id, "owner", owner, "err", err)
 	}
 	return err == nil
 }
 
-// endOwn records the end of a batch that this host runs.
-func (s *Batches) endOwn(ctx context.Context, id string) error {
+// endOwn records the end of a batch that this host runs and that the team may access.
+func (s *Batches) endOwn(ctx context.Context, team, id string) error {
 	b := s.activeByID(id)
-	if b == nil {
+	if b == nil || !mayAccess(team, b.batch.Team) {
 		return errBatchNotActive
 	}
 	next := b.manifest.Manifest
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -171,12 +171,12 @@
 	}
 	m, err := s.store.putManifest(ctx, batches.Manifest{
 		ID: b.ID, Digest: digest, Parts: parts, Total: len(b.Samples),
-		AcceptedUnixMs: time.Now().UnixMilli(), Owner: s.settings.Host, Epoch: 1,
+		AcceptedUnixMs: time.Now().UnixMilli(), Owner: s.settings.Host, Epoch: 1, Team: b.Team,
 	}, 0)
 	switch {
 	case err == nil:
 		s.log.Info("Accepted batch", "batch", b.ID, "step", b.Step, "model", b.Model,
-			"min_version", b.MinVersion, "samples", len(b.Samples), "desired_groups", b.DesiredGroups)
+			"min_version", b.MinVersion, "samples", len(b.Samples), "desired_groups", b.DesiredGroups, "team", b.Team)
 		carried := s.groups.carried(b)
 		s.notifyGroups(s.base, b)
 		s.start(m, b, carried, nil)
@@ -229,7 +229,7 @@
 	}
 	m, err := s.store.manifest(ctx, id)
 	if errors.Is(err, objectapi.ErrNotFound) || err == nil && m.Removed {
-		return m, codedError(resultcode.NotFound, "no such batch")
+		return m, errNoSuchBatch()
 	}
 	if err != nil {
 		return m, codedError(resultcode.StorageOutage, err.Error())
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -67,6 +67,7 @@
 	ResumeAfter int              `cbor:"10,keyasint,omitempty"`
 	Urgency     int              `cbor:"11,keyasint,omitempty"`
 	Repeatable  bool             `cbor:"12,keyasint,omitempty"`
+	Team        string           `cbor:"13,keyasint,omitempty"`
 }
 
 // relayedPart is a part of a relay's answer, which is a sequence of them: Head first, then Chunks or
@@ -305,7 +306,7 @@
 
 func newRelayedRequest(kind relayedKind, r *backend.Request) *relayedRequest {
 	return &relayedRequest{Kind: kind, Endpoint: r.Endpoint, ID: r.ID, Host: r.Host, Method: r.Method, URI: r.URI,
-		Header: r.Header, Body: r.Body, RemainingMs: max(time.Until(r.Deadline).Milliseconds(), 1), Repeatable: r.Repeatable}
+		Header: r.Header, Body: r.Body, RemainingMs: max(time.Until(r.Deadline).Milliseconds(), 1), Repeatable: r.Repeatable, Team: r.Team}
 }
 
 func (h *relayedHead) answer() *backend.Answer {
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -104,7 +104,7 @@
 // sendForPeer sends a peer's request over this host's own links and passes on the answer.
 func (p *EndpointPath) sendForPeer(ctx context.Context, r *relayedRequest, out *partWriter) error {
 	request := backend.Request{
-		Endpoint: r.Endpoint, ID: r.ID, Host: r.Host, Method: r.Method, URI: r.URI, Header: r.Header, Body: r.Body, Repeatable: r.Repeatable,
+		Endpoint: r.Endpoint, ID: r.ID, Host: r.Host, Method: r.Method, URI: r.URI, Header: r.Header, Body: r.Body, Repeatable: r.Repeatable, Team: r.Team,
 		Deadline: time.Now().Add(time.Duration(r.RemainingMs) * time.Millisecond),
 	}
 	g := backend.GenerateRequest{Request: request, ResumeAfter: r.ResumeAfter, Urgency: r.Urgency}
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -17,6 +17,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/gate"
+	"oleanderfall.example/oleanderfall/internal/transport/teamkeys"
 )
 
 const (
@@ -65,6 +66,9 @@
 	Resumes string
 	// Scoring marks a scoring request of this host, for which no caller waits.
 	Scoring bool
+	// Team is the name of the team on whose behalf the request runs. It is empty if the configuration
+	// has no teams, and for a request on a public route without a key.
+	Team string
 }
 
 // StreamWriter receives the answer to a streaming request: WriteHead is called once with the
@@ -92,6 +96,8 @@
 	gates *Gates
 	// origins remembers which software version began each stream.
 	origins *StreamOrigins
+	// keys knows the urgencies of teams.
+	keys *teamkeys.Checker
 
 	mu sync.Mutex
 	// retryBudgets limit, for each service, hedged requests and retries after an endpoint
@@ -150,6 +156,7 @@
 // forward is Forward. It also returns the number of attempts that an endpoint answered with an
 // internal server error, which counts as run.
 func (f *Forwarder) forward(ctx context.Context, route *catalog.Route, in *Inbound) (answer *backend.Answer, failures int, err error) {
+	route = f.forTeam(route, in.Team)
 	began := time.Now()
 	deadline := f.deadline(began, route, in)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -373,7 +380,7 @@
 		began := time.Now()
 		answer, err := c.f.client.Do(ctx, backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
-			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: idempotent(c.route),
+			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: idempotent(c.route), Team: c.in.Team,
 		})
 		took := time.Since(began)
 		if errors.Is(context.Cause(ctx), errHedgeLost) && err != nil && !errors.Is(err, backend.ErrPathLost) {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -22,6 +22,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	"oleanderfall.example/oleanderfall/internal/transport/teamkeys"
 )
 
 const (
@@ -89,6 +90,8 @@
 	Batches   *Batches
 	Metrics   *Metrics
 	Catalog   *Catalog
+	// Keys admits the requests of callers and trainers.
+	Keys *teamkeys.Checker
 
 	log        *slog.Logger
 	peers      *Peers
@@ -122,6 +125,7 @@
 	n.peers = NewPeers(presence.Member{Host: p.Settings.Host, Zone: p.Settings.Zone, Capacity: float32(p.Settings.Capacity)},
 		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
+	n.Keys = teamkeys.New(n.Catalog.Config, component("keys"), p.Registry)
 	fleet := NewFleet(p.Settings.Zone)
 	calls := NewPeerClient(n.peers)
 	n.storePath = NewStorePath(p.Store, n.storeRelays, component("store"))
@@ -133,8 +137,8 @@
 	stale := objectapi.PayloadReader{API: p.Stale}
 	n.endpoints = newEndpointPath(p.Endpoints, newEndpointRelays(p.Settings, n.peers, p.Registry), fleet.Endpoints, n.linksChanged, component("endpoints"), p.Registry)
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: n.endpoints, log: component("forward"), metrics: n.Metrics,
-		gates:      NewGates(fleet, func() int { return 1 + n.peers.Count() }),
-		quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
+		gates: NewGates(fleet, func() int { return 1 + n.peers.Count() }),
+		keys:  n.Keys, quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -118,8 +118,11 @@
 
 // Results reads results from the batch's owner. It waits up to the given time if there are
 // none from position after on.
-func (c *PeerClient) Results(ctx context.Context, host, id string, after int, wait time.Duration) (Page, error) {
+func (c *PeerClient) Results(ctx context.Context, host, team, id string, after int, wait time.Duration) (Page, error) {
 	q := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	if team != "" {
+		q.Set(teamParameter, team)
+	}
 	raw, err := c.call(ctx, host, http.MethodGet, "/batches/"+id+"/results?"+q.Encode(), nil, wait)
 	if err != nil {
 		return Page{}, err
@@ -129,13 +132,13 @@
 }
 
 // Body reads the request body of a sample from the batch's owner.
-func (c *PeerClient) Body(ctx context.Context, host, id, sample string) ([]byte, error) {
-	return c.call(ctx, host, http.MethodGet, "/batches/"+id+"/samples/"+url.PathEscape(sample), nil, 0)
+func (c *PeerClient) Body(ctx context.Context, host, team, id, sample string) ([]byte, error) {
+	return c.call(ctx, host, http.MethodGet, "/batches/"+id+"/samples/"+url.PathEscape(sample)+teamQuery(team), nil, 0)
 }
 
 // RecordEnd asks the batch's owner to record in its manifest that the trainer has ended it.
-func (c *PeerClient) RecordEnd(ctx context.Context, host, id string) error {
-	_, err := c.call(ctx, host, http.MethodPost, "/batches/"+id+"/record-end", nil, 0)
+func (c *PeerClient) RecordEnd(ctx context.Context, host, team, id string) error {
+	_, err := c.call(ctx, host, http.MethodPost, "/batches/"+id+"/record-end"+teamQuery(team), nil, 0)
 	return err
 }
 
@@ -214,7 +217,7 @@
 			http.Error(w, "wait_ms is no number", http.StatusBadRequest)
 			return
 		}
-		page, err := b.localResults(r.Context(), mux.Vars(r)["id"], after, time.Duration(waitMs)*time.Millisecond)
+		page, err := b.localResults(r.Context(), r.URL.Query().Get(teamParameter), mux.Vars(r)["id"], after, time.Duration(waitMs)*time.Millisecond)
 		if err != nil {
 			peerError(w, err)
 			return
@@ -222,7 +225,7 @@
 		writeAnswer(w, r, page)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches/{id}/samples/{sample}", func(w http.ResponseWriter, r *http.Request) {
-		body, err := b.localBody(mux.Vars(r)["id"], mux.Vars(r)["sample"])
+		body, err := b.localBody(r.URL.Query().Get(teamParameter), mux.Vars(r)["id"], mux.Vars(r)["sample"])
 		if err != nil {
 			peerError(w, err)
 			return
@@ -265,7 +268,7 @@
 		b.stopEnded(mux.Vars(r)["id"])
 	}).Methods(http.MethodPost)
 	r.HandleFunc("/batches/{id}/record-end", func(w http.ResponseWriter, r *http.Request) {
-		if err := b.endOwn(context.WithoutCancel(r.Context()), mux.Vars(r)["id"]); err != nil {
+		if err := b.endOwn(context.WithoutCancel(r.Context()), r.URL.Query().Get(teamParameter), mux.Vars(r)["id"]); err != nil {
 			peerError(w, err)
 		}
 	}).Methods(http.MethodPost)
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -12,6 +12,8 @@
 // use.
 type resultLog struct {
 	total int
+	// team is the team of the batch, empty for none.
+	team string
 
 	mu          sync.Mutex
 	results     []batches.Result
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -19,14 +19,15 @@
 
 // Results returns the results of a batch from position after on. If there are none, it
 // waits up to the given time for one. Its errors have a result code.
-func (s *Batches) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
-	if page, err := s.localResults(ctx, id, after, wait); err == nil {
+func (t TeamBatches) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+	s := t.batches
+	if page, err := s.localResults(ctx, t.team, id, after, wait); err == nil {
 		return page, nil
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+storeWaitTimeout)
 	defer cancel()
-	m, page, err := s.askOwner(ctx, id, after, wait)
+	m, page, err := s.askOwner(ctx, t.team, id, after, wait)
 	if err != nil || page != nil {
 		return valueOrEmpty(page), err
 	}
@@ -56,7 +57,7 @@
 // askOwner requests results from the batch's owner: first from the owner in the cached
 // manifest and from the hosts that run the batches of the models now, which cache the logs of
 // ended ones, then from the owner in the store. The page is nil if no owner answered.
-func (s *Batches) askOwner(ctx context.Context, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
+func (s *Batches) askOwner(ctx context.Context, team, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
 	m, known := s.store.cached(id)
 	asked := s.currentOwners()
 	if known && !slices.Contains(asked, m.Owner) {
@@ -66,7 +67,7 @@
 		if owner == s.settings.Host {
 			continue
 		}
-		if page, err := s.peerClient.Results(ctx, owner, id, after, wait); err == nil {
+		if page, err := s.peerClient.Results(ctx, owner, team, id, after, wait); err == nil {
 			if !known {
 				m = storedManifest{Manifest: batches.Manifest{ID: id, Owner: owner}}
 				s.store.cacheManifest(m)
@@ -76,16 +77,16 @@
 	}
 	// A stale manifest may name the owner as well, since owners change rarely.
 	if m, err := s.store.staleManifest(ctx, id); err == nil && m.Owner != s.settings.Host && !slices.Contains(asked, m.Owner) {
-		if page, err := s.peerClient.Results(ctx, m.Owner, id, after, wait); err == nil {
+		if page, err := s.peerClient.Results(ctx, m.Owner, team, id, after, wait); err == nil {
 			return m, &page, nil
 		}
 		asked = append(asked, m.Owner)
 	}
-	m, err := s.readManifest(ctx, id)
+	m, err := s.readManifestFor(ctx, team, id)
 	if err != nil || m.Owner == s.settings.Host || slices.Contains(asked, m.Owner) {
 		return m, nil, err
 	}
-	page, err := s.peerClient.Results(ctx, m.Owner, id, after, wait)
+	page, err := s.peerClient.Results(ctx, m.Owner, team, id, after, wait)
 	if err != nil {
 		s.log.Debug("Batch owner did not answer", "batch", id, "owner", m.Owner, "err", err)
 		return m, nil, nil
@@ -94,19 +95,22 @@
 }
 
 // localResults returns results of a batch that this host runs or whose log it has cached, else
-// errBatchNotActive. A host that runs the batches of a model now also caches the logs of ended
+// errBatchNotActive. For a team that may not see the batch it is not active. A host that runs the batches of a model now also caches the logs of ended
 // batches on demand.
-func (s *Batches) localResults(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+func (s *Batches) localResults(ctx context.Context, team, id string, after int, wait time.Duration) (Page, error) {
 	b := s.activeByID(id)
 	if b == nil {
-		page, err := s.cachedResults(id, after)
+		page, err := s.cachedResults(team, id, after)
 		if err == nil || !slices.Contains(s.currentOwners(), s.settings.Host) {
 			return page, err
 		}
 		if err := s.loadEndedLog(ctx, id); err != nil {
 			return Page{}, err
 		}
-		return s.cachedResults(id, after)
+		return s.cachedResults(team, id, after)
+	}
+	if !mayAccess(team, b.batch.Team) {
+		return Page{}, errBatchNotActive
 	}
 	page := b.results.page(ctx, after, wait)
 	if len(page.Results) > 0 || b.results.final() || time.Since(b.results.ownershipConfirmedAt()) < maxOwnershipCheckAge {
@@ -132,6 +136,7 @@
 		return err
 	}
 	log := newResultLog(m.Total, entries)
+	log.team = m.Team
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endedLogs.add(id, log)
@@ -158,8 +163,9 @@
 }
 
 // Body returns the request body of a sample. Its errors have a result code.
-func (s *Batches) Body(ctx context.Context, id, sample string) ([]byte, error) {
-	if body, err := s.localBody(id, sample); err == nil {
+func (t TeamBatches) Body(ctx context.Context, id, sample string) ([]byte, error) {
+	s := t.batches
+	if body, err := s.localBody(t.team, id, sample); err == nil {
 		return body, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
@@ -173,7 +179,7 @@
 		if owner == s.settings.Host || m.Ended {
 			continue
 		}
-		if body, err := s.peerClient.Body(ctx, owner, id, sample); err == nil {
+		if body, err := s.peerClient.Body(ctx, owner, t.team, id, sample); err == nil {
 			return body, nil
 		}
 	}
@@ -183,6 +189,9 @@
 			return nil, err
 		}
 	}
+	if !mayAccess(t.team, m.Team) {
+		return nil, errNoSuchBatch()
+	}
 	b, err := s.store.content(ctx, &m.Manifest)
 	if err != nil {
 		return nil, codedError(resultcode.StorageOutage, err.Error())
@@ -190,9 +199,9 @@
 	return bodyOf(b, sample)
 }
 
-func (s *Batches) localBody(id, sample string) ([]byte, error) {
+func (s *Batches) localBody(team, id, sample string) ([]byte, error) {
 	b := s.activeByID(id)
-	if b == nil {
+	if b == nil || !mayAccess(team, b.batch.Team) {
 		return nil, errBatchNotActive
 	}
 	return bodyOf(b.batch, sample)
@@ -210,11 +219,11 @@
 // cachedResults returns results from a cached log. A log that is not final may lack results
 // that another host added later, so in place of an empty page from such a log it returns
 // errBatchNotActive.
-func (s *Batches) cachedResults(id string, after int) (Page, error) {
+func (s *Batches) cachedResults(team, id string, after int) (Page, error) {
 	s.mu.Lock()
 	l := s.endedLogs.get(id)
 	s.mu.Unlock()
-	if l == nil {
+	if l == nil || !mayAccess(team, l.team) {
 		return Page{}, errBatchNotActive
 	}
 	final := l.final()
--- a/internal/transport/front/scoring.go
+++ b/internal/transport/front/scoring.go
@@ -76,9 +76,13 @@
 	}
 	scoringRoute := *route
 	scoringRoute.Kind, scoringRoute.MaxAttempts = catalog.KindSafe, 2 // allows a hedge at a second endpoint when the answer is slow
+	team := a.batch.Team
+	if route.Public {
+		team = ""
+	}
 	answer, failures, err := a.parent.runner.forwarder.forward(a.ctx, &scoringRoute, &Inbound{
 		ID: sc.ID, Host: sc.Host, Method: http.MethodPost, URI: sc.Path, Path: sc.Path,
-		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout(route.Objective, timeouts), Scoring: true,
+		Header: http.Header{}, Body: sc.Body, Budget: scoreTimeout(route.Objective, timeouts), Scoring: true, Team: team,
 	})
 	switch {
 	case err != nil:
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -18,6 +18,7 @@
 // sent to another endpoint. After that, the stream ends when the endpoint's stream ends. Its
 // errors have a result code.
 func (f *Forwarder) Stream(ctx context.Context, route *catalog.Route, in *Inbound, out StreamWriter) error {
+	route = f.forTeam(route, in.Team)
 	began := time.Now()
 	deadline := began.Add(defaultDeadline)
 	if in.Budget > 0 {
@@ -99,7 +100,7 @@
 		}
 		err = c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
-			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: c.route.Resumable,
+			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: c.route.Resumable, Team: c.in.Team,
 		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, chunk)
 		c.f.recordOutcome(e, err, ctx.Err() != nil, 0)
 		if err == nil {
