--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -23,6 +23,7 @@
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/configproof"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	"oleanderfall.example/oleanderfall/internal/transport/teamkeys"
 )
 
 const (
@@ -90,6 +91,8 @@
 	Batches   *Batches
 	Metrics   *Metrics
 	Catalog   *Catalog
+	// Keys admits the requests of callers and trainers.
+	Keys *teamkeys.Checker
 
 	log        *slog.Logger
 	peers      *Peers
@@ -126,6 +129,7 @@
 	n.peers = NewPeers(presence.Member{Host: p.Settings.Host, Zone: p.Settings.Zone, Capacity: float32(p.Settings.Capacity)},
 		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
+	n.Keys = teamkeys.New(n.Catalog.Config, component("keys"), p.Registry)
 	fleet := NewFleet(p.Settings.Zone)
 	calls := NewPeerClient(n.peers)
 	n.storePath = NewStorePath(p.Store, n.storeRelays, component("store"))
@@ -137,8 +141,8 @@
 	stale := objectapi.PayloadReader{API: p.Stale}
 	n.endpoints = newEndpointPath(p.Endpoints, newEndpointRelays(p.Settings, n.peers, p.Registry), fleet.Endpoints, n.linksChanged, component("endpoints"), p.Registry)
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: n.endpoints, log: component("forward"), metrics: n.Metrics,
-		gates:      NewGates(fleet, func() int { return 1 + n.peers.Count() }),
-		quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
+		gates: NewGates(fleet, func() int { return 1 + n.peers.Count() }),
+		keys:  n.Keys, quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
@@ -146,6 +150,7 @@
 		candidate: n.candidate,
 	}
 	n.proofs = newConfigProofs(n)
+	n.Keys.Fresh = n.Check
 	n.feed = NewFeed(feedDeps{
 		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
 		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, proofs: n.proofs, log: component("feed"),
