Hold the operator's duties by one host under a lease

Cause: one host at a time is to report usage and order endpoints, with a fencing token that no other host uses. Heartbeats report the token (field 48). Nothing uses the lease yet.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -70,6 +70,8 @@
 	Capacity float32 `cbor:"24,keyasint,omitempty"`
 	// CutOff reports that the host has lost its links to all endpoints; see package links.
 	CutOff bool `cbor:"37,keyasint,omitempty"`
+	// DutiesToken is the token of the duties lease if the host holds it, else 0.
+	DutiesToken uint64 `cbor:"48,keyasint,omitempty"`
 	// Protocol is protocolHubs, or zero for builds that send heartbeats to every host and
 	// must receive them from every host.
 	Protocol int `cbor:"25,keyasint,omitempty"`
--- /dev/null
+++ b/internal/transport/duties/lease_test.go
@@ -0,0 +1,338 @@
+package duties
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/standin"
+)
+
+const (
+	// testDistance is the operator's lease_ms.
+	testDistance = 3 * time.Second
+	// detection is the time after which hosts regard a silent one as dead, as in package presence.
+	detection = 1350 * time.Millisecond
+)
+
+// world runs the leases of several hosts in simulated time.
+type world struct {
+	t       *testing.T
+	now     time.Duration
+	random  *rand.Rand
+	store   *standin.ObjectStore
+	hosts   []*simHost
+	calls   []simCall
+	pending []simWrite
+	// faults is set while calls to the store may be slow, fail or be executed late.
+	faults bool
+}
+
+type simCall struct {
+	host  string
+	token uint64
+	at    time.Duration
+}
+
+// simWrite is a write that the store executes late.
+type simWrite struct {
+	at     time.Duration
+	value  []byte
+	expect uint64
+}
+
+// simHost is one host. It is also its own access to the store.
+type simHost struct {
+	*world
+	name  string
+	lease *Lease
+	// heard is when its last heartbeat reached the others, token what that reported.
+	heard time.Duration
+	token uint64
+	// awayUntil is until when the host neither runs nor sends heartbeats, busy is set while it
+	// waits for the store, storeLost while the store rejects it.
+	awayUntil time.Duration
+	busy      bool
+	storeLost bool
+	draining  bool
+}
+
+func newWorld(t *testing.T, hosts int, seed uint64) *world {
+	w := &world{t: t, now: time.Hour, random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewObjectStore(standin.ObjectStoreOptions{})}
+	for i := range hosts {
+		h := &simHost{world: w, name: fmt.Sprintf("n%d", i)}
+		h.start()
+		w.hosts = append(w.hosts, h)
+	}
+	return w
+}
+
+// start starts the process of a host, also after a crash.
+func (h *simHost) start() {
+	h.draining = false
+	h.lease = NewLease(Settings{Host: h.name, Distance: testDistance}, h, Fleet{
+		Peers: h.peers, Candidates: h.candidates, Ready: func() bool { return true }, Draining: func() bool { return h.draining },
+		StoreReachable: func() bool { return !h.storeLost }, Announce: func() { h.token = h.lease.Token() },
+	}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	h.lease.now = func() time.Duration { return h.world.now }
+}
+
+func (h *simHost) peers() (out []presence.Member) {
+	for _, o := range h.hosts {
+		if o != h && h.now-o.heard < detection {
+			out = append(out, presence.Member{Host: o.name, Ready: true, Draining: o.draining, StoreReachable: !o.storeLost, DutiesToken: o.token})
+		}
+	}
+	return out
+}
+
+func (h *simHost) candidates() (out []presence.Candidate) {
+	for _, p := range append(h.peers(), presence.Member{Host: h.name, Draining: h.draining, StoreReachable: !h.storeLost}) {
+		out = append(out, presence.Candidate{Host: p.Host, Ready: true, Draining: p.Draining, StoreReachable: p.StoreReachable})
+	}
+	return out
+}
+
+// run advances the time by d.
+func (w *world) run(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := w.now + d; w.now < end; {
+		w.now += step
+		for i := 0; i < len(w.pending); i++ {
+			if p := w.pending[i]; p.at <= w.now {
+				_, _ = w.store.Put(context.Background(), leaseKey, p.value, p.expect) // may conflict by now
+				w.pending = append(w.pending[:i], w.pending[i+1:]...)
+				i--
+			}
+		}
+		for i, h := range w.hosts {
+			if h.busy || h.awayUntil > w.now {
+				continue
+			}
+			if w.now/step%6 == time.Duration(i%6) {
+				h.heard, h.token = w.now, h.lease.Token()
+			}
+			if w.now/step%4 == time.Duration(i%4) {
+				h.lease.step(context.Background(), 0, nil)
+			}
+			if token, ok := h.lease.Holding(w.now); ok && h.lease.beginCall(token, 0) {
+				w.calls = append(w.calls, simCall{h.name, token, w.now})
+				h.lease.endCall()
+			}
+		}
+	}
+}
+
+// slow lets time pass for the other hosts while this one waits for the store or is frozen.
+func (h *simHost) slow() {
+	if !h.faults || h.random.IntN(20) > 0 {
+		return
+	}
+	h.busy = true
+	h.run(time.Duration(h.random.IntN(6000)) * time.Millisecond)
+	h.busy = false
+}
+
+var errLost = errors.Join(objectapi.ErrUnavailable, errors.New("no answer"))
+
+// Get implements objectapi.API.
+func (h *simHost) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if h.storeLost {
+		return objectapi.Object{}, errLost
+	}
+	h.slow()
+	o, err := h.store.Get(ctx, key)
+	h.slow()
+	return o, err
+}
+
+// Put implements objectapi.API.
+func (h *simHost) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if h.storeLost {
+		return 0, errLost
+	}
+	h.slow()
+	if h.faults && h.random.IntN(4) == 0 {
+		h.pending = append(h.pending, simWrite{h.now + time.Duration(h.random.IntN(8000))*time.Millisecond, value, expect})
+		return 0, errLost
+	}
+	version, err := h.store.Put(ctx, key, value, expect)
+	h.slow()
+	return version, err
+}
+
+func (h *simHost) Delete(context.Context, string, uint64) error { return errLost }
+
+func (h *simHost) List(context.Context, string, string, int) (objectapi.Page, error) {
+	return objectapi.Page{}, errLost
+}
+
+func (h *simHost) Watch(context.Context, string, uint64) (objectapi.Watcher, error) {
+	return nil, errLost
+}
+
+// check fails the test if tokens fell, two hosts used the same token, or calls of two holders were
+// closer than the distance.
+func (w *world) check() {
+	w.t.Helper()
+	for i := 1; i < len(w.calls); i++ {
+		a, b := w.calls[i-1], w.calls[i]
+		switch {
+		case b.token < a.token, b.token == a.token && a.host != b.host:
+			w.t.Fatalf("call %+v follows %+v", b, a)
+		case a.host != b.host && b.at-a.at < testDistance:
+			w.t.Fatalf("call %+v follows %+v within %v", b, a, testDistance)
+		}
+	}
+}
+
+// holder returns the host that may send calls now, empty if there is none.
+func (w *world) holder() string {
+	out := ""
+	for _, h := range w.hosts {
+		if _, ok := h.lease.Holding(w.now); ok {
+			out = h.name
+		}
+	}
+	return out
+}
+
+func (w *world) find(name string) *simHost {
+	for _, h := range w.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	w.t.Fatalf("no host %q", name)
+	return nil
+}
+
+// A holder that is killed, frozen, drained or loses the store must be replaced, by one other host and
+// not before the distance has passed. This guards against two hosts that make calls at the same time,
+// and against duties that nobody performs: a report is due 10 s after its window, of which these
+// bounds leave some for the report.
+func TestLease_ChangesOfTheHolder(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(h *simHost)
+		// within bounds the time without a holder.
+		within time.Duration
+	}{
+		{"killed", func(h *simHost) { h.awayUntil = h.now + time.Hour }, detection + testDistance + Validity + time.Second},
+		{"frozen", func(h *simHost) { h.awayUntil = h.now + 20*time.Second }, detection + testDistance + Validity + time.Second},
+		{"drained", func(h *simHost) { h.draining = true }, testDistance + time.Second},
+		{"store lost", func(h *simHost) { h.storeLost = true }, unreachableBeforeRelease + unchangedPeriod + testDistance + Validity + time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 4, 1)
+			w.run(5 * time.Second)
+			first := w.holder()
+			if first == "" {
+				t.Fatal("no host holds the lease after the start")
+			}
+			c.fail(w.find(first))
+			w.run(c.within)
+			if next := w.holder(); next == "" || next == first {
+				t.Errorf("%q holds the lease after %v, before it was %q", next, c.within, first)
+			}
+			w.run(30 * time.Second)
+			w.check()
+			if now := w.holder(); now == "" {
+				t.Error("no host holds the lease at the end")
+			}
+		})
+	}
+}
+
+// A host whose token the API refused must not use it again, and comes back with a higher one.
+func TestLease_RefusedToken(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	w.run(5 * time.Second)
+	h := w.find(w.holder())
+	refused := h.lease.Token()
+	h.lease.refused(refused)
+	if _, ok := h.lease.Holding(w.now); ok {
+		t.Error("calls with the refused token are still allowed")
+	}
+	before := len(w.calls)
+	w.run(testDistance + 2*time.Second)
+	if len(w.calls) == before || w.calls[before].token <= refused {
+		t.Errorf("calls after the refusal of token %d: %+v", refused, w.calls[before:])
+	}
+	w.check()
+}
+
+// While the store is down for all hosts, nobody may call; the holder goes on with its token when the
+// store is back, since nobody else can have acquired the lease.
+func TestLease_StoreDown(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	w.run(5 * time.Second)
+	holder := w.find(w.holder())
+	token := holder.lease.Token()
+	for _, h := range w.hosts {
+		h.storeLost = true
+	}
+	w.run(Validity + 100*time.Millisecond)
+	if h := w.holder(); h != "" {
+		t.Errorf("%s may call while the store is down", h)
+	}
+	w.run(10 * time.Second)
+	for _, h := range w.hosts {
+		h.storeLost = false
+	}
+	w.run(2 * renewInterval)
+	if got, ok := holder.lease.Holding(w.now); !ok || got != token {
+		t.Errorf("the former holder has token %d, may call %v; want %d", got, ok, token)
+	}
+	w.check()
+}
+
+// Whatever fails, two hosts must never use the same token, tokens must not fall, and calls of two
+// holders must be apart: hosts freeze (also within a call to the store), crash and restart, lose the
+// store or drain, and the store executes unanswered writes seconds later.
+func TestLease_RandomFaults(t *testing.T) {
+	for seed := range uint64(150) {
+		w := newWorld(t, 4, seed)
+		w.faults = true
+		for range 25 {
+			h := w.hosts[w.random.IntN(len(w.hosts))]
+			if holder := w.holder(); holder != "" && w.random.IntN(2) == 0 {
+				h = w.find(holder)
+			}
+			switch d := time.Duration(w.random.IntN(8000)) * time.Millisecond; w.random.IntN(5) {
+			case 0:
+				h.awayUntil = w.now + d
+			case 1:
+				h.storeLost = !h.storeLost
+			case 2:
+				h.draining = true
+			default:
+				h.awayUntil, h.storeLost = w.now+d, false
+				h.start()
+			}
+			w.run(time.Duration(w.random.IntN(7000)) * time.Millisecond)
+		}
+		w.check()
+		w.faults = false
+		for _, h := range w.hosts {
+			h.awayUntil, h.storeLost = 0, false
+			if h.draining {
+				h.start()
+			}
+		}
+		// The late writes, then the longest change of the holder.
+		w.run(8*time.Second + detection + unchangedPeriod + testDistance + Validity + 2*time.Second)
+		if w.holder() == "" {
+			t.Fatalf("seed %d: no host holds the lease at the end", seed)
+		}
+		w.check()
+	}
+}
