Leave the duties lease to hosts that know it and reach the operator's API

Cause: in a fleet of two builds the first host by rank may not know the lease, and hubs of the other build drop the token from the heartbeats that they pass on. A holder may also be the only host that the operator's API does not answer. Change: heartbeats say whether a host may hold the lease (field 49). A host asks a live holder before it takes the lease from it. A holder whose calls have had no answer for 2.5 s releases the lease if another host may reach the API, and leaves it to others for 30 s.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -72,11 +72,25 @@
 	CutOff bool `cbor:"37,keyasint,omitempty"`
 	// DutiesToken is the token of the duties lease if the host holds it, else 0.
 	DutiesToken uint64 `cbor:"48,keyasint,omitempty"`
+	// Duties says whether the host may hold the duties lease.
+	Duties DutiesState `cbor:"49,keyasint,omitempty"`
 	// Protocol is protocolHubs, or zero for builds that send heartbeats to every host and
 	// must receive them from every host.
 	Protocol int `cbor:"25,keyasint,omitempty"`
 }
 
+// DutiesState says whether a host may hold the duties lease.
+type DutiesState uint8
+
+// The states. Builds that do not know the duties report DutiesUnknown.
+const (
+	DutiesUnknown DutiesState = iota
+	// DutiesImpaired hosts hold the lease only if there are no DutiesAble ones: the operator's API
+	// did not answer them.
+	DutiesImpaired
+	DutiesAble
+)
+
 // newer reports whether m replaces the older record o of the same host.
 func (m *Member) newer(o *Member) bool {
 	if m.Incarnation != o.Incarnation {
--- a/internal/transport/duties/lease.go
+++ b/internal/transport/duties/lease.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
@@ -33,9 +35,11 @@
 	// renewInterval leaves a renewal half a second, which the store takes when it is slow.
 	renewInterval = time.Second
 	// unchangedPeriod is how long a lease must stay unchanged before another host takes it from a
-	// holder that is alive but whose heartbeats report no fencing token: the holder may have
-	// acquired it just now.
+	// holder that is alive but does not say that it holds it: the holder may have acquired it just
+	// now.
 	unchangedPeriod = 1500 * time.Millisecond
+	// askTimeout bounds the question to a holder whether it still is one.
+	askTimeout = 500 * time.Millisecond
 	// startDelay is how long a new process waits for the heartbeats of a holder.
 	startDelay = time.Second
 	// checkInterval is the interval at which a host checks whether it should hold the lease.
@@ -45,6 +49,14 @@
 	// unreachableBeforeRelease is how long the store has not served a holder before it releases the
 	// lease. One failed call does not move the lease.
 	unreachableBeforeRelease = 1500 * time.Millisecond
+	// failingBeforeRelease is how long the operator's API has not answered a holder before it
+	// releases the lease to a host that may reach it, and impairedPeriod how long it then leaves the
+	// lease to others. A report that waits for the first failure, the next holder and its first call
+	// is still sent within the 10 s in which it is due.
+	failingBeforeRelease = 2500 * time.Millisecond
+	impairedPeriod       = 30 * time.Second
+	// acquisitionPause is the time between two attempts to acquire the lease.
+	acquisitionPause = time.Second
 	// releaseTimeout bounds the release on a planned stop, which may have little time left.
 	releaseTimeout = time.Second
 )
@@ -81,6 +93,9 @@
 	StoreReachable func() bool
 	// Announce sends a heartbeat immediately.
 	Announce func()
+	// AskToken asks a host for the fencing token with which it holds the lease, zero if it does not
+	// hold it. Heartbeats that pass through a hub of a build without duties do not report it.
+	AskToken func(ctx context.Context, host string) (uint64, error)
 }
 
 // Lease is this host's view of the duties lease. It is safe for concurrent use.
@@ -110,6 +125,11 @@
 	// cancel ends the duties, running counts those that have not ended.
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// failingSince is the boot time of the first of the calls that the API has not answered since it
+	// last answered one, zero if there is none. impairedUntil is until when others are to hold the
+	// lease.
+	failingSince  time.Duration
+	impairedUntil time.Duration
 	// mustRelease is the reason for a release that is due, or empty. No calls are sent until then.
 	mustRelease string
 
@@ -119,6 +139,8 @@
 	seenVersion      uint64
 	seenAt           time.Duration
 	unreachableSince time.Duration
+	// triedAt is when this host last tried to acquire the lease.
+	triedAt time.Duration
 }
 
 // NewLease returns a lease that is not held and registers its metrics. Run acquires it.
@@ -149,6 +171,22 @@
 	return l.own.FencingToken
 }
 
+// State returns whether this host may hold the lease. Heartbeats report it.
+func (l *Lease) State() presence.DutiesState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.now() < l.impairedUntil {
+		return presence.DutiesImpaired
+	}
+	return presence.DutiesAble
+}
+
+// Credentials returns the credentials for calls and whether this host may send them at boot time now.
+func (l *Lease) Credentials(now time.Duration) (operatorapi.Credentials, bool) {
+	token, ok := l.Holding(now)
+	return operatorapi.Credentials{Holder: l.settings.Host, Token: token}, ok
+}
+
 // Holding returns the fencing token and whether this host may send calls at boot time now (see
 // clock.SinceBoot).
 func (l *Lease) Holding(now time.Duration) (token uint64, ok bool) {
@@ -184,7 +222,9 @@
 // step makes one check of the lease.
 func (l *Lease) step(ctx context.Context, started time.Duration, duties []func(context.Context)) {
 	if l.Token() == 0 {
-		if l.now()-started > startDelay && l.isSuccessor() {
+		now := l.now()
+		if now-started > startDelay && now-l.triedAt >= acquisitionPause && l.isSuccessor() {
+			l.triedAt = now
 			l.acquire(ctx, duties)
 		}
 		return
@@ -216,6 +256,9 @@
 	if l.fleet.Draining() {
 		return "the host is stopping"
 	}
+	if l.failing() {
+		return "the operator's API does not answer the host"
+	}
 	if l.fleet.StoreReachable() {
 		l.unreachableSince = 0
 		return ""
@@ -227,14 +270,58 @@
 		return ""
 	}
 	// If the store serves no host, none can take over.
-	for _, c := range l.fleet.Candidates() {
-		if c.StoreReachable && !c.Draining && c.Host != l.settings.Host {
-			return "the store does not serve the host"
-		}
+	if l.hasOther(func(c presence.Candidate) bool { return c.StoreReachable }) {
+		return "the store does not serve the host"
 	}
 	return ""
 }
 
+// failing reports whether the API has not answered this host's calls for failingBeforeRelease while
+// another host may reach it, and if so marks this host as impaired.
+func (l *Lease) failing() bool {
+	l.mu.Lock()
+	since := l.failingSince
+	l.mu.Unlock()
+	if since == 0 || l.now()-since < failingBeforeRelease {
+		return false
+	}
+	able := map[string]bool{}
+	for _, p := range l.fleet.Peers() {
+		able[p.Host] = p.Duties == presence.DutiesAble
+	}
+	if !l.hasOther(func(c presence.Candidate) bool { return able[c.Host] }) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.impairedUntil, l.failingSince = l.now()+impairedPeriod, 0
+	return true
+}
+
+// hasOther reports whether another host may perform tasks and fulfils a condition.
+func (l *Lease) hasOther(condition func(presence.Candidate) bool) bool {
+	return slices.ContainsFunc(l.fleet.Candidates(), func(c presence.Candidate) bool {
+		return c.Host != l.settings.Host && c.Ready && !c.Draining && condition(c)
+	})
+}
+
+// candidates returns the hosts that may hold the lease: those of builds that know the duties, and
+// among these the ones that are not impaired, if there are any.
+func (l *Lease) candidates() []presence.Candidate {
+	states := map[string]presence.DutiesState{l.settings.Host: l.State()}
+	for _, p := range l.fleet.Peers() {
+		states[p.Host] = p.Duties
+	}
+	all := l.fleet.Candidates()
+	best := presence.DutiesImpaired
+	for _, c := range all {
+		if c.Ready && !c.Draining {
+			best = max(best, states[c.Host])
+		}
+	}
+	return slices.DeleteFunc(all, func(c presence.Candidate) bool { return states[c.Host] < best })
+}
+
 // isSuccessor reports whether this host should acquire the lease: no live peer reports that it holds
 // the lease, except draining ones, and this host ranks first among the candidates.
 func (l *Lease) isSuccessor() bool {
@@ -246,7 +333,7 @@
 			return false
 		}
 	}
-	return presence.Successor(task, l.fleet.Candidates()) == l.settings.Host
+	return presence.Successor(task, l.candidates()) == l.settings.Host
 }
 
 // superseded reports whether a live peer reports a higher fencing token.
@@ -282,7 +369,7 @@
 		l.log.Warn("Failed to read duties lease", "err", err)
 		return
 	}
-	if l.mayBeHeld(current, version) {
+	if l.mayBeHeld(callCtx, current, version) {
 		return
 	}
 	next := record{Holder: l.settings.Host, FencingToken: current.FencingToken + 1}
@@ -301,7 +388,7 @@
 	dutiesCtx, cancelDuties := context.WithCancel(ctx)
 	l.mu.Lock()
 	now := l.now()
-	l.held, l.own, l.version, l.renewedAt, l.mustRelease = true, next, version, sent, ""
+	l.held, l.own, l.version, l.renewedAt, l.mustRelease, l.failingSince = true, next, version, sent, "", 0
 	l.notBefore, l.lastCall = now+wait, now+wait-l.settings.Distance
 	l.cancel = cancelDuties
 	l.mu.Unlock()
@@ -317,21 +404,21 @@
 
 // mayBeHeld reports whether the host that a record names is alive and may still hold the lease. A
 // former process of this host does not.
-func (l *Lease) mayBeHeld(r record, version uint64) bool {
-	if r.Released || r.Holder == l.settings.Host {
+func (l *Lease) mayBeHeld(ctx context.Context, r record, version uint64) bool {
+	alive := slices.ContainsFunc(l.fleet.Peers(), func(p presence.Member) bool { return p.Host == r.Holder })
+	if r.Released || r.Holder == l.settings.Host || !alive {
 		return false
 	}
-	for _, p := range l.fleet.Peers() {
-		if p.Host != r.Holder {
-			continue
-		}
-		if l.seenVersion != version {
-			l.seenVersion, l.seenAt = version, l.now()
-			return true
-		}
-		return l.now()-l.seenAt <= unchangedPeriod
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if token, err := l.fleet.AskToken(ctx, r.Holder); err == nil && token == r.FencingToken {
+		return true
 	}
-	return false
+	if l.seenVersion != version {
+		l.seenVersion, l.seenAt = version, l.now()
+		return true
+	}
+	return l.now()-l.seenAt <= unchangedPeriod
 }
 
 // firstCallDelay returns how long a new holder waits before its first call. A former process of
@@ -430,12 +517,18 @@
 	return true
 }
 
-// endCall records the end of a call.
-func (l *Lease) endCall() {
+// endCall records the end of a call, and whether the API answered it.
+func (l *Lease) endCall(answered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
 	l.lastCall = l.now()
+	switch {
+	case answered:
+		l.failingSince = 0
+	case l.failingSince == 0:
+		l.failingSince = l.lastCall
+	}
 }
 
 // refused makes Run release the lease with a fencing token that the API refused. Calls with it are
