Count requests by team and window, and decide a window's report

Cause: the operator wants the number of requests of each team that began to run in each window, in true time, within 0.05 of the true value. Change: coordination/usage (counter of a host, clock agreed on by the median of the hosts, collector that merges cumulative counts, closes windows and estimates what killed hosts lost). transport/usage sends the counts to the holder of the duties lease once a second, which saves them, stores the decision before the first call, and sends that object. Front counts plain requests when sent and streams at their first event. Inbound.Team is not set yet, so nothing is counted until teams are.

--- a/cmd/oleanderfall/main.go
+++ b/cmd/oleanderfall/main.go
@@ -18,6 +18,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/transport/front"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	"oleanderfall.example/oleanderfall/platform"
@@ -97,6 +98,7 @@
 			fx.Annotate(func() objectapi.API { return store.Stale() }, fx.ResultTags(`name:"stale"`)),
 			func() backend.Client { return platform.NewEndpointClient() },
 			func() front.Decoder { return platform.Decoder{} },
+			func() operatorapi.Client { return platform.NewOperatorClient(s.OperatorAPI.Address) },
 			func() front.Handlers { return platform.Handlers{} },
 		),
 		front.Module,
--- /dev/null
+++ b/internal/coordination/usage/collector.go
@@ -0,0 +1,232 @@
+package usage
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// SendInterval is the time between two messages of a source while its counts change.
+	SendInterval = time.Second
+	// SaveInterval is the time between two saves of the collected counts.
+	SaveInterval = time.Second
+	// deathNoticed bounds the time from the last message of a source that counted until its death to
+	// the moment at which its host is known to be dead: an interval, the silence after which a host
+	// is regarded as dead and the way of that news through hubs.
+	deathNoticed = SendInterval + 2500*time.Millisecond
+	// restartNoticed is deathNoticed for a host whose next process sends counts.
+	restartNoticed = 5 * time.Second
+)
+
+// Source identifies a process that counts: a host and its incarnation.
+type Source struct {
+	Host        string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+}
+
+// Report is the cumulative counts of one source for one window. Of two reports, the one with the
+// higher revision replaces the other, since counts may also fall.
+type Report struct {
+	Source   Source `cbor:"1,keyasint"`
+	Window   int64  `cbor:"2,keyasint"`
+	Revision uint64 `cbor:"3,keyasint"`
+	Counts   Counts `cbor:"4,keyasint"`
+}
+
+// LastMessage is the Unix time in nanoseconds of the last message of a source.
+type LastMessage struct {
+	Source Source `cbor:"1,keyasint"`
+	Unix   int64  `cbor:"2,keyasint"`
+}
+
+// State is what a successor needs of a Collector. Unix is the time at which it was taken, in
+// nanoseconds; all windows through Decided are decided.
+type State struct {
+	Unix    int64         `cbor:"1,keyasint"`
+	Decided int64         `cbor:"2,keyasint"`
+	Reports []Report      `cbor:"3,keyasint,omitempty"`
+	Heard   []LastMessage `cbor:"4,keyasint,omitempty"`
+}
+
+// sourceState is what is known of a source besides its reports.
+type sourceState struct {
+	// heard is the Unix time of its last message, savedAt that of the saved state from which this is
+	// known, zero if it sent the message to this host.
+	heard   time.Duration
+	savedAt time.Duration
+	// lost is the estimated time after its last message for which it counted before it died, zero
+	// if it is alive or had ceased to count before.
+	lost time.Duration
+	// before is its counts of the last decided window.
+	before Counts
+}
+
+// Collector merges the reports of all sources. It is not safe for concurrent use.
+type Collector struct {
+	windows Windows
+	// delay is the time after a window's end at which it is decided, maxDelay that until which a
+	// source that is still expected is waited for.
+	delay    time.Duration
+	maxDelay time.Duration
+	// decided is the last window that is decided.
+	decided int64
+	reports map[int64]map[Source]Report
+	sources map[Source]*sourceState
+}
+
+// NewCollector returns a collector for windows whose reports are due at the given time after their
+// end.
+//
+// A quarter of the time is for the counts of the last hosts to arrive, which send every second; up to
+// 0.4 of it for hosts that are late. The rest is for a change of the holder of the duties lease, which
+// takes up to 7 s of the 10 s.
+func NewCollector(w Windows, due time.Duration) *Collector {
+	return &Collector{windows: w, delay: due / 4, maxDelay: due * 2 / 5,
+		reports: map[int64]map[Source]Report{}, sources: map[Source]*sourceState{}}
+}
+
+// Decided returns the last window that is decided. All windows before it are, too.
+func (c *Collector) Decided() int64 { return c.decided }
+
+// Heard records a message of a source that arrived at Unix time now.
+func (c *Collector) Heard(source Source, now time.Duration) {
+	s := c.sources[source]
+	if s == nil {
+		s = &sourceState{}
+		c.sources[source] = s
+		for other, o := range c.sources {
+			if other.Host == source.Host && other.Incarnation < source.Incarnation && o.lost == 0 && now-o.heard < restartNoticed {
+				o.lost = SendInterval / 2
+			}
+		}
+	}
+	s.heard, s.savedAt, s.lost = now, 0, 0
+}
+
+// Check notices the sources that are no longer alive at Unix time now. A source that counted until it
+// died has lost what it counted since its last message: on average half an interval, and if the host
+// that collected died at the same time also half the time between two saves.
+func (c *Collector) Check(now time.Duration, alive func(host string) bool) {
+	for source, s := range c.sources {
+		if s.lost != 0 || alive(source.Host) {
+			continue
+		}
+		switch {
+		case s.savedAt != 0 && s.savedAt-s.heard <= SendInterval*3/2:
+			s.lost = (SendInterval + SaveInterval) / 2
+		case s.savedAt == 0 && now-s.heard <= deathNoticed:
+			s.lost = SendInterval / 2
+		}
+	}
+}
+
+// Merge adds a report and reports whether it changed the counts of an undecided window.
+func (c *Collector) Merge(r Report) bool {
+	if r.Window <= c.decided {
+		return false
+	}
+	old, known := c.reports[r.Window][r.Source]
+	if known && old.Revision >= r.Revision {
+		return false
+	}
+	if c.reports[r.Window] == nil {
+		c.reports[r.Window] = map[Source]Report{}
+	}
+	c.reports[r.Window][r.Source] = r
+	return !maps.Equal(old.Counts, r.Counts)
+}
+
+// State returns the state at Unix time now, for a successor.
+func (c *Collector) State(now time.Duration) State {
+	out := State{Unix: int64(now), Decided: c.decided}
+	for _, bySource := range c.reports {
+		out.Reports = slices.AppendSeq(out.Reports, maps.Values(bySource))
+	}
+	for source, s := range c.sources {
+		out.Heard = append(out.Heard, LastMessage{source, int64(s.heard)})
+	}
+	return out
+}
+
+// Restore adds the state that a former holder saved.
+func (c *Collector) Restore(s State) {
+	for _, r := range s.Reports {
+		c.Merge(r)
+	}
+	for _, h := range s.Heard {
+		if known := c.sources[h.Source]; known == nil {
+			c.sources[h.Source] = &sourceState{heard: time.Duration(h.Unix), savedAt: time.Duration(s.Unix)}
+		}
+	}
+}
+
+// Due returns the next window if it is to be decided at Unix time now. alive reports whether a host is
+// alive; a window waits for a while for live hosts that have sent counts in it but not since its end.
+func (c *Collector) Due(now time.Duration, alive func(host string) bool) (window int64, ok bool) {
+	window = c.decided + 1
+	since := now - c.windows.End(window)
+	if since < c.delay {
+		return 0, false
+	}
+	if since >= c.maxDelay {
+		return window, true
+	}
+	for source, s := range c.sources {
+		if s.heard < c.windows.End(window) && s.heard >= c.windows.End(window-1) && alive(source.Host) {
+			return 0, false
+		}
+	}
+	return window, true
+}
+
+// Sum returns the counts of a window as known now, with an estimate of what dead sources lost.
+func (c *Collector) Sum(window int64) Counts {
+	sum := map[string]float64{}
+	for _, r := range c.reports[window] {
+		for team, n := range r.Counts {
+			sum[team] += float64(n)
+		}
+	}
+	start, end := c.windows.End(window-1), c.windows.End(window)
+	for source, s := range c.sources {
+		lost := min(s.heard+s.lost, end) - max(s.heard, start)
+		counted := max(min(s.heard, end)-start, 0)
+		if s.lost == 0 || lost <= 0 {
+			continue
+		}
+		share := lost.Seconds() / (counted + c.windows.Length).Seconds()
+		if s.before == nil {
+			share = lost.Seconds() / max(counted, SendInterval).Seconds()
+		}
+		for team, n := range s.before {
+			sum[team] += float64(n) * share
+		}
+		for team, n := range c.reports[window][source].Counts {
+			sum[team] += float64(n) * share
+		}
+	}
+	out := Counts{}
+	for team, n := range sum {
+		if rounded := int64(math.Round(n)); rounded > 0 {
+			out[team] = rounded
+		}
+	}
+	return out
+}
+
+// SetDecided records that all windows through the given one are decided, and removes their reports.
+func (c *Collector) SetDecided(through int64) {
+	if through <= c.decided {
+		return
+	}
+	for source, s := range c.sources {
+		s.before = c.reports[through][source].Counts
+		if s.heard < c.windows.End(through-1) {
+			delete(c.sources, source)
+		}
+	}
+	c.decided = through
+	maps.DeleteFunc(c.reports, func(w int64, _ map[Source]Report) bool { return w <= through })
+}
--- a/internal/transport/duties/calls.go
+++ b/internal/transport/duties/calls.go
@@ -102,7 +102,8 @@
 	}
 	began := time.Now()
 	err := call()
-	c.lease.endCall(!errors.Is(err, operatorapi.ErrUnavailable) && !errors.Is(err, operatorapi.ErrUnconfirmed))
+	unconfirmed := errors.Is(err, operatorapi.ErrUnconfirmed)
+	c.lease.endCall(!unconfirmed && !errors.Is(err, operatorapi.ErrUnavailable), unconfirmed)
 	c.latency.Observe(time.Since(began).Seconds())
 	c.calls.WithLabelValues(duty, outcome(err)).Inc()
 	if err != nil {
--- a/internal/transport/duties/lease.go
+++ b/internal/transport/duties/lease.go
@@ -55,6 +55,9 @@
 	// is still sent within the 10 s in which it is due.
 	failingBeforeRelease = 2500 * time.Millisecond
 	impairedPeriod       = 30 * time.Second
+	// lateExecution is how long after a call without an answer the lease is not handed over because
+	// the API fails: the call may be executed after those of the next holder, with a lower token.
+	lateExecution = 10 * time.Second
 	// acquisitionPause is the time between two attempts to acquire the lease.
 	acquisitionPause = time.Second
 	// releaseTimeout bounds the release on a planned stop, which may have little time left.
@@ -130,6 +133,8 @@
 	// lease.
 	failingSince  time.Duration
 	impairedUntil time.Duration
+	// unconfirmedAt is when the last call ended that may be executed later.
+	unconfirmedAt time.Duration
 	// mustRelease is the reason for a release that is due, or empty. No calls are sent until then.
 	mustRelease string
 
@@ -200,6 +205,24 @@
 	return l.held && l.mustRelease == "" && now >= l.notBefore && now < l.renewedAt+Validity
 }
 
+// Confirmed reports whether the last renewal is still valid at boot time now. It is so also while a new
+// holder waits before its first call.
+func (l *Lease) Confirmed(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held && now < l.renewedAt+Validity
+}
+
+// StoredHolder returns the host that the stored lease names and its fencing token, empty if the lease
+// is released.
+func (l *Lease) StoredHolder(ctx context.Context) (host string, token uint64, err error) {
+	r, _, err := l.read(ctx)
+	if err != nil || r.Released {
+		return "", 0, err
+	}
+	return r.Holder, r.FencingToken, nil
+}
+
 // Run acquires the lease when this host is its next holder, and renews it while it is held. Each
 // duty runs while this host holds the lease: its context ends when the host stops holding it. A duty
 // must check Holding before each call, since it also runs while calls are not allowed yet. Run
@@ -280,9 +303,9 @@
 // another host may reach it, and if so marks this host as impaired.
 func (l *Lease) failing() bool {
 	l.mu.Lock()
-	since := l.failingSince
+	since, unconfirmedAt := l.failingSince, l.unconfirmedAt
 	l.mu.Unlock()
-	if since == 0 || l.now()-since < failingBeforeRelease {
+	if since == 0 || l.now()-since < failingBeforeRelease || unconfirmedAt != 0 && l.now()-unconfirmedAt < lateExecution {
 		return false
 	}
 	able := map[string]bool{}
@@ -517,12 +540,15 @@
 	return true
 }
 
-// endCall records the end of a call, and whether the API answered it.
-func (l *Lease) endCall(answered bool) {
+// endCall records the end of a call, whether the API answered it, and whether it may be executed later.
+func (l *Lease) endCall(answered, unconfirmed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
 	l.lastCall = l.now()
+	if unconfirmed {
+		l.unconfirmedAt = l.lastCall
+	}
 	switch {
 	case answered:
 		l.failingSince = 0
--- a/internal/transport/duties/lease_test.go
+++ b/internal/transport/duties/lease_test.go
@@ -141,7 +141,7 @@
 			}
 			if token, ok := h.lease.Holding(w.now); ok && h.lease.beginCall(token, 0) {
 				w.calls = append(w.calls, simCall{h.name, token, w.now})
-				h.lease.endCall(!h.apiLost)
+				h.lease.endCall(!h.apiLost, false)
 			}
 		}
 	}
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -17,6 +17,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/gate"
+	"oleanderfall.example/oleanderfall/internal/transport/usage"
 )
 
 const (
@@ -65,6 +66,8 @@
 	Resumes string
 	// Scoring marks a scoring request of this host, for which no caller waits.
 	Scoring bool
+	// Team is the name of the caller's team, empty if there is none.
+	Team string
 }
 
 // StreamWriter receives the answer to a streaming request: WriteHead is called once with the
@@ -92,6 +95,8 @@
 	gates *Gates
 	// origins remembers which software version began each stream.
 	origins *StreamOrigins
+	// usage counts the requests of each team, nil if they are not reported.
+	usage *usage.Service
 
 	mu sync.Mutex
 	// retryBudgets limit, for each service, hedged requests and retries after an endpoint
@@ -154,7 +159,7 @@
 	deadline := f.deadline(began, route, in)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64())}
+	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64()), usage: f.beginUsage(in)}
 	answer, err = c.runUnlessQuarantined(ctx)
 	f.recordResult(c, answer, err)
 	return answer, c.failures, err
@@ -254,6 +259,8 @@
 	mayHaveRun bool
 	// err is the error of the last failed attempt.
 	err error
+	// usage counts the request for its team.
+	usage *usage.Request
 }
 
 func (c *call) lastError() string {
@@ -371,10 +378,12 @@
 	c.lastEndpoint = e.ID
 	go func() {
 		began := time.Now()
+		ended := c.usage.Sent()
 		answer, err := c.f.client.Do(ctx, backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: idempotent(c.route),
 		})
+		ended(err == nil, errors.Is(err, backend.ErrNotRun))
 		took := time.Since(began)
 		if errors.Is(context.Cause(ctx), errHedgeLost) && err != nil && !errors.Is(err, backend.ErrPathLost) {
 			// An endpoint that never answers is detected only when another endpoint answers
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -20,6 +20,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 )
@@ -80,6 +81,8 @@
 	Handlers  Handlers
 	Log       *slog.Logger
 	Registry  *prometheus.Registry
+	// Operator calls the operator's API; nil if there is none.
+	Operator operatorapi.Client `optional:"true"`
 }
 
 // Node is the process of one host.
@@ -98,6 +101,7 @@
 	weights    *Weights
 	feed       *Feed
 	permits    *Permits
+	duties     *operatorDuties
 	params     Params
 
 	draining atomic.Bool
@@ -152,6 +156,8 @@
 		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
 	n.permits = newPermits(p.Settings.Host, fleet, n.peers, calls, n.candidate, component("permits"), p.Registry)
+	n.duties = newOperatorDuties(n, store, calls)
+	n.Forwarder.usage = n.duties.usageService()
 	n.endpoints.OnNotice(n.endpointNotice)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
@@ -215,6 +221,7 @@
 	h.StoreReachable, h.CutOff = n.storePath.Reachable(), n.endpoints.CutOff()
 	h.Generation = n.Catalog.Generation()
 	h.FencingToken = n.weights.FencingToken()
+	n.duties.fillHeartbeat(h)
 	h.Batches, h.Work = n.Batches.UnfinishedIDs(), n.Batches.RecentWork()
 	n.feed.FillHeartbeat(h)
 	n.Forwarder.quarantine.FillHeartbeat(h)
@@ -322,7 +329,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.Batches.Watch, n.Batches.WatchOwnership, n.duties.Run} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
@@ -368,6 +375,7 @@
 		return n.inflight.Load() == 0 && time.Since(began) > maxAddressCacheTime
 	})
 	n.shutDownServers()
+	n.duties.flush()
 	n.close()
 	n.log.Info("Host stopped", "in_flight", n.inflight.Load(), "took_ms", time.Since(began).Milliseconds())
 	return nil
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -179,7 +179,7 @@
 // peerHandler serves the calls of the other hosts.
 func (n *Node) peerHandler() http.Handler {
 	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, track: n.TrackRequest, log: logging.Component(n.params.Log, "endpoints")}
-	return newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay)
+	return n.duties.handler(newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay))
 }
 
 // newPeerHandler returns the handler of the calls of PeerClient. It also relays store calls for hosts
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -25,7 +25,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64())}
+	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64()), usage: f.beginUsage(in)}
 	err := c.findOrigin(ctx)
 	if err == nil {
 		err = c.streamUnlessQuarantined(ctx, out)
@@ -83,7 +83,7 @@
 		c.tried = append(c.tried, e.ID)
 		c.sent++
 		c.lastEndpoint = e.ID
-		started, sentAt := false, time.Now()
+		started, sentAt, lost := false, time.Now(), c.usage.Opened()
 		head := func(a *backend.Answer) error {
 			started = true
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
@@ -93,6 +93,7 @@
 		chunk := func(b []byte) error {
 			if !passedOn {
 				passedOn = true
+				c.usage.Began()
 				c.recordOrigin(e)
 			}
 			return out.WriteChunk(b)
@@ -105,6 +106,9 @@
 		if err == nil {
 			return nil
 		}
+		if !passedOn && !errors.Is(err, backend.ErrNotRun) && !errors.Is(err, backend.ErrInvalidRequest) {
+			lost() // the request may have run
+		}
 		if ctx.Err() == nil {
 			c.f.checkForCrash(c.fingerprint, e, sentAt, err)
 		}
