--- a/internal/coordination/presence/table.go
+++ b/internal/coordination/presence/table.go
@@ -158,6 +158,14 @@
 	return ok && t.alive(now, p)
 }
 
+// LastHeard returns the last sign of life of a host, directly or through a hub, zero if there is none.
+func (t *Table) LastHeard(host string) time.Time {
+	if p, ok := t.peers[host]; ok {
+		return p.heardAt
+	}
+	return time.Time{}
+}
+
 // Get returns the record of a host if it is alive at now.
 func (t *Table) Get(now time.Time, host string) (Member, bool) {
 	p, ok := t.peers[host]
--- a/internal/coordination/usage/collector.go
+++ b/internal/coordination/usage/collector.go
@@ -12,14 +12,20 @@
 	SendInterval = time.Second
 	// SaveInterval is the time between two saves of the collected counts.
 	SaveInterval = time.Second
-	// deathNoticed bounds the time from the last message of a source that counted until its death to
-	// the moment at which its host is known to be dead: an interval, the silence after which a host
-	// is regarded as dead and the way of that news through hubs.
-	deathNoticed = SendInterval + 2500*time.Millisecond
-	// restartNoticed is deathNoticed for a host whose next process sends counts.
+	// heartbeatInterval is the time between two signs of life of a host.
+	heartbeatInterval = 300 * time.Millisecond
+	// maxPause is the time since the last message of a source from which it had ceased to count: one
+	// that counts sends each SendInterval.
+	maxPause = SendInterval * 3 / 2
+	// restartNoticed bounds the time from the last message of a process that counted until it was
+	// killed to the first one of the next process of its host.
 	restartNoticed = 5 * time.Second
 )
 
+// Liveness reports whether a host is alive, and for how long there has been no sign of life of it;
+// negative is unknown.
+type Liveness func(host string) (alive bool, silent time.Duration)
+
 // Source identifies a process that counts: a host and its incarnation.
 type Source struct {
 	Host        string `cbor:"1,keyasint"`
@@ -56,8 +62,9 @@
 	// known, zero if it sent the message to this host.
 	heard   time.Duration
 	savedAt time.Duration
-	// lost is the estimated time after its last message for which it counted before it died, zero
-	// if it is alive or had ceased to count before.
+	// dead is set once it is no longer alive. lost is the estimated time after its last message for
+	// which it counted before it died, zero if it had ceased to count before.
+	dead bool
 	lost time.Duration
 	// before is its counts of the last decided window.
 	before Counts
@@ -90,34 +97,50 @@
 // Decided returns the last window that is decided. All windows before it are, too.
 func (c *Collector) Decided() int64 { return c.decided }
 
-// Heard records a message of a source that arrived at Unix time now.
+// Heard records a message of a source that arrived at Unix time now. Former processes of its host are
+// dead.
 func (c *Collector) Heard(source Source, now time.Duration) {
 	s := c.sources[source]
 	if s == nil {
 		s = &sourceState{}
 		c.sources[source] = s
 		for other, o := range c.sources {
-			if other.Host == source.Host && other.Incarnation < source.Incarnation && o.lost == 0 && now-o.heard < restartNoticed {
-				o.lost = SendInterval / 2
+			if other.Host == source.Host && other.Incarnation < source.Incarnation && !o.dead {
+				o.died(now, -1)
 			}
 		}
 	}
-	s.heard, s.savedAt, s.lost = now, 0, 0
+	s.heard, s.savedAt, s.dead, s.lost = now, 0, false, 0
+}
+
+// died records that the source is dead, after a silence of its host until Unix time now, and estimates
+// what it lost. Messages of a source that is known from a saved state may have reached the former
+// holder after the save. If the silence is unknown, an average is used: half the time between two
+// messages, and if the former holder died as well half the time between two saves.
+func (s *sourceState) died(now, silent time.Duration) {
+	s.dead = true
+	last := now - silent + heartbeatInterval/2
+	switch {
+	case s.savedAt != 0 && s.savedAt-s.heard > maxPause:
+	case s.savedAt != 0 && silent < 0:
+		s.lost = (SendInterval + SaveInterval) / 2
+	case s.savedAt != 0:
+		s.lost = min(max(last-s.heard, 0), SendInterval+SaveInterval)
+	case silent < 0 && now-s.heard < restartNoticed:
+		s.lost = SendInterval / 2
+	case silent >= 0 && last-s.heard <= maxPause:
+		s.lost = min(max(last-s.heard, 0), SendInterval)
+	}
 }
 
-// Check notices the sources that are no longer alive at Unix time now. A source that counted until it
-// died has lost what it counted since its last message: on average half an interval, and if the host
-// that collected died at the same time also half the time between two saves.
-func (c *Collector) Check(now time.Duration, alive func(host string) bool) {
+// Check notices the sources that are no longer alive at Unix time now.
+func (c *Collector) Check(now time.Duration, liveness Liveness) {
 	for source, s := range c.sources {
-		if s.lost != 0 || alive(source.Host) {
+		if s.dead {
 			continue
 		}
-		switch {
-		case s.savedAt != 0 && s.savedAt-s.heard <= SendInterval*3/2:
-			s.lost = (SendInterval + SaveInterval) / 2
-		case s.savedAt == 0 && now-s.heard <= deathNoticed:
-			s.lost = SendInterval / 2
+		if alive, silent := liveness(source.Host); !alive {
+			s.died(now, silent)
 		}
 	}
 }
@@ -162,9 +185,9 @@
 	}
 }
 
-// Due returns the next window if it is to be decided at Unix time now. alive reports whether a host is
-// alive; a window waits for a while for live hosts that have sent counts in it but not since its end.
-func (c *Collector) Due(now time.Duration, alive func(host string) bool) (window int64, ok bool) {
+// Due returns the next window if it is to be decided at Unix time now. A window waits for a while for
+// live hosts that have sent counts in it but not since its end.
+func (c *Collector) Due(now time.Duration, liveness Liveness) (window int64, ok bool) {
 	window = c.decided + 1
 	since := now - c.windows.End(window)
 	if since < c.delay {
@@ -174,7 +197,10 @@
 		return window, true
 	}
 	for source, s := range c.sources {
-		if s.heard < c.windows.End(window) && s.heard >= c.windows.End(window-1) && alive(source.Host) {
+		if s.dead || s.heard >= c.windows.End(window) || s.heard < c.windows.End(window-1) {
+			continue
+		}
+		if alive, _ := liveness(source.Host); alive {
 			return 0, false
 		}
 	}
@@ -193,7 +219,7 @@
 	for source, s := range c.sources {
 		lost := min(s.heard+s.lost, end) - max(s.heard, start)
 		counted := max(min(s.heard, end)-start, 0)
-		if s.lost == 0 || lost <= 0 {
+		if !s.dead || lost <= 0 {
 			continue
 		}
 		share := lost.Seconds() / (counted + c.windows.Length).Seconds()
--- a/internal/coordination/usage/usage_test.go
+++ b/internal/coordination/usage/usage_test.go
@@ -12,7 +12,7 @@
 // due is the time after a window's end at which its report is due.
 const due = 10 * time.Second
 
-func everyHost(string) bool { return true }
+func everyHost(string) (bool, time.Duration) { return true, 0 }
 
 // A request counts once, in the window in which it was sent to the endpoint that began to run it. This
 // guards against requests that count twice because of a retry or a hedge, or although no endpoint ran
@@ -152,7 +152,7 @@
 		alive bool
 		want  bool
 	}{{0, true, false}, {2400 * time.Millisecond, true, false}, {2500 * time.Millisecond, true, false}, {2500 * time.Millisecond, false, true}, {4 * time.Second, true, true}} {
-		if _, got := c.Due(end+s.after, func(string) bool { return s.alive }); got != s.want {
+		if _, got := c.Due(end+s.after, func(string) (bool, time.Duration) { return s.alive, -1 }); got != s.want {
 			t.Errorf("%v after the end, late host alive %v: due %v", s.after, s.alive, got)
 		}
 	}
@@ -170,7 +170,6 @@
 		c := NewCollector(testWindows, due)
 		c.SetDecided(9)
 		killed := map[string]bool{}
-		alive := func(host string) bool { return !killed[host] }
 		start := testWindows.End(9)
 		trueCount := 0.0
 		now := start - 5*time.Second
@@ -204,7 +203,9 @@
 				}
 			}
 			if now > start+kill+1400*time.Millisecond {
-				c.Check(now, alive)
+				c.Check(now, func(host string) (bool, time.Duration) {
+					return !killed[host], now - start - kill + heartbeatInterval/2
+				})
 			}
 			if testWindows.Index(now) == 10 {
 				c.SetDecided(9)
--- a/internal/transport/duties/lease.go
+++ b/internal/transport/duties/lease.go
@@ -81,6 +81,8 @@
 	Host string
 	// Distance is the minimum time between the last call of a holder and the first of the next one.
 	Distance time.Duration
+	// Now returns the boot time; nil means clock.SinceBoot.
+	Now func() time.Duration
 }
 
 // Fleet is what a host knows about the other hosts.
@@ -161,6 +163,9 @@
 			Name: "oleander_duties_renewals_total", Help: "Renewals of the duties lease by outcome.",
 		}, []string{"outcome"}),
 	}
+	if s.Now != nil {
+		l.now = s.Now
+	}
 	reg.MustRegister(l.holding, l.acquisitions, l.renewals)
 	return l
 }
--- a/internal/transport/duties/lease_test.go
+++ b/internal/transport/duties/lease_test.go
@@ -83,12 +83,11 @@
 // start starts the process of a host, also after a crash.
 func (h *simHost) start() {
 	h.draining = false
-	h.lease = NewLease(Settings{Host: h.name, Distance: testDistance}, h, Fleet{
+	h.lease = NewLease(Settings{Host: h.name, Distance: testDistance, Now: func() time.Duration { return h.world.now }}, h, Fleet{
 		Peers: h.peers, Candidates: h.candidates, Ready: func() bool { return true }, Draining: func() bool { return h.draining },
 		StoreReachable: func() bool { return !h.storeLost }, Announce: func() { h.token = h.lease.Token() },
 		AskToken: h.askToken,
 	}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
-	h.lease.now = func() time.Duration { return h.world.now }
 }
 
 func (h *simHost) peers() (out []presence.Member) {
--- a/internal/transport/front/duties.go
+++ b/internal/transport/front/duties.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
@@ -53,7 +54,7 @@
 	if p.Settings.OperatorAPI.ReportsUsage && p.Settings.UsageWindow > 0 {
 		d.usage = usage.New(usage.Params{
 			Host: p.Settings.Host, Window: p.Settings.UsageWindow, Due: p.Settings.UsageDue, Lease: d.lease, Calls: d.calls, Store: store,
-			Holder: n.peers.dutiesHolder, Alive: func(host string) bool { _, alive := n.peers.Get(host); return alive },
+			Holder: n.peers.dutiesHolder, Liveness: n.peers.liveness,
 			Send: peerClient.SendUsage, Log: logging.Component(p.Log, "usage"), Registry: p.Registry,
 		})
 		d.run = append(d.run, d.usage.Report)
@@ -150,6 +151,19 @@
 	return host, token
 }
 
+// liveness reports whether a peer is alive and how long there has been no sign of life of it; see
+// usage.Liveness of package coordination/usage.
+func (p *Peers) liveness(host string) (alive bool, silent time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	heard := p.table.LastHeard(host)
+	if heard.IsZero() {
+		return p.table.Alive(now, host), -1
+	}
+	return p.table.Alive(now, host), now.Sub(heard)
+}
+
 // beginUsage returns the count of a caller's request.
 func (f *Forwarder) beginUsage(in *Inbound) *usage.Request {
 	if in.Scoring {
--- a/internal/transport/usage/reporting.go
+++ b/internal/transport/usage/reporting.go
@@ -40,7 +40,7 @@
 	// keptReports is the number of decided reports that stay in the store. A write that is executed
 	// late must not create the report of a window again.
 	keptReports = 24
-	// maxSending is the number of reports that are sent at the same time, one while the API fails.
+	// maxSending is the number of reports that are sent at the same time.
 	maxSending = 4
 	// firstCallTimeout bounds the first call of a report. Each further one has twice the time up to
 	// maxCallTimeout, so that a slow API is waited for. The pause after a failure grows likewise.
@@ -260,9 +260,9 @@
 		now := s.now()
 		unix := now + s.clock.Offset()
 		if r.settled(now) {
-			r.collector.Check(unix, s.alive)
+			r.collector.Check(unix, s.liveness)
 		}
-		window, due := r.collector.Due(unix, s.alive)
+		window, due := r.collector.Due(unix, s.liveness)
 		paused := now-r.lastCheck > pauseThreshold
 		due = due && !paused && now >= r.decideFrom && s.Lease.Confirmed(now)
 		if due {
@@ -279,8 +279,13 @@
 	}
 }
 
-// alive reports whether a host is alive, also this one.
-func (s *Service) alive(host string) bool { return host == s.Host || s.Alive(host) }
+// liveness reports whether a host is alive, also this one; see usage.Liveness.
+func (s *Service) liveness(host string) (alive bool, silent time.Duration) {
+	if host == s.Host {
+		return true, 0
+	}
+	return s.Liveness(host)
+}
 
 // decide stores the report of a window, unless another holder has stored one before: then that one is
 // sent.
@@ -402,16 +407,15 @@
 	})
 	for _, w := range order {
 		p := r.unsent[w]
-		limit := maxSending
-		if r.failures > 0 {
-			limit = 1
+		// While the API fails, one report is sent again at a time, but each is sent once as soon as it
+		// is decided: the API may execute calls that it does not answer.
+		first := p.attempts == 0 && !late(w)
+		if p.sending || !first && (now < r.sendFrom || r.failures > 0 && r.sending > 0) {
+			continue
 		}
-		if r.sending >= limit || now < r.sendFrom {
+		if r.sending >= maxSending {
 			return
 		}
-		if p.sending {
-			continue
-		}
 		p.sending = true
 		p.attempts++
 		r.sending++
--- a/internal/transport/usage/service.go
+++ b/internal/transport/usage/service.go
@@ -51,9 +51,9 @@
 	Calls  operatorapi.Client
 	Store  objectapi.API
 	// Holder returns the live peer that reports that it holds the duties lease and its fencing token,
-	// empty if there is none. Alive reports whether a peer is alive.
-	Holder func() (host string, token uint64)
-	Alive  func(host string) bool
+	// empty if there is none. Liveness is that of the peers.
+	Holder   func() (host string, token uint64)
+	Liveness usage.Liveness
 	// Send sends a message with counts to a peer and returns its answer.
 	Send     func(ctx context.Context, host string, message []byte) ([]byte, error)
 	Log      *slog.Logger
@@ -257,7 +257,7 @@
 		s.Log.Warn("Failed to read the holder of the duties lease", "err", err)
 		return holder{}
 	}
-	if !s.Alive(host) {
+	if alive, _ := s.Liveness(host); !alive {
 		return holder{}
 	}
 	return holder{host, token}
