Test at a cluster that each request is reported once

Cause: requests are counted in front, below retries, hedges and peers. Change: a test cluster with a fake operator's API, and one without. Duties are off if the settings name none that this build performs.

--- a/internal/transport/front/duties.go
+++ b/internal/transport/front/duties.go
@@ -40,7 +40,8 @@
 // newOperatorDuties returns the duties that the settings name, nil if there are none.
 func newOperatorDuties(n *Node, store *objectapi.Client, peerClient *PeerClient) *operatorDuties {
 	p := n.params
-	if p.Operator == nil || p.Settings.OperatorAPI.Address == "" {
+	reportsUsage := p.Settings.OperatorAPI.ReportsUsage && p.Settings.UsageWindow > 0
+	if p.Operator == nil || p.Settings.OperatorAPI.Address == "" || !reportsUsage {
 		return nil
 	}
 	log := logging.Component(p.Log, "duties")
@@ -51,7 +52,7 @@
 		AskToken: peerClient.DutiesToken,
 	}, log, p.Registry)
 	d.calls = duties.NewCalls(d.lease, p.Operator, p.Settings.OperatorAPI.CallsPerSecond, log, p.Registry)
-	if p.Settings.OperatorAPI.ReportsUsage && p.Settings.UsageWindow > 0 {
+	if reportsUsage {
 		d.usage = usage.New(usage.Params{
 			Host: p.Settings.Host, Window: p.Settings.UsageWindow, Due: p.Settings.UsageDue, Lease: d.lease, Calls: d.calls, Store: store,
 			Holder: n.peers.dutiesHolder, Liveness: n.peers.liveness,
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -21,6 +21,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
@@ -38,6 +39,8 @@
 	nodes   map[string]*testNode
 	// stalledReads, when set, is the stalledReads of hosts that start from then on.
 	stalledReads *string
+	// operator, when set, is the operator's API of hosts that start from then on.
+	operator operatorapi.Client
 }
 
 // testNode is a host under test with its own access to the store.
@@ -89,6 +92,10 @@
 	for _, n := range w.nodes {
 		s.Seeds = append(s.Seeds, n.Settings.PeerAddress)
 	}
+	if w.operator != nil {
+		s.OperatorAPI = OperatorAPI{Address: "operator:1", CallsPerSecond: 10, ReportsUsage: true}
+		s.UsageWindow, s.UsageDue = time.Second, 10*time.Second
+	}
 	return s
 }
 
@@ -121,7 +128,7 @@
 	}
 	links := &hostLinks{fakeEngines: w.engines}
 	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: links, Decoder: testDecoder{},
-		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry()})
+		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry(), Operator: w.operator})
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
