--- a/internal/coordination/usage/collector.go
+++ b/internal/coordination/usage/collector.go
@@ -186,7 +186,7 @@
 }
 
 // Due returns the next window if it is to be decided at Unix time now. A window waits for a while for
-// live hosts that have sent counts in it but not since its end.
+// live hosts that were counting at its end but have sent no counts since.
 func (c *Collector) Due(now time.Duration, liveness Liveness) (window int64, ok bool) {
 	window = c.decided + 1
 	since := now - c.windows.End(window)
@@ -197,7 +197,7 @@
 		return window, true
 	}
 	for source, s := range c.sources {
-		if s.dead || s.heard >= c.windows.End(window) || s.heard < c.windows.End(window-1) {
+		if s.dead || s.heard >= c.windows.End(window) || s.heard < c.windows.End(window)-maxPause {
 			continue
 		}
 		if alive, _ := liveness(source.Host); alive {
--- a/internal/transport/usage/reporting.go
+++ b/internal/transport/usage/reporting.go
@@ -419,7 +419,7 @@
 		p.sending = true
 		p.attempts++
 		r.sending++
-		s.async(func() { s.sendReport(ctx, r, w, p, creds) })
+		go s.sendReport(ctx, r, w, p, creds)
 	}
 }
 
--- a/internal/transport/usage/service.go
+++ b/internal/transport/usage/service.go
@@ -67,11 +67,9 @@
 	windows usage.Windows
 	source  usage.Source
 	metrics *metrics
-	// now returns the boot time, wall the Unix time of the wall clock, and async runs a function in
-	// the background. Tests replace them.
-	now   func() time.Duration
-	wall  func() time.Duration
-	async func(func())
+	// now returns the boot time, wall the Unix time of the wall clock. Tests replace them.
+	now  func() time.Duration
+	wall func() time.Duration
 
 	mu      sync.Mutex
 	counter *usage.Counter
@@ -98,9 +96,7 @@
 
 // New returns a service and registers its metrics.
 func New(p Params) *Service {
-	s := newService(p, clock.SinceBoot, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
-	s.async = func(f func()) { go f() }
-	return s
+	return newService(p, clock.SinceBoot, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 }
 
 func newService(p Params, now, wall func() time.Duration) *Service {
