Keep windows right when a new holder's clock was wrong at its start

Change: each host sends a new holder a message also without counts. Former processes known only from the saved state are ended, too.

--- a/internal/coordination/usage/collector.go
+++ b/internal/coordination/usage/collector.go
@@ -104,15 +104,24 @@
 	if s == nil {
 		s = &sourceState{}
 		c.sources[source] = s
-		for other, o := range c.sources {
-			if other.Host == source.Host && other.Incarnation < source.Incarnation && !o.dead {
-				o.died(now, -1)
-			}
-		}
+		c.endFormer(now)
 	}
 	s.heard, s.savedAt, s.dead, s.lost = now, 0, false, 0
 }
 
+// endFormer records that the former processes of hosts are dead of which a newer one is known.
+func (c *Collector) endFormer(now time.Duration) {
+	newest := map[string]int64{}
+	for source := range c.sources {
+		newest[source.Host] = max(newest[source.Host], source.Incarnation)
+	}
+	for source, s := range c.sources {
+		if source.Incarnation < newest[source.Host] && !s.dead {
+			s.died(now, -1)
+		}
+	}
+}
+
 // died records that the source is dead, after a silence of its host until Unix time now, and estimates
 // what it lost. Messages of a source that is known from a saved state may have reached the former
 // holder after the save. If the silence is unknown, an average is used: half the time between two
@@ -183,6 +192,7 @@
 			c.sources[h.Source] = &sourceState{heard: time.Duration(h.Unix), savedAt: time.Duration(s.Unix)}
 		}
 	}
+	c.endFormer(time.Duration(s.Unix))
 }
 
 // Due returns the next window if it is to be decided at Unix time now. A window waits for a while for
--- a/internal/transport/duties/lease.go
+++ b/internal/transport/duties/lease.go
@@ -229,8 +229,9 @@
 }
 
 // Run acquires the lease when this host is its next holder, and renews it while it is held. Each
-// duty runs while this host holds the lease: its context ends when the host stops holding it. A duty
-// must check Holding before each call, since it also runs while calls are not allowed yet. Run
+// duty runs while this host holds the lease: its context ends when the host stops holding it, and it must
+// return soon after, since the lease is not acquired again before. A duty must check Holding before each
+// call, or make it through Calls, since it also runs while calls are not allowed yet. Run
 // releases the lease when the host drains, and returns when ctx ends.
 func (l *Lease) Run(ctx context.Context, duties ...func(context.Context)) {
 	started := l.now()
--- a/internal/transport/front/duties.go
+++ b/internal/transport/front/duties.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -54,7 +55,7 @@
 	d.calls = duties.NewCalls(d.lease, p.Operator, p.Settings.OperatorAPI.CallsPerSecond, log, p.Registry)
 	if reportsUsage {
 		d.usage = usage.New(usage.Params{
-			Host: p.Settings.Host, Window: p.Settings.UsageWindow, Due: p.Settings.UsageDue, Lease: d.lease, Calls: d.calls, Store: store,
+			Host: p.Settings.Host, Window: p.Settings.UsageWindow, Due: cmp.Or(p.Settings.UsageDue, 2*p.Settings.UsageWindow), Lease: d.lease, Calls: d.calls, Store: store,
 			Holder: n.peers.dutiesHolder, Liveness: n.peers.liveness,
 			Send: peerClient.SendUsage, Log: logging.Component(p.Log, "usage"), Registry: p.Registry,
 		})
--- a/internal/transport/usage/reporting.go
+++ b/internal/transport/usage/reporting.go
@@ -152,7 +152,8 @@
 func (s *Service) checkStore(ctx context.Context, r *reporting) {
 	s.mu.Lock()
 	now := s.now()
-	due, save := now >= r.storeFrom, r.changed && now-r.savedAt >= usage.SaveInterval
+	// Before the hosts have sent the times of their clocks, the current window may be a wrong one.
+	due, save := now >= r.storeFrom && r.settled(now), r.changed && now-r.savedAt >= usage.SaveInterval
 	s.mu.Unlock()
 	if !due {
 		return
@@ -259,9 +260,7 @@
 		s.mu.Lock()
 		now := s.now()
 		unix := now + s.clock.Offset()
-		if r.settled(now) {
-			r.collector.Check(unix, s.liveness)
-		}
+		r.collector.Check(unix, s.liveness)
 		window, due := r.collector.Due(unix, s.liveness)
 		paused := now-r.lastCheck > pauseThreshold
 		due = due && !paused && now >= r.decideFrom && s.Lease.Confirmed(now)
--- a/internal/transport/usage/service.go
+++ b/internal/transport/usage/service.go
@@ -28,6 +28,9 @@
 	settleAge = 20 * time.Second
 	// keepTime is how long a host without requests keeps counts whose decision it has not heard of.
 	keepTime = time.Hour
+	// clockInterval is the time after which a host without new counts sends a message all the same, so
+	// that its clock counts for the binding time and it learns that.
+	clockInterval = 5 * time.Minute
 	// askStoreInterval is the time between two reads of the lease by a host that has counts and sees
 	// no holder in heartbeats, as long as these pass through hubs of a build without duties.
 	askStoreInterval = 5 * time.Second
@@ -82,6 +85,11 @@
 	revision uint64
 	sentTo   holder
 	sent     map[int64]usage.Counts
+	// greeted is the holder that answered the last message, at greetedAt. failing is set after a
+	// message that was not answered.
+	greeted   holder
+	greetedAt time.Duration
+	failing   bool
 	// askedAt is when the lease was last read to find the holder.
 	askedAt time.Duration
 	// reporting is set while this host holds the duties lease.
@@ -208,7 +216,7 @@
 // Flush sends the counts of this host now, as far as the holder does not have them.
 func (s *Service) Flush(ctx context.Context) { s.sendCounts(ctx) }
 
-// sendCounts sends what changed since the last message.
+// sendCounts sends what changed since the last message, and a message without counts to a new holder.
 func (s *Service) sendCounts(ctx context.Context) {
 	var to holder
 	if to.token = s.Lease.Token(); to.token != 0 {
@@ -236,10 +244,12 @@
 		s.mu.Lock()
 		changed = s.changed(to)
 	}
-	m := message{Source: s.source, Unix: int64(s.clock.Own(s.now())), Revision: s.revision, Reports: changed}
+	now = s.now()
+	m := message{Source: s.source, Unix: int64(s.clock.Own(now)), Revision: s.revision, Reports: changed}
+	due := len(changed) > 0 || s.greeted != to || now-s.greetedAt >= clockInterval
 	s.mu.Unlock()
-	if to.host != "" && len(changed) > 0 {
-		s.send(ctx, to.host, &m)
+	if to.host != "" && due {
+		s.send(ctx, to, &m)
 	}
 }
 
@@ -281,8 +291,8 @@
 	return out
 }
 
-// send sends a message to a host and processes its answer.
-func (s *Service) send(ctx context.Context, to string, m *message) {
+// send sends a message to a holder and processes its answer.
+func (s *Service) send(ctx context.Context, to holder, m *message) {
 	raw, err := cbor.Marshal(m)
 	if err != nil {
 		s.Log.Error("Failed to encode usage counts", "err", err)
@@ -291,23 +301,27 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	sentAt := s.now()
-	raw, err = s.Send(ctx, to, raw)
+	raw, err = s.Send(ctx, to.host, raw)
 	var a answer
 	if err == nil {
 		err = cbor.Unmarshal(raw, &a)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
 	case err != nil:
 		s.metrics.messages.WithLabelValues("failed").Inc()
-		s.Log.Info("Failed to send usage counts", "holder", to, "err", err)
+		if !s.failing {
+			s.failing = true
+			s.Log.Warn("Failed to send usage counts; trying again each second", "holder", to.host, "err", err)
+		}
 		return
 	case a.NotHolder:
 		s.metrics.messages.WithLabelValues("not_holder").Inc()
 		return
 	}
 	s.metrics.messages.WithLabelValues("sent").Inc()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.greeted, s.greetedAt, s.failing = to, s.now(), false
 	for _, r := range m.Reports {
 		s.sent[r.Window] = r.Counts
 	}
