--- a/internal/transport/usage/reporting.go
+++ b/internal/transport/usage/reporting.go
@@ -153,7 +153,7 @@
 	s.mu.Lock()
 	now := s.now()
 	// Before the hosts have sent the times of their clocks, the current window may be a wrong one.
-	due, save := now >= r.storeFrom && r.settled(now), r.changed && now-r.savedAt >= usage.SaveInterval
+	due, save := now >= r.storeFrom && r.settled(now), r.changed && now-r.savedAt >= usage.SaveInterval && s.Lease.Confirmed(now)
 	s.mu.Unlock()
 	if !due {
 		return
@@ -203,7 +203,7 @@
 		decided = oldest
 	}
 	for w, counts := range reports {
-		if w > c.State.Decided || slices.Contains(c.Unsent, w) {
+		if w > current-maxBacklog && (w > c.State.Decided || slices.Contains(c.Unsent, w)) {
 			r.unsent[w] = &pendingReport{counts: counts}
 		}
 	}
@@ -313,6 +313,10 @@
 	defer s.mu.Unlock()
 	r.stored[window] = version
 	r.unsent[window] = &pendingReport{counts: counts}
+	if old := window - maxBacklog; r.unsent[old] != nil {
+		delete(r.unsent, old)
+		s.Log.Error("Usage of window given up; the operator's API did not confirm it in time", "window", old)
+	}
 	r.collector.SetDecided(window)
 	r.changed = true
 	s.setDecided(window)
