--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -186,7 +186,7 @@
 	if n.proofs != nil {
 		r.Handle(configProofPath, n.proofs).Methods(http.MethodGet)
 	}
-	return r
+	return n.duties.handler(r)
 }
 
 // newPeerHandler returns the handler of the calls of PeerClient. It also relays store calls for hosts
--- /dev/null
+++ b/internal/transport/usage/usage_test.go
@@ -0,0 +1,150 @@
+package usage
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/standin"
+)
+
+// Every window must be reported once, in time and with the right counts, whatever fails. The operator
+// charges reports that are late, missing or wrong, and two different reports of a window violate a rule.
+func TestUsage_Reports(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// fail causes the failure 32 s after the start, repair ends it 20 s later.
+		fail, repair func(w *world)
+		// late and wrong are the windows for which the failure leaves no way to be in time or right.
+		late, wrong int
+		// wallError is how far the wall clock of the holder is off at its start.
+		wallError time.Duration
+	}{
+		{name: "wall clock of the holder is wrong at its start", wallError: 2 * time.Minute},
+		{name: "nothing fails"},
+		{name: "holder killed", fail: func(w *world) { w.holder.kill() }},
+		{name: "holder killed and restarted", fail: func(w *world) {
+			h := w.holder
+			h.kill()
+			time.Sleep(500 * time.Millisecond)
+			h.start()
+		}},
+		{name: "half of the hosts killed", fail: func(w *world) {
+			for i, h := range w.hosts {
+				if i%2 == 0 {
+					h.kill()
+				}
+			}
+		}},
+		{name: "wall clocks step, also that of the holder", fail: func(w *world) {
+			w.set(func() {
+				w.hosts[0].wallError, w.hosts[1].wallError, w.holder.wallError = time.Minute, -time.Minute, time.Hour
+			})
+		}},
+		{name: "API silent", fail: func(w *world) { w.SetMode(standin.OperatorAPISilent) }, repair: func(w *world) { w.SetMode(standin.OperatorAPIUp) }},
+		// Windows whose 10 s end during the outage of 20 s are late.
+		{name: "API down", fail: func(w *world) { w.SetMode(standin.OperatorAPIDown) }, repair: func(w *world) { w.SetMode(standin.OperatorAPIUp) }, late: 4},
+		{name: "store down", fail: func(w *world) { w.set(func() { w.storeDown = true }) }, repair: func(w *world) { w.set(func() { w.storeDown = false }) }, late: 4},
+		// Its counts do not arrive before the windows of these 20 s are decided. Two of those end before
+		// it is regarded as lost, or after it is back.
+		{name: "holder cut off", fail: func(w *world) { w.set(func() { w.holder.lost = time.Now() }) }, repair: func(w *world) {
+			w.set(func() {
+				for _, h := range w.hosts {
+					h.lost = time.Time{}
+				}
+			})
+		}, wrong: 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 8, c.wallError)
+				from := unixNow()
+				go func() {
+					time.Sleep(32 * time.Second)
+					if c.fail != nil {
+						c.fail(w)
+					}
+					time.Sleep(20 * time.Second)
+					if c.repair != nil {
+						c.repair(w)
+					}
+				}()
+				time.Sleep(8 * time.Second) // the first windows are empty
+				w.load(80 * time.Second)
+				time.Sleep(20 * time.Second)
+				if all, late, wrong := w.judge(from); all < 15 || late > c.late || wrong > c.wrong {
+					t.Errorf("of %d windows %d are late and %d wrong; want at most %d and %d", all, late, wrong, c.late, c.wrong)
+				}
+				w.stop()
+			})
+		})
+	}
+}
+
+// If all hosts are killed, the saved counts must be reported by the next hosts, and windows in which
+// nothing ran as empty.
+func TestUsage_AllHostsKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6, 0)
+		from := unixNow()
+		w.load(31 * time.Second)
+		for _, h := range w.hosts {
+			h.kill()
+		}
+		time.Sleep(12 * time.Second)
+		for _, h := range w.hosts {
+			h.start()
+		}
+		restarted := unixNow()
+		w.load(30 * time.Second)
+		time.Sleep(20 * time.Second)
+		// Late: what was due from the kill to the first call. Wrong: the window of the kill.
+		if _, late, wrong := w.judge(from); late > 4 || wrong > 1 {
+			t.Errorf("%d windows late, %d wrong; want at most 4 and 1", late, wrong)
+		}
+		if _, late, wrong := w.judge(restarted); late > 0 || wrong > 0 {
+			t.Errorf("after the restart %d windows late, %d wrong", late, wrong)
+		}
+		w.stop()
+	})
+}
+
+// A holder that was paused must first collect again: while it slept the hosts counted on.
+func TestUsage_PausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 0)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		s := w.holder.service
+		r := s.reporting
+		before := r.collector.Decided()
+		w.set(func() { w.holder.boot += 10 * time.Second })
+		if err := s.decideDue(t.Context(), r); err != nil || r.collector.Decided() != before {
+			t.Errorf("decided %d after %d right after a pause, err %v", r.collector.Decided(), before, err)
+		}
+		w.stop()
+	})
+}
+
+// The store must not fill with old reports, and is not written without need.
+func TestUsage_StoredObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 0)
+		time.Sleep(10 * time.Minute)
+		before := w.store.Calls()
+		time.Sleep(10 * time.Minute)
+		after := w.store.Calls()
+		page, err := w.store.List(context.Background(), reportPrefix, "", 0)
+		if err != nil || len(page.Objects) > keptReports+4 || len(page.Objects) < keptReports {
+			t.Errorf("%d stored reports, err %v", len(page.Objects), err)
+		}
+		// Without requests, each window takes its report, the removal of an old one, and a save of the
+		// state after the decision and one after the answer.
+		const windows = int(10 * time.Minute / testWindow)
+		if n := after.Writes - before.Writes; n > 4*windows+4 || after.Reads > before.Reads {
+			t.Errorf("%d writes and %d reads for %d windows", n, after.Reads-before.Reads, windows)
+		}
+		w.stop()
+	})
+}
