Decide how many endpoints of a service to order in each zone

Cause: some deployments leave the number of endpoints of a service to this system, within limits for each zone and with prices for each zone and kind. Nothing decided it. Change: package coordination/scaling. The plan of a service takes the demand, the reported endpoints and the answers to earlier orders, and returns the orders that are due. It orders more at once, expects the batches' demand to go on rising while it rises, keeps what was needed in the last 40 s, and orders fewer in steps, never below what callers need without the largest zone or without all spot endpoints. Nothing uses the package yet.

--- /dev/null
+++ b/internal/coordination/scaling/allocation.go
@@ -0,0 +1,218 @@
+package scaling
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
+)
+
+// maxSpotShare bounds the spot endpoints of one zone, relative to all endpoints wanted. All of them
+// may be taken back at once, and their replacements serve only after the boot time.
+const maxSpotShare = 0.25
+
+// allocation distributes endpoints over the places. It starts from what is present, so that an order
+// changes no more than necessary.
+type allocation struct {
+	plan   *Plan
+	now    time.Duration
+	limits *catalog.Scaling
+	// places lists the places where endpoints may run, sorted.
+	places []Place
+	// counts has the number of endpoints in each place, former what is present.
+	counts, former map[Place]int
+	// zones has the number of endpoints in each zone, total and onDemand those of all zones.
+	zones           map[string]int
+	total, onDemand int
+	// callers is the number of endpoints that callers need.
+	callers int
+	// spotLimit bounds the spot endpoints of one zone.
+	spotLimit int
+}
+
+func newAllocation(p *Plan, in Input, limits *catalog.Scaling, callers int) *allocation {
+	a := &allocation{plan: p, now: in.Now, limits: limits, counts: map[Place]int{}, former: map[Place]int{}, zones: map[string]int{}, callers: callers}
+	for zone := range limits.ZonePrices {
+		a.zones[zone] = 0
+	}
+	for at := range p.places {
+		a.zones[at.Zone] = 0
+	}
+	for _, zone := range slices.Sorted(maps.Keys(a.zones)) {
+		for _, spot := range []bool{false, true} {
+			at := Place{Zone: zone, Spot: spot}
+			a.places = append(a.places, at)
+			a.former[at] = p.place(at).present()
+			a.change(at, a.former[at])
+		}
+	}
+	return a
+}
+
+// change adds n endpoints to a place.
+func (a *allocation) change(at Place, n int) {
+	a.counts[at] += n
+	a.zones[at.Zone] += n
+	a.total += n
+	if !at.Spot {
+		a.onDemand += n
+	}
+}
+
+// cost returns the price of another endpoint in a place, which is higher in zones that have a large
+// share of the endpoints, so that they do not all depend on the cheapest zone.
+func (a *allocation) cost(at Place) float64 {
+	price, ok := a.limits.ZonePrices[at.Zone]
+	if !ok {
+		price = 1
+	}
+	if at.Spot {
+		price *= a.limits.SpotPrice
+	}
+	return price * (1 + float64(a.zones[at.Zone])/float64(max(a.total, 1)))
+}
+
+// mayGrow reports whether more endpoints may be ordered in a place.
+func (a *allocation) mayGrow(at Place) bool {
+	s := a.plan.place(at)
+	if a.now < s.unavailableUntil || a.zones[at.Zone] >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
+		return false
+	}
+	// An unanswered order for more is repeated first. One for fewer that is no longer wanted is
+	// overridden, and ordered again if it is executed late.
+	return s.order == nil || !s.order.open || !s.order.pending && s.order.count < s.order.serving
+}
+
+// add adds an endpoint to the cheapest place that is allowed. It returns false if there is none.
+func (a *allocation) add(allowed func(Place) bool) bool {
+	best, bestCost := -1, 0.0
+	for i, at := range a.places {
+		if !a.mayGrow(at) || !allowed(at) {
+			continue
+		}
+		if cost := a.cost(at); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	a.change(a.places[best], 1)
+	return true
+}
+
+// largestZone returns the zone with the most endpoints.
+func (a *allocation) largestZone() string {
+	names := slices.Sorted(maps.Keys(a.zones))
+	if len(names) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(names, func(x, y string) int { return cmp.Compare(a.zones[x], a.zones[y]) })
+}
+
+// callersServed reports whether callers are served after the loss of the largest zone or of all spot
+// endpoints.
+func (a *allocation) callersServed() bool {
+	return a.onDemand >= a.callers && a.total-a.zones[a.largestZone()] >= a.callers
+}
+
+// grow adds endpoints until the service's minimum is reached, callers are served after a loss, and
+// the wanted number is reached, as far as the places allow.
+func (a *allocation) grow(wanted int) {
+	a.spotLimit = max(1, int(maxSpotShare*float64(wanted)))
+	withinSpotLimit := func(at Place) bool { return !at.Spot || a.counts[at] < a.spotLimit }
+	for _, zone := range slices.Sorted(maps.Keys(a.zones)) {
+		for a.zones[zone] < a.limits.Min && a.add(func(at Place) bool { return at.Zone == zone }) {
+			continue
+		}
+	}
+	for a.onDemand < a.callers && a.add(func(at Place) bool { return !at.Spot }) {
+		continue
+	}
+	for {
+		largest := a.largestZone()
+		if a.total-a.zones[largest] >= a.callers || !a.add(func(at Place) bool { return at.Zone != largest && withinSpotLimit(at) }) {
+			break
+		}
+	}
+	for a.total < wanted && (a.add(withinSpotLimit) || a.add(func(Place) bool { return true })) {
+		continue
+	}
+}
+
+// grown reports whether endpoints were added.
+func (a *allocation) grown() bool {
+	for at, n := range a.counts {
+		if n > a.former[at] {
+			return true
+		}
+	}
+	return false
+}
+
+// shrink removes endpoints beyond the wanted number as long as callers are served after a loss: first
+// spot endpoints beyond their limit, then the most expensive.
+func (a *allocation) shrink(wanted int) {
+	a.spotLimit = max(1, int(maxSpotShare*float64(wanted)))
+	for n := max(1, int(stepDownShare*float64(a.total))); n > 0 && a.total > wanted; n-- {
+		aboveMin := func(at Place) bool { return a.zones[at.Zone] > a.limits.Min }
+		if !a.remove(func(at Place) bool { return aboveMin(at) && at.Spot && a.counts[at] > a.spotLimit }) && !a.remove(aboveMin) {
+			return
+		}
+	}
+}
+
+// trim removes endpoints of zones that have more than the service's maximum, for example after a new
+// configuration.
+func (a *allocation) trim() {
+	for _, at := range a.places {
+		for a.zones[at.Zone] > a.limits.Max && a.counts[at] > 0 && a.mayShrink(at) {
+			a.change(at, -1)
+		}
+	}
+}
+
+// mayShrink reports whether fewer endpoints may be ordered in a place: no order is in effect there.
+func (a *allocation) mayShrink(at Place) bool { return a.plan.place(at).order == nil }
+
+// remove removes an endpoint from the most expensive place that is allowed. It returns false if there
+// is none.
+func (a *allocation) remove(allowed func(Place) bool) bool {
+	best, bestCost := -1, 0.0
+	for i, at := range a.places {
+		if a.counts[at] == 0 || !a.mayShrink(at) || !allowed(at) {
+			continue
+		}
+		a.change(at, -1)
+		served := a.callersServed()
+		a.change(at, 1)
+		if cost := a.cost(at); served && (best < 0 || cost > bestCost) {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	a.change(a.places[best], -1)
+	return true
+}
+
+// orders returns the orders for the places whose number changes, and repeats of unanswered ones. The
+// largest increases come first.
+func (a *allocation) orders() []Order {
+	var out []Order
+	grown := a.grown()
+	for _, at := range a.places {
+		o := a.plan.place(at).order
+		switch {
+		case a.counts[at] != a.former[at]:
+			out = append(out, Order{Place: at, Count: a.counts[at], Former: a.former[at]})
+		case o != nil && o.open && !o.pending && a.now >= o.repeatAt && !(grown && o.count < o.serving):
+			out = append(out, Order{Place: at, Count: o.count, Former: a.former[at], Repeat: true})
+		}
+	}
+	slices.SortStableFunc(out, func(x, y Order) int { return cmp.Compare(y.Count-y.Former, x.Count-x.Former) })
+	return out
+}
