Replace endpoints that stop answering without a notice

Cause: a zone that is cut off stays in the list of endpoints, so a plan that counts listed endpoints would wait until the platform removes them. Change: the plan leaves out endpoints that were unreachable for 2 s, except towards the limits of their zone, and does not ask a place whose endpoints are all unreachable. placement.Table.IsUnreachable tells which they are.

--- a/internal/coordination/placement/health.go
+++ b/internal/coordination/placement/health.go
@@ -41,6 +41,13 @@
 	return out
 }
 
+// IsUnreachable reports whether an endpoint does not answer, by this host's own attempts or by the
+// unexpired reports of peers.
+func (t *Table) IsUnreachable(now time.Time, id string) bool {
+	e, ok := t.entries[id]
+	return ok && (e.unreachable && e.suspect(now) || now.Before(e.reportedUnreachableUntil))
+}
+
 // Slow returns the keys of endpoints that this host measured as slow within the last
 // reportTTL, at most 24 in no particular order.
 func (t *Table) Slow(now time.Time) []uint32 {
--- a/internal/coordination/scaling/allocation.go
+++ b/internal/coordination/scaling/allocation.go
@@ -23,8 +23,9 @@
 	places []Place
 	// counts has the number of endpoints in each place, former what is present.
 	counts, former map[Place]int
-	// zones has the number of endpoints in each zone, total and onDemand those of all zones.
-	zones           map[string]int
+	// zones has the number of endpoints in each zone, which the limits bound. usable, and for all
+	// zones total and onDemand, leave out those that are unreachable.
+	zones, usable   map[string]int
 	total, onDemand int
 	// callers is the number of endpoints that callers need.
 	callers int
@@ -33,7 +34,7 @@
 }
 
 func newAllocation(p *Plan, in Input, limits *catalog.Scaling, callers int) *allocation {
-	a := &allocation{plan: p, now: in.Now, limits: limits, counts: map[Place]int{}, former: map[Place]int{}, zones: map[string]int{}, callers: callers}
+	a := &allocation{plan: p, now: in.Now, limits: limits, counts: map[Place]int{}, former: map[Place]int{}, zones: map[string]int{}, usable: map[string]int{}, callers: callers}
 	for zone := range limits.ZonePrices {
 		a.zones[zone] = 0
 	}
@@ -44,8 +45,10 @@
 		for _, spot := range []bool{false, true} {
 			at := Place{Zone: zone, Spot: spot}
 			a.places = append(a.places, at)
-			a.former[at] = p.place(at).present()
+			s := p.place(at)
+			a.former[at] = s.present()
 			a.change(at, a.former[at])
+			a.changeUsable(at, -min(s.unreachable, a.former[at]))
 		}
 	}
 	return a
@@ -55,6 +58,11 @@
 func (a *allocation) change(at Place, n int) {
 	a.counts[at] += n
 	a.zones[at.Zone] += n
+	a.changeUsable(at, n)
+}
+
+func (a *allocation) changeUsable(at Place, n int) {
+	a.usable[at.Zone] += n
 	a.total += n
 	if !at.Spot {
 		a.onDemand += n
@@ -77,7 +85,7 @@
 // mayGrow reports whether more endpoints may be ordered in a place.
 func (a *allocation) mayGrow(at Place) bool {
 	s := a.plan.place(at)
-	if a.now < s.unavailableUntil || a.zones[at.Zone] >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
+	if a.now < s.unavailableUntil || s.unreachable > 0 && s.unreachable == s.serving || a.zones[at.Zone] >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
 		return false
 	}
 	// An unanswered order for more is repeated first. One for fewer that is no longer wanted is
@@ -103,19 +111,19 @@
 	return true
 }
 
-// largestZone returns the zone with the most endpoints.
+// largestZone returns the zone with the most usable endpoints.
 func (a *allocation) largestZone() string {
 	names := slices.Sorted(maps.Keys(a.zones))
 	if len(names) == 0 {
 		return ""
 	}
-	return slices.MaxFunc(names, func(x, y string) int { return cmp.Compare(a.zones[x], a.zones[y]) })
+	return slices.MaxFunc(names, func(x, y string) int { return cmp.Compare(a.usable[x], a.usable[y]) })
 }
 
 // callersServed reports whether callers are served after the loss of the largest zone or of all spot
 // endpoints.
 func (a *allocation) callersServed() bool {
-	return a.onDemand >= a.callers && a.total-a.zones[a.largestZone()] >= a.callers
+	return a.onDemand >= a.callers && a.total-a.usable[a.largestZone()] >= a.callers
 }
 
 // grow adds endpoints until the service's minimum is reached, callers are served after a loss, and
@@ -133,7 +141,7 @@
 	}
 	for {
 		largest := a.largestZone()
-		if a.total-a.zones[largest] >= a.callers || !a.add(func(at Place) bool { return at.Zone != largest && withinSpotLimit(at) }) {
+		if a.total-a.usable[largest] >= a.callers || !a.add(func(at Place) bool { return at.Zone != largest && withinSpotLimit(at) }) {
 			break
 		}
 	}
--- a/internal/coordination/scaling/place.go
+++ b/internal/coordination/scaling/place.go
@@ -12,7 +12,9 @@
 	// that are not.
 	instances map[uint32]bool
 	serving   int
-	order     *sentOrder
+	// unreachable counts the serving endpoints that have not answered for unreachableTolerance.
+	unreachable int
+	order       *sentOrder
 	// unavailableUntil is the end of the cooldown, refusals counts refusals since the last
 	// confirmation.
 	unavailableUntil time.Duration
@@ -51,8 +53,9 @@
 	former := map[Place]map[uint32]bool{}
 	for at, s := range p.places {
 		former[at], s.instances = s.instances, map[uint32]bool{}
-		s.serving = 0
+		s.serving, s.unreachable = 0, 0
 	}
+	unreachableSince := map[uint32]time.Duration{}
 	slots, n := 0, 0
 	for _, e := range in.Endpoints {
 		s := p.place(e.Place)
@@ -64,8 +67,19 @@
 			continue
 		}
 		s.serving++
+		if e.Unreachable {
+			since, known := p.unreachableSince[e.Instance]
+			if !known {
+				since = in.Now
+			}
+			unreachableSince[e.Instance] = since
+			if in.Now-since >= unreachableTolerance {
+				s.unreachable++
+			}
+		}
 		slots, n = slots+e.Slots, n+1
 	}
+	p.unreachableSince = unreachableSince
 	if n > 0 && slots > 0 {
 		p.slots = float64(slots) / float64(n)
 	}
--- a/internal/coordination/scaling/scaling.go
+++ b/internal/coordination/scaling/scaling.go
@@ -6,6 +6,8 @@
 //   - wave: steps of several trainers that come every few seconds. The highest demand of the last
 //     holdPeriod counts, so endpoints are kept between the steps.
 //   - burst: callers' requests that grow within a second.
+//   - zone_lost: the endpoints of a zone stop answering without a notice. They are replaced in other
+//     zones, and count towards the limits of their own.
 //   - reclaimed: the platform takes back all spot endpoints of a zone. They are replaced when they
 //     report that they leave, in other places.
 //   - api_down: the operator's API takes no orders for a while.
@@ -55,6 +57,9 @@
 	// minRepeat is the time after which an unanswered order is repeated. It doubles up to maxRepeat.
 	minRepeat = 2 * time.Second
 	maxRepeat = 8 * time.Second
+	// unreachableTolerance is how long an endpoint may be unreachable before it is replaced. One that
+	// restarts or was ejected by mistake answers again within this time.
+	unreachableTolerance = 2 * time.Second
 	// assumedSlots is the number of slots of an endpoint while none has reported.
 	assumedSlots = 8
 )
@@ -73,6 +78,8 @@
 	Slots    int
 	// Leaving endpoints take no new requests and end soon.
 	Leaving bool
+	// Unreachable endpoints do not answer, although the platform lists them.
+	Unreachable bool
 }
 
 // Demand is the demand for slots of a service.
@@ -135,6 +142,8 @@
 // Plan decides the orders for one service. It is not safe for concurrent use.
 type Plan struct {
 	places map[Place]*placeState
+	// unreachableSince has the unreachable endpoints by instance.
+	unreachableSince map[uint32]time.Duration
 	// readings are those of the last holdPeriod, oldest first.
 	readings []reading
 	// observedSince is the time since which the demand is known without a gap.
@@ -152,7 +161,9 @@
 }
 
 // NewPlan returns a plan that knows no earlier orders.
-func NewPlan() *Plan { return &Plan{places: map[Place]*placeState{}} }
+func NewPlan() *Plan {
+	return &Plan{places: map[Place]*placeState{}, unreachableSince: map[uint32]time.Duration{}}
+}
 
 // Wanted returns the number of endpoints that the last call of Next wanted altogether, without those
 // that callers need after a loss.
--- a/internal/coordination/scaling/scaling_test.go
+++ b/internal/coordination/scaling/scaling_test.go
@@ -91,6 +91,10 @@
 				e.Leaving, e.ends = true, s.now+time.Duration(n)*time.Second
 			}
 		}
+	case "lose": // the endpoints of a zone stop answering
+		for i := range s.endpoints {
+			s.endpoints[i].Unreachable = s.endpoints[i].Zone == at.Zone
+		}
 	case "new-holder":
 		s.plan = NewPlan()
 	case "run": // runs for n seconds
