Compute the demand of batches, and run the scaling duty on each host

Cause: only the host that runs a batch knows which of its samples wait and when they are due. NewNode takes the lease and the API as optional parameters.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -291,6 +291,21 @@
 	return true
 }
 
+// Unfinished calls f for each sample that waits or runs, with the number of events expected to remain
+// after its output at the start of the attempt; zero or less is unknown.
+func (r *Run) Unfinished(f func(i, remaining int)) {
+	for i, s := range r.samples {
+		if s.phase != waiting && s.phase != running {
+			continue
+		}
+		remaining := 0
+		if s.ExpectedTokens > 0 {
+			remaining = s.ExpectedTokens - s.partial.Events
+		}
+		f(i, remaining)
+	}
+}
+
 // IsSpare reports whether the sample's group is in the lowest priority class: it comes
 // after as many groups as the trainer waits for.
 func (r *Run) IsSpare(i int) bool { return r.samples[i].class == classSpare }
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -63,6 +63,8 @@
 	// resumed is true if another process has already run the batch.
 	resumed bool
 	stopped atomic.Bool
+	// demand is the batch's demand for slots; see publishDemand.
+	demand atomic.Pointer[batchDemand]
 	// ended is true once the trainer has ended the batch.
 	ended  atomic.Bool
 	cancel context.CancelFunc
@@ -155,6 +157,7 @@
 	for a.ctx.Err() == nil && a.run.Open() > 0 {
 		changed := a.parent.runner.fleet.Changed()
 		a.startSamples()
+		a.publishDemand(time.Now())
 		select {
 		case <-a.ctx.Done():
 		case e := <-a.ends:
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -136,11 +136,15 @@
 
 // currentOwners returns up to maxOwnersAsked hosts that run the batches of a model now.
 func (s *Batches) currentOwners() []string {
-	out := slices.Sorted(maps.Values(s.owners()))
-	out = slices.Compact(out)
+	out := s.allOwners()
 	return out[:min(len(out), maxOwnersAsked)]
 }
 
+// allOwners returns the hosts that run the batches of all models now.
+func (s *Batches) allOwners() []string {
+	return slices.Compact(slices.Sorted(maps.Values(s.owners())))
+}
+
 // submitEncoded accepts a batch that another host forwards.
 func (s *Batches) submitEncoded(ctx context.Context, content []byte) error {
 	var b batches.Batch
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -20,8 +20,10 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	scalingduty "oleanderfall.example/oleanderfall/internal/transport/scaling"
 )
 
 const (
@@ -80,6 +82,10 @@
 	Handlers  Handlers
 	Log       *slog.Logger
 	Registry  *prometheus.Registry
+
+	// OperatorAPI and DutiesLease are needed by the duties that the settings name.
+	OperatorAPI operatorapi.Client `optional:"true"`
+	DutiesLease scalingduty.Lease  `optional:"true"`
 }
 
 // Node is the process of one host.
@@ -98,6 +104,7 @@
 	weights    *Weights
 	feed       *Feed
 	permits    *Permits
+	scaler     *scalingduty.Scaler
 	params     Params
 
 	draining atomic.Bool
@@ -152,6 +159,7 @@
 		localWork: n.Batches.RecentWork, peerWork: map[string]peerWork{},
 	}
 	n.permits = newPermits(p.Settings.Host, fleet, n.peers, calls, n.candidate, component("permits"), p.Registry)
+	n.scaler = n.newScaler(p.DutiesLease, p.OperatorAPI, calls)
 	n.endpoints.OnNotice(n.endpointNotice)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
@@ -322,7 +330,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.runScaler, n.Forwarder.origins.Run, n.Batches.Watch, n.Batches.WatchOwnership} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -21,9 +21,11 @@
 
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	scalingduty "oleanderfall.example/oleanderfall/internal/transport/scaling"
 )
 
 // waitTimeout bounds a wait for a condition that must become true. It is far above the
@@ -38,6 +40,8 @@
 	nodes   map[string]*testNode
 	// stalledReads, when set, is the stalledReads of hosts that start from then on.
 	stalledReads *string
+	// duties, when set, has the operator's API and the lease of the duties of a host that starts.
+	duties func(host string) (operatorapi.Client, scalingduty.Lease)
 }
 
 // testNode is a host under test with its own access to the store.
@@ -120,8 +124,12 @@
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("host", s.Host)
 	}
 	links := &hostLinks{fakeEngines: w.engines}
-	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: links, Decoder: testDecoder{},
-		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry()})
+	p := Params{Settings: s, Store: path, Stale: stale, Endpoints: links, Decoder: testDecoder{},
+		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry()}
+	if w.duties != nil {
+		p.OperatorAPI, p.DutiesLease = w.duties(s.Host)
+	}
+	n := NewNode(p)
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -242,6 +242,9 @@
 			peerError(w, err)
 		}
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/demand", func(w http.ResponseWriter, r *http.Request) {
+		writeAnswer(w, r, b.Demand())
+	}).Methods(http.MethodGet)
 	r.HandleFunc("/permits", func(w http.ResponseWriter, r *http.Request) {
 		var call permitCall
 		if err := decoding.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&call); err != nil {
--- a/internal/transport/gate/gate.go
+++ b/internal/transport/gate/gate.go
@@ -44,6 +44,13 @@
 	return g.gate.Waiting() > 0
 }
 
+// Waiting returns the number of requests that wait for a slot.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Waiting()
+}
+
 // Limit returns the current limit of running requests.
 func (g *Gate) Limit() int {
 	g.mu.Lock()
