Plan samples for less of their remaining time, and keep the mix when ordering fewer

Orders for fewer took spot endpoints first, since their bound followed the small wanted number. Change: plannedShare 0.4, maxForecast 0.25, and the bound on spot endpoints follows the present number when fewer are ordered.

--- a/internal/coordination/scaling/allocation.go
+++ b/internal/coordination/scaling/allocation.go
@@ -9,7 +9,7 @@
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
-// maxSpotShare bounds the spot endpoints of one zone, relative to all endpoints wanted. All of them
+// maxSpotShare bounds the spot endpoints of one zone, relative to all endpoints. All of them
 // may be taken back at once, and their replacements serve only after the boot time.
 const maxSpotShare = 0.25
 
@@ -163,7 +163,7 @@
 // shrink removes endpoints beyond the wanted number as long as callers are served after a loss: first
 // spot endpoints beyond their limit, then the most expensive.
 func (a *allocation) shrink(wanted int) {
-	a.spotLimit = max(1, int(maxSpotShare*float64(wanted)))
+	a.spotLimit = max(1, int(maxSpotShare*float64(a.total)))
 	for n := max(1, int(stepDownShare*float64(a.total))); n > 0 && a.total > wanted; n-- {
 		aboveMin := func(at Place) bool { return a.zones[at.Zone] > a.limits.Min }
 		if !a.remove(func(at Place) bool { return aboveMin(at) && at.Spot && a.counts[at] > a.spotLimit }) && !a.remove(aboveMin) {
--- a/internal/coordination/scaling/due.go
+++ b/internal/coordination/scaling/due.go
@@ -8,7 +8,7 @@
 const (
 	// plannedShare is the share of the remaining time in which samples are planned to end. The
 	// callers' estimates of their lengths are inaccurate, and engines that load weights start none.
-	plannedShare = 0.6
+	plannedShare = 0.4
 	// minPlannedTime is the time in which samples that are late are planned to end.
 	minPlannedTime = time.Second
 )
--- a/internal/coordination/scaling/scaling.go
+++ b/internal/coordination/scaling/scaling.go
@@ -37,7 +37,7 @@
 	// than before.
 	wavePeriod = 4 * time.Second
 	// maxForecast bounds the expected rise of the demand of batches, relative to the present one.
-	maxForecast = 0.5
+	maxForecast = 0.25
 	// callerUtilization is the share of the slots that callers' requests are planned to use while no
 	// endpoints are lost. Requests arrive irregularly, and refused ones are not part of the demand.
 	callerUtilization = 0.75
