Order no endpoints without a list, contradictory limits or a price

Cause: an order names an absolute number. A holder that has read no list of endpoints would have ordered the minimum of each zone, which stops the endpoints above it; limits with a maximum of 0 or below the minimum would have done the same. An endpoint in a zone without a price counted as the most expensive and went first. One request that waits at a host was multiplied by the number of hosts although slots were free. Change: no orders before a list was read, with contradictory limits, or for zones without a price where others have one. Waiting requests are multiplied only if 80 % of the slots are in use, and count as no more than the running ones.

--- a/internal/coordination/scaling/allocation.go
+++ b/internal/coordination/scaling/allocation.go
@@ -72,20 +72,24 @@
 // cost returns the price of another endpoint in a place, which is higher in zones that have a large
 // share of the endpoints, so that they do not all depend on the cheapest zone.
 func (a *allocation) cost(at Place) float64 {
-	price, ok := a.limits.ZonePrices[at.Zone]
-	if !ok {
-		price = 1
-	}
+	price := cmp.Or(a.limits.ZonePrices[at.Zone], 1)
 	if at.Spot {
 		price *= a.limits.SpotPrice
 	}
 	return price * (1 + float64(a.zones[at.Zone])/float64(max(a.total, 1)))
 }
 
+// orderable reports whether endpoints may be ordered in a place: in zones that have a price, if any
+// has one.
+func (a *allocation) orderable(at Place) bool {
+	_, ok := a.limits.ZonePrices[at.Zone]
+	return ok || len(a.limits.ZonePrices) == 0
+}
+
 // mayGrow reports whether more endpoints may be ordered in a place.
 func (a *allocation) mayGrow(at Place) bool {
 	s := a.plan.place(at)
-	if a.now < s.unavailableUntil || s.unreachable > 0 && s.unreachable == s.serving || a.zones[at.Zone] >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
+	if !a.orderable(at) || a.now < s.unavailableUntil || s.unreachable > 0 && s.unreachable == s.serving || a.zones[at.Zone] >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
 		return false
 	}
 	// An unanswered order for more is repeated first. One for fewer that is no longer wanted is
@@ -183,7 +187,9 @@
 }
 
 // mayShrink reports whether fewer endpoints may be ordered in a place: no order is in effect there.
-func (a *allocation) mayShrink(at Place) bool { return a.plan.place(at).order == nil }
+func (a *allocation) mayShrink(at Place) bool {
+	return a.orderable(at) && a.plan.place(at).order == nil
+}
 
 // remove removes an endpoint from the most expensive place that is allowed. It returns false if there
 // is none.
--- a/internal/coordination/scaling/scaling.go
+++ b/internal/coordination/scaling/scaling.go
@@ -179,6 +179,10 @@
 		p.observedSince = in.Now
 	}
 	p.observe(in)
+	if limits.Max <= 0 || limits.Min > limits.Max {
+		p.lastInput = in.Now
+		return nil // these limits cannot be meant
+	}
 	callers, wanted, kept := p.measure(in)
 	a := newAllocation(p, in, limits, int(math.Ceil(callers/p.slotsPerEndpoint())))
 	if !in.Outdated && in.Now-p.beganAt >= limits.BootTime+arrivalMargin {
--- a/internal/transport/scaling/demand.go
+++ b/internal/transport/scaling/demand.go
@@ -19,6 +19,9 @@
 	gatherTimeout = 500 * time.Millisecond
 	// demandTTL is how long a host's last answer counts if it gives no new one.
 	demandTTL = 3 * time.Second
+	// fullShare is the share of a service's slots in use from which waiting requests are taken for a
+	// lack of slots at all hosts. Below it they wait for the share of their own host.
+	fullShare = 0.8
 	// listTTL is the age beyond which the list of endpoints is outdated. It is read every 0.45 s.
 	listTTL = 3 * time.Second
 )
@@ -63,7 +66,8 @@
 	// Own returns this host's demand, Ask that of another host.
 	Own func() HostDemand
 	Ask func(ctx context.Context, host string) (HostDemand, error)
-	// ListReadAt returns the boot time at which the list of endpoints in use was read.
+	// ListReadAt returns the boot time at which the list of endpoints in use was read, zero if none
+	// was.
 	ListReadAt func() time.Duration
 	// CutOff reports whether this host has lost its links to all endpoints.
 	CutOff    func() bool
@@ -157,13 +161,18 @@
 	}
 }
 
-// Input implements Source.
-func (g *Gatherer) Input(service string, d Demands) scaling.Input {
+// Input implements Source. Without a list of endpoints, any order might be one for fewer.
+func (g *Gatherer) Input(service string, d Demands) (in scaling.Input, ok bool) {
+	readAt := g.ListReadAt()
+	if readAt == 0 {
+		return scaling.Input{}, false
+	}
 	demand := d.services[service]
-	in := scaling.Input{Now: g.SinceBoot(), DemandUnknown: d.unknown}
-	in.Outdated = in.Now-g.ListReadAt() > listTTL
-	cutOff, now, running := g.CutOff(), time.Now(), 0
+	in = scaling.Input{Now: g.SinceBoot(), DemandUnknown: d.unknown}
+	in.Outdated = in.Now-readAt > listTTL
+	cutOff, now, running, slots := g.CutOff(), time.Now(), 0, 0
 	g.WithTable(func(t *placement.Table) {
+		slots, _, _ = t.SlotUsage(now, service)
 		for _, e := range t.All() {
 			if e.Service != service {
 				continue
@@ -175,7 +184,11 @@
 			})
 		}
 	})
-	in.Demand = scaling.Demand{Running: max(running-demand.Samples, 0), Due: demand.Due,
-		Waiting: int(math.Round(float64(demand.Waiting) * d.waitingFactor))}
-	return in
+	in.Demand = scaling.Demand{Running: max(running-demand.Samples, 0), Waiting: demand.Waiting, Due: demand.Due}
+	if float64(running) >= fullShare*float64(slots) {
+		// A few requests that wait at few hosts say little about the others, so no more than run.
+		all := int(math.Round(float64(demand.Waiting) * d.waitingFactor))
+		in.Demand.Waiting = max(demand.Waiting, min(all, running))
+	}
+	return in, true
 }
--- a/internal/transport/scaling/scaling.go
+++ b/internal/transport/scaling/scaling.go
@@ -48,8 +48,9 @@
 	Services() []catalog.Service
 	// Gather reads the demand of all services from the hosts that know it.
 	Gather(ctx context.Context) Demands
-	// Input returns the demand and the endpoints of a service.
-	Input(service string, d Demands) scaling.Input
+	// Input returns the demand and the endpoints of a service. ok is false if the endpoints are not
+	// known yet.
+	Input(service string, d Demands) (in scaling.Input, ok bool)
 }
 
 // Options configure a Scaler.
@@ -116,8 +117,11 @@
 	}
 	demands := s.opt.Source.Gather(ctx)
 	for i := range services {
-		if services[i].Scaling != nil {
-			s.plan(ctx, token, &services[i], s.opt.Source.Input(services[i].Name, demands))
+		if services[i].Scaling == nil {
+			continue
+		}
+		if in, ok := s.opt.Source.Input(services[i].Name, demands); ok {
+			s.plan(ctx, token, &services[i], in)
 		}
 	}
 }
