Merge the ordering of endpoints

The orders go out under the duties lease and through its calls, which share the limit and confirm the lease after a refusal; a call that was not sent changes nothing.

--- a/internal/transport/front/duties.go
+++ b/internal/transport/front/duties.go
@@ -42,7 +42,7 @@
 func newOperatorDuties(n *Node, store *objectapi.Client, peerClient *PeerClient) *operatorDuties {
 	p := n.params
 	reportsUsage := p.Settings.OperatorAPI.ReportsUsage && p.Settings.UsageWindow > 0
-	if p.Operator == nil || p.Settings.OperatorAPI.Address == "" || !reportsUsage {
+	if p.Operator == nil || p.Settings.OperatorAPI.Address == "" || !reportsUsage && !p.Settings.OperatorAPI.ScalesServices {
 		return nil
 	}
 	log := logging.Component(p.Log, "duties")
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -24,6 +24,7 @@
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/configproof"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
+	scalingduty "oleanderfall.example/oleanderfall/internal/transport/scaling"
 	"oleanderfall.example/oleanderfall/internal/transport/teamkeys"
 )
 
@@ -107,6 +108,7 @@
 	permits    *Permits
 	proofs     *configproof.Prover
 	duties     *operatorDuties
+	scaler     *scalingduty.Scaler
 	params     Params
 
 	streamSoftware *streamSoftware
@@ -169,6 +171,9 @@
 	n.permits = newPermits(p.Settings.Host, fleet, n.peers, calls, n.candidate, component("permits"), p.Registry)
 	n.duties = newOperatorDuties(n, store, calls)
 	n.Forwarder.usage = n.duties.usageService()
+	if n.duties != nil {
+		n.scaler = n.newScaler(n.duties.lease, n.duties.calls, calls)
+	}
 	n.endpoints.OnNotice(n.endpointNotice)
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
@@ -340,7 +345,7 @@
 			return err
 		}
 	}
-	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.streamSoftware.Run, n.Batches.Watch, n.Batches.WatchOwnership, n.duties.Run} {
+	for _, task := range []func(context.Context){n.feed.Run, n.weights.Run, n.permits.Run, n.Forwarder.origins.Run, n.streamSoftware.Run, n.Batches.Watch, n.Batches.WatchOwnership, n.duties.Run, n.runScaler} {
 		n.tasks.Add(1)
 		go func() {
 			defer n.tasks.Done()
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -25,6 +25,7 @@
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	scalingduty "oleanderfall.example/oleanderfall/internal/transport/scaling"
 )
 
 // waitTimeout bounds a wait for a condition that must become true. It is far above the
@@ -41,6 +42,8 @@
 	stalledReads *string
 	// operator, when set, is the operator's API of hosts that start from then on.
 	operator operatorapi.Client
+	// duties, when set, has the operator's API and the lease of the duties of a host that starts.
+	duties func(host string) (operatorapi.Client, scalingduty.Lease)
 }
 
 // testNode is a host under test with its own access to the store.
@@ -129,6 +132,10 @@
 	links := &hostLinks{fakeEngines: w.engines}
 	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: links, Decoder: testDecoder{},
 		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry(), Operator: w.operator})
+	if w.duties != nil {
+		api, lease := w.duties(s.Host)
+		n.scaler = n.newScaler(lease, api, NewPeerClient(n.peers))
+	}
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
