Place requests by the unread prompts at engines

Long prompts delayed short ones at the same engine: placement knew how many requests an engine has, but not how much it has to read before the next one begins.

The table keeps the unread tokens at each engine, those of this host and the ones that peers report, and adds the expected delay to the cost of an engine. Requests without prompt counts, prompts that are alike, and services without unread prompts keep the cost that they had.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -21,10 +21,12 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/prompts"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -123,6 +125,7 @@
 	// model. Each Put of the endpoint clears it.
 	observedVersions map[string]int
 	limit            requestLimit
+	prompts          entryPrompts
 }
 
 // Table holds the load, health and service time of each endpoint as one host sees them.
@@ -144,12 +147,17 @@
 	softwareSeen map[string]map[string]time.Time
 	// wantingPermits has the entries of endpoints for which permits are wanted.
 	wantingPermits map[*entry]struct{}
+	// prompts holds what is known of the prompts of each service.
+	prompts map[string]*servicePrompts
+	// queuesByPeer lists the endpoints for which each peer last reported unread prompts.
+	queuesByPeer map[string][]*entry
 }
 
 // NewTable returns an empty table for a host in the given availability zone.
 func NewTable(zone string) *Table {
 	return &Table{zone: zone, entries: map[string]*entry{}, byKey: map[uint32][]*entry{}, byInstance: map[uint32][]*entry{}, loading: map[uint32]time.Time{},
-		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}, softwareSeen: map[string]map[string]time.Time{}}
+		services: map[string][]*entry{}, baselines: map[string]serviceBaseline{}, wantingPermits: map[*entry]struct{}{}, softwareSeen: map[string]map[string]time.Time{},
+		prompts: map[string]*servicePrompts{}, queuesByPeer: map[string][]*entry{}}
 }
 
 // serviceBaseline is the median service time of a service's endpoints as of computedAt.
@@ -189,6 +197,9 @@
 	old, ok := t.entries[e.ID]
 	if ok && old.endpoint.SameInstance(&e) {
 		e.Draining = e.Draining || old.leaving
+		if !maps.Equal(e.Versions, old.endpoint.Versions) {
+			old.forgetPrompts()
+		}
 		old.endpoint = e
 		old.observedVersions = nil
 		return
@@ -211,6 +222,7 @@
 	}
 	delete(t.entries, id)
 	delete(t.wantingPermits, e)
+	t.updateQueued(e)
 	removeEntry(t.byKey, e.key, e)
 	removeEntry(t.byInstance, e.instanceKey, e)
 	service := e.endpoint.Service
@@ -260,6 +272,8 @@
 	Prefer string
 	// Avoid lists the IDs of endpoints to exclude, such as those already tried.
 	Avoid []string
+	// Prompt is the prompt of the request, if it has one.
+	Prompt prompts.Prompt
 }
 
 // preferBonus is subtracted from a preferred endpoint's cost, relative to the baseline
@@ -274,11 +288,12 @@
 	bestCost := math.Inf(1)
 	var limited []limitedCandidate
 	baseline := t.baseline(now, q.Service)
+	delays := t.promptDelays(now, &q, baseline)
 	consider := func(e *entry) bool {
 		if !e.eligible(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.isLoading(now, e, q.Model)) {
 			return false
 		}
-		cost := e.cost(now, t.zone, baseline, random)
+		cost := e.cost(now, t.zone, baseline, random) + delays.cost(e)
 		if q.Model != "" {
 			cost += versionCost * float64(min(e.version(q.Model)-q.MinVersion, maxVersionSteps))
 		}
@@ -442,5 +457,8 @@
 	if e.observedVersions == nil {
 		e.observedVersions = map[string]int{}
 	}
+	if e.version(model) != version {
+		e.forgetPrompts()
+	}
 	e.observedVersions[model] = version
 }
