Count unread prompts of streams and samples, and share them in heartbeats

Placement can avoid engines that have long prompts to read, but nothing told it about prompts.

A stream or sample with a known prompt counts as unread from sending to its first event; samples of a group share their prompt. Heartbeats carry the unread prompts that take longer to read than an event, of the same requests as the loads, in an optional field (key 50) that former builds ignore. New metrics and log lines show unread tokens, learned rates and sizes, and times to the first event.

--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -328,6 +328,9 @@
 	return n
 }
 
+// PromptServices returns the names of the services to which requests with prompts were sent, sorted.
+func (t *Table) PromptServices() []string { return slices.Sorted(maps.Keys(t.prompts)) }
+
 // ReadingRate returns how many tokens the endpoints of a service read in a millisecond, zero if that
 // is not known, and from which number of unread tokens on a prompt is long.
 func (t *Table) ReadingRate(service string) (tokensPerMs float64, longFrom int) {
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -25,6 +25,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/permits"
+	"oleanderfall.example/oleanderfall/internal/coordination/prompts"
 )
 
 const (
@@ -126,6 +127,9 @@
 	Leaving []uint32 `cbor:"34,keyasint,omitempty"`
 	// Limits lists the request limits of endpoints that the sender knows.
 	Limits []permits.LimitReport `cbor:"36,keyasint,omitempty"`
+	// Unread lists the prompts that engines have not read yet and that take long to read, by
+	// placement.EndpointKey, for the same requests as Loads.
+	Unread map[uint32]prompts.Queue `cbor:"50,keyasint,omitempty"`
 	// Work is the work in expected tokens that trainers recently submitted to the sender, by
 	// upgrades.ModelKey.
 	Work map[uint32]uint32 `cbor:"35,keyasint,omitempty"`
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -231,7 +231,7 @@
 		}
 		q := placement.Query{
 			Service: route.PickService(rand.Uint64()), Model: a.batch.Model, MinVersion: a.batch.MinVersion,
-			FreeSlot: true, Prefer: a.run.PreferredEndpoint(i),
+			FreeSlot: true, Prefer: a.run.PreferredEndpoint(i), Prompt: samplePrompt(a.batch.ID, sample, 0),
 		}
 		e, ok, wait := a.pick(now, i, q)
 		switch {
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -48,6 +48,10 @@
 	// longestGapMs is the longest time between two events in milliseconds.
 	longestGapMs atomic.Int64
 	cancel       context.CancelFunc
+	// reading is the reading of the sample's prompt, nil if its length is unknown; firstEventMs is
+	// the time to the first event in milliseconds.
+	reading      *placement.Reading
+	firstEventMs atomic.Int64
 
 	// moving is set once the attempt is cancelled because the sample moves. Only the goroutine
 	// of the batch uses it.
@@ -71,6 +75,7 @@
 	ctx, cancel := context.WithCancel(a.ctx)
 	at := &attempt{endpoint: e, began: time.Now(), cancel: cancel, partial: partial}
 	at.lastEvent.Store(at.began.UnixNano())
+	at.reading = a.parent.runner.fleet.BeginReading(e, samplePrompt(a.batch.ID, a.run.Sample(i), partial.Events))
 	a.attempts[i] = at
 	a.run.Started(i, e.ID)
 	urgency := route.Urgency
@@ -127,6 +132,7 @@
 		last = now
 		if received == 1 {
 			windowStart = now
+			at.firstEventMs.Store(fleet.PromptRead(at.reading).Milliseconds())
 		} else if (received-1)%serviceTimeEvents == 0 {
 			took := now.Sub(windowStart) / serviceTimeEvents
 			fleet.WithTable(func(t *placement.Table) { t.RecordServiceTime(now, g.Endpoint.ID, took) })
@@ -134,6 +140,7 @@
 		}
 		return nil
 	})
+	fleet.EndReading(at.reading)
 	attemptOutcome, endpointOutcome := classify(ctx, err, received)
 	if attemptOutcome == batchrun.NotRun && errors.Is(err, backend.ErrUnreachable) && ctx.Err() == nil || errors.Is(err, backend.ErrReplaced) {
 		fleet.WithTable(func(t *placement.Table) { t.Eject(time.Now(), g.Endpoint.ID) })
@@ -174,9 +181,14 @@
 	delete(a.attempts, e.sample)
 	a.run.Ended(time.Now(), e.sample, e.outcome, e.partial)
 	sample := a.run.Sample(e.sample)
+	unread, ahead := 0, 0
+	if at.reading != nil {
+		unread, ahead = at.reading.Unread, at.reading.Ahead
+	}
 	a.log.Info("Sample attempt ended", "sample", sample.ID, "endpoint", at.endpoint.ID, "software", at.endpoint.Software,
 		"events", e.partial.Events, "versions", e.partial.Versions, "took_ms", time.Since(at.began).Milliseconds(),
-		"longest_gap_ms", at.longestGapMs.Load(), "expected_tokens", sample.ExpectedTokens, "err", e.err)
+		"longest_gap_ms", at.longestGapMs.Load(), "expected_tokens", sample.ExpectedTokens,
+		"first_event_ms", at.firstEventMs.Load(), "prompt_unread", unread, "prompt_ahead", ahead, "err", e.err)
 	if e.outcome == batchrun.Complete && sample.Scoring != nil {
 		go a.score(e.sample, sample.Scoring)
 	}
@@ -273,7 +285,7 @@
 	a.parent.runner.fleet.WithTable(func(t *placement.Table) {
 		move = t.ShouldMove(now, at.endpoint.ID, placement.Query{
 			Service: at.endpoint.Service, Model: a.batch.Model, MinVersion: a.batch.MinVersion, FreeSlot: true,
-			Software: at.endpoint.Software,
+			Software: at.endpoint.Software, Prompt: samplePrompt(a.batch.ID, a.run.Sample(i), int(at.events.Load())),
 		})
 	})
 	return move
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -123,6 +123,7 @@
 		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
 	fleet := NewFleet(p.Settings.Zone)
+	fleet.registerPromptMetrics(p.Registry)
 	calls := NewPeerClient(n.peers)
 	n.storePath = NewStorePath(p.Store, n.storeRelays, component("store"))
 	store := objectapi.NewClient(n.storePath, objectapi.ClientOptions{
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -15,6 +15,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/coordination/prompts"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 )
 
@@ -57,6 +58,8 @@
 	loadsFromSummary bool
 	// reportedLoads are the loads that this host last sent to its primary hub.
 	reportedLoads map[uint32]uint16
+	// reportedUnread are the unread prompts that it sent with them.
+	reportedUnread map[uint32]prompts.Queue
 	// quarantine holds the entries of the last heartbeats of the hosts that this host relays
 	// for, and of the other hubs.
 	quarantine map[string]relayedQuarantine
@@ -160,9 +163,11 @@
 	m.fleet.WithTable(func(t *placement.Table) {
 		for _, l := range left {
 			t.SetPeerLoads(l.Host, nil)
+			t.SetPeerQueues(now, l.Host, nil)
 		}
 		if hub && wasSummary {
 			t.SetPeerLoads(summaryLoads, nil)
+			t.SetPeerQueues(now, summaryLoads, nil)
 		}
 	})
 	for _, l := range left {
@@ -227,7 +232,10 @@
 	h := m.heartbeat()
 	if len(to.Primary)+len(to.Secondary)+len(to.Hubs) > 0 {
 		own := h
-		m.fleet.WithTable(func(t *placement.Table) { own.Loads = t.SumLoads(func(host string) bool { return sources[host] }) })
+		m.fleet.WithTable(func(t *placement.Table) {
+			fromSource := func(host string) bool { return sources[host] }
+			own.Loads, own.Unread = t.SumLoads(fromSource), t.SumQueues(now, fromSource)
+		})
 		own.Quarantine = m.withRelayedQuarantine(h.Quarantine, true)
 		m.fill(now, &own, (*presence.Table).FillBetweenHubs)
 		own.Kind = presence.KindBetweenHubs
@@ -235,11 +243,11 @@
 		own.Kind, own.Primary = presence.KindToHub, true
 		if len(to.Primary) > 0 {
 			m.mu.Lock()
-			m.reportedLoads = own.Loads
+			m.reportedLoads, m.reportedUnread = own.Loads, own.Unread
 			m.mu.Unlock()
 		}
 		m.sendTo(to.Primary, own)
-		own.Primary, own.Loads = false, nil
+		own.Primary, own.Loads, own.Unread = false, nil, nil
 		m.sendTo(to.Secondary, own)
 	}
 	if withSummaries && len(to.Summaries) > 0 {
@@ -247,7 +255,8 @@
 		summary.Kind = presence.KindSummary
 		summary.LoadingMs = nil // only hubs run batches
 		m.fleet.WithTable(func(t *placement.Table) {
-			summary.Loads = t.SumLoads(func(string) bool { return true })
+			fromAll := func(string) bool { return true }
+			summary.Loads, summary.Unread = t.SumLoads(fromAll), t.SumQueues(now, fromAll)
 			summary.Unreachable, summary.Slow = t.Reported(now)
 		})
 		summary.Unreachable, summary.Slow = merge(h.Unreachable, summary.Unreachable), merge(h.Slow, summary.Slow)
@@ -262,7 +271,9 @@
 
 // direct returns a heartbeat to a host outside the exchange with hubs.
 func (m *Membership) direct(now time.Time, h presence.Heartbeat) presence.Heartbeat {
-	m.fleet.WithTable(func(t *placement.Table) { h.Loads = t.LocalLoads() })
+	m.fleet.WithTable(func(t *placement.Table) {
+		h.Loads, h.Unread = t.LocalLoads(), t.SumQueues(now, func(string) bool { return false })
+	})
 	m.fill(now, &h, (*presence.Table).FillDirect)
 	return h
 }
@@ -273,6 +284,20 @@
 	fill(m.peers.table, now, h)
 }
 
+// encodeHeartbeat returns the encoded form of a heartbeat. If that is too large, parts are left out:
+// unread prompts and loads only improve endpoint selection, and changes also arrive with the roster.
+func encodeHeartbeat(h presence.Heartbeat) ([]byte, error) {
+	b, err := cbor.Marshal(h)
+	for _, drop := range []func(){func() { h.Unread = nil }, func() { h.Changed = nil }, func() { h.Loads = nil }} {
+		if err != nil || len(b) <= maxHeartbeatBytes {
+			break
+		}
+		drop()
+		b, err = cbor.Marshal(h)
+	}
+	return b, err
+}
+
 // sendTo sends a heartbeat to the target addresses.
 func (m *Membership) sendTo(targets []string, h presence.Heartbeat) {
 	if len(targets) == 0 {
@@ -280,15 +305,7 @@
 	}
 	// Each kind has its own sequence number, since a host may receive several kinds.
 	h.Sequence = m.sequence.Add(1)
-	b, err := cbor.Marshal(h)
-	if err == nil && len(b) > maxHeartbeatBytes {
-		// Changes also arrive with the roster, and loads only improve endpoint selection.
-		h.Changed = nil
-		if b, err = cbor.Marshal(h); err == nil && len(b) > maxHeartbeatBytes {
-			h.Loads = nil
-			b, err = cbor.Marshal(h)
-		}
-	}
+	b, err := encodeHeartbeat(h)
 	if err != nil {
 		m.log.Error("Failed to encode heartbeat", "err", err)
 		return
@@ -338,7 +355,7 @@
 	if !accepted {
 		return
 	}
-	m.recordLoads(h, hub, primary)
+	m.recordLoads(now, h, hub, primary)
 	m.recordQuarantine(h)
 	m.fleet.MergeLimits(h.Limits)
 	m.fleet.WithTable(func(t *placement.Table) {
--- a/internal/transport/front/relayedreports.go
+++ b/internal/transport/front/relayedreports.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/coordination/prompts"
 )
 
 const (
@@ -45,27 +47,31 @@
 
 // recordLoads applies the loads of a heartbeat. A hub keeps those of each host that sends it
 // its own; the other hosts use the totals of their primary hub.
-func (m *Membership) recordLoads(h presence.Heartbeat, hub, primary bool) {
-	host, loads := h.Host, h.Loads
+func (m *Membership) recordLoads(now time.Time, h presence.Heartbeat, hub, primary bool) {
+	host, loads, unread := h.Host, h.Loads, h.Unread
 	switch {
 	case h.Kind == presence.KindToHub:
 		if !h.Primary {
-			loads = nil
+			loads, unread = nil, nil
 		}
 	case h.Kind == presence.KindSummary && primary && !hub:
 		m.mu.Lock()
 		host, loads = summaryLoads, subtractLoads(h.Loads, m.reportedLoads)
+		unread = subtractUnread(h.Unread, m.reportedUnread)
 		first := !m.loadsFromSummary
 		m.loadsFromSummary = true
 		m.mu.Unlock()
 		if first {
-			m.fleet.WithTable(func(t *placement.Table) { t.ClearPeerLoads() })
+			m.fleet.WithTable(func(t *placement.Table) { t.ClearPeerLoads(); t.ClearPeerQueues(now) })
 		}
 	case h.Kind == presence.KindBetweenHubs && hub, h.Protocol == 0 && hub:
 	default:
 		return
 	}
-	m.fleet.WithTable(func(t *placement.Table) { t.SetPeerLoads(host, loads) })
+	m.fleet.WithTable(func(t *placement.Table) {
+		t.SetPeerLoads(host, loads)
+		t.SetPeerQueues(now, host, unread)
+	})
 }
 
 // subtractLoads returns the loads of total that are not part of own.
@@ -79,6 +85,23 @@
 	return out
 }
 
+// subtractUnread returns the unread prompts of total that are not part of own.
+func subtractUnread(total, own map[uint32]prompts.Queue) map[uint32]prompts.Queue {
+	var out map[uint32]prompts.Queue
+	for key, q := range total {
+		o := own[key]
+		if q.Tokens <= o.Tokens || q.Requests <= o.Requests {
+			continue
+		}
+		q.Tokens, q.Requests = q.Tokens-o.Tokens, q.Requests-o.Requests
+		if out == nil {
+			out = map[uint32]prompts.Queue{}
+		}
+		out[key] = q
+	}
+	return out
+}
+
 func (m *Membership) recordQuarantine(h presence.Heartbeat) {
 	if h.Kind != presence.KindToHub && h.Kind != presence.KindBetweenHubs {
 		return
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -19,6 +19,8 @@
 	changed chan struct{}
 	// permitsWanted receives a value when permits are wanted.
 	permitsWanted chan struct{}
+	// prompts has the metrics of prompts, nil if there are none.
+	prompts *promptMetrics
 }
 
 // NewFleet returns an empty fleet for a host in zone.
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -76,7 +76,7 @@
 
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
 	for c.sent < c.route.MaxAttempts && (c.sent == 0 || !c.quarantined()) {
-		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried})
+		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried, Prompt: c.prompt()})
 		if err != nil {
 			return err
 		}
@@ -84,6 +84,7 @@
 		c.sent++
 		c.lastEndpoint = e.ID
 		started, sentAt := false, time.Now()
+		reading := c.f.fleet.BeginReading(e, c.prompt())
 		head := func(a *backend.Answer) error {
 			started = true
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
@@ -94,6 +95,7 @@
 			if !passedOn {
 				passedOn = true
 				c.recordOrigin(e)
+				c.promptRead(reading, e)
 			}
 			return out.WriteChunk(b)
 		}
@@ -101,6 +103,7 @@
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: c.route.Resumable,
 		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, chunk)
+		c.f.fleet.EndReading(reading)
 		c.f.recordOutcome(e, err, ctx.Err() != nil, 0)
 		if err == nil {
 			return nil
