Measure the time between the events of callers' streams

Placement prefers engines with a short service time, but nothing recorded one for callers' streams: only samples and whole answers were measured. A service that serves only callers' streams therefore sent its slow engines as many as the others.

The events of streams are now timed as those of samples are, unless the caller reads slowly, the host sends through a peer, or the service also gives whole answers, whose times cannot be compared.

--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/admission"
@@ -74,7 +75,25 @@
 	}
 }
 
+// servesAnswers reports whether a route leads to the service whose answers are not streams. The
+// service times of such a service are those of answers, with which the time for an event cannot be
+// compared.
+func servesAnswers(config *catalog.Config, service string) bool {
+	return config != nil && slices.ContainsFunc(config.Routes, func(r catalog.Route) bool {
+		return r.Kind != catalog.KindStreaming && r.Kind != catalog.KindRollout && r.Serves(service)
+	})
+}
+
+// recordPace records the time for an event of a stream as the endpoint's service time, if it was
+// measured. It includes the way through a peer while this host is cut off, and is ignored then.
+func (c *call) recordPace(now time.Time, e catalog.Endpoint, took time.Duration) {
+	if took > 0 && !c.f.cutOff() {
+		c.f.fleet.WithTable(func(t *placement.Table) { t.RecordServiceTime(now, e.ID, took) })
+	}
+}
+
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
+	measure := !servesAnswers(c.f.catalog.Config(), c.service)
 	for c.sent < c.route.MaxAttempts && (c.sent == 0 || !c.quarantined()) {
 		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried, Prompt: c.prompt()})
 		if err != nil {
@@ -90,14 +109,20 @@
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
 			return out.WriteHead(a)
 		}
-		passedOn := false
+		passedOn, pace := false, eventPace{}
 		chunk := func(b []byte) error {
+			now := time.Now()
+			if measure {
+				c.recordPace(now, e, pace.add(now, b))
+			}
 			if !passedOn {
 				passedOn = true
 				c.recordOrigin(e)
 				c.promptRead(reading, e)
 			}
-			return out.WriteChunk(b)
+			err := out.WriteChunk(b)
+			pace.writing += time.Since(now)
+			return err
 		}
 		err = c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
