Try a slow endpoint again with one request at a time

The excess of a slow service time fades after 6 s without a measurement, so that a recovered endpoint is used again. Until the first of the new requests ended, nothing measured the endpoint, and every request of that time could go there: with answers of seconds, dozens.

While a request of this host is in flight at such an endpoint, it costs as much as a suspect one: more than an endpoint with a free slot, less than one with a queue.

--- a/internal/coordination/placement/cost.go
+++ b/internal/coordination/placement/cost.go
@@ -24,6 +24,8 @@
 	case e.suspect(now), now.Before(e.reportedUnreachableUntil) && now.Sub(e.answeredAt) > reportTTL,
 		now.Before(e.reportedSlowUntil) && now.Sub(e.measuredAt) > reportTTL:
 		cost += suspectCost
+	case e.triedAgain(now, baseline):
+		cost += suspectCost
 	case e.hasIdleConnection(now):
 		cost -= warmBonus
 	}
@@ -71,6 +73,13 @@
 	return baseline + excess
 }
 
+// triedAgain reports whether the endpoint was slow, its measurement is too old to count in full, and a
+// request of this host that may show its speed is in flight there.
+func (e *entry) triedAgain(now time.Time, baseline time.Duration) bool {
+	return e.localLoad > 0 && e.serviceTime > 0 && now.Sub(e.measuredAt) > slowMeasurementTTL &&
+		float64(e.serviceTime) >= slowFactor*float64(baseline)
+}
+
 // baseline returns the median service time of a service's endpoints, or 0 if none is known.
 // It also updates t.baselines, which caches the result for up to baselineTTL.
 func (t *Table) baseline(now time.Time, service string) time.Duration {
--- a/internal/coordination/placement/prompts_test.go
+++ b/internal/coordination/placement/prompts_test.go
@@ -106,6 +106,11 @@
 		}
 	}
 	s.at(testStart, heartbeat)
+	s.replay()
+}
+
+// replay runs the events in the order of their times.
+func (s *promptSim) replay() {
 	for len(s.events) > 0 {
 		e := s.events[0]
 		s.events = s.events[1:]
