--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -97,7 +97,7 @@
 	s := t.servicePrompts(ep.Service)
 	// The baseline is the one that Pick computed: another time of computing it would change which
 	// endpoints Pick selects.
-	perToken, _ := t.perToken(now, e, t.baselines[ep.Service].serviceTime)
+	perToken, _ := t.perToken(e, t.baselines[ep.Service].serviceTime)
 	unread := e.prompts.cache.Unread(&p)
 	s.sizes.Add(unread)
 	r := &Reading{entry: e, began: now, Unread: unread, Ahead: e.unread(now, perToken).tokens, Long: unread > s.sizes.LongFrom(unread),
@@ -157,8 +157,8 @@
 
 // perToken returns the time in which an endpoint reads a token; ok is false if it is not known. An
 // endpoint of which this host knows too little is taken to read slower than the others by as much
-// as it is slower in its service time than the baseline.
-func (t *Table) perToken(now time.Time, e *entry, baseline time.Duration) (d time.Duration, ok bool) {
+// as its last service time exceeds the baseline.
+func (t *Table) perToken(e *entry, baseline time.Duration) (d time.Duration, ok bool) {
 	if d, ok = e.prompts.rate.PerToken(); ok {
 		return d, true
 	}
@@ -168,8 +168,8 @@
 			return 0, false
 		}
 	}
-	if baseline > 0 {
-		d = time.Duration(float64(d) * float64(e.serviceTimeAt(now, baseline)) / float64(baseline))
+	if baseline > 0 && e.serviceTime > 0 {
+		d = time.Duration(float64(d) * float64(e.serviceTime) / float64(baseline))
 	}
 	return d, true
 }
@@ -223,7 +223,7 @@
 	if p.local.tokens == 0 && p.peers.tokens == 0 && d.prompt.Tokens <= d.longFrom {
 		return 0
 	}
-	perToken, ok := d.table.perToken(d.now, e, d.baseline)
+	perToken, ok := d.table.perToken(e, d.baseline)
 	if !ok {
 		return 0
 	}
@@ -258,7 +258,7 @@
 					q.add(peer)
 				}
 			}
-			perToken, known := t.perToken(now, e, baseline)
+			perToken, known := t.perToken(e, baseline)
 			if !known {
 				// Prompts of one size do not show the rate, but whether they take long.
 				_, perToken = s.rate.Mean(unit)
