Bound what one late first event changes in the reading rate

A stalled stream was cut to 4 times the expected time, and changed the rate that 100 others had shown by a tenth.

--- a/internal/coordination/prompts/rate.go
+++ b/internal/coordination/prompts/rate.go
@@ -14,7 +14,7 @@
 	minRateSpread = 0.5
 	// maxRateError bounds a measurement relative to the expected time, so that one stalled stream
 	// does not make an engine slow.
-	maxRateError = 4
+	maxRateError = 2
 )
 
 // Rate learns how fast engines read prompts from the times of first events. It fits a line to the
