Report long prompts sooner, and spread those of several hosts

A long prompt is read in less than the 300 ms between heartbeats, so that most reports of one came too late, and hosts that sent long prompts at the same time chose the same engine.

The cost of a long prompt gets a random part of up to its own reading time while a peer has something queued.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -288,7 +288,7 @@
 	bestCost := math.Inf(1)
 	var limited []limitedCandidate
 	baseline := t.baseline(now, q.Service)
-	delays := t.promptDelays(now, &q, baseline)
+	delays := t.promptDelays(now, &q, baseline, random)
 	consider := func(e *entry) bool {
 		if !e.eligible(&q) || q.FreeSlot && (now.Before(e.refusedUntil) || t.isLoading(now, e, q.Model)) {
 			return false
--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -194,11 +194,13 @@
 	longFrom int
 	// unit is the delay that costs as much as the service time of a usual endpoint.
 	unit float64
+	// random differs between queries.
+	random uint64
 }
 
 // promptDelays returns nil if delays do not matter for a query: the length of its prompt is unknown,
 // or no endpoint of the service has unread prompts.
-func (t *Table) promptDelays(now time.Time, q *Query, baseline time.Duration) *promptDelays {
+func (t *Table) promptDelays(now time.Time, q *Query, baseline time.Duration, random uint64) *promptDelays {
 	if q.Prompt.Tokens <= 0 {
 		return nil
 	}
@@ -210,7 +212,7 @@
 	if unit == 0 {
 		return nil
 	}
-	return &promptDelays{table: t, now: now, prompt: &q.Prompt, baseline: baseline, unit: unit, longFrom: s.sizes.LongFrom(q.Prompt.Tokens)}
+	return &promptDelays{table: t, now: now, prompt: &q.Prompt, baseline: baseline, unit: unit, random: random, longFrom: s.sizes.LongFrom(q.Prompt.Tokens)}
 }
 
 // cost returns the cost of the delay at an endpoint. It is zero if the unread prompts there and that
@@ -233,6 +235,12 @@
 	}
 	if own := p.cache.Unread(d.prompt); own > d.longFrom {
 		tokens += own
+		if len(d.table.queuesByPeer) > 0 {
+			// Up to the prompt's own reading time is added at random: hosts that send long prompts
+			// between two heartbeats would all choose the same engine.
+			bits := (uint64(e.key) ^ d.random) * 0x9e3779b97f4a7c15 >> 54
+			tokens += int(float64(own) * float64(bits) / 1024)
+		}
 	}
 	return min(float64(tokens)*float64(perToken)/d.unit, maxDelayCost)
 }
@@ -284,6 +292,19 @@
 	return out
 }
 
+// LongQueued reports whether an engine has long prompts to read, of this host or of the peers that
+// include selects, that take longer than an event.
+func (t *Table) LongQueued(now time.Time, include func(host string) bool) bool {
+	for key, q := range t.SumQueues(now, include) {
+		for _, e := range t.byKey[key] {
+			if int(q.Tokens) > int(q.Requests)*t.servicePrompts(e.endpoint.Service).sizes.LongFrom(0) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // SetPeerQueues replaces the unread prompts that a peer reported, by EndpointKey; nil removes them.
 func (t *Table) SetPeerQueues(now time.Time, host string, reported map[uint32]prompts.Queue) {
 	for _, e := range t.queuesByPeer[host] {
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -129,6 +129,8 @@
 				seedsAt = now
 			}
 			m.send(now, due, withSeeds)
+		} else if m.longPromptsQueued(now) {
+			m.sendLoads(now)
 		}
 		if announce {
 			select {
@@ -214,7 +216,6 @@
 func (m *Membership) send(now time.Time, withSummaries, withSeeds bool) {
 	m.peers.mu.Lock()
 	to := m.peers.table.Sends(now)
-	sources := m.peers.table.LoadSources(now)
 	alive := map[string]bool{}
 	if withSeeds {
 		for _, p := range m.peers.table.Peers(now) {
@@ -229,6 +230,33 @@
 			}
 		}
 	}
+	m.sendParts(now, to, withSummaries)
+}
+
+// longPromptsQueued reports whether hosts that use the loads of this one should learn at once that
+// engines have long prompts to read: those of this host or, at a hub, of any host.
+func (m *Membership) longPromptsQueued(now time.Time) (queued bool) {
+	m.peers.mu.Lock()
+	serves := len(m.peers.table.LoadSources(now)) > 0
+	m.peers.mu.Unlock()
+	m.fleet.WithTable(func(t *placement.Table) { queued = t.LongQueued(now, func(string) bool { return serves }) })
+	return queued
+}
+
+// sendLoads sends the heartbeats of which the receivers use the loads, between those of two intervals.
+func (m *Membership) sendLoads(now time.Time) {
+	m.peers.mu.Lock()
+	to := m.peers.table.Sends(now)
+	m.peers.mu.Unlock()
+	to.Secondary, to.Direct = nil, nil
+	m.sendParts(now, to, true)
+}
+
+// sendParts sends heartbeats to the given receivers.
+func (m *Membership) sendParts(now time.Time, to presence.Sends, withSummaries bool) {
+	m.peers.mu.Lock()
+	sources := m.peers.table.LoadSources(now)
+	m.peers.mu.Unlock()
 	h := m.heartbeat()
 	if len(to.Primary)+len(to.Secondary)+len(to.Hubs) > 0 {
 		own := h
--- a/internal/transport/front/prompts_test.go
+++ b/internal/transport/front/prompts_test.go
@@ -151,3 +151,32 @@
 		t.Errorf("full heartbeat: %d bytes, %d loads, unread prompts %v, %v", len(raw), len(got.Loads), got.Unread, err)
 	}
 }
+
+// In a large fleet, where most hosts hear from two hubs only, every host must count an unread prompt
+// once, and none after it was read.
+func TestLargeFleet_UnreadPrompts(t *testing.T) {
+	w := newTestCluster(t)
+	nodes := w.startLarge(10)
+	_, others := roles(nodes)
+	fleet := others[0].Forwarder.fleet
+	var endpoint catalog.Endpoint
+	fleet.WithTable(func(table *placement.Table) { endpoint, _ = table.Get("e0") })
+	counted := func(want uint32) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				got := uint32(0)
+				n.Forwarder.fleet.WithTable(func(table *placement.Table) {
+					got = table.SumQueues(time.Now(), func(string) bool { return true })[placement.EndpointKey("e0")].Tokens
+				})
+				if got != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	reading := fleet.BeginReading(endpoint, prompts.Prompt{Tokens: 40_000})
+	w.waitUntil("every host counts the prompt once", counted(40_000))
+	fleet.PromptRead(reading)
+	w.waitUntil("no host counts the prompt", counted(0))
+}
