--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -293,11 +293,13 @@
 }
 
 // LongQueued reports whether an engine has long prompts to read, of this host or of the peers that
-// include selects, that take longer than an event.
+// include selects, that take longer than an event. A host that has sent no prompts to a service itself
+// does not know which are long there, and takes none to be.
 func (t *Table) LongQueued(now time.Time, include func(host string) bool) bool {
 	for key, q := range t.SumQueues(now, include) {
 		for _, e := range t.byKey[key] {
-			if int(q.Tokens) > int(q.Requests)*t.servicePrompts(e.endpoint.Service).sizes.LongFrom(0) {
+			longFrom := t.servicePrompts(e.endpoint.Service).sizes.LongFrom(0)
+			if longFrom > 0 && int(q.Tokens) > int(q.Requests)*longFrom {
 				return true
 			}
 		}
