--- a/internal/coordination/placement/cost.go
+++ b/internal/coordination/placement/cost.go
@@ -24,6 +24,8 @@
 	case e.suspect(now), now.Before(e.reportedUnreachableUntil) && now.Sub(e.answeredAt) > reportTTL,
 		now.Before(e.reportedSlowUntil) && now.Sub(e.measuredAt) > reportTTL:
 		cost += suspectCost
+	case e.triedAgain(now, baseline):
+		cost += suspectCost
 	case e.hasIdleConnection(now):
 		cost -= warmBonus
 	}
@@ -71,14 +73,11 @@
 	return baseline + excess
 }
 
-// forgottenExcess returns the part of a slow measurement that serviceTimeAt leaves out for its age,
-// relative to the baseline, while a request of this host runs at the endpoint. That request will show
-// whether the endpoint has recovered; until then no further one is sent there as a trial.
-func (e *entry) forgottenExcess(now time.Time, baseline time.Duration) float64 {
-	if e.localLoad == 0 || baseline <= 0 || e.serviceTime <= baseline {
-		return 0
-	}
-	return float64(e.serviceTime-e.serviceTimeAt(now, baseline)) / float64(baseline)
+// triedAgain reports whether the endpoint was slow, its measurement is too old to count in full, and a
+// request of this host that may show its speed is in flight there.
+func (e *entry) triedAgain(now time.Time, baseline time.Duration) bool {
+	return e.localLoad > 0 && e.serviceTime > 0 && now.Sub(e.measuredAt) > slowMeasurementTTL &&
+		float64(e.serviceTime) >= slowFactor*float64(baseline)
 }
 
 // baseline returns the median service time of a service's endpoints, or 0 if none is known.
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -58,6 +58,10 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// PromptTokens is the length of the prompt of a request to an engine, zero if unknown, and
+	// PromptPrefixes its leading parts that other requests share.
+	PromptTokens   int
+	PromptPrefixes []PromptPrefix
 	// Budget is how long the caller waits for the answer, or zero if it set no limit.
 	Budget time.Duration
 	// ResumeAfter is the ID of the last stream event that the caller received, or zero.
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -137,6 +137,7 @@
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
 	n.Keys = teamkeys.New(n.Catalog.Config, component("keys"), p.Registry)
 	fleet := NewFleet(p.Settings.Zone)
+	fleet.registerPromptMetrics(p.Registry)
 	calls := NewPeerClient(n.peers)
 	n.storePath = NewStorePath(p.Store, n.storeRelays, component("store"))
 	store := objectapi.NewClient(n.storePath, objectapi.ClientOptions{
@@ -152,7 +153,7 @@
 	n.Batches = &Batches{
 		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
-		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder, cutOff: n.endpoints.CutOff},
+		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder, cutOff: n.endpoints.CutOff, promptPrefixes: p.Decoder.PromptPrefixes},
 		candidate: n.candidate,
 	}
 	n.proofs = newConfigProofs(n)
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/admission"
@@ -83,10 +84,28 @@
 // is not recorded in the store.
 var errUnrecordedSoftware = errors.New("the software version of the endpoint could not be recorded")
 
+// servesAnswers reports whether a route leads to the service whose answers are not streams. The
+// service times of such a service are those of answers, with which the time for an event cannot be
+// compared.
+func servesAnswers(config *catalog.Config, service string) bool {
+	return config != nil && slices.ContainsFunc(config.Routes, func(r catalog.Route) bool {
+		return r.Kind != catalog.KindStreaming && r.Kind != catalog.KindRollout && r.Serves(service)
+	})
+}
+
+// recordPace records the time for an event of a stream as the endpoint's service time, if it was
+// measured. It includes the way through a peer while this host is cut off, and is ignored then.
+func (c *call) recordPace(now time.Time, e catalog.Endpoint, took time.Duration) {
+	if took > 0 && !c.f.cutOff() {
+		c.f.fleet.WithTable(func(t *placement.Table) { t.RecordServiceTime(now, e.ID, took) })
+	}
+}
+
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
+	measure := !servesAnswers(c.f.catalog.Config(), c.service)
 	unrecorded := 0
 	for c.sent < c.route.MaxAttempts && unrecorded < maxUnrecorded && (c.sent == 0 || !c.quarantined()) {
-		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried})
+		e, err := c.pickForStream(ctx, placement.Query{Service: c.service, Software: c.software, Avoid: c.tried, Prompt: c.prompt()})
 		if err != nil {
 			return err
 		}
@@ -100,24 +119,33 @@
 		c.sent++
 		c.lastEndpoint = e.ID
 		started, sentAt, lost := false, time.Now(), c.usage.Opened()
+		reading := c.f.fleet.BeginReading(e, c.prompt())
 		head := func(a *backend.Answer) error {
 			started = true
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
 			return out.WriteHead(a)
 		}
-		passedOn := false
+		passedOn, pace := false, eventPace{}
 		chunk := func(b []byte) error {
+			now := time.Now()
+			if measure {
+				c.recordPace(now, e, pace.add(now, b))
+			}
 			if !passedOn {
 				passedOn = true
 				c.usage.Began()
 				c.recordOrigin(e)
+				c.promptRead(reading, e)
 			}
-			return out.WriteChunk(b)
+			err := out.WriteChunk(b)
+			pace.writing += time.Since(now)
+			return err
 		}
 		err = c.f.client.Stream(ctx, backend.GenerateRequest{Request: backend.Request{
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: c.route.Resumable, Team: c.in.Team,
 		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, chunk)
+		c.f.fleet.EndReading(reading)
 		c.f.recordOutcome(e, err, ctx.Err() != nil, 0)
 		if err == nil {
 			return nil
