Keep versions that other hosts record between two looks of the keeper

Cause: Keeper.Update took a listed version that the keeper had never seen for one that it had last seen at the zero time. Once it had watched for two minutes, it removed a version at once that another host had just recorded and that its own list of endpoints did not show. A version that left while the keeper's host was frozen counted from the last look before the freeze. After a kill of all hosts the record then named one version, and a stream of the removed one was taken up at the other.

Change: a listed version counts from the moment at which the keeper learns of it, and one that was in service at the last look until the present one. Times of versions that are no longer listed are dropped.

Result: TestKeeper_VersionsBetweenTwoLooks failed before and passes.

--- a/internal/coordination/origins/begun.go
+++ b/internal/coordination/origins/begun.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -42,10 +43,15 @@
 
 // Keeper decides how the list is kept up to date by the one host that watches the endpoints for it.
 // All times are on that host's monotonic clock: a host that has just started waits for Retention
-// before it removes a version or verifies the list.
+// before it removes a version or verifies the list. The same holds for a version that other hosts add
+// to the list while this host's list of endpoints does not show it.
 type Keeper struct {
 	since time.Time
-	seen  map[Origin]time.Time
+	// seen is the time up to which streams may have begun at an origin, as far as the keeper knows.
+	seen map[Origin]time.Time
+	// inService are the origins in service at the last update. Each of them may have served until
+	// the next one.
+	inService []Origin
 }
 
 // NewKeeper returns a keeper that begins to watch now.
@@ -53,13 +59,21 @@
 
 // Update returns the list that replaces b, given the origins in service now, and whether it differs.
 func (k *Keeper) Update(now time.Time, b Begun, inService []Origin) (next Begun, changed bool) {
-	for _, o := range inService {
+	for _, o := range slices.Concat(k.inService, inService) {
 		k.seen[o] = now
 	}
+	k.inService = slices.Clone(inService)
 	next = b.With(inService...)
+	for _, o := range next.Origins {
+		if _, ok := k.seen[o]; !ok {
+			k.seen[o] = now // another host has added it since the last update
+		}
+	}
 	if now.Sub(k.since) > Retention {
 		next.Verified = true
 		next.Origins = slices.DeleteFunc(next.Origins, func(o Origin) bool { return now.Sub(k.seen[o]) > Retention })
 	}
+	// An origin that is listed again later is a new one.
+	maps.DeleteFunc(k.seen, func(o Origin, _ time.Time) bool { return !next.Has(o) })
 	return next, next.Verified != b.Verified || !slices.Equal(next.Origins, b.Origins)
 }
--- a/internal/coordination/origins/begun_test.go
+++ b/internal/coordination/origins/begun_test.go
@@ -33,3 +33,34 @@
 		t.Error("an unchanged list is written again")
 	}
 }
+
+// A version that a host recorded between two looks of the keeper, or that served until just before a look,
+// is forgotten at once: the keeper must count Retention from the moment at which it learns of either.
+func TestKeeper_VersionsBetweenTwoLooks(t *testing.T) {
+	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
+	at := time.Unix(1000, 0)
+	k := NewKeeper(at)
+	b, _ := k.Update(at, Begun{}, []Origin{v1})
+	at = at.Add(Retention + time.Second)
+	if b, _ = k.Update(at, b, []Origin{v1}); !b.Verified {
+		t.Fatalf("after the watch: %+v", b)
+	}
+	// Another host began streams at v2, which the keeper's list of endpoints does not show.
+	if b, _ = k.Update(at, b.With(v2), []Origin{v1}); !b.Has(v2) {
+		t.Error("a version that was just recorded is removed")
+	}
+	if b, _ = k.Update(at.Add(Retention+time.Second), b, []Origin{v1}); b.Has(v2) {
+		t.Error("a version without streams is kept")
+	}
+	if again, _ := k.Update(at.Add(Retention+time.Second), b.With(v2), []Origin{v1}); !again.Has(v2) {
+		t.Error("a version that was recorded again is removed")
+	}
+	// v1 leaves while the keeper's host is frozen for longer than Retention.
+	at = at.Add(3 * Retention)
+	if b, _ = k.Update(at, b, []Origin{v2}); !b.Has(v1) {
+		t.Error("a version that may have served until now is removed")
+	}
+	if b, _ = k.Update(at.Add(Retention+time.Second), b, []Origin{v2}); b.Has(v1) {
+		t.Error("a version that left is kept")
+	}
+}
--- a/internal/transport/configproof/configproof_test.go
+++ b/internal/transport/configproof/configproof_test.go
@@ -283,3 +283,24 @@
 		}
 	})
 }
+
+// A host that no peer answers, but that reaches the store, must not be without a proof while it goes on
+// asking ever more peers.
+func TestProver_StoreSufficesWithoutPeers(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		const cutOff = 389
+		f := newTestFleet(390, 6)
+		f.run(3 * time.Second)
+		f.set(func() {
+			f.link = func(from, _ int) error {
+				if from == cutOff {
+					return errCutOff
+				}
+				return nil
+			}
+		})
+		if refused := f.run(time.Minute); len(refused) > 0 {
+			t.Errorf("hosts %v refused requests", refused)
+		}
+	})
+}
