Read the store for a proof while further peers are asked

Cause: a refresh read the store only after it had asked all its peers, one each 60 ms. After refreshes that no peer answered it asks up to 256, which takes 15 s, three times the bound. A host that reached the store but whose calls to listed peers all failed refused requests with keys meanwhile.

Change: from the fifth peer on, the store is read as soon as the host may, and peers are asked on meanwhile. Refreshes of 4 peers are as before.

Result: TestProver_StoreSufficesWithoutPeers (390 hosts, one of them cut off from all others) failed before and passes; the package passes with -race.

--- a/internal/transport/configproof/refresh.go
+++ b/internal/transport/configproof/refresh.go
@@ -64,12 +64,22 @@
 // refresh asks peers, and reads the store if they have no proof that is recent enough.
 func (p *Prover) refresh(asked int) {
 	source := "peer"
-	if !p.askPeers(asked) && p.mayRead() {
-		source = "store"
-		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-		defer cancel()
-		if err := p.opt.Read(ctx); err != nil {
-			p.opt.Log.Info("Failed to read the configuration for a proof", "err", err)
+	// read is closed at the end of the read of the store. It is nil before one starts.
+	var read chan struct{}
+	startRead := func() {
+		if read != nil || !p.mayRead() {
+			return
+		}
+		source, read = "store", make(chan struct{})
+		go func() {
+			defer close(read)
+			p.readStore()
+		}()
+	}
+	if !p.askPeers(asked, startRead) {
+		startRead()
+		if read != nil {
+			<-read
 		}
 	}
 	generation, _ := p.opt.InForce()
@@ -91,13 +101,26 @@
 	p.refreshing = nil
 }
 
-// askPeers asks peers one after the other until one of them has brought a young proof, and reports
-// whether one did. It doesn't wait for the answers of silent peers, which count when they arrive.
-func (p *Prover) askPeers(asked int) bool {
+func (p *Prover) readStore() {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	if err := p.opt.Read(ctx); err != nil {
+		p.opt.Log.Info("Failed to read the configuration for a proof", "err", err)
+	}
+}
+
+// askPeers asks peers one after the other until there is a young proof, and reports whether there is
+// one. It doesn't wait for the answers of silent peers, which count when they arrive. It calls startRead
+// before it asks more than peersAsked of them: to ask maxPeersAsked silent peers takes several times
+// the bound.
+func (p *Prover) askPeers(asked int, startRead func()) bool {
 	hosts := p.supporting(p.opt.Peers())
 	hosts = hosts[:min(asked, len(hosts))]
 	answered := make(chan struct{}, len(hosts))
-	for _, host := range hosts {
+	for i, host := range hosts {
+		if i >= peersAsked {
+			startRead()
+		}
 		go func() {
 			p.ask(host)
 			answered <- struct{}{}
