Let streams that begin at a new software version share one update of the record

Cause: each stream that began at a version which its host did not know as recorded read the record itself, one stream after the other. At 20 ms a read only 20 of them came to it within the 400 ms for which a new stream waits, and the others were refused although the version was recorded. Waiting for the lock did not end with the stream's context either, so behind the keeper's update of a silent store it took up to 3 s instead of 400 ms.

Change: a stream checks again whether the version is known once it has its turn, and stops waiting for it when its time is over.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -161,7 +161,7 @@
 		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
 		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, proofs: n.proofs, log: component("feed"),
 	})
-	n.streamSoftware = &streamSoftware{settings: p.Settings, store: store, catalog: n.Catalog, fleet: fleet, feed: n.feed, rank: n.rank, log: component("streams")}
+	n.streamSoftware = &streamSoftware{settings: p.Settings, store: store, catalog: n.Catalog, fleet: fleet, feed: n.feed, rank: n.rank, log: component("streams"), updating: make(chan struct{}, 1)}
 	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, n.streamSoftware, component("streams"))
 	n.weights = &Weights{
 		settings: p.Settings, store: store, stale: stale, statuses: p.Store, decoder: p.Decoder, fleet: fleet, peers: n.peers,
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -301,6 +301,9 @@
 	logReads atomic.Int64
 	// manifestReads counts the reads and the listings of manifests that must not be stale.
 	manifestReads atomic.Int64
+	// softwareReads counts the reads of the record of the software versions of streams. Each of them
+	// takes softwareReadDelay nanoseconds.
+	softwareReads, softwareReadDelay atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
 }
@@ -327,6 +330,8 @@
 		s.logReads.Add(1)
 	case strings.HasPrefix(key, batches.ManifestPrefix):
 		s.manifestReads.Add(1)
+	case key == streamSoftwareKey:
+		s.softwareReads.Add(1)
 	}
 }
 
@@ -335,6 +340,9 @@
 		<-ctx.Done()
 		return objectapi.Object{}, errors.Join(objectapi.ErrUnavailable, ctx.Err())
 	}
+	if key == streamSoftwareKey {
+		time.Sleep(time.Duration(s.softwareReadDelay.Load()))
+	}
 	return s.ObjectStore.Get(ctx, key)
 }
 
--- a/internal/transport/front/rejoin_test.go
+++ b/internal/transport/front/rejoin_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,3 +225,33 @@
 		t.Error("a stream may not begin at a version that was recorded")
 	}
 }
+
+// Many streams that begin at a version that is not recorded yet must share one update of the record: one
+// after the other they would exceed streamSoftwareTimeout, and be refused although it is recorded.
+func TestRejoin_StreamsShareTheUpdate(t *testing.T) {
+	t.Parallel()
+	w, hosts := newStreamCluster(t, "v1")
+	n := hosts[0]
+	const streams = 100
+	n.store.softwareReads.Store(0)
+	n.store.softwareReadDelay.Store(int64(streamSoftwareTimeout / 20))
+	w.runSoftware("v1", "v2")
+	w.waitUntil("the host lists the new version", listed(hosts[:1], "v1", "v2"))
+	var refused atomic.Int64
+	var begun sync.WaitGroup
+	for range streams {
+		begun.Go(func() {
+			if !n.Forwarder.origins.mayBegin(background, origins.Origin{Service: "plain", Software: "v2"}) {
+				refused.Add(1)
+			}
+		})
+	}
+	begun.Wait()
+	if refused.Load() > 0 {
+		t.Errorf("%d of %d streams may not begin", refused.Load(), streams)
+	}
+	// Reads of the keeper and a repeated one after a conflict are allowed for.
+	if got := n.store.softwareReads.Load(); got > 5 {
+		t.Errorf("%d reads of the record for %d streams", got, streams)
+	}
+}
--- a/internal/transport/front/streamsoftware.go
+++ b/internal/transport/front/streamsoftware.go
@@ -48,8 +48,8 @@
 	known map[origins.Origin]time.Duration
 	// read is the last read of the record that was started.
 	read *softwareRead
-	// updating serializes updates of the record by this host.
-	updating sync.Mutex
+	// updating serializes updates of the record by this host. It holds a value during an update.
+	updating chan struct{}
 }
 
 // softwareRead is a read of the record that several requests share.
@@ -114,7 +114,7 @@
 			keeper = origins.NewKeeper(time.Now())
 		}
 		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		err := s.update(ctx, func(b origins.Begun) (origins.Begun, bool) { return keeper.Update(time.Now(), b, inService) })
+		err := s.update(ctx, func() bool { return true }, func(b origins.Begun) (origins.Begun, bool) { return keeper.Update(time.Now(), b, inService) })
 		cancel()
 		if err != nil && ctx.Err() == nil {
 			s.log.Warn("Failed to update the software versions of streams", "err", err)
@@ -130,7 +130,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamSoftwareTimeout)
 	defer cancel()
-	if err := s.update(ctx, func(b origins.Begun) (origins.Begun, bool) { return b.With(o), !b.Has(o) }); err != nil {
+	err := s.update(ctx, func() bool { return !s.isKnown(o) }, func(b origins.Begun) (origins.Begun, bool) { return b.With(o), !b.Has(o) })
+	if err != nil {
 		s.log.Warn("Failed to record the software version of a stream", "service", o.Service, "software", o.Software, "err", err)
 		return false
 	}
@@ -153,10 +154,17 @@
 }
 
 // update changes the record by a conditional write. It returns nil once the record is as change
-// wants it.
-func (s *streamSoftware) update(ctx context.Context, change func(origins.Begun) (next origins.Begun, changed bool)) error {
-	s.updating.Lock()
-	defer s.updating.Unlock()
+// wants it. It does nothing if needed returns false after the updates before it have ended.
+func (s *streamSoftware) update(ctx context.Context, needed func() bool, change func(origins.Begun) (next origins.Begun, changed bool)) error {
+	select {
+	case s.updating <- struct{}{}:
+		defer func() { <-s.updating }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !needed() {
+		return nil
+	}
 	for {
 		readAt := sinceBoot()
 		current, version, err := s.get(ctx)
