Space the reads of the software record for streams that are taken up again

Cause: a read was shared only by streams that had arrived before it was sent, so streams that arrived one after the other each read the record.

Change: a host sends at most one such read each 250 ms. The answers wait for a list of endpoints that is read about twice a second anyway.

--- a/internal/transport/front/rejoin_test.go
+++ b/internal/transport/front/rejoin_test.go
@@ -255,3 +255,34 @@
 		t.Errorf("%d reads of the record for %d streams", got, streams)
 	}
 }
+
+// Streams that are taken up again one after the other must not read the record once for each of them.
+func TestRejoin_StreamsShareReads(t *testing.T) {
+	t.Parallel()
+	w, hosts := newStreamCluster(t, "v1")
+	n := hosts[0]
+	w.waitUntil("the software of a stream is recorded", func() bool {
+		return n.Forwarder.origins.mayBegin(background, origins.Origin{Service: "plain", Software: "v1"})
+	})
+	n.store.softwareReads.Store(0)
+	const streams, period = 200, time.Second
+	var unknown atomic.Int64
+	var found sync.WaitGroup
+	began := time.Now()
+	for range streams {
+		found.Go(func() {
+			if _, ok := n.Forwarder.origins.software.only(background, sinceBoot()); !ok {
+				unknown.Add(1)
+			}
+		})
+		time.Sleep(period / streams)
+	}
+	found.Wait()
+	// Two are allowed for the keeper.
+	if most := int64(time.Since(began)/streamSoftwareReadSpacing) + 3; n.store.softwareReads.Load() > most {
+		t.Errorf("%d reads of the record for %d streams in %v, want at most %d", n.store.softwareReads.Load(), streams, time.Since(began), most)
+	}
+	if unknown.Load() > 0 {
+		t.Errorf("%d streams of the only version are not known", unknown.Load())
+	}
+}
--- a/internal/transport/front/streamsoftware.go
+++ b/internal/transport/front/streamsoftware.go
@@ -25,6 +25,10 @@
 	streamSoftwareInterval = 5 * time.Second
 	// streamSoftwareTimeout bounds the store calls that a new stream waits for.
 	streamSoftwareTimeout = 400 * time.Millisecond
+	// streamSoftwareReadSpacing is the minimum time between two reads of the record for streams that are
+	// taken up again, of which there may be thousands after a restart of all hosts. They wait for the
+	// next list of endpoints anyway, which is read about twice a second.
+	streamSoftwareReadSpacing = 250 * time.Millisecond
 	// maxKnownSoftwareAge is the age of the list of endpoints beyond which a host that knows a
 	// recorded version reads the record again: the version may have been removed meanwhile, which
 	// takes at least origins.Retention.
@@ -212,22 +216,10 @@
 // only returns the one origin that streams can have as of a boot time; ok is false if there may be
 // several or if the store does not answer.
 func (s *streamSoftware) only(ctx context.Context, since time.Duration) (o origins.Origin, ok bool) {
-	s.mu.Lock()
-	r := s.read
-	if r == nil || r.sentAt < since {
-		r = &softwareRead{sentAt: sinceBoot(), done: make(chan struct{})}
-		s.read = r
-		go func() {
-			defer close(r.done)
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freshListTimeout)
-			defer cancel()
-			var version uint64
-			if r.begun, version, r.err = s.get(ctx); r.err == nil && version == 0 {
-				r.err = objectapi.ErrNotFound
-			}
-		}()
+	r, err := s.readSince(ctx, since)
+	if err != nil {
+		return origins.Origin{}, false
 	}
-	s.mu.Unlock()
 	select {
 	case <-r.done:
 	case <-ctx.Done():
@@ -239,3 +231,40 @@
 	}
 	return r.begun.Only()
 }
+
+// readSince returns a read of the record that was sent at or after a boot time. It starts one if there is
+// none, but not within streamSoftwareReadSpacing after the last one.
+func (s *streamSoftware) readSince(ctx context.Context, since time.Duration) (*softwareRead, error) {
+	for {
+		s.mu.Lock()
+		r, now := s.read, sinceBoot()
+		if r != nil && r.sentAt >= since {
+			s.mu.Unlock()
+			return r, nil
+		}
+		if r == nil || now-r.sentAt >= streamSoftwareReadSpacing {
+			r = &softwareRead{sentAt: now, done: make(chan struct{})}
+			s.read = r
+			s.mu.Unlock()
+			go s.readRecord(context.WithoutCancel(ctx), r)
+			return r, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(streamSoftwareReadSpacing - (now - r.sentAt)):
+		}
+	}
+}
+
+// readRecord reads the record for the requests that share r.
+func (s *streamSoftware) readRecord(ctx context.Context, r *softwareRead) {
+	defer close(r.done)
+	ctx, cancel := context.WithTimeout(ctx, freshListTimeout)
+	defer cancel()
+	var version uint64
+	if r.begun, version, r.err = s.get(ctx); r.err == nil && version == 0 {
+		r.err = objectapi.ErrNotFound
+	}
+}
