--- a/internal/transport/front/streamsoftware.go
+++ b/internal/transport/front/streamsoftware.go
@@ -25,6 +25,10 @@
 	streamSoftwareInterval = 5 * time.Second
 	// streamSoftwareTimeout bounds the store calls that a new stream waits for.
 	streamSoftwareTimeout = 400 * time.Millisecond
+	// streamSoftwareReadSpacing is the minimum time between two reads of the record for streams that are
+	// taken up again, of which there may be thousands after a restart of all hosts. They wait for the
+	// next list of endpoints anyway, which is read about twice a second.
+	streamSoftwareReadSpacing = 250 * time.Millisecond
 	// maxKnownSoftwareAge is the age of the list of endpoints beyond which a host that knows a
 	// recorded version reads the record again: the version may have been removed meanwhile, which
 	// takes at least origins.Retention.
@@ -48,8 +52,8 @@
 	known map[origins.Origin]time.Duration
 	// read is the last read of the record that was started.
 	read *softwareRead
-	// updating serializes updates of the record by this host.
-	updating sync.Mutex
+	// updating serializes updates of the record by this host. It holds a value during an update.
+	updating chan struct{}
 }
 
 // softwareRead is a read of the record that several requests share.
@@ -114,7 +118,7 @@
 			keeper = origins.NewKeeper(time.Now())
 		}
 		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		err := s.update(ctx, func(b origins.Begun) (origins.Begun, bool) { return keeper.Update(time.Now(), b, inService) })
+		err := s.update(ctx, func() bool { return true }, func(b origins.Begun) (origins.Begun, bool) { return keeper.Update(time.Now(), b, inService) })
 		cancel()
 		if err != nil && ctx.Err() == nil {
 			s.log.Warn("Failed to update the software versions of streams", "err", err)
@@ -130,7 +134,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamSoftwareTimeout)
 	defer cancel()
-	if err := s.update(ctx, func(b origins.Begun) (origins.Begun, bool) { return b.With(o), !b.Has(o) }); err != nil {
+	err := s.update(ctx, func() bool { return !s.isKnown(o) }, func(b origins.Begun) (origins.Begun, bool) { return b.With(o), !b.Has(o) })
+	if err != nil {
 		s.log.Warn("Failed to record the software version of a stream", "service", o.Service, "software", o.Software, "err", err)
 		return false
 	}
@@ -153,10 +158,17 @@
 }
 
 // update changes the record by a conditional write. It returns nil once the record is as change
-// wants it.
-func (s *streamSoftware) update(ctx context.Context, change func(origins.Begun) (next origins.Begun, changed bool)) error {
-	s.updating.Lock()
-	defer s.updating.Unlock()
+// wants it. It does nothing if needed returns false after the updates before it have ended.
+func (s *streamSoftware) update(ctx context.Context, needed func() bool, change func(origins.Begun) (next origins.Begun, changed bool)) error {
+	select {
+	case s.updating <- struct{}{}:
+		defer func() { <-s.updating }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !needed() {
+		return nil
+	}
 	for {
 		readAt := sinceBoot()
 		current, version, err := s.get(ctx)
@@ -204,22 +216,10 @@
 // only returns the one origin that streams can have as of a boot time; ok is false if there may be
 // several or if the store does not answer.
 func (s *streamSoftware) only(ctx context.Context, since time.Duration) (o origins.Origin, ok bool) {
-	s.mu.Lock()
-	r := s.read
-	if r == nil || r.sentAt < since {
-		r = &softwareRead{sentAt: sinceBoot(), done: make(chan struct{})}
-		s.read = r
-		go func() {
-			defer close(r.done)
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freshListTimeout)
-			defer cancel()
-			var version uint64
-			if r.begun, version, r.err = s.get(ctx); r.err == nil && version == 0 {
-				r.err = objectapi.ErrNotFound
-			}
-		}()
+	r, err := s.readSince(ctx, since)
+	if err != nil {
+		return origins.Origin{}, false
 	}
-	s.mu.Unlock()
 	select {
 	case <-r.done:
 	case <-ctx.Done():
@@ -231,3 +231,40 @@
 	}
 	return r.begun.Only()
 }
+
+// readSince returns a read of the record that was sent at or after a boot time. It starts one if there is
+// none, but not within streamSoftwareReadSpacing after the last one.
+func (s *streamSoftware) readSince(ctx context.Context, since time.Duration) (*softwareRead, error) {
+	for {
+		s.mu.Lock()
+		r, now := s.read, sinceBoot()
+		if r != nil && r.sentAt >= since {
+			s.mu.Unlock()
+			return r, nil
+		}
+		if r == nil || now-r.sentAt >= streamSoftwareReadSpacing {
+			r = &softwareRead{sentAt: now, done: make(chan struct{})}
+			s.read = r
+			s.mu.Unlock()
+			go s.readRecord(context.WithoutCancel(ctx), r)
+			return r, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(streamSoftwareReadSpacing - (now - r.sentAt)):
+		}
+	}
+}
+
+// readRecord reads the record for the requests that share r.
+func (s *streamSoftware) readRecord(ctx context.Context, r *softwareRead) {
+	defer close(r.done)
+	ctx, cancel := context.WithTimeout(ctx, freshListTimeout)
+	defer cancel()
+	var version uint64
+	if r.begun, version, r.err = s.get(ctx); r.err == nil && version == 0 {
+		r.err = objectapi.ErrNotFound
+	}
+}
