Order no fewer endpoints right after a gap in the readings

Cause: the plan is not called while the lease is not confirmed or the host is frozen, but the period of lower demand was counted through that gap. The first reading afterwards, between two waves, could order an eighth fewer endpoints. Change: after more than 3 s without a reading, the period begins again.

--- a/internal/coordination/scaling/scaling.go
+++ b/internal/coordination/scaling/scaling.go
@@ -47,6 +47,9 @@
 	// departureWindow is how long endpoints may take to report that they leave after fewer were
 	// ordered.
 	departureWindow = 5 * time.Second
+	// maxGap is the time between two calls of Next beyond which the demand in between is unknown: the
+	// lease was not confirmed, or the host was frozen.
+	maxGap = 3 * time.Second
 	// stepDownInterval and stepDownShare bound the rate of orders for fewer endpoints.
 	stepDownInterval = 5 * time.Second
 	stepDownShare    = 0.125
@@ -175,7 +178,7 @@
 	if !p.began {
 		p.began, p.beganAt, p.observedSince, p.lastInput = true, in.Now, in.Now, in.Now
 	}
-	if in.DemandUnknown {
+	if in.DemandUnknown || in.Now-p.lastInput > maxGap {
 		p.observedSince = in.Now
 	}
 	p.observe(in)
--- a/internal/coordination/scaling/scaling_test.go
+++ b/internal/coordination/scaling/scaling_test.go
@@ -242,6 +242,35 @@
 	})
 }
 
+// While a holder cannot confirm its lease or is frozen, it does not see the demand. Fewer endpoints ordered
+// after the first reading that follows would be missing in the next wave.
+func TestNext_NoFewerAfterGap(t *testing.T) {
+	limits := &catalog.Scaling{Max: 16, BootTime: 4 * time.Second, ZonePrices: map[string]float64{"a": 1, "b": 1}}
+	in := Input{}
+	for i := range uint32(20) {
+		in.Endpoints = append(in.Endpoints, Endpoint{Place: Place{Zone: []string{"a", "b"}[i%2]}, Instance: i, Slots: 4})
+	}
+	p := NewPlan()
+	for ; in.Now < time.Minute; in.Now += time.Second {
+		in.Demand = Demand{Due: 80}
+		if orders := p.Next(in, limits); len(orders) > 0 {
+			t.Fatalf("at %v: orders %+v although the demand fits", in.Now, orders)
+		}
+	}
+	in.Now += time.Minute
+	in.Demand = Demand{}
+	resumed, fewer := in.Now, false
+	for ; in.Now < resumed+2*holdPeriod; in.Now += time.Second {
+		orders := p.Next(in, limits)
+		if fewer = fewer || len(orders) > 0; fewer && in.Now < resumed+holdPeriod {
+			t.Fatalf("%v after the gap: orders %+v, want none for %v", in.Now-resumed, orders, holdPeriod)
+		}
+	}
+	if !fewer {
+		t.Error("no order for fewer endpoints after the demand was lower for long enough")
+	}
+}
+
 // Too few slots let samples end late, and a slot for each sample pays for idle endpoints.
 func TestSlotsInTime(t *testing.T) {
 	seconds := func(n int, s float64) (out []time.Duration) {
