Confirm the duties lease after a late refusal of an order

Cause: after a 409 for an order of endpoints, the lease was read within what was left of the order's 2 s. If the API answered late, the read failed, and the holder released a lease that it still held: 4.5 s without calls, and its plans for endpoints were lost. Change: the read has the time of any other read of the lease (2.5 s). Result: TestCalls_LateRefusalOfOrder fails without the change and passes with it; the tests of the package pass with -race.

--- a/internal/transport/duties/calls.go
+++ b/internal/transport/duties/calls.go
@@ -87,7 +87,8 @@
 		return errors.Join(operatorapi.ErrTooMany, err)
 	}
 	err = c.send(ctx, "scaling", creds, func() error { return c.client.SetEndpointCount(ctx, creds, n) })
-	if errors.Is(err, operatorapi.ErrSuperseded) && !c.lease.Confirm(ctx) {
+	// The order's own time may be nearly over. A lease that could not be read in it is not lost.
+	if errors.Is(err, operatorapi.ErrSuperseded) && !c.lease.Confirm(context.WithoutCancel(ctx)) {
 		c.lease.refused(creds.Token)
 		return errors.Join(ErrNotHolding, err)
 	}
--- a/internal/transport/duties/calls_test.go
+++ b/internal/transport/duties/calls_test.go
@@ -53,6 +53,32 @@
 	}
 }
 
+// lateRefusal refuses orders for endpoints at the end of their time.
+type lateRefusal struct{ operatorapi.Client }
+
+func (lateRefusal) SetEndpointCount(ctx context.Context, _ operatorapi.Credentials, _ operatorapi.EndpointCount) error {
+	<-ctx.Done()
+	return operatorapi.ErrSuperseded
+}
+
+// The refusal of an order may arrive when the time of the order is nearly over. The lease must be read all
+// the same: a holder that gave it up would make no calls for lease_ms and Validity.
+func TestCalls_LateRefusalOfOrder(t *testing.T) {
+	h := holdingHost(t)
+	h.obeysContext = true
+	calls := NewCalls(h.lease, lateRefusal{}, 0, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	creds, _ := h.lease.Credentials(h.now)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	err := calls.SetEndpointCount(ctx, creds, operatorapi.EndpointCount{})
+	if !errors.Is(err, operatorapi.ErrSuperseded) || errors.Is(err, ErrNotHolding) {
+		t.Errorf("order: %v", err)
+	}
+	if _, ok := h.lease.Holding(h.now); !ok {
+		t.Error("the lease is given up although the store confirms it")
+	}
+}
+
 // The limit holds for all duties together: the API refuses calls beyond it.
 func TestCalls_Limit(t *testing.T) {
 	h := holdingHost(t)
--- a/internal/transport/duties/lease_test.go
+++ b/internal/transport/duties/lease_test.go
@@ -73,6 +73,8 @@
 	apiLost bool
 	state   presence.DutiesState
 	relayed bool
+	// obeysContext makes reads of the store fail once their context has ended.
+	obeysContext bool
 }
 
 func newWorld(t *testing.T, hosts int, seed uint64) *world {
@@ -165,7 +167,7 @@
 
 // Get implements objectapi.API.
 func (h *simHost) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	if h.storeLost {
+	if h.storeLost || h.obeysContext && ctx.Err() != nil {
 		return objectapi.Object{}, errLost
 	}
 	h.slow()
