Order endpoints without pauses where calls are not limited

Cause: duties.Calls takes a missing duties_per_s for no limit, but the scaler took it for a rate of zero and sent one order in its life. Change: the scaler has no limit either then. Result: TestScaler_NoLimitOnCalls fails without the change (orders for one zone of three) and passes with it; the package's tests pass with -race.

--- a/internal/transport/scaling/scaling.go
+++ b/internal/transport/scaling/scaling.go
@@ -58,7 +58,7 @@
 type Options struct {
 	// Host is the name of this host, which identifies the holder of the lease.
 	Host string
-	// CallsPerSecond is the limit on calls to the operator's API, shared by all duties.
+	// CallsPerSecond is the limit on calls to the operator's API, shared by all duties; zero is no limit.
 	CallsPerSecond float64
 	Lease          Lease
 	API            operatorapi.Client
@@ -85,7 +85,11 @@
 
 // New returns a scaler and registers its metrics. The caller must call Run.
 func New(opt Options) *Scaler {
-	limiter := rate.NewLimiter(rate.Limit(rateShare*opt.CallsPerSecond), max(1, int(burstShare*opt.CallsPerSecond)))
+	limit := rate.Inf
+	if opt.CallsPerSecond > 0 {
+		limit = rate.Limit(rateShare * opt.CallsPerSecond)
+	}
+	limiter := rate.NewLimiter(limit, max(1, int(burstShare*opt.CallsPerSecond)))
 	return &Scaler{opt: opt, limiter: limiter, metrics: newMetrics(opt.Registry), plans: map[string]*scaling.Plan{}}
 }
 
--- a/internal/transport/scaling/scaling_test.go
+++ b/internal/transport/scaling/scaling_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// Settings without a limit on calls must not stop the orders after the first one.
+func TestScaler_NoLimitOnCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &operator{token: 1, held: true}
+		stop := o.play(t, 0)
+		defer stop()
+		time.Sleep(5 * time.Second)
+		zones := map[string]bool{}
+		for _, c := range o.sent() {
+			zones[c.count.Zone] = true
+		}
+		if len(zones) != 3 {
+			t.Errorf("orders for the zones %v, want three zones", zones)
+		}
+	})
+}
+
 // A host that runs batches and does not answer hides their demand: without knowing it, no fewer
 // endpoints may be ordered. Its samples must not count twice, as samples and as requests.
 func TestGatherer_SumsWhatHostsKnow(t *testing.T) {
