Do not repeat orders that the API refuses for another reason

Cause: an order that the API answered with, say, status 400 counted as unanswered. It was repeated every 2 to 8 s without end, each time as a charged call, and its place got no other number meanwhile. Change: only ErrUnconfirmed counts as unanswered. Other refusals count as a place without endpoints, so that other places get its share. Result: TestScaler_RefusedOrderIsNotRepeated fails without the change (3 orders for each zone in 9 s) and passes with it; the package's tests pass with -race.

--- a/internal/transport/scaling/scaling.go
+++ b/internal/transport/scaling/scaling.go
@@ -203,6 +203,10 @@
 		return scaling.Refused, false
 	case errors.Is(err, operatorapi.ErrTooMany), errors.Is(err, operatorapi.ErrUnavailable):
 		return scaling.NotTaken, true
+	case errors.Is(err, operatorapi.ErrUnconfirmed):
+		return scaling.Unanswered, false
 	}
-	return scaling.Unanswered, false
+	// The API refused the order for a reason of its own, such as a zone that it does not know. It would
+	// refuse a repeat too.
+	return scaling.Refused, false
 }
--- a/internal/transport/scaling/scaling_test.go
+++ b/internal/transport/scaling/scaling_test.go
@@ -157,6 +157,29 @@
 	}
 }
 
+// An order that the API refuses for another reason than those of package operatorapi, such as a zone that it
+// does not know, must not be repeated as if it had no answer, which blocks its place.
+func TestScaler_RefusedOrderIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &operator{token: 1, held: true, err: errors.New("status 400")}
+		stop := o.play(t, 100)
+		defer stop()
+		time.Sleep(9 * time.Second)
+		zones := map[string]int{}
+		for _, c := range o.sent() {
+			zones[c.count.Zone]++
+		}
+		if len(zones) == 0 {
+			t.Error("no orders")
+		}
+		for zone, n := range zones {
+			if n > 1 {
+				t.Errorf("%d orders for zone %s within 9 s, want 1", n, zone)
+			}
+		}
+	})
+}
+
 // Settings without a limit on calls must not stop the orders after the first one.
 func TestScaler_NoLimitOnCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
