Keep to a zone's limit beside an unconfirmed order for fewer endpoints

Cause: an order for fewer counted as executed from its sending. If it was not executed, endpoints of the other kind took its part of the zone's limit, so that the zone had more than max_replicas. And the order that replaced it when the demand rose again could name the number that still served. Change: what an unconfirmed order for fewer is to stop counts towards the limit of its zone until it leaves, and no order names just the number that serves.

--- a/internal/coordination/scaling/allocation.go
+++ b/internal/coordination/scaling/allocation.go
@@ -23,6 +23,8 @@
 	places []Place
 	// counts has the number of endpoints in each place, former what is present.
 	counts, former map[Place]int
+	// unstopped has the endpoints that an unconfirmed order for fewer is to stop and that still run.
+	unstopped map[Place]int
 	// zones has the number of endpoints in each zone, which the limits bound. usable, and for all
 	// zones total and onDemand, leave out those that are unreachable.
 	zones, usable   map[string]int
@@ -34,7 +36,7 @@
 }
 
 func newAllocation(p *Plan, in Input, limits *catalog.Scaling, callers int) *allocation {
-	a := &allocation{plan: p, now: in.Now, limits: limits, counts: map[Place]int{}, former: map[Place]int{}, zones: map[string]int{}, usable: map[string]int{}, callers: callers}
+	a := &allocation{plan: p, now: in.Now, limits: limits, counts: map[Place]int{}, former: map[Place]int{}, unstopped: map[Place]int{}, zones: map[string]int{}, usable: map[string]int{}, callers: callers}
 	for zone := range limits.ZonePrices {
 		a.zones[zone] = 0
 	}
@@ -47,6 +49,9 @@
 			a.places = append(a.places, at)
 			s := p.place(at)
 			a.former[at] = s.present()
+			if s.unconfirmedFewer() {
+				a.unstopped[at] = s.remaining()
+			}
 			a.change(at, a.former[at])
 			a.changeUsable(at, -min(s.unreachable, a.former[at]))
 		}
@@ -89,7 +94,7 @@
 // mayGrow reports whether more endpoints may be ordered in a place.
 func (a *allocation) mayGrow(at Place) bool {
 	s := a.plan.place(at)
-	if !a.orderable(at) || a.now < s.unavailableUntil || s.unreachable > 0 && s.unreachable == s.serving || a.zones[at.Zone] >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
+	if !a.orderable(at) || a.now < s.unavailableUntil || s.unreachable > 0 && s.unreachable == s.serving || a.zones[at.Zone]+a.unstoppedBeside(at) >= a.limits.Max || at.Spot && a.limits.SpotPrice <= 0 {
 		return false
 	}
 	// An unanswered order for more is repeated first. One for fewer that is no longer wanted is
@@ -97,6 +102,13 @@
 	return s.order == nil || !s.order.open || !s.order.pending && s.order.count < s.order.serving
 }
 
+// unstoppedBeside returns the endpoints of the other kind in the zone of a place that still run although
+// counts leaves them out.
+func (a *allocation) unstoppedBeside(at Place) int {
+	other := Place{Zone: at.Zone, Spot: !at.Spot}
+	return max(a.unstopped[other]-(a.counts[other]-a.former[other]), 0)
+}
+
 // add adds an endpoint to the cheapest place that is allowed. It returns false if there is none.
 func (a *allocation) add(allowed func(Place) bool) bool {
 	best, bestCost := -1, 0.0
@@ -219,8 +231,11 @@
 	var out []Order
 	grown := a.grown()
 	for _, at := range a.places {
-		o := a.plan.place(at).order
+		s := a.plan.place(at)
+		o := s.order
 		switch {
+		case s.unconfirmedFewer() && a.counts[at] > a.former[at] && a.counts[at] == s.serving:
+			// Nothing was stopped so far. If it is later, the endpoints are ordered again.
 		case a.counts[at] != a.former[at]:
 			out = append(out, Order{Place: at, Count: a.counts[at], Former: a.former[at]})
 		case o != nil && o.open && !o.pending && a.now >= o.repeatAt && !(grown && o.count < o.serving):
--- a/internal/coordination/scaling/place.go
+++ b/internal/coordination/scaling/place.go
@@ -143,6 +143,11 @@
 	return s.serving + s.remaining()
 }
 
+// unconfirmedFewer reports whether the last order was for fewer endpoints and is not confirmed.
+func (s *placeState) unconfirmedFewer() bool {
+	return s.order != nil && s.order.open && s.order.count < s.order.serving
+}
+
 // shrinking reports whether the last order was for fewer endpoints.
 func (s *placeState) shrinking(now time.Duration) bool {
 	return s.order != nil && s.order.count < s.order.serving && now < s.order.until+departureWindow
