Do not count calls that were not sent as attempts of a report

Cause: while the lease is about to become invalid, a report was tried each 100 ms without being sent, and each try doubled the time limit of the next call up to 16 s. If that call got no answer, its repetition was late. Change: ErrNotHolding takes the attempt back. Result: TestUsage_CallsNotSentAreNoAttempts fails without the change (5 attempts) and passes with it; the package's tests pass with -race.

--- a/internal/transport/usage/reporting.go
+++ b/internal/transport/usage/reporting.go
@@ -435,7 +435,11 @@
 	defer s.mu.Unlock()
 	p.sending = false
 	r.sending--
-	if errors.Is(err, duties.ErrNotHolding) || ctx.Err() != nil {
+	if errors.Is(err, duties.ErrNotHolding) {
+		p.attempts-- // it was not sent
+		return
+	}
+	if ctx.Err() != nil {
 		return
 	}
 	s.metrics.reports.WithLabelValues(outcome(err)).Inc()
--- a/internal/transport/usage/usage_test.go
+++ b/internal/transport/usage/usage_test.go
@@ -6,7 +6,9 @@
 	"testing/synctest"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
+	"oleanderfall.example/oleanderfall/internal/transport/duties"
 )
 
 // Every window must be reported once, in time and with the right counts, whatever fails. The operator
@@ -127,6 +129,35 @@
 	})
 }
 
+// notHolding sends no calls, as package duties while the lease is about to become invalid.
+type notHolding struct{ operatorapi.Client }
+
+func (notHolding) ReportUsage(context.Context, operatorapi.Credentials, operatorapi.Usage) error {
+	return duties.ErrNotHolding
+}
+
+// A call that was not sent must not lengthen the time limit of the next one: a report whose first call gets
+// no answer within 16 s is not repeated within the 10 s in which it is due.
+func TestUsage_CallsNotSentAreNoAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 0)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		s := w.holder.service
+		s.Calls = notHolding{}
+		r, p := &reporting{collector: s.reporting.collector, unsent: map[int64]*pendingReport{}}, &pendingReport{}
+		r.unsent[s.windows.Index(unixNow())] = p
+		for range 5 {
+			s.sendReports(t.Context(), r)
+			synctest.Wait()
+		}
+		if p.attempts != 0 || p.sending {
+			t.Errorf("%d attempts, sending %v after calls that were not sent", p.attempts, p.sending)
+		}
+		w.stop()
+	})
+}
+
 // The store must not fill with old reports, and is not written without need.
 func TestUsage_StoredObjects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
