Keep a new holding of the duties lease after a late read for the old one

Cause: a read that renews the lease after a refused order may be executed when the host has released the lease and acquired it again. Change: only the holding for which the read was made is ended by it. Result: TestLease_LateReadKeepsNewHolding fails without the change and passes with it; the package's tests pass with -race.

--- a/internal/transport/duties/lease.go
+++ b/internal/transport/duties/lease.go
@@ -482,7 +482,10 @@
 	}
 	if r.Holder != l.settings.Host || r.FencingToken != token || r.Released {
 		l.renewals.WithLabelValues("lost").Inc()
-		l.stop("the lease is held by " + r.Holder)
+		// Meanwhile this host may have released the lease and acquired it again.
+		if l.Token() == token {
+			l.stop("the lease is held by " + r.Holder)
+		}
 		return false
 	}
 	l.renewals.WithLabelValues("confirmed").Inc()
--- a/internal/transport/duties/lease_test.go
+++ b/internal/transport/duties/lease_test.go
@@ -75,6 +75,8 @@
 	relayed bool
 	// obeysContext makes reads of the store fail once their context has ended.
 	obeysContext bool
+	// beforeRead is called once, before the store executes the next read.
+	beforeRead func()
 }
 
 func newWorld(t *testing.T, hosts int, seed uint64) *world {
@@ -171,6 +173,10 @@
 		return objectapi.Object{}, errLost
 	}
 	h.slow()
+	if f := h.beforeRead; f != nil {
+		h.beforeRead = nil
+		f()
+	}
 	o, err := h.ObjectStore.Get(ctx, key)
 	h.slow()
 	return o, err
@@ -295,6 +301,22 @@
 	w.check()
 }
 
+// The store may execute a read of the lease after this host has released it and acquired it again. That must not
+// end the new holding: the duties would wait once more for lease_ms and Validity.
+func TestLease_LateReadKeepsNewHolding(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(5 * time.Second)
+	l := w.hosts[0].lease
+	token := l.Token()
+	w.hosts[0].beforeRead = func() {
+		l.release(context.Background(), "test")
+		l.acquire(context.Background(), nil)
+	}
+	if l.Confirm(context.Background()) || l.Token() != token+1 {
+		t.Errorf("token %d after a late read, want %d", l.Token(), token+1)
+	}
+}
+
 // Whatever fails, two hosts must never use the same token, tokens must not fall, and calls of two
 // holders must be apart: hosts freeze (also within a call to the store), crash and restart, lose the
 // store or drain, and the store executes unanswered writes seconds later.
