Log a failing renewal of the duties lease once for each outage

Cause: while the store refuses calls, the holder tries to renew the lease five times a second and logged each failure. Change: the first failure and the first success after it are logged; the metric counts all.

--- a/internal/transport/duties/lease.go
+++ b/internal/transport/duties/lease.go
@@ -126,6 +126,8 @@
 	notBefore time.Duration
 	lastCall  time.Duration
 	inFlight  int
+	// renewalFailing is set after a failed renewal until the next confirmed one.
+	renewalFailing bool
 	// cancel ends the duties, running counts those that have not ended.
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -417,6 +419,7 @@
 	l.mu.Lock()
 	now := l.now()
 	l.held, l.own, l.version, l.renewedAt, l.mustRelease, l.failingSince = true, next, version, sent, "", 0
+	l.renewalFailing = false
 	l.notBefore, l.lastCall = now+wait, now+wait-l.settings.Distance
 	l.cancel = cancelDuties
 	l.mu.Unlock()
@@ -477,7 +480,13 @@
 	r, version, err := l.read(ctx)
 	if err != nil {
 		l.renewals.WithLabelValues("failed").Inc()
-		l.log.Warn("Failed to renew duties lease", "fencing_token", token, "err", err)
+		l.mu.Lock()
+		first := !l.renewalFailing
+		l.renewalFailing = true
+		l.mu.Unlock()
+		if first { // the renewal is tried several times a second
+			l.log.Warn("Failed to renew duties lease; trying again", "fencing_token", token, "err", err)
+		}
 		return false
 	}
 	if r.Holder != l.settings.Host || r.FencingToken != token || r.Released {
@@ -495,6 +504,10 @@
 		return false
 	}
 	l.renewedAt, l.version = max(l.renewedAt, sent), version
+	if l.renewalFailing {
+		l.renewalFailing = false
+		l.log.Info("Renewed duties lease again", "fencing_token", token)
+	}
 	return true
 }
 
--- a/internal/transport/duties/lease_test.go
+++ b/internal/transport/duties/lease_test.go
@@ -1,12 +1,14 @@
 package duties
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +40,8 @@
 	pending []simWrite
 	// faults is set while calls to the store may be slow, fail or be executed late.
 	faults bool
+	// log has the log lines of all hosts.
+	log bytes.Buffer
 }
 
 type simCall struct {
@@ -96,7 +100,7 @@
 		Peers: h.peers, Candidates: h.candidates, Ready: func() bool { return true }, Draining: func() bool { return h.draining },
 		StoreReachable: func() bool { return !h.storeLost }, Announce: func() { h.token = h.lease.Token() },
 		AskToken: h.askToken,
-	}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	}, slog.New(slog.NewTextHandler(&h.log, nil)), prometheus.NewRegistry())
 }
 
 func (h *simHost) peers() (out []presence.Member) {
@@ -265,7 +269,7 @@
 }
 
 // A host whose token the API refused must not use it again. While the store is down for all hosts,
-// nobody may call; the holder goes on with its token when the store is back. While hubs of a build without
+// nobody may call and the log is not flooded; the holder goes on with its token when the store is back. While hubs of a build without
 // duties pass heartbeats on, hosts must not take the lease from a holder whose token they do not see.
 func TestLease_SameHolder(t *testing.T) {
 	w := newWorld(t, 3, 1)
@@ -286,6 +290,9 @@
 	w.run(10 * time.Second)
 	setAll(func(h *simHost) { h.storeLost = false })
 	w.run(20 * time.Second)
+	if n := strings.Count(w.log.String(), "Failed to renew"); n != 1 {
+		t.Errorf("%d log lines about the renewal in one outage of the store, want 1", n)
+	}
 	if got, ok := h.lease.Holding(w.now); !ok || got != token {
 		t.Errorf("the holder has token %d, may call %v; want %d", got, ok, token)
 	}
