--- a/internal/transport/front/settings.go
+++ b/internal/transport/front/settings.go
@@ -64,7 +64,7 @@
 type OperatorAPI struct {
 	// Address has the form IP:PORT. It is empty if there is no such API.
 	Address string
-	// CallsPerSecond is the limit on calls, shared by all hosts.
+	// CallsPerSecond is the limit on calls, shared by all hosts; zero is no limit.
 	CallsPerSecond float64
 	// ReportsUsage and ScalesServices say which duties this system has.
 	ReportsUsage   bool
