Send counts of many windows in several messages

Cause: a new holder gets all undecided windows from each host in one message. After an outage of an hour with some hundred teams, that exceeds the 1 MiB that a holder reads. The message was refused each second, until the windows expired. Change: a message has the oldest windows that fit into 512 KiB. Result: TestUsage_ManyWindowsAfterOutage (720 windows, 200 teams) fails without the change (nothing arrives) and passes with it; the package's tests pass with -race.

--- a/internal/transport/usage/service.go
+++ b/internal/transport/usage/service.go
@@ -5,10 +5,12 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +33,9 @@
 	// clockInterval is the time after which a host without new counts sends a message all the same, so
 	// that its clock counts for the binding time and it learns that.
 	clockInterval = 5 * time.Minute
+	// maxMessageSize bounds the counts in a message, at half of what a holder reads. After a long outage
+	// those of many windows and teams are sent in several messages.
+	maxMessageSize = 512 << 10
 	// askStoreInterval is the time between two reads of the lease by a host that has counts and sees
 	// no holder in heartbeats, as long as these pass through hubs of a build without duties.
 	askStoreInterval = 5 * time.Second
@@ -269,8 +274,8 @@
 	return holder{host, token}
 }
 
-// changed returns the undecided windows whose counts differ from what was sent to a holder, and
-// increases the revision. The caller holds the lock.
+// changed returns the undecided windows whose counts differ from what was sent to a holder, the oldest
+// ones that fit into a message, and increases the revision. The caller holds the lock.
 func (s *Service) changed(to holder) []windowCounts {
 	if to != s.sentTo {
 		s.sentTo, s.sent = to, map[int64]usage.Counts{}
@@ -288,6 +293,17 @@
 		}
 	}
 	s.revision++
+	slices.SortFunc(out, func(a, b windowCounts) int { return cmp.Compare(a.Window, b.Window) })
+	size := 0
+	for i, w := range out {
+		size += 16
+		for team := range w.Counts {
+			size += len(team) + 14 // the largest encoding of the length and the number
+		}
+		if i > 0 && size > maxMessageSize {
+			return out[:i]
+		}
+	}
 	return out
 }
 
--- a/internal/transport/usage/usage_test.go
+++ b/internal/transport/usage/usage_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/transport/duties"
@@ -158,6 +164,42 @@
 	})
 }
 
+// After an outage of an hour a host sends the counts of 720 windows to the next holder. Holders read at most
+// 1 MiB of a message, and a message that is refused as a whole never arrives.
+func TestUsage_ManyWindowsAfterOutage(t *testing.T) {
+	const windows, teams, maxUsageMessage = 720, 200, 1 << 20
+	arrived := map[int64]int{}
+	s := newService(Params{Host: "h", Window: testWindow, Due: testDue, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+		Lease: &host{world: &world{}}, Holder: func() (string, uint64) { return "holder", 1 },
+		Send: func(_ context.Context, _ string, raw []byte) ([]byte, error) {
+			if len(raw) > maxUsageMessage {
+				return nil, errors.New("message too large")
+			}
+			var m message
+			if err := cbor.Unmarshal(raw, &m); err != nil {
+				return nil, err
+			}
+			for _, w := range m.Reports {
+				arrived[w.Window] = len(w.Counts)
+			}
+			return cbor.Marshal(answer{})
+		}}, func() time.Duration { return windows * testWindow }, func() time.Duration { return windows * testWindow })
+	for w := range windows {
+		for team := range teams {
+			s.counter.Begin(fmt.Sprintf("a team's name %03d", team)).Sent(time.Duration(w) * testWindow)
+		}
+	}
+	for range 10 {
+		s.sendCounts(t.Context())
+	}
+	for w := range int64(windows) {
+		// The first window is older than what hosts keep.
+		if w > 0 && arrived[w] != teams {
+			t.Fatalf("window %d: the counts of %d teams arrived, want %d", w, arrived[w], teams)
+		}
+	}
+}
+
 // The store must not fill with old reports, and is not written without need.
 func TestUsage_StoredObjects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
