Take the median of the clocks at most once a second

Cause: the holder sorted the clocks of all hosts for each message with counts: at 390 hosts 390 medians of 390 values a second, under the mutex that each request of a team takes. Change: a median counts for one second, or until another time is adopted. Result: TestClock_MedianIsNotTakenForEachVote fails without the change (7 allocations for each message) and passes with it; the time was not measured. The tests of both packages for usage pass with -race.

--- a/internal/coordination/usage/clock.go
+++ b/internal/coordination/usage/clock.go
@@ -13,6 +13,9 @@
 	minVotes = 3
 	// voteLifetime is how long a host's vote counts. Hosts without requests send none.
 	voteLifetime = 10 * time.Minute
+	// decideInterval is the time between two medians. Each takes a time that grows with the number of
+	// votes, so that one for each vote would cost the square of that.
+	decideInterval = time.Second
 	// maxRoundTrip bounds the error of an adopted offset to half of it.
 	maxRoundTrip = 100 * time.Millisecond
 )
@@ -28,6 +31,9 @@
 	adopted    bool
 	offset     time.Duration
 	votes      map[string]vote
+	// decided is set while offset is the median taken at decidedAt.
+	decided   bool
+	decidedAt time.Duration
 }
 
 // vote is another host's own offset, converted to the boot time of this one.
@@ -66,7 +72,7 @@
 	if c.adopted && roundTrip > maxRoundTrip {
 		return
 	}
-	c.adopted, c.offset = true, unix+roundTrip/2-received
+	c.adopted, c.offset, c.decided = true, unix+roundTrip/2-received, false
 }
 
 // Vote records the own Unix time of another host in a message received at now.
@@ -75,8 +81,12 @@
 }
 
 // Decide sets the offset to the median of the votes and this host's own offset, if these are enough.
-// It reports whether they are.
+// It reports whether they are. A median counts for decideInterval.
 func (c *Clock) Decide(now time.Duration) bool {
+	if c.decided && now-c.decidedAt < decideInterval {
+		return true
+	}
+	c.decided = false
 	offsets := []time.Duration{c.own}
 	for host, v := range c.votes {
 		if now-v.at > voteLifetime {
@@ -90,5 +100,6 @@
 	}
 	slices.Sort(offsets)
 	c.adopted, c.offset = true, offsets[len(offsets)/2]
+	c.decided, c.decidedAt = true, now
 	return true
 }
--- a/internal/coordination/usage/usage_test.go
+++ b/internal/coordination/usage/usage_test.go
@@ -101,6 +101,34 @@
 	}
 }
 
+// The holder gets a message from each of up to 390 hosts every second. A median of all clocks for each message
+// would cost the square of the number of hosts.
+func TestClock_MedianIsNotTakenForEachVote(t *testing.T) {
+	const hosts = 390
+	c := NewClock(0, 0)
+	names := make([]string, hosts)
+	for i := range names {
+		names[i] = fmt.Sprint("n", i)
+		c.Vote(0, names[i], time.Second)
+	}
+	now := time.Second
+	c.Decide(now)
+	if n := testing.AllocsPerRun(hosts, func() {
+		c.Vote(now, names[0], time.Second)
+		if !c.Decide(now) {
+			t.Error("all votes are not enough")
+		}
+	}); n > 0 {
+		t.Errorf("%v allocations for each message within a second, want none", n)
+	}
+	for _, name := range names {
+		c.Vote(now, name, time.Hour+now)
+	}
+	if c.Decide(now + decideInterval); c.Offset() != time.Hour {
+		t.Errorf("offset %v after an interval, want %v", c.Offset(), time.Hour)
+	}
+}
+
 // Cumulative counts arrive late, twice and out of order. The newest of a process replaces the others,
 // and those of a former process of the same host are kept.
 func TestCollector_Merge(t *testing.T) {
