Expect the effect of an unanswered order whose repeat is refused

Cause: after a 409 for the repeat of an unanswered order, the order was forgotten, although its first call may have been executed. The other kind of endpoint then filled the zone beyond max_replicas. Change: what an order for more may have started stays expected for the boot time and 3 s. One for fewer is forgotten as before: what it stops reports soon.

--- a/internal/coordination/scaling/place.go
+++ b/internal/coordination/scaling/place.go
@@ -199,6 +199,11 @@
 		s.order.repeats++
 	case Refused:
 		s.cool(now)
+		// An earlier, unanswered call may have been executed. What one for fewer stops reports soon.
+		if s.order.repeats > 0 && s.order.count > s.order.serving {
+			s.order.open, s.order.until = false, now+s.order.effect
+			return
+		}
 		s.order = s.order.replaced
 	case NotTaken:
 		if s.order.repeats > 0 { // an earlier, unanswered call may still be executed
--- a/internal/coordination/scaling/scaling_test.go
+++ b/internal/coordination/scaling/scaling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -271,6 +272,32 @@
 	}
 }
 
+// Whatever the API answers, and whether it executes a call without an answer or not, no zone may have more
+// endpoints than its limit, and no order may restate what serves. simulation.tick checks both.
+func TestNext_RandomAnswers(t *testing.T) {
+	for seed := range uint64(150) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		s := &simulation{t: t, plan: NewPlan(), api: "ok", targets: map[Place]int{}, unavailable: map[Place]bool{},
+			limits: catalog.Scaling{Min: 1, Max: 5, BootTime: 4 * time.Second, SpotPrice: 0.4, ZonePrices: map[string]float64{"a": 0.009, "b": 0.0092, "c": 0.0095}}}
+		var out strings.Builder
+		for range 200 {
+			s.now += time.Second
+			if r.IntN(15) == 0 {
+				s.api = []string{"ok", "ok", "down", "silent", "lost"}[r.IntN(5)]
+			}
+			if r.IntN(40) == 0 {
+				s.demand = Demand{Running: r.IntN(20), Due: r.IntN(100) * r.IntN(2)}
+			}
+			if r.IntN(20) == 0 {
+				s.unavailable[Place{Zone: []string{"a", "b", "c"}[r.IntN(3)], Spot: r.IntN(2) == 0}] = r.IntN(2) == 0
+			}
+			if s.tick(&out); t.Failed() {
+				t.Fatalf("seed %d:\n%s", seed, out.String())
+			}
+		}
+	}
+}
+
 // Too few slots let samples end late, and a slot for each sample pays for idle endpoints.
 func TestSlotsInTime(t *testing.T) {
 	seconds := func(n int, s float64) (out []time.Duration) {
