--- a/internal/coordination/scaling/scaling_test.go
+++ b/internal/coordination/scaling/scaling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -242,6 +243,61 @@
 	})
 }
 
+// While a holder cannot confirm its lease or is frozen, it does not see the demand. Fewer endpoints ordered
+// after the first reading that follows would be missing in the next wave.
+func TestNext_NoFewerAfterGap(t *testing.T) {
+	limits := &catalog.Scaling{Max: 16, BootTime: 4 * time.Second, ZonePrices: map[string]float64{"a": 1, "b": 1}}
+	in := Input{}
+	for i := range uint32(20) {
+		in.Endpoints = append(in.Endpoints, Endpoint{Place: Place{Zone: []string{"a", "b"}[i%2]}, Instance: i, Slots: 4})
+	}
+	p := NewPlan()
+	for ; in.Now < time.Minute; in.Now += time.Second {
+		in.Demand = Demand{Due: 80}
+		if orders := p.Next(in, limits); len(orders) > 0 {
+			t.Fatalf("at %v: orders %+v although the demand fits", in.Now, orders)
+		}
+	}
+	in.Now += time.Minute
+	in.Demand = Demand{}
+	resumed, fewer := in.Now, false
+	for ; in.Now < resumed+2*holdPeriod; in.Now += time.Second {
+		orders := p.Next(in, limits)
+		if fewer = fewer || len(orders) > 0; fewer && in.Now < resumed+holdPeriod {
+			t.Fatalf("%v after the gap: orders %+v, want none for %v", in.Now-resumed, orders, holdPeriod)
+		}
+	}
+	if !fewer {
+		t.Error("no order for fewer endpoints after the demand was lower for long enough")
+	}
+}
+
+// Whatever the API answers, and whether it executes a call without an answer or not, no zone may have more
+// endpoints than its limit, and no order may restate what serves. simulation.tick checks both.
+func TestNext_RandomAnswers(t *testing.T) {
+	for seed := range uint64(150) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		s := &simulation{t: t, plan: NewPlan(), api: "ok", targets: map[Place]int{}, unavailable: map[Place]bool{},
+			limits: catalog.Scaling{Min: 1, Max: 5, BootTime: 4 * time.Second, SpotPrice: 0.4, ZonePrices: map[string]float64{"a": 0.009, "b": 0.0092, "c": 0.0095}}}
+		var out strings.Builder
+		for range 200 {
+			s.now += time.Second
+			if r.IntN(15) == 0 {
+				s.api = []string{"ok", "ok", "down", "silent", "lost"}[r.IntN(5)]
+			}
+			if r.IntN(40) == 0 {
+				s.demand = Demand{Running: r.IntN(20), Due: r.IntN(100) * r.IntN(2)}
+			}
+			if r.IntN(20) == 0 {
+				s.unavailable[Place{Zone: []string{"a", "b", "c"}[r.IntN(3)], Spot: r.IntN(2) == 0}] = r.IntN(2) == 0
+			}
+			if s.tick(&out); t.Failed() {
+				t.Fatalf("seed %d:\n%s", seed, out.String())
+			}
+		}
+	}
+}
+
 // Too few slots let samples end late, and a slot for each sample pays for idle endpoints.
 func TestSlotsInTime(t *testing.T) {
 	seconds := func(n int, s float64) (out []time.Duration) {
--- a/internal/transport/duties/lease_test.go
+++ b/internal/transport/duties/lease_test.go
@@ -1,12 +1,14 @@
 package duties
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +40,8 @@
 	pending []simWrite
 	// faults is set while calls to the store may be slow, fail or be executed late.
 	faults bool
+	// log has the log lines of all hosts.
+	log bytes.Buffer
 }
 
 type simCall struct {
@@ -73,6 +77,10 @@
 	apiLost bool
 	state   presence.DutiesState
 	relayed bool
+	// obeysContext makes reads of the store fail once their context has ended.
+	obeysContext bool
+	// beforeRead is called once, before the store executes the next read.
+	beforeRead func()
 }
 
 func newWorld(t *testing.T, hosts int, seed uint64) *world {
@@ -92,7 +100,7 @@
 		Peers: h.peers, Candidates: h.candidates, Ready: func() bool { return true }, Draining: func() bool { return h.draining },
 		StoreReachable: func() bool { return !h.storeLost }, Announce: func() { h.token = h.lease.Token() },
 		AskToken: h.askToken,
-	}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	}, slog.New(slog.NewTextHandler(&h.log, nil)), prometheus.NewRegistry())
 }
 
 func (h *simHost) peers() (out []presence.Member) {
@@ -165,10 +173,14 @@
 
 // Get implements objectapi.API.
 func (h *simHost) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	if h.storeLost {
+	if h.storeLost || h.obeysContext && ctx.Err() != nil {
 		return objectapi.Object{}, errLost
 	}
 	h.slow()
+	if f := h.beforeRead; f != nil {
+		h.beforeRead = nil
+		f()
+	}
 	o, err := h.ObjectStore.Get(ctx, key)
 	h.slow()
 	return o, err
@@ -257,7 +269,7 @@
 }
 
 // A host whose token the API refused must not use it again. While the store is down for all hosts,
-// nobody may call; the holder goes on with its token when the store is back. While hubs of a build without
+// nobody may call and the log is not flooded; the holder goes on with its token when the store is back. While hubs of a build without
 // duties pass heartbeats on, hosts must not take the lease from a holder whose token they do not see.
 func TestLease_SameHolder(t *testing.T) {
 	w := newWorld(t, 3, 1)
@@ -278,6 +290,9 @@
 	w.run(10 * time.Second)
 	setAll(func(h *simHost) { h.storeLost = false })
 	w.run(20 * time.Second)
+	if n := strings.Count(w.log.String(), "Failed to renew"); n != 1 {
+		t.Errorf("%d log lines about the renewal in one outage of the store, want 1", n)
+	}
 	if got, ok := h.lease.Holding(w.now); !ok || got != token {
 		t.Errorf("the holder has token %d, may call %v; want %d", got, ok, token)
 	}
@@ -293,6 +308,22 @@
 	w.check()
 }
 
+// The store may execute a read of the lease after this host has released it and acquired it again. That must not
+// end the new holding: the duties would wait once more for lease_ms and Validity.
+func TestLease_LateReadKeepsNewHolding(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(5 * time.Second)
+	l := w.hosts[0].lease
+	token := l.Token()
+	w.hosts[0].beforeRead = func() {
+		l.release(context.Background(), "test")
+		l.acquire(context.Background(), nil)
+	}
+	if l.Confirm(context.Background()) || l.Token() != token+1 {
+		t.Errorf("token %d after a late read, want %d", l.Token(), token+1)
+	}
+}
+
 // Whatever fails, two hosts must never use the same token, tokens must not fall, and calls of two
 // holders must be apart: hosts freeze (also within a call to the store), crash and restart, lose the
 // store or drain, and the store executes unanswered writes seconds later.
