Say when a stream of unknown origin can be taken up, and wait for a proof without an objective

Change: Retry-After is the retention of origins while several versions may have begun the stream, and the generic delay while only a read failed; an objective of 1 s stands in.

--- a/internal/transport/front/configproof.go
+++ b/internal/transport/front/configproof.go
@@ -19,6 +19,9 @@
 	configProofPath = "/config-proof"
 	// maxKeyWait bounds the wait for a proof on routes with a long objective.
 	maxKeyWait = time.Second
+	// defaultKeyObjective stands in for the objective of a route without one, so that the first
+	// request with a key at an idle host can wait for a proof.
+	defaultKeyObjective = time.Second
 	// fetchPollInterval is the interval at which the end of a fetch that runs already is waited for.
 	fetchPollInterval = 5 * time.Millisecond
 )
@@ -53,7 +56,7 @@
 
 // KeyWait returns how long a request of a route with a key may wait in Check.
 func KeyWait(route *catalog.Route) time.Duration {
-	return min(time.Duration(maxSlotWaitShare*float64(cmp.Or(route.Objective, route.ResultsObjective))), maxKeyWait)
+	return min(time.Duration(maxSlotWaitShare*float64(cmp.Or(route.Objective, route.ResultsObjective, defaultKeyObjective))), maxKeyWait)
 }
 
 // proofPeers returns the live peers in the order in which they are asked for a proof: at a hub the
--- a/internal/transport/front/rejoin_test.go
+++ b/internal/transport/front/rejoin_test.go
@@ -141,6 +141,9 @@
 					if ok && got != want {
 						t.Errorf("stream %s of %s is taken up at %s", id, want.Software, got.Software)
 					}
+					if !ok && len(c.before)+len(c.after) > 2 && n.Forwarder.origins.unknownFor() != origins.Retention {
+						t.Errorf("stream %s of %s: refused with the advice to come back in %v, want %v", id, want.Software, n.Forwarder.origins.unknownFor(), origins.Retention)
+					}
 					if ok != (c.known != "") {
 						t.Errorf("stream %s of %s: origin known %v, want %v", id, want.Software, ok, c.known != "")
 					}
@@ -198,6 +201,9 @@
 	if got, ok := hosts[0].Forwarder.origins.find(background, "r1", "plain", sinceBoot()); ok {
 		t.Errorf("a stream is taken up at %+v without the store", got)
 	}
+	if wait := hosts[0].Forwarder.origins.unknownFor(); wait != 0 {
+		t.Errorf("refused with the advice to come back in %v, although the store may answer at any time", wait)
+	}
 	if took := time.Since(began); took > originLookupTimeout+freshListTimeout+time.Second {
 		t.Errorf("the refusal took %v", took)
 	}
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -45,7 +45,7 @@
 	origin, ok := c.f.origins.find(ctx, c.in.Resumes, c.service, sinceBoot())
 	switch {
 	case !ok:
-		return c.refuse(resultcode.NoEndpoint, "the software version that began the stream is not known")
+		return c.refuseFor(c.f.origins.unknownFor(), resultcode.NoEndpoint, "the software version that began the stream is not known")
 	case !c.route.Serves(origin.Service):
 		return c.refuse(resultcode.NoEndpoint, "the route no longer leads to the service that began the stream")
 	}
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -219,6 +219,26 @@
 	}
 }
 
+// unknownFor returns how long streams that no host remembers cannot be taken up: for origins.Retention
+// if several versions may have begun them, and zero if only a read failed or is late, since the next
+// one may succeed.
+func (o *StreamOrigins) unknownFor() time.Duration {
+	recorded, ok := o.software.recorded()
+	if !ok {
+		return 0
+	}
+	if only, ok := recorded.Only(); ok {
+		software, one := "", false
+		o.fleet.WithTable(func(t *placement.Table) {
+			software, one = t.OnlySoftware(time.Now().Add(-origins.Retention), only.Service)
+		})
+		if one && software == only.Software {
+			return 0
+		}
+	}
+	return origins.Retention
+}
+
 // receive serves a peer's call SendOrigins.
 func (o *StreamOrigins) receive(w http.ResponseWriter, r *http.Request) {
 	var records []origins.Record
--- a/internal/transport/front/streamsoftware.go
+++ b/internal/transport/front/streamsoftware.go
@@ -232,6 +232,22 @@
 	return r.begun.Only()
 }
 
+// recorded returns what the last read of the record named; ok is false if it failed or has not ended.
+func (s *streamSoftware) recorded() (b origins.Begun, ok bool) {
+	s.mu.Lock()
+	r := s.read
+	s.mu.Unlock()
+	if r == nil {
+		return b, false
+	}
+	select {
+	case <-r.done:
+		return r.begun, r.err == nil
+	default:
+		return b, false
+	}
+}
+
 // readSince returns a read of the record that was sent at or after a boot time. It starts one if there is
 // none, but not within streamSoftwareReadSpacing after the last one.
 func (s *streamSoftware) readSince(ctx context.Context, since time.Duration) (*softwareRead, error) {
