Request permits also for a sample that leaves a slow endpoint free

Cause: PickUnless returned before it signalled that permits are wanted if the slow endpoint that Pick selected was rejected. A sample that waited for an endpoint with a request limit then waited until some other request asked for permits, or until it took the slow endpoint after all.

Change: signal after the rejection too.

Result: TestPickUnless_RejectedWantsPermits fails before and passes now.

--- a/internal/transport/front/prompts_test.go
+++ b/internal/transport/front/prompts_test.go
@@ -193,3 +193,26 @@
 	fleet.PromptRead(reading)
 	w.waitUntil("no host counts the prompt", counted(0))
 }
+
+// A sample that leaves a slow endpoint free must still cause a request for permits of the endpoint that
+// it waits for. Without it the sample waits until another request asks, or until it no longer waits.
+func TestPickUnless_RejectedWantsPermits(t *testing.T) {
+	f := NewFleet("a")
+	limited, slow := catalog.Endpoint{ID: "e1", Service: "s", Zone: "a", Slots: 4}, catalog.Endpoint{ID: "e2", Service: "s", Zone: "a", Slots: 4}
+	f.Put(limited)
+	f.Put(slow)
+	f.WithTable(func(table *placement.Table) {
+		table.RecordServiceTime(time.Now(), "e1", 30*time.Millisecond)
+		table.RecordServiceTime(time.Now(), "e2", 150*time.Millisecond)
+		table.RecordLimit(time.Now(), limited, 5)
+	})
+	_, ok, rejected := f.PickUnless(placement.Query{Service: "s", FreeSlot: true}, func(_ *placement.Table, _ time.Time, e catalog.Endpoint) bool { return e.ID == "e2" })
+	if ok || !rejected {
+		t.Fatalf("selected %v, rejected %v, want only the slow endpoint to be free", ok, rejected)
+	}
+	select {
+	case <-f.permitsWanted:
+	default:
+		t.Error("no permits are requested")
+	}
+}
--- a/internal/transport/front/state.go
+++ b/internal/transport/front/state.go
@@ -49,19 +49,20 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	e, ok = f.table.Pick(now, q, rand.Uint64())
-	if ok && reject != nil && reject(f.table, now, e) {
-		return catalog.Endpoint{}, false, true
-	}
-	if ok {
+	switch rejected = ok && reject != nil && reject(f.table, now, e); {
+	case rejected:
+		e, ok = catalog.Endpoint{}, false
+	case ok:
 		f.table.Begin(now, e)
 	}
+	// Also if e was rejected: the endpoint for which the caller waits may be one without a permit.
 	if _, wanted := f.table.NextPermits(); wanted {
 		select {
 		case f.permitsWanted <- struct{}{}:
 		default: // a value is pending already
 		}
 	}
-	return e, ok, false
+	return e, ok, rejected
 }
 
 // PermitWait reports whether and for how long requests wait for permits; see
