Pass reported reading rates on unchanged

Cause: a host that knew no reading rate of its own scaled the last rate that a peer reported, whichever engine it was about, by the service time of the engine, and reported the result as its own. Two such hosts scaled each other's value with every heartbeat: for an engine four times slower than the others, a token took 4.3 s (the largest value of the field) after ten exchanges. Every queue then cost the maximum, whatever its length.

Change: a report is converted to that of a usual engine before it is used for others, and is passed on for the same engine only, as received.

Result: TestPrompts_ReportedRateStays fails before and passes now.

--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -31,6 +31,9 @@
 	byPeer  map[string]queue
 	peers   queue
 	peersAt time.Time
+	// reportedPerToken is the reading time of a token that a peer last reported for the endpoint, to
+	// be passed on.
+	reportedPerToken time.Duration
 }
 
 // queue is a number of unread tokens and of the requests to which they belong.
@@ -44,8 +47,8 @@
 	sizes prompts.Sizes
 	// rate covers all endpoints, for those of which this host knows too little.
 	rate prompts.Rate
-	// reportedPerToken is the reading time of a token that a peer last reported for an endpoint of
-	// the service. It is used while rate is unknown.
+	// reportedPerToken is the reading time of a token at a usual endpoint of the service, from the
+	// last report of a peer about one of them. It is used while rate is unknown.
 	reportedPerToken time.Duration
 	// queued has the endpoints with unread prompts.
 	queued map[*entry]struct{}
@@ -159,19 +162,29 @@
 // endpoint of which this host knows too little is taken to read slower than the others by as much
 // as its last service time exceeds the baseline.
 func (t *Table) perToken(e *entry, baseline time.Duration) (d time.Duration, ok bool) {
-	if d, ok = e.prompts.rate.PerToken(); ok {
+	if d, ok = t.ownPerToken(e, baseline); ok {
 		return d, true
 	}
 	s := t.servicePrompts(e.endpoint.Service)
-	if d, ok = s.rate.PerToken(); !ok {
-		if d = s.reportedPerToken; d <= 0 {
-			return 0, false
-		}
+	return time.Duration(float64(s.reportedPerToken) * e.relativeServiceTime(baseline)), s.reportedPerToken > 0
+}
+
+// ownPerToken is perToken without what peers reported.
+func (t *Table) ownPerToken(e *entry, baseline time.Duration) (d time.Duration, ok bool) {
+	if d, ok = e.prompts.rate.PerToken(); ok {
+		return d, true
 	}
-	if baseline > 0 && e.serviceTime > 0 {
-		d = time.Duration(float64(d) * float64(e.serviceTime) / float64(baseline))
+	d, ok = t.servicePrompts(e.endpoint.Service).rate.PerToken()
+	return time.Duration(float64(d) * e.relativeServiceTime(baseline)), ok
+}
+
+// relativeServiceTime returns the last service time of an endpoint relative to the baseline, 1 if one
+// of them is unknown.
+func (e *entry) relativeServiceTime(baseline time.Duration) float64 {
+	if baseline <= 0 || e.serviceTime <= 0 {
+		return 1
 	}
-	return d, true
+	return float64(e.serviceTime) / float64(baseline)
 }
 
 // delayUnit returns the time in which delays are measured: the baseline of the service times or, if
@@ -275,8 +288,12 @@
 				continue
 			}
 			out := prompts.Queue{Tokens: uint32(min(q.tokens, math.MaxUint32)), Requests: uint16(min(q.requests, math.MaxUint16))}
-			if known {
-				out.NanosPerToken = uint32(min(perToken, math.MaxUint32))
+			// What peers reported is passed on unchanged: if it were derived for this endpoint again, hosts
+			// that know no rate of their own would raise each other's with every heartbeat.
+			if own, ok := t.ownPerToken(e, baseline); ok {
+				out.NanosPerToken = uint32(min(own, math.MaxUint32))
+			} else {
+				out.NanosPerToken = uint32(min(e.prompts.reportedPerToken, math.MaxUint32))
 			}
 			all = append(all, reported{e.key, out})
 		}
@@ -327,7 +344,9 @@
 			t.queuesByPeer[host] = append(t.queuesByPeer[host], e)
 			t.updateQueued(e)
 			if r.NanosPerToken > 0 {
-				t.servicePrompts(e.endpoint.Service).reportedPerToken = time.Duration(r.NanosPerToken)
+				service := e.endpoint.Service
+				e.prompts.reportedPerToken = time.Duration(r.NanosPerToken)
+				t.servicePrompts(service).reportedPerToken = time.Duration(float64(r.NanosPerToken) / e.relativeServiceTime(t.baselines[service].serviceTime))
 			}
 		}
 	}
--- a/internal/coordination/placement/prompts_test.go
+++ b/internal/coordination/placement/prompts_test.go
@@ -315,3 +315,37 @@
 		}
 	}
 }
+
+// Two hosts that know no reading rate of their own must not raise each other's with every heartbeat:
+// after some seconds each short queue at a slow engine would cost as much as an hour of reading.
+func TestPrompts_ReportedRateStays(t *testing.T) {
+	var tables []*Table
+	slow := catalog.Endpoint{ID: "e0", Service: "s", Zone: "a", Slots: 8}
+	for range 2 {
+		table := NewTable("a")
+		table.Put(slow)
+		for _, id := range []string{"e1", "e2"} {
+			table.Put(catalog.Endpoint{ID: id, Service: "s", Zone: "a", Slots: 8})
+			table.RecordServiceTime(testStart, id, 30*time.Millisecond)
+		}
+		table.RecordServiceTime(testStart, "e0", 120*time.Millisecond)
+		table.Pick(testStart, Query{Service: "s"}, 0) // computes the baseline
+		table.BeginReading(testStart, slow, prompts.Prompt{Tokens: 100_000})
+		tables = append(tables, table)
+	}
+	reported := map[uint32]prompts.Queue{EndpointKey("e0"): {Tokens: 100_000, Requests: 1, NanosPerToken: 16_000}}
+	for range 10 {
+		for _, table := range tables {
+			table.SetPeerQueues(testStart, "h2", reported)
+			reported = table.SumQueues(testStart, onlyOwn)
+		}
+	}
+	if got := reported[EndpointKey("e0")].NanosPerToken; got != 16_000 {
+		t.Errorf("a token takes %d ns after ten exchanges, want the 16000 of the first report", got)
+	}
+	// 16 µs at an engine that takes four times the usual time for an event.
+	other := tables[0].entries["e1"]
+	if got, _ := tables[0].perToken(other, 30*time.Millisecond); got != 4*time.Microsecond {
+		t.Errorf("a token takes %v at a usual engine, want 4µs", got)
+	}
+}
