Let a peer's old report fade while other peers report the engine

Cause: the age of the peers' queues at an engine was reset by each report of any peer, and a hub passed on the queues as they were reported. The queue of a host that died or was cut off thus counted in full until the host ceased to be alive, and its receivers took it for new each time.

Change: before a peer's queue at an engine changes, what the engine can have read since the last change is subtracted from all of them, each 10 ms at most. Queues that are passed on are reduced likewise.

Result: TestPrompts_OldReportFades fails before (42,000 tokens unread a second after a report of 40,000) and passes now.

--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -19,6 +19,9 @@
 	maxDelayEvents = 8
 	// maxReportedQueues bounds the queues that a heartbeat reports.
 	maxReportedQueues = 16
+	// minFadeInterval is the least time between two reductions of the peers' queues at an endpoint. It
+	// bounds their cost at a hub, to which dozens of hosts report at different times.
+	minFadeInterval = 10 * time.Millisecond
 )
 
 // entryPrompts is what is known of the prompts at one endpoint.
@@ -27,7 +30,8 @@
 	rate  prompts.Rate
 	// local counts the requests of this host whose first event has not come, and their unread tokens.
 	local queue
-	// byPeer holds the queues that each peer reported, peers their sum as of peersAt.
+	// byPeer holds the queues that each peer reported, less what the endpoint can have read until
+	// peersAt, and peers their sum.
 	byPeer  map[string]queue
 	peers   queue
 	peersAt time.Time
@@ -147,6 +151,13 @@
 // unread returns the unread prompts at an endpoint from all hosts. Those of peers are as old as the
 // last heartbeat, so what the endpoint has read since is subtracted.
 func (e *entry) unread(now time.Time, perToken time.Duration) queue {
+	q := e.peerQueue(now, perToken)
+	q.add(e.prompts.local)
+	return q
+}
+
+// peerQueue returns the unread prompts at an endpoint from peers.
+func (e *entry) peerQueue(now time.Time, perToken time.Duration) queue {
 	q := e.prompts.peers
 	if perToken > 0 && q.tokens > 0 {
 		q.tokens = max(q.tokens-int(now.Sub(e.prompts.peersAt)/perToken), 0)
@@ -154,10 +165,37 @@
 	if q.tokens == 0 {
 		q.requests = 0
 	}
-	q.add(e.prompts.local)
 	return q
 }
 
+// scaled returns the queue with a share of its tokens.
+func (q queue) scaled(share float64) queue {
+	if q.tokens = int(float64(q.tokens) * share); q.tokens == 0 {
+		return queue{}
+	}
+	return q
+}
+
+// fadePeerQueues subtracts what an endpoint can have read since peersAt from the queues of all peers,
+// before that of one of them changes: those of the others are as old as before.
+func (t *Table) fadePeerQueues(now time.Time, e *entry) {
+	p := &e.prompts
+	if p.peers.tokens > 0 {
+		if now.Sub(p.peersAt) < minFadeInterval {
+			return
+		}
+		if perToken, ok := t.perToken(e, t.baselines[e.endpoint.Service].serviceTime); ok {
+			share := float64(e.peerQueue(now, perToken).tokens) / float64(p.peers.tokens)
+			p.peers = queue{}
+			for host, q := range p.byPeer {
+				p.byPeer[host] = q.scaled(share)
+				p.peers.add(p.byPeer[host])
+			}
+		}
+	}
+	p.peersAt = now
+}
+
 // perToken returns the time in which an endpoint reads a token; ok is false if it is not known. An
 // endpoint of which this host knows too little is taken to read slower than the others by as much
 // as its last service time exceeds the baseline.
@@ -273,13 +311,17 @@
 		baseline := t.baselines[service].serviceTime // see BeginReading
 		unit := s.delayUnit(baseline)
 		for e := range s.queued {
+			perToken, known := t.perToken(e, baseline)
+			share := 1.0
+			if known && e.prompts.peers.tokens > 0 {
+				share = float64(e.peerQueue(now, perToken).tokens) / float64(e.prompts.peers.tokens)
+			}
 			q := e.prompts.local
 			for host, peer := range e.prompts.byPeer {
 				if include(host) {
-					q.add(peer)
+					q.add(peer.scaled(share))
 				}
 			}
-			perToken, known := t.perToken(e, baseline)
 			if !known {
 				// Prompts of one size do not show the rate, but whether they take long.
 				_, perToken = s.rate.Mean(unit)
@@ -327,6 +369,7 @@
 // SetPeerQueues replaces the unread prompts that a peer reported, by EndpointKey; nil removes them.
 func (t *Table) SetPeerQueues(now time.Time, host string, reported map[uint32]prompts.Queue) {
 	for _, e := range t.queuesByPeer[host] {
+		t.fadePeerQueues(now, e)
 		e.prompts.peers.subtract(e.prompts.byPeer[host])
 		delete(e.prompts.byPeer, host)
 		t.updateQueued(e)
@@ -337,10 +380,10 @@
 			if e.prompts.byPeer == nil {
 				e.prompts.byPeer = map[string]queue{}
 			}
+			t.fadePeerQueues(now, e)
 			q := queue{int(r.Tokens), int(r.Requests)}
 			e.prompts.byPeer[host] = q
 			e.prompts.peers.add(q)
-			e.prompts.peersAt = now
 			t.queuesByPeer[host] = append(t.queuesByPeer[host], e)
 			t.updateQueued(e)
 			if r.NanosPerToken > 0 {
--- a/internal/coordination/placement/prompts_test.go
+++ b/internal/coordination/placement/prompts_test.go
@@ -349,3 +349,30 @@
 		t.Errorf("a token takes %v at a usual engine, want 4µs", got)
 	}
 }
+
+// The report of a peer that died must fade although other peers go on reporting the same engine.
+func TestPrompts_OldReportFades(t *testing.T) {
+	table, _, reading := queuedTable()
+	reported := table.SumQueues(testStart, onlyOwn)
+	table.EndReading(reading)
+	table.SetPeerQueues(testStart, "dead", reported)
+	e := table.entries["e0"]
+	fresh := map[uint32]prompts.Queue{EndpointKey("e0"): {Tokens: 2000, Requests: 1}}
+	now := testStart
+	for range 10 { // 40,000 tokens take 160 ms
+		now = now.Add(100 * time.Millisecond)
+		table.SetPeerQueues(now, "h2", fresh)
+	}
+	perToken, _ := table.perToken(e, 30*time.Millisecond)
+	if got := e.unread(now, perToken).tokens; got != 2000 {
+		t.Errorf("%d tokens unread a second after the last report of 40000, want the 2000 of the other peer", got)
+	}
+	if got := table.SumQueues(now, func(string) bool { return true })[e.key].Tokens; got > 2000 {
+		t.Errorf("%d tokens are reported to other hosts, want 2000 at most", got)
+	}
+	table.SetPeerQueues(now, "h2", nil)
+	table.SetPeerQueues(now, "dead", nil)
+	if q := e.prompts.peers; q != (queue{}) {
+		t.Errorf("%+v remains after both peers are gone", q)
+	}
+}
