Export no prompt metrics for plain services

Cause: removing an endpoint of any service created an entry for its prompts. The metrics oleander_front_prompt_tokens_per_ms and oleander_front_long_prompt_tokens then had a series with zeros for each plain service, which reads as an engine that does not read.

Change: an entry is created only once a prompt is known or reported.

Result: TestPrompts_PlainServices fails before and passes now.

--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -69,10 +69,9 @@
 
 // updateQueued adds the endpoint to those with unread prompts, or removes it from them.
 func (t *Table) updateQueued(e *entry) {
-	s := t.servicePrompts(e.endpoint.Service)
 	if t.entries[e.endpoint.ID] == e && (e.prompts.local.tokens > 0 || e.prompts.peers.tokens > 0) {
-		s.queued[e] = struct{}{}
-	} else {
+		t.servicePrompts(e.endpoint.Service).queued[e] = struct{}{}
+	} else if s := t.prompts[e.endpoint.Service]; s != nil { // a plain service gets no entry
 		delete(s.queued, e)
 	}
 }
@@ -413,7 +412,8 @@
 	return n
 }
 
-// PromptServices returns the names of the services to which requests with prompts were sent, sorted.
+// PromptServices returns the names of the services to which requests with prompts were sent, by this host
+// or by peers, sorted.
 func (t *Table) PromptServices() []string { return slices.Sorted(maps.Keys(t.prompts)) }
 
 // ReadingRate returns how many tokens the endpoints of a service read in a millisecond, zero if that
--- a/internal/coordination/placement/prompts_test.go
+++ b/internal/coordination/placement/prompts_test.go
@@ -376,3 +376,16 @@
 		t.Errorf("%+v remains after both peers are gone", q)
 	}
 }
+
+// Services to which no request with a prompt was sent must have no metrics of prompts.
+func TestPrompts_PlainServices(t *testing.T) {
+	table := NewTable("a")
+	e := catalog.Endpoint{ID: "e0", Service: "plain", Zone: "a", Slots: 8}
+	table.Put(e)
+	table.Begin(testStart, e)
+	table.End(testStart, e, OK)
+	table.Remove("e0")
+	if got := table.PromptServices(); len(got) != 0 {
+		t.Errorf("services with prompts: %v", got)
+	}
+}
