--- a/internal/coordination/placement/prompts.go
+++ b/internal/coordination/placement/prompts.go
@@ -19,6 +19,9 @@
 	maxDelayEvents = 8
 	// maxReportedQueues bounds the queues that a heartbeat reports.
 	maxReportedQueues = 16
+	// minFadeInterval is the least time between two reductions of the peers' queues at an endpoint. It
+	// bounds their cost at a hub, to which dozens of hosts report at different times.
+	minFadeInterval = 10 * time.Millisecond
 )
 
 // entryPrompts is what is known of the prompts at one endpoint.
@@ -27,10 +30,14 @@
 	rate  prompts.Rate
 	// local counts the requests of this host whose first event has not come, and their unread tokens.
 	local queue
-	// byPeer holds the queues that each peer reported, peers their sum as of peersAt.
+	// byPeer holds the queues that each peer reported, less what the endpoint can have read until
+	// peersAt, and peers their sum.
 	byPeer  map[string]queue
 	peers   queue
 	peersAt time.Time
+	// reportedPerToken is the reading time of a token that a peer last reported for the endpoint, to
+	// be passed on.
+	reportedPerToken time.Duration
 }
 
 // queue is a number of unread tokens and of the requests to which they belong.
@@ -44,8 +51,8 @@
 	sizes prompts.Sizes
 	// rate covers all endpoints, for those of which this host knows too little.
 	rate prompts.Rate
-	// reportedPerToken is the reading time of a token that a peer last reported for an endpoint of
-	// the service. It is used while rate is unknown.
+	// reportedPerToken is the reading time of a token at a usual endpoint of the service, from the
+	// last report of a peer about one of them. It is used while rate is unknown.
 	reportedPerToken time.Duration
 	// queued has the endpoints with unread prompts.
 	queued map[*entry]struct{}
@@ -62,10 +69,9 @@
 
 // updateQueued adds the endpoint to those with unread prompts, or removes it from them.
 func (t *Table) updateQueued(e *entry) {
-	s := t.servicePrompts(e.endpoint.Service)
 	if t.entries[e.endpoint.ID] == e && (e.prompts.local.tokens > 0 || e.prompts.peers.tokens > 0) {
-		s.queued[e] = struct{}{}
-	} else {
+		t.servicePrompts(e.endpoint.Service).queued[e] = struct{}{}
+	} else if s := t.prompts[e.endpoint.Service]; s != nil { // a plain service gets no entry
 		delete(s.queued, e)
 	}
 }
@@ -144,6 +150,13 @@
 // unread returns the unread prompts at an endpoint from all hosts. Those of peers are as old as the
 // last heartbeat, so what the endpoint has read since is subtracted.
 func (e *entry) unread(now time.Time, perToken time.Duration) queue {
+	q := e.peerQueue(now, perToken)
+	q.add(e.prompts.local)
+	return q
+}
+
+// peerQueue returns the unread prompts at an endpoint from peers.
+func (e *entry) peerQueue(now time.Time, perToken time.Duration) queue {
 	q := e.prompts.peers
 	if perToken > 0 && q.tokens > 0 {
 		q.tokens = max(q.tokens-int(now.Sub(e.prompts.peersAt)/perToken), 0)
@@ -151,27 +164,64 @@
 	if q.tokens == 0 {
 		q.requests = 0
 	}
-	q.add(e.prompts.local)
 	return q
 }
 
+// scaled returns the queue with a share of its tokens.
+func (q queue) scaled(share float64) queue {
+	if q.tokens = int(float64(q.tokens) * share); q.tokens == 0 {
+		return queue{}
+	}
+	return q
+}
+
+// fadePeerQueues subtracts what an endpoint can have read since peersAt from the queues of all peers,
+// before that of one of them changes: those of the others are as old as before.
+func (t *Table) fadePeerQueues(now time.Time, e *entry) {
+	p := &e.prompts
+	if p.peers.tokens > 0 {
+		if now.Sub(p.peersAt) < minFadeInterval {
+			return
+		}
+		if perToken, ok := t.perToken(e, t.baselines[e.endpoint.Service].serviceTime); ok {
+			share := float64(e.peerQueue(now, perToken).tokens) / float64(p.peers.tokens)
+			p.peers = queue{}
+			for host, q := range p.byPeer {
+				p.byPeer[host] = q.scaled(share)
+				p.peers.add(p.byPeer[host])
+			}
+		}
+	}
+	p.peersAt = now
+}
+
 // perToken returns the time in which an endpoint reads a token; ok is false if it is not known. An
 // endpoint of which this host knows too little is taken to read slower than the others by as much
 // as its last service time exceeds the baseline.
 func (t *Table) perToken(e *entry, baseline time.Duration) (d time.Duration, ok bool) {
-	if d, ok = e.prompts.rate.PerToken(); ok {
+	if d, ok = t.ownPerToken(e, baseline); ok {
 		return d, true
 	}
 	s := t.servicePrompts(e.endpoint.Service)
-	if d, ok = s.rate.PerToken(); !ok {
-		if d = s.reportedPerToken; d <= 0 {
-			return 0, false
-		}
+	return time.Duration(float64(s.reportedPerToken) * e.relativeServiceTime(baseline)), s.reportedPerToken > 0
+}
+
+// ownPerToken is perToken without what peers reported.
+func (t *Table) ownPerToken(e *entry, baseline time.Duration) (d time.Duration, ok bool) {
+	if d, ok = e.prompts.rate.PerToken(); ok {
+		return d, true
 	}
-	if baseline > 0 && e.serviceTime > 0 {
-		d = time.Duration(float64(d) * float64(e.serviceTime) / float64(baseline))
+	d, ok = t.servicePrompts(e.endpoint.Service).rate.PerToken()
+	return time.Duration(float64(d) * e.relativeServiceTime(baseline)), ok
+}
+
+// relativeServiceTime returns the last service time of an endpoint relative to the baseline, 1 if one
+// of them is unknown.
+func (e *entry) relativeServiceTime(baseline time.Duration) float64 {
+	if baseline <= 0 || e.serviceTime <= 0 {
+		return 1
 	}
-	return d, true
+	return float64(e.serviceTime) / float64(baseline)
 }
 
 // delayUnit returns the time in which delays are measured: the baseline of the service times or, if
@@ -260,13 +310,17 @@
 		baseline := t.baselines[service].serviceTime // see BeginReading
 		unit := s.delayUnit(baseline)
 		for e := range s.queued {
+			perToken, known := t.perToken(e, baseline)
+			share := 1.0
+			if known && e.prompts.peers.tokens > 0 {
+				share = float64(e.peerQueue(now, perToken).tokens) / float64(e.prompts.peers.tokens)
+			}
 			q := e.prompts.local
 			for host, peer := range e.prompts.byPeer {
 				if include(host) {
-					q.add(peer)
+					q.add(peer.scaled(share))
 				}
 			}
-			perToken, known := t.perToken(e, baseline)
 			if !known {
 				// Prompts of one size do not show the rate, but whether they take long.
 				_, perToken = s.rate.Mean(unit)
@@ -275,8 +329,12 @@
 				continue
 			}
 			out := prompts.Queue{Tokens: uint32(min(q.tokens, math.MaxUint32)), Requests: uint16(min(q.requests, math.MaxUint16))}
-			if known {
-				out.NanosPerToken = uint32(min(perToken, math.MaxUint32))
+			// What peers reported is passed on unchanged: if it were derived for this endpoint again, hosts
+			// that know no rate of their own would raise each other's with every heartbeat.
+			if own, ok := t.ownPerToken(e, baseline); ok {
+				out.NanosPerToken = uint32(min(own, math.MaxUint32))
+			} else {
+				out.NanosPerToken = uint32(min(e.prompts.reportedPerToken, math.MaxUint32))
 			}
 			all = append(all, reported{e.key, out})
 		}
@@ -310,6 +368,7 @@
 // SetPeerQueues replaces the unread prompts that a peer reported, by EndpointKey; nil removes them.
 func (t *Table) SetPeerQueues(now time.Time, host string, reported map[uint32]prompts.Queue) {
 	for _, e := range t.queuesByPeer[host] {
+		t.fadePeerQueues(now, e)
 		e.prompts.peers.subtract(e.prompts.byPeer[host])
 		delete(e.prompts.byPeer, host)
 		t.updateQueued(e)
@@ -320,14 +379,16 @@
 			if e.prompts.byPeer == nil {
 				e.prompts.byPeer = map[string]queue{}
 			}
+			t.fadePeerQueues(now, e)
 			q := queue{int(r.Tokens), int(r.Requests)}
 			e.prompts.byPeer[host] = q
 			e.prompts.peers.add(q)
-			e.prompts.peersAt = now
 			t.queuesByPeer[host] = append(t.queuesByPeer[host], e)
 			t.updateQueued(e)
 			if r.NanosPerToken > 0 {
-				t.servicePrompts(e.endpoint.Service).reportedPerToken = time.Duration(r.NanosPerToken)
+				service := e.endpoint.Service
+				e.prompts.reportedPerToken = time.Duration(r.NanosPerToken)
+				t.servicePrompts(service).reportedPerToken = time.Duration(float64(r.NanosPerToken) / e.relativeServiceTime(t.baselines[service].serviceTime))
 			}
 		}
 	}
@@ -351,7 +412,8 @@
 	return n
 }
 
-// PromptServices returns the names of the services to which requests with prompts were sent, sorted.
+// PromptServices returns the names of the services to which requests with prompts were sent, by this host
+// or by peers, sorted.
 func (t *Table) PromptServices() []string { return slices.Sorted(maps.Keys(t.prompts)) }
 
 // ReadingRate returns how many tokens the endpoints of a service read in a millisecond, zero if that
