Show a host that large bodies take past its memory (review case 4)

Cause: bodies of requests are read whole into buffers that grow, without a bound over all connections. Eight of 30 MiB, below max_body_bytes, take a host past its 284 MiB before the last one has arrived.

Change: a script that sends them beside short requests and, as the platform does, kills the process once it uses more than its memory. Case 1 picks an address at random; the stand-ins learn to be silent and to leave, which case 5 needs.

--- a/review/lab/hosts.go
+++ b/review/lab/hosts.go
@@ -17,6 +17,8 @@
 const (
 	gracePeriod = 8 * time.Second
 	addressTTL  = 2 * time.Second
+	// hostMemoryMiB is the memory of a front host.
+	hostMemoryMiB = 284
 )
 
 // routeHost is the host of all routes, ordersPath the path prefix of that for orders.
@@ -153,7 +155,7 @@
 [limits]
 cpu_share = 0.4
 cores = 1
-memory_mb = 284
+memory_mb = %d
 file_descriptors = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -193,7 +195,7 @@
 history_s = 20
 value_bytes = 1048576
 min_ttl_ms = 1000
-`, h.name, h.ip, h.zone, strings.Join(seeds, ","), h.callers, h.ready, h.control, h.directory, f.store.address)
+`, h.name, h.ip, h.zone, strings.Join(seeds, ","), h.callers, h.ready, h.control, h.directory, hostMemoryMiB, f.store.address)
 	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
 		return err
 	}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -20,6 +20,7 @@
 	"planned-stop":   plannedStop,
 	"cut-stream":     cutStream,
 	"second-refusal": secondRefusal,
+	"large-bodies":   largeBodies,
 }
 
 // children are the processes that the test has started.
--- a/review/lab/plannedstop.go
+++ b/review/lab/plannedstop.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -58,7 +59,7 @@
 		res := &resolver{fleet: f, zone: zoneOf(i), keep: keep}
 		running.Go(func() {
 			time.Sleep(time.Duration(i) * 100 * time.Millisecond) // so that the directory is asked at different times
-			for n := i; ; n++ {
+			for {
 				select {
 				case <-end:
 					return
@@ -68,7 +69,7 @@
 				if len(addresses) == 0 {
 					continue
 				}
-				h := f.hostAt(addresses[n%len(addresses)])
+				h := f.hostAt(addresses[rand.IntN(len(addresses))])
 				running.Go(func() {
 					if l := orderAt(rec, h); l != "" {
 						mu.Lock()
--- a/review/lab/record.go
+++ b/review/lab/record.go
@@ -49,3 +49,16 @@
 	defer r.mu.Unlock()
 	return os.WriteFile(path, []byte(strings.Join(r.lines, "\n")+"\n"), 0o644)
 }
+
+// ranAfter returns the requests that a server began to run after a time.
+func (r *record) ranAfter(server string, after time.Time) map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]time.Time{}
+	for id, servers := range r.runs {
+		if at := r.runAt[id]; at.After(after) && servers[len(servers)-1] == server {
+			out[id] = at
+		}
+	}
+	return out
+}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -34,7 +34,9 @@
 
 	mu      sync.Mutex
 	running int
-	stopped bool
+	// left is set once the server's entry was removed.
+	left  bool
+	conns map[net.Conn]bool
 }
 
 func startServer(id, service, zone string, slots int, work time.Duration, rec *record) (*server, error) {
@@ -43,7 +45,7 @@
 		return nil, err
 	}
 	s := &server{id: id, service: service, zone: zone, slots: slots, work: work, rec: rec, listener: l,
-		address: l.Addr().String(), bornMs: time.Now().UnixMilli()}
+		address: l.Addr().String(), conns: map[net.Conn]bool{}, bornMs: time.Now().UnixMilli()}
 	go s.accept()
 	return s, nil
 }
@@ -58,24 +60,58 @@
 	go func() {
 		for n := 2; ; n++ {
 			time.Sleep(heartbeat)
-			write(n)
+			s.mu.Lock()
+			left := s.left
+			if !left {
+				write(n)
+			}
+			s.mu.Unlock()
+			if left {
+				return
+			}
 		}
 	}()
 }
 
+// exit closes the listener and all connections.
+func (s *server) exit() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// leave removes the server's entry. It goes on serving.
+func (s *server) leave(st *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = true
+	st.remove("servers", s.id)
+}
+
 func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
 		go s.serve(c)
 	}
 }
 
 // serve serves one connection.
 func (s *server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	var again []byte
 	for {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -49,6 +49,8 @@
 	objects  map[string]map[string]object
 	events   []event
 	changed  chan struct{}
+	// silent is set while the store gives no answer.
+	silent bool
 }
 
 func startStore() (*store, error) {
@@ -126,9 +128,23 @@
 	_, _ = w.Write(raw)
 }
 
+// silence makes the store give no answer, or serve calls again.
+func (s *store) silence(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = on
+}
+
 // ServeHTTP serves the calls under /v1/objects/.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done() // a call without an answer has no effect, and its connection returns nothing
+		return
+	}
 	rest, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
