--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -21,6 +21,7 @@
 	"cut-stream":     cutStream,
 	"second-refusal": secondRefusal,
 	"large-bodies":   largeBodies,
+	"late-removal":   lateRemoval,
 }
 
 // children are the processes that the test has started.
