Refuse what a stopping host cannot finish

Cause: callers use a cached address for up to 6 s. Admission did not know of the stop and took requests that outlast the host; Stop closed what was left 0.4 s before the kill.

Change: coordination/hoststop has the timetable of a stop and decides which requests may still end in time, from the lengths of the recent requests of their route and from the caller's deadline. The others are refused at once as not run, before each sending. What outlasts the host nevertheless is answered 504. Batches are forwarded until the end, a peer without links is served by a stopping host if no other has links, the application's bound on the stop follows the grace period, and a short grace period has shorter margins.

--- a/cmd/oleanderfall/main.go
+++ b/cmd/oleanderfall/main.go
@@ -32,10 +32,10 @@
 	// memoryLimitShare is the share of the host's memory that is set as Go's soft memory
 	// limit, near which the garbage collector runs as often as necessary.
 	memoryLimitShare = 0.7
-	// stopTimeout bounds a planned stop. The node normally stops earlier, within its grace
-	// period.
-	stopTimeout  = time.Minute
-	startTimeout = 10 * time.Second
+	// stopTimeoutMargin is how much longer than the grace period a planned stop may take. The node
+	// normally stops within it.
+	stopTimeoutMargin = 10 * time.Second
+	startTimeout      = 10 * time.Second
 )
 
 type cli struct {
@@ -91,7 +91,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
+		fx.StopTimeout(s.GracePeriod+stopTimeoutMargin),
 		fx.Supply(s, log, prometheus.NewRegistry()),
 		fx.Provide(
 			func() front.Store { return store },
@@ -109,7 +109,7 @@
 		return err
 	}
 	<-app.Wait()
-	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), s.GracePeriod+stopTimeoutMargin)
 	defer cancelStop()
 	return app.Stop(stopCtx)
 }
--- /dev/null
+++ b/internal/coordination/hoststop/hoststop_test.go
@@ -0,0 +1,82 @@
+package hoststop
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var began = time.Unix(1000, 0)
+
+// A short grace period must not leave the host without time to serve, nor reorder the timetable, and
+// the exit must come before the kill.
+func TestSchedule_AnyGracePeriod(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(1, int64(10*time.Minute)).Draw(t, "grace"))
+		s := NewSchedule(began, grace)
+		last := began
+		for name, at := range []time.Time{s.Close, s.Abandon, s.Exit, began.Add(grace)} {
+			if at.Before(last) {
+				t.Fatalf("time %d of %v is before the one before", name, grace)
+			}
+			last = at
+		}
+		if s.HandOver.Before(began) || s.HandOver.After(s.Close) || s.Close.Sub(began) < grace*7/10 {
+			t.Fatalf("grace %v: hand over after %v, close after %v", grace, s.HandOver.Sub(began), s.Close.Sub(began))
+		}
+	})
+}
+
+// A host must not take what it cannot finish, nor refuse what it can.
+func TestMayFinish(t *testing.T) {
+	s := NewSchedule(began, 8*time.Second)
+	at := func(d time.Duration) time.Time { return began.Add(d) }
+	for name, c := range map[string]struct {
+		now, deadline, length time.Duration
+		known, want           bool
+	}{
+		"ends in time":                              {3 * time.Second, 13 * time.Second, 4 * time.Second, true, true},
+		"outlasts the host":                         {3300 * time.Millisecond, 13 * time.Second, 4 * time.Second, true, false},
+		"short, shortly before the end":             {7200 * time.Millisecond, 17 * time.Second, 150 * time.Millisecond, true, true},
+		"outlasts the host, but its caller doesn't": {3300 * time.Millisecond, 7 * time.Second, 4 * time.Second, true, true},
+		"unknown": {time.Second, 11 * time.Second, 0, false, false},
+		"unknown, with a caller that leaves before": {time.Second, 3 * time.Second, 0, false, true},
+	} {
+		if got := s.MayFinish(at(c.now), Request{Deadline: at(c.deadline), Length: c.length, Known: c.known}); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Rare long requests count for requests that may run once, and old lengths do not count for ever.
+func TestLengths_Expected(t *testing.T) {
+	var l Lengths
+	if _, known := l.Expected("a", false); known {
+		t.Error("a length is known before the first request")
+	}
+	for i := range recentLengths {
+		l.Record("a", 20*time.Millisecond)
+		if i%10 == 0 {
+			l.Record("a", 4*time.Second)
+		}
+	}
+	if once, _ := l.Expected("a", false); once < 4*time.Second {
+		t.Errorf("one of ten requests takes 4 s, expected length %v", once)
+	}
+	if repeatable, _ := l.Expected("a", true); repeatable > 50*time.Millisecond {
+		t.Errorf("nine of ten requests take 20 ms, expected length %v", repeatable)
+	}
+	for range recentLengths {
+		l.Record("a", 30*time.Millisecond)
+	}
+	if once, _ := l.Expected("a", false); once > 50*time.Millisecond {
+		t.Errorf("all recent requests take 30 ms, expected length %v", once)
+	}
+	for i := range 3 * maxClasses {
+		l.Record(string(rune(i)), time.Second)
+	}
+	if len(l.classes) > maxClasses {
+		t.Errorf("%d classes, want at most %d", len(l.classes), maxClasses)
+	}
+}
--- a/internal/transport/front/admit.go
+++ b/internal/transport/front/admit.go
@@ -134,6 +134,9 @@
 
 // runInSlot calls run while it holds a slot of the request's service.
 func (c *call) runInSlot(ctx context.Context, run func() (admission.Observation, error)) error {
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	c.gate = c.f.gates.forService(c.began, c.service)
 	request, err := c.admit(ctx)
 	if err != nil {
--- a/internal/transport/front/awaitendpoint.go
+++ b/internal/transport/front/awaitendpoint.go
@@ -36,7 +36,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return c.deadlineError()
+			return c.deadlineError(ctx)
 		case <-changed:
 		case <-time.After(noEndpointRetryDelay):
 		}
--- a/internal/transport/front/batchend.go
+++ b/internal/transport/front/batchend.go
@@ -18,7 +18,9 @@
 // The owner does so if it can be reached, because it knows the manifest and need not read it.
 func (t TeamBatches) End(ctx context.Context, id string) error {
 	s := t.batches
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWaitTimeout)
+	ctx, cancelWrites := s.untilHostStops(ctx)
+	defer cancelWrites()
+	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
 	defer cancel()
 	if s.endAtOwner(ctx, t.team, id) {
 		return nil
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -19,11 +19,15 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
 const (
 	// storeWaitTimeout bounds the store calls made while a caller waits.
 	storeWaitTimeout = 2500 * time.Millisecond
+	// maxSubmitTime is the longest time that a submission takes: the call to the owner, and then the
+	// writes of this host.
+	maxSubmitTime = peerCallTimeout + submitWait + storeWaitTimeout
 	// slotsPerOwner is the number of slots of engines for which one host runs the batches. A
 	// host of a fifth of a core handles the events of as many samples.
 	slotsPerOwner = 512
@@ -38,6 +42,7 @@
 // owns. Its methods are safe for concurrent use.
 type Batches struct {
 	settings Settings
+	stop     *hostStop
 	store    *batchStore
 	// outage returns the duration of the current store outage, or zero if there is none.
 	outage     func() time.Duration
@@ -81,6 +86,22 @@
 // samples, and they know the loads that they cause without a delay. If the host that is to run
 // a batch does not accept it in time, this one does.
 func (s *Batches) Submit(ctx context.Context, b *batches.Batch) error {
+	var route *catalog.Route
+	if config := s.catalog.Config(); config != nil {
+		route = config.Match(b.Host, b.Path)
+	}
+	began := time.Now()
+	if route != nil && !s.stop.mayFinish(began, route, began.Add(maxSubmitTime), true) {
+		return errCannotFinish()
+	}
+	err := s.submit(ctx, b)
+	if err == nil && route != nil {
+		s.stop.record(route.Name, time.Since(began))
+	}
+	return err
+}
+
+func (s *Batches) submit(ctx context.Context, b *batches.Batch) error {
 	content, digest, err := encodeBatch(b)
 	if err != nil {
 		return codedError(resultcode.Internal, err.Error())
@@ -88,21 +109,25 @@
 	if m, ok := s.store.cached(b.ID); ok && m.Digest != "" {
 		return checkDigest(&m.Manifest, digest)
 	}
-	if s.draining() {
-		return codedError(resultcode.Stopping, "this host is stopping")
-	}
-	// A cancelled call must not interrupt the writes: they may already have taken effect.
-	ctx = context.WithoutCancel(ctx)
-	owner := s.ownerFor(b.Model)
+	ctx, cancel := s.untilHostStops(ctx)
+	defer cancel()
+	owner, stopping := s.ownerFor(b.Model), s.draining()
 	if owner == s.settings.Host {
+		if stopping {
+			return codedError(resultcode.Stopping, "this host is stopping")
+		}
 		return s.accept(ctx, b, content, digest)
 	}
 	forwardErr := s.peerClient.Submit(ctx, owner, content)
 	if forwardErr == nil || isCode(forwardErr, resultcode.StepConflict) {
 		return forwardErr
 	}
-	s.log.Warn("Failed to forward batch to its owner; accepting it here", "batch", b.ID, "owner", owner, "err", forwardErr)
-	err = s.accept(ctx, b, content, digest)
+	if stopping {
+		err = codedError(resultcode.Stopping, "this host is stopping, and the owner did not accept the batch")
+	} else {
+		s.log.Warn("Failed to forward batch to its owner; accepting it here", "batch", b.ID, "owner", owner, "err", forwardErr)
+		err = s.accept(ctx, b, content, digest)
+	}
 	var coded *resultcode.Error
 	if errors.As(err, &coded) && coded.Code.Info().Outcome == resultcode.NotRun && !errors.Is(forwardErr, errPeerUnreachable) {
 		// The owner may still accept the batch, so no answer may say that it does not run.
@@ -111,6 +136,15 @@
 	return err
 }
 
+// untilHostStops returns a context for writes that a cancelled call must not interrupt, since they may
+// already have taken effect. It ends when a stopping host abandons its requests: the caller then gets
+// the answer that the outcome is unknown.
+func (s *Batches) untilHostStops(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	unwatch := context.AfterFunc(s.stop.serving, cancel)
+	return ctx, func() { unwatch(); cancel() }
+}
+
 // ownerFor returns the host that is to run a model's batches.
 func (s *Batches) ownerFor(model string) string {
 	return cmp.Or(s.owners(model)[model], s.settings.Host)
--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -406,13 +406,13 @@
 
 // sendForPeer has a host send a request for a peer, and returns the error that the peer gets.
 func (n *testNode) sendForPeer(kind relayedKind, e catalog.Endpoint, id string) error {
-	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining}
+	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay}
 	return relay.serve(background, &relayedRequest{Kind: kind, Endpoint: e, ID: id, RemainingMs: 1000},
 		&partWriter{parts: cbor.NewEncoder(io.Discard), flush: func() error { return nil }})
 }
 
-// A host that drains or has no links itself declines the requests of its peers, so that they ask
-// another one. It sends none of them.
+// A host that has no links itself, or drains and cannot finish them, declines the requests of its peers,
+// so that they ask another one. It sends none of them.
 func TestCutOff_UnavailablePeerDeclines(t *testing.T) {
 	w, cut, a, _ := cutOffHost(t)
 	a.draining.Store(true)
--- a/internal/transport/front/duties.go
+++ b/internal/transport/front/duties.go
@@ -80,7 +80,7 @@
 	if d == nil || d.usage == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	d.usage.Flush(ctx)
 }
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -146,7 +146,7 @@
 	mu sync.Mutex
 	// running is the number of requests that run through each peer.
 	running map[string]int
-	// linked are the peers with links that do not drain, as of linkedAt.
+	// linked are the peers with links as of linkedAt, those that drain only if there are no others.
 	linked   []presence.Member
 	linkedAt time.Time
 }
@@ -175,7 +175,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if time.Since(r.linkedAt) > linkedPeersTTL {
-		r.linked = slices.DeleteFunc(r.peers.Alive(), func(p presence.Member) bool { return p.CutOff || p.Draining })
+		r.linked = slices.DeleteFunc(r.peers.Alive(), func(p presence.Member) bool { return p.CutOff })
+		if slices.ContainsFunc(r.linked, func(p presence.Member) bool { return !p.Draining }) {
+			r.linked = slices.DeleteFunc(r.linked, func(p presence.Member) bool { return p.Draining })
+		}
 		r.linkedAt = time.Now()
 	}
 	out := make([]links.Relay, 0, len(r.linked))
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -22,6 +22,8 @@
 	path     *EndpointPath
 	fleet    *Fleet
 	draining func() bool
+	// mayFinish reports whether this host takes a request although it drains.
+	mayFinish func(*relayedRequest) bool
 	// track counts a request as in flight until the returned function is called.
 	track   func() func()
 	log     *slog.Logger
@@ -29,7 +31,7 @@
 }
 
 var (
-	errRelayUnavailable = errors.New("the host is stopping, has no links itself or sends too many requests for others")
+	errRelayUnavailable = errors.New("the host is stopping before the request would end, has no links itself or sends too many requests for others")
 	errEndpointNotInUse = errors.New("the endpoint is leaving or not known")
 )
 
@@ -80,7 +82,7 @@
 
 func (s *relayServer) serve(ctx context.Context, r *relayedRequest, out *partWriter) error {
 	defer s.running.Add(-1)
-	if s.running.Add(1) > maxRelayedRequests || s.draining() {
+	if s.running.Add(1) > maxRelayedRequests || s.draining() && !s.mayFinish(r) {
 		return errors.Join(errRelayUnavailable, backend.ErrNotRun)
 	}
 	if !s.inUse(&r.Endpoint) {
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -101,6 +101,7 @@
 	gates *Gates
 	// origins remembers which software version began each stream.
 	origins *StreamOrigins
+	stop    *hostStop
 	// keys knows the urgencies of teams.
 	keys *teamkeys.Checker
 	// usage counts the requests of each team, nil if they are not reported.
@@ -239,6 +240,9 @@
 		code, reason = e.Code, e.Detail
 	}
 	f.metrics.recordRequest(c.route.Name, code, took)
+	if c.sent > 0 && !c.in.Scoring && (err == nil || code == resultcode.DeadlineExceeded && !time.Now().Before(c.deadline)) {
+		f.stop.record(c.route.Name, took)
+	}
 	f.log.Info("Request finished", "request", c.in.ID, "route", c.route.Name, "service", c.service,
 		"endpoint", c.lastEndpoint, "attempts", c.sent, "status", status, "result", int(code), "took_ms", took.Milliseconds(),
 		"reason", reason)
@@ -306,7 +310,11 @@
 			if c.sent >= c.route.MaxAttempts || c.sent > 0 && c.quarantined() {
 				return c.finalFailure(failure)
 			}
-			if err := c.sendWhenAvailable(ctx, results); err != nil {
+			err := c.checkStop()
+			if err == nil {
+				err = c.sendWhenAvailable(ctx, results)
+			}
+			if err != nil {
 				if failure != nil {
 					return failure, nil
 				}
@@ -316,7 +324,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, c.deadlineError()
+			return nil, c.deadlineError(ctx)
 		case <-hedge.C:
 			if idempotent && c.sent < c.route.MaxAttempts && !c.gate.HasWaiting() && c.f.withRetryBudget(c.service, (*retries.Budget).Withdraw) &&
 				c.trySend(ctx, results, true) {
@@ -467,11 +475,15 @@
 	return nil, c.refuse(resultcode.RetryBudgetExhausted, c.lastError())
 }
 
-// deadlineError returns the error for a request whose deadline has passed or whose caller
-// disconnected.
-func (c *call) deadlineError() error {
+// deadlineError returns the error for a request whose deadline has passed, whose caller disconnected
+// or whose host stopped.
+func (c *call) deadlineError(ctx context.Context) error {
 	if c.mayHaveRun || c.sent > 0 {
-		return codedError(resultcode.DeadlineExceeded, c.lastError())
+		detail := c.lastError()
+		if cause := context.Cause(ctx); errors.Is(cause, errHostStopped) {
+			detail = cause.Error()
+		}
+		return codedError(resultcode.DeadlineExceeded, detail)
 	}
 	return c.refuse(resultcode.DeadlineTooShort, "no endpoint took the request in time")
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -36,19 +36,6 @@
 	storeCallTimeout = 3 * time.Second
 	// AddressTTL is how long callers may cache an answer of the directory.
 	AddressTTL = 2 * time.Second
-	// maxAddressCacheTime is how long the slowest callers use a cached answer: three times
-	// AddressTTL.
-	maxAddressCacheTime = 3 * AddressTTL
-	// batchHandoverReserve is the remaining part of the grace period at which the host hands
-	// over its batches.
-	batchHandoverReserve = 3 * time.Second
-	// exitMargin is the remaining part of the grace period at which the process exits.
-	exitMargin = 800 * time.Millisecond
-	// shutdownTimeout is the part of exitMargin in which requests may end that arrived at the
-	// last moment.
-	shutdownTimeout = 400 * time.Millisecond
-	// drainPollInterval is the time between checks for completion while the host drains.
-	drainPollInterval = 50 * time.Millisecond
 	// headerTimeout bounds the reading of a request header, idleTimeout the life of an idle
 	// connection. Both exceed what the operator's limits allow callers.
 	headerTimeout = 10 * time.Second
@@ -115,6 +102,7 @@
 
 	draining atomic.Bool
 	inflight atomic.Int64
+	stop     *hostStop
 	servers  []*http.Server
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -130,7 +118,7 @@
 
 // NewNode returns a node. The caller must call Start before using it.
 func NewNode(p Params) *Node {
-	n := &Node{Settings: p.Settings, Metrics: NewMetrics(p.Registry), Catalog: &Catalog{}, params: p,
+	n := &Node{Settings: p.Settings, Metrics: NewMetrics(p.Registry), Catalog: &Catalog{}, params: p, stop: newHostStop(),
 		log: logging.Component(p.Log, "front")}
 	n.peers = NewPeers(presence.Member{Host: p.Settings.Host, Zone: p.Settings.Zone, Capacity: float32(p.Settings.Capacity)},
 		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
@@ -149,9 +137,9 @@
 	n.endpoints = newEndpointPath(p.Endpoints, newEndpointRelays(p.Settings, n.peers, p.Registry), fleet.Endpoints, n.linksChanged, component("endpoints"), p.Registry)
 	n.Forwarder = &Forwarder{catalog: n.Catalog, fleet: fleet, client: n.endpoints, log: component("forward"), metrics: n.Metrics,
 		gates: NewGates(fleet, func() int { return 1 + n.peers.Count() }),
-		keys:  n.Keys, quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
+		stop:  n.stop, keys: n.Keys, quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
-		settings: p.Settings, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
+		settings: p.Settings, stop: n.stop, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
 		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
 		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder, cutOff: n.endpoints.CutOff, promptPrefixes: p.Decoder.PromptPrefixes},
 		candidate: n.candidate,
@@ -332,17 +320,20 @@
 	s := n.Settings
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.params.Registry, promhttp.HandlerOpts{}))
+	always := context.Background()
 	for _, l := range []struct {
 		address string
 		handler http.Handler
+		// requests is the context of all requests of the listener.
+		requests context.Context
 	}{
-		{s.PeerAddress, n.peerHandler()},
-		{s.ReadyAddress, n.params.Handlers.Readiness(n)},
-		{s.DirectoryAddress, n.params.Handlers.Directory(n)},
-		{s.CallerAddress, n.params.Handlers.Callers(n)},
-		{s.MetricsAddress, metrics},
+		{s.PeerAddress, n.peerHandler(), always},
+		{s.ReadyAddress, n.params.Handlers.Readiness(n), always},
+		{s.DirectoryAddress, n.params.Handlers.Directory(n), always},
+		{s.CallerAddress, n.params.Handlers.Callers(n), n.stop.serving},
+		{s.MetricsAddress, metrics, always},
 	} {
-		if err := n.serve(l.address, l.handler); err != nil {
+		if err := n.serve(l.address, l.handler, l.requests); err != nil {
 			return err
 		}
 	}
@@ -357,13 +348,14 @@
 	return nil
 }
 
-func (n *Node) serve(address string, h http.Handler) error {
+func (n *Node) serve(address string, h http.Handler, requests context.Context) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+		BaseContext: func(net.Listener) context.Context { return requests },
+		ErrorLog:    slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	n.servers = append(n.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -373,47 +365,6 @@
 	return nil
 }
 
-// Stop drains the host. It removes the host from the directory immediately, keeps serving
-// callers that have cached its address, hands its batches over, and returns before the end
-// of the grace period.
-func (n *Node) Stop(context.Context) error {
-	began := time.Now()
-	n.log.Info("Host stopping", "in_flight", n.inflight.Load(), "batches", len(n.Batches.UnfinishedIDs()))
-	n.draining.Store(true)
-	n.membership.Announce()
-	grace := n.Settings.GracePeriod
-	n.waitUntil(began.Add(grace-batchHandoverReserve), func() bool {
-		return len(n.Batches.UnfinishedIDs()) == 0 && time.Since(began) > maxAddressCacheTime
-	})
-	handoverCtx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitMargin))
-	defer cancel()
-	n.Batches.Drain(handoverCtx)
-	n.waitUntil(began.Add(grace-exitMargin), func() bool {
-		return n.inflight.Load() == 0 && time.Since(began) > maxAddressCacheTime
-	})
-	n.shutDownServers()
-	n.duties.flush()
-	n.close()
-	n.log.Info("Host stopped", "in_flight", n.inflight.Load(), "took_ms", time.Since(began).Milliseconds())
-	return nil
-}
-
-// shutDownServers closes the listeners and waits for requests that arrived after the last check
-// for requests in flight, at most shutdownTimeout.
-func (n *Node) shutDownServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	var all sync.WaitGroup
-	for _, s := range n.servers {
-		all.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
-				n.log.Warn("Connections still open after shutdown", "err", err)
-			}
-		})
-	}
-	all.Wait()
-}
-
 // close stops the background tasks and closes the listeners.
 func (n *Node) close() {
 	n.cancel()
@@ -423,9 +374,3 @@
 		_ = s.Close() // the process is shutting down, so errors do not matter
 	}
 }
-
-func (n *Node) waitUntil(deadline time.Time, done func() bool) {
-	for time.Now().Before(deadline) && !done() {
-		time.Sleep(drainPollInterval)
-	}
-}
