Count the time for lapsed entries from the return of the store

Cause: an endpoint whose entry was missing was kept for 2.5 s from the listing that first lacked it, within 3 s of the first listing after the outage. The first listing comes late, and an entry that disappears after the time in which entries come back was removed. Also, the length of an outage was taken from the beginning of reads that the client repeats, a second outage ended the grace of the first, and peers could not tell kept endpoints from listed ones.

Change: coordination/lapses decides which endpoints may be missing, from the answers of the store to all calls of this host and its peers. The list for peers names the endpoints that are kept; a peer takes only those that it has in use and that may return by its own knowledge. The interval at which endpoints refresh their entries comes from the settings. The return of the store and the kept endpoints are logged. TestFeed_KeepsEndpointWithExpiredEntry checks the new field in place of graceUntil, which is gone.

--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -7,12 +7,14 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/lapses"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
@@ -39,16 +41,9 @@
 const (
 	// minFetchGain is how much newer a peer's last read must be for its state to be fetched.
 	minFetchGain = 100 * time.Millisecond
-	// entryExpiryGap is the time without a read by any host after which endpoint entries may
-	// have expired: endpoints report every 1.2 s and expire after three missed reports.
-	entryExpiryGap = 2200 * time.Millisecond
-	// missingEntryGrace is how long an endpoint stays in use after its entry has disappeared
-	// during an outage of the store. Live endpoints register again about two seconds after
-	// the outage.
-	missingEntryGrace = 2500 * time.Millisecond
-	// entryExpiryWindow is the time after an outage of the store during which a missing entry
-	// is assumed to have expired because of the outage.
-	entryExpiryWindow = 3 * time.Second
+	// defaultRefreshInterval is the interval at which endpoints refresh their entries if the
+	// settings name none.
+	defaultRefreshInterval = 1200 * time.Millisecond
 	// fromStore stands for the store among the hosts from which state was fetched.
 	fromStore = "store"
 )
@@ -64,6 +59,11 @@
 	AgeMs int64 `json:"age_ms"`
 	// Revision is the store's revision at which the endpoints were listed.
 	Revision uint64 `json:"revision,omitempty"`
+	// Missing are the IDs of Endpoints that the store no longer lists, but that may register again
+	// after an outage.
+	Missing []string `json:"missing,omitempty"`
+	// RegisterMs is the time in which they may still do so, in milliseconds.
+	RegisterMs int64 `json:"register_ms,omitempty"`
 }
 
 // feedDeps are the dependencies of a Feed.
@@ -83,6 +83,8 @@
 	// isHub reports whether this host is a hub, as it is while it knows no peers. Only hubs
 	// read the store.
 	isHub func() bool
+	// refreshInterval is the interval at which endpoints refresh their entries; zero is the default.
+	refreshInterval time.Duration
 	// proofs receives the reads of the configuration that are not stale, nil if nothing needs them.
 	proofs *configproof.Prover
 	log    *slog.Logger
@@ -105,11 +107,9 @@
 	endpointsRevision uint64
 	// startedAt is the boot time at which this host started.
 	startedAt time.Duration
-	// entryExpiryUntil is the end of the current entryExpiryWindow.
-	entryExpiryUntil time.Time
-	// graceUntil maps endpoints whose entries may have expired during an outage to the end
-	// of their grace period.
-	graceUntil map[string]time.Time
+	// lapses decides which endpoints stay in use without an entry, missing has those that do.
+	lapses  *lapses.Tracker
+	missing map[string]bool
 	// invalidKeys are the keys of entries that are not valid endpoints. Each is logged once.
 	invalidKeys map[string]bool
 	fetching    bool
@@ -119,7 +119,28 @@
 
 // NewFeed returns an empty feed.
 func NewFeed(d feedDeps) *Feed {
-	return &Feed{feedDeps: d, startedAt: sinceBoot(), graceUntil: map[string]time.Time{}, invalidKeys: map[string]bool{}, answers: map[answerKey]keptAnswer{}}
+	f := &Feed{feedDeps: d, startedAt: sinceBoot(), lapses: lapses.NewTracker(cmp.Or(d.refreshInterval, defaultRefreshInterval)),
+		invalidKeys: map[string]bool{}, answers: map[answerKey]keptAnswer{}}
+	d.path.observe = f.observeStore
+	return f
+}
+
+// observeStore records whether the store answered a call that was made at a boot time.
+func (f *Feed) observeStore(madeAt time.Duration, answered bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !answered {
+		f.lapses.Failed(madeAt)
+		return
+	}
+	f.recordAnswer(sinceBoot())
+}
+
+// recordAnswer records that the store answered this or another host at a boot time. The caller holds the lock.
+func (f *Feed) recordAnswer(at time.Duration) {
+	if f.lapses.Answered(at) {
+		f.log.Info("Store answers again; entries of endpoints may have expired", "age_ms", (sinceBoot() - at).Milliseconds())
+	}
 }
 
 // applyConfig decodes a configuration and puts it in force if its generation is higher. from is
@@ -163,41 +184,68 @@
 	return out
 }
 
-// applyListing replaces the known endpoints by a listing of the store. An endpoint that
-// disappeared while no host could read the store stays for missingEntryGrace, since its
-// entry may have expired only because of the outage.
-func (f *Feed) applyListing(endpoints []catalog.Endpoint, readAt time.Duration) {
-	listed := make(map[string]bool, len(endpoints))
-	for i := range endpoints {
-		listed[endpoints[i].ID] = true
+// applyListing replaces the known endpoints by a listing that was requested from the store at a boot
+// time. An endpoint whose entry may have expired because of an outage stays while it may register again.
+func (f *Feed) applyListing(endpoints []catalog.Endpoint, requestedAt time.Duration) {
+	f.mu.Lock()
+	f.recordAnswer(requestedAt)
+	mayReturn := f.lapses.MayReturn(requestedAt)
+	f.mu.Unlock()
+	missing := map[string]bool{}
+	if mayReturn {
+		listed := idsOf(endpoints)
+		for _, e := range f.fleet.Endpoints() {
+			if !listed[e.ID] {
+				endpoints = append(endpoints, e)
+				missing[e.ID] = true
+			}
+		}
 	}
-	var known []catalog.Endpoint
-	f.fleet.WithTable(func(t *placement.Table) { known = t.All() })
+	f.setMissing(missing, fromStore)
+	f.replaceEndpoints(endpoints, requestedAt, fromStore)
+}
+
+// setMissing records which endpoints stay in use without an entry, according to the store or a peer.
+func (f *Feed) setMissing(missing map[string]bool, from string) {
 	f.mu.Lock()
-	if f.endpointsReadAt != 0 && readAt-f.endpointsReadAt > entryExpiryGap {
-		f.entryExpiryUntil = time.Now().Add(entryExpiryWindow)
+	defer f.mu.Unlock()
+	if !maps.Equal(missing, f.missing) {
+		f.log.Info("Endpoints without an entry stay in use", "endpoints", slices.Sorted(maps.Keys(missing)), "from", from)
 	}
-	mayHaveExpired := time.Now().Before(f.entryExpiryUntil)
-	for id := range listed {
-		delete(f.graceUntil, id)
+	f.missing = missing
+}
+
+func idsOf(endpoints []catalog.Endpoint) map[string]bool {
+	ids := make(map[string]bool, len(endpoints))
+	for i := range endpoints {
+		ids[endpoints[i].ID] = true
 	}
-	for _, e := range known {
-		if listed[e.ID] {
-			continue
-		}
-		until, ok := f.graceUntil[e.ID]
-		if !ok && mayHaveExpired {
-			until, ok = time.Now().Add(missingEntryGrace), true
-			f.graceUntil[e.ID] = until
-		}
-		if ok && time.Now().Before(until) {
-			endpoints = append(endpoints, e)
-			continue
-		}
-		delete(f.graceUntil, e.ID)
+	return ids
+}
+
+// applyPeerState replaces the known endpoints by those of a peer. Of the endpoints that the store did not list to
+// the peer, it takes those that it has in use itself, as long as they may register again: the peer may know
+// of an outage that was none for other hosts. A host that has just started has no view of its own.
+func (f *Feed) applyPeerState(state feedState, readAt time.Duration, host string) {
+	known := idsOf(f.fleet.Endpoints())
+	f.mu.Lock()
+	started, now := f.endpointsReadAt == 0, sinceBoot()
+	if started && len(state.Missing) > 0 {
+		f.lapses.Join(now + time.Duration(state.RegisterMs)*time.Millisecond)
 	}
+	mayReturn := f.lapses.MayReturn(now)
 	f.mu.Unlock()
-	f.replaceEndpoints(endpoints, readAt, fromStore)
+	missing := map[string]bool{}
+	endpoints := slices.DeleteFunc(state.Endpoints, func(e catalog.Endpoint) bool {
+		if !slices.Contains(state.Missing, e.ID) {
+			return false
+		}
+		missing[e.ID] = mayReturn && (started || known[e.ID])
+		return !missing[e.ID]
+	})
+	maps.DeleteFunc(missing, func(_ string, kept bool) bool { return !kept })
+	f.setMissing(missing, host)
+	f.replaceEndpoints(endpoints, readAt, host)
 }
 
 // replaceEndpoints replaces the content of the fleet by endpoints and announces a change. from
@@ -214,15 +262,13 @@
 	if !changed {
 		return
 	}
-	listed := make(map[string]bool, len(endpoints))
+	listed := idsOf(endpoints)
 	putCount, removedCount := 0, 0
 	observeSoftware := func(t *placement.Table) { t.ObserveSoftware(time.Now()) }
 	f.fleet.WithTable(observeSoftware)
 	defer f.fleet.WithTable(observeSoftware)
 	for i := range endpoints {
-		e := &endpoints[i]
-		listed[e.ID] = true
-		if f.putEndpoint(e, from) {
+		if f.putEndpoint(&endpoints[i], from) {
 			putCount++
 		}
 	}
@@ -260,6 +306,14 @@
 	return true
 }
 
+// mayBeMissing reports whether endpoints may be missing from a listing that is requested now, or were
+// until the last one, because of an outage.
+func (f *Feed) mayBeMissing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lapses.MayReturn(sinceBoot() - endpointReadInterval)
+}
+
 // EndpointsReadAt returns the boot time at which the list of endpoints in use was read from the
 // store, by this or another host.
 func (f *Feed) EndpointsReadAt() time.Duration {
@@ -308,6 +362,7 @@
 	generation := f.catalog.Generation()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordAnswer(endpointsAt)
 	if h.Generation == generation {
 		f.configReadAt = max(f.configReadAt, configAt)
 	}
@@ -346,9 +401,10 @@
 	f.mu.Lock()
 	f.endpointsRevision = max(f.endpointsRevision, state.Revision)
 	newer := at > f.endpointsReadAt+minFetchGain
+	f.recordAnswer(at)
 	f.mu.Unlock()
 	if newer {
-		f.replaceEndpoints(state.Endpoints, at, host)
+		f.applyPeerState(state, at, host)
 	}
 }
 
@@ -361,6 +417,9 @@
 	}
 	f.mu.Lock()
 	s.AgeMs, s.Revision = ageMillis(f.endpointsReadAt), f.endpointsRevision
+	if s.Missing = slices.Sorted(maps.Keys(f.missing)); len(s.Missing) > 0 {
+		s.RegisterMs = max(0, (f.lapses.RegisteredBy() - sinceBoot()).Milliseconds())
+	}
 	f.mu.Unlock()
 	f.fleet.WithTable(func(t *placement.Table) { s.Endpoints = t.All() })
 	return s
--- a/internal/transport/front/feed_test.go
+++ b/internal/transport/front/feed_test.go
@@ -52,14 +52,14 @@
 // If no host could read the store for so long that entries expire, an endpoint whose entry
 // is missing afterwards may register again and stays in use.
 func TestFeed_KeepsEndpointWithExpiredEntry(t *testing.T) {
-	f := newTestFeed(entryExpiryGap + time.Second)
+	f := newTestFeed(3200 * time.Millisecond)
 	f.applyListing(testEndpoints()[:1], sinceBoot())
 	if got := knownEndpoints(f); got != 2 {
 		t.Errorf("%d endpoints in use, want 2", got)
 	}
 	f.applyListing(testEndpoints(), sinceBoot())
-	if len(f.graceUntil) != 0 {
-		t.Error("the grace period of an endpoint that registered again did not end")
+	if len(f.missing) != 0 {
+		t.Error("an endpoint that registered again counts as missing")
 	}
 }
 
--- a/internal/transport/front/feedreads.go
+++ b/internal/transport/front/feedreads.go
@@ -53,7 +53,7 @@
 		// A new process first waits for its peers, one of which may have read the store already.
 		if time.Since(started) > firstReadDelay && f.shouldRead(readAt) {
 			readAt = time.Now()
-			if readAt.Sub(endpointsAt) >= endpointReadInterval-feedInterval || !f.path.Reachable() || !f.readStale(ctx) {
+			if readAt.Sub(endpointsAt) >= endpointReadInterval-feedInterval || !f.path.Reachable() || f.mayBeMissing() || !f.readStale(ctx) {
 				withConfig := f.configDue() || readAt.Sub(configAt) >= f.maxConfigAge()-feedInterval
 				if f.readStore(ctx, withConfig) {
 					endpointsAt = readAt
@@ -114,13 +114,14 @@
 		}
 		f.applyProven(o.Value, began)
 	}
+	requestedAt := sinceBoot()
 	objects, revision, err := listAll(ctx, f.store, f.decoder.EndpointPrefix())
 	if err != nil {
 		f.log.Warn("Failed to list endpoints", "err", err)
 		return false
 	}
 	f.recordRevision(revision)
-	f.applyListing(f.decodeEndpoints(objects), began)
+	f.applyListing(f.decodeEndpoints(objects), requestedAt)
 	return true
 }
 
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -148,7 +148,7 @@
 	n.Keys.Fresh = n.Check
 	n.feed = NewFeed(feedDeps{
 		store: store, stale: stale, path: n.storePath, decoder: p.Decoder, catalog: n.Catalog, fleet: fleet, peerClient: calls,
-		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, proofs: n.proofs, log: component("feed"),
+		announce: func() { n.membership.Announce() }, rank: func() int { return n.rank(feedTask) }, isHub: n.peers.IsHub, refreshInterval: p.Settings.RefreshInterval, proofs: n.proofs, log: component("feed"),
 	})
 	n.streamSoftware = &streamSoftware{settings: p.Settings, store: store, catalog: n.Catalog, fleet: fleet, feed: n.feed, rank: n.rank, log: component("streams"), updating: make(chan struct{}, 1)}
 	n.Forwarder.origins = newStreamOrigins(p.Settings, fleet, n.peers, calls, n.feed, n.streamSoftware, component("streams"))
--- a/internal/transport/front/settings.go
+++ b/internal/transport/front/settings.go
@@ -38,6 +38,9 @@
 	// FullMeshHosts is the number of hosts up to which each sends heartbeats to all others;
 	// zero is the default.
 	FullMeshHosts int
+	// RefreshInterval is the interval at which endpoints refresh their entries in the store; zero is
+	// the default.
+	RefreshInterval time.Duration
 	// GracePeriod is the time between the platform's stop signal and its kill signal.
 	GracePeriod time.Duration
 	// Lease is the minimum time between the last order that one holder of the weights
--- a/internal/transport/front/storepath.go
+++ b/internal/transport/front/storepath.go
@@ -35,6 +35,9 @@
 	relays      func() []string
 	relayClient func(address string) objectapi.API
 	log         *slog.Logger
+	// observe, if it is set, is called after each call with the boot time at which it was made, and
+	// whether the store answered it, be it with a refusal for the rate.
+	observe func(madeAt time.Duration, answered bool)
 
 	mu        sync.Mutex
 	throttled int
@@ -66,6 +69,21 @@
 	return !p.failing
 }
 
+// storeCall is a call to the store.
+type storeCall struct {
+	path *StorePath
+	// direct is set if the call does not go through a peer.
+	direct bool
+	// madeAt is the boot time at which the call was made.
+	madeAt time.Duration
+}
+
+// begin returns the path for the next call.
+func (p *StorePath) begin() (objectapi.API, storeCall) {
+	api, direct := p.choose()
+	return api, storeCall{path: p, direct: direct, madeAt: sinceBoot()}
+}
+
 // choose returns the path for the next call, and starts a probe of the direct path if it is
 // failing and a probe is due.
 func (p *StorePath) choose() (api objectapi.API, direct bool) {
@@ -93,11 +111,12 @@
 func (p *StorePath) probe() {
 	ctx, cancel := context.WithTimeout(context.Background(), directProbeTimeout)
 	defer cancel()
+	call := storeCall{path: p, direct: true, madeAt: sinceBoot()}
 	_, err := p.direct.Get(ctx, probeKey)
 	p.mu.Lock()
 	p.probing, p.probedAt = false, time.Now()
 	p.mu.Unlock()
-	p.recordOutcome(ctx, true, err)
+	call.end(ctx, err)
 }
 
 // probeKey is the key that probe reads. The object need not exist.
@@ -109,12 +128,21 @@
 	return objectapi.Unresolved(err) || errors.Is(err, objectapi.ErrRefused)
 }
 
-// recordOutcome updates the state of the path that a call used. The outcome of a call that its
-// caller cancelled says nothing about the path and is ignored.
-func (p *StorePath) recordOutcome(ctx context.Context, direct bool, err error) {
+// end records the outcome of the call. That of a call that its caller cancelled says nothing about the
+// path and is ignored.
+func (c storeCall) end(ctx context.Context, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	// A peer that does not serve the call says nothing about the store.
+	if failed := isStoreFailure(err); c.path.observe != nil && (c.direct || !failed) {
+		c.path.observe(c.madeAt, !failed)
+	}
+	c.path.recordOutcome(c.direct, err)
+}
+
+// recordOutcome updates the state of the path that a call used.
+func (p *StorePath) recordOutcome(direct bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !direct {
@@ -144,45 +172,45 @@
 
 // Get implements objectapi.API.
 func (p *StorePath) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	api, direct := p.choose()
+	api, call := p.begin()
 	o, err := api.Get(ctx, key)
-	p.recordOutcome(ctx, direct, err)
+	call.end(ctx, err)
 	return o, err
 }
 
 // Put implements objectapi.API.
 func (p *StorePath) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
-	api, direct := p.choose()
+	api, call := p.begin()
 	version, err := api.Put(ctx, key, value, expect)
-	p.recordOutcome(ctx, direct, err)
+	call.end(ctx, err)
 	return version, err
 }
 
 // Delete implements objectapi.API.
 func (p *StorePath) Delete(ctx context.Context, key string, expect uint64) error {
-	api, direct := p.choose()
+	api, call := p.begin()
 	err := api.Delete(ctx, key, expect)
-	p.recordOutcome(ctx, direct, err)
+	call.end(ctx, err)
 	return err
 }
 
 // List implements objectapi.API.
 func (p *StorePath) List(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
-	api, direct := p.choose()
+	api, call := p.begin()
 	page, err := api.List(ctx, prefix, after, limit)
-	p.recordOutcome(ctx, direct, err)
+	call.end(ctx, err)
 	return page, err
 }
 
 // Watch implements objectapi.API.
 func (p *StorePath) Watch(ctx context.Context, prefix string, from uint64) (objectapi.Watcher, error) {
-	api, direct := p.choose()
+	api, call := p.begin()
 	w, err := api.Watch(ctx, prefix, from)
-	p.recordOutcome(ctx, direct, err)
+	call.end(ctx, err)
 	if err != nil {
 		return nil, err
 	}
-	return &recordingWatcher{Watcher: w, path: p, direct: direct}, nil
+	return &recordingWatcher{Watcher: w, path: p, direct: call.direct}, nil
 }
 
 // recordingWatcher records the outcome of each event read.
@@ -194,9 +222,10 @@
 
 // Next implements objectapi.Watcher.
 func (w *recordingWatcher) Next(ctx context.Context) (objectapi.Event, error) {
+	call := storeCall{path: w.path, direct: w.direct, madeAt: sinceBoot()}
 	e, err := w.Watcher.Next(ctx)
 	if ctx.Err() == nil {
-		w.path.recordOutcome(ctx, w.direct, err)
+		call.end(ctx, err)
 	}
 	return e, err
 }
