Take a peer that declines within an answer for one that broke off

Cause: with endpoints it cannot happen here. Between hosts, a peer that declined a request after it had begun to answer would have been followed by another peer, and the request would have counted as not run.

Change: such an answer is incomplete. TestStream_NextEndpointsErrorStaysOut holds the rest.

The test with endpoints found nothing.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -525,6 +525,19 @@
 	}
 }
 
+// A peer that declines a request after it has begun to answer has left it unfinished: it may have run, and no other peer may
+// go on with the answer.
+func TestCutOff_PeerDeclinesWithinAnswer(t *testing.T) {
+	relays := relaysThrough(t, &relayedPart{Head: &relayedHead{Status: http.StatusOK, Signature: "signed"}}, &relayedPart{Chunk: []byte("id: 1\n")},
+		&relayedPart{End: &relayedEnd{Declined: true, Errors: 1, Detail: "stopping"}})
+	heads := 0
+	err := relays.stream(background, backend.GenerateRequest{Request: backend.Request{ID: "r", Method: http.MethodPost, Deadline: time.Now().Add(time.Second)}},
+		func(*backend.Answer) error { heads++; return nil }, func([]byte) error { return nil })
+	if heads != 1 || !errors.Is(err, backend.ErrIncompleteAnswer) || errors.Is(err, backend.ErrNotRun) {
+		t.Errorf("%d heads, error %v, want one and an incomplete answer", heads, err)
+	}
+}
+
 // Header values and events may hold bytes that are no valid UTF-8. They reach the endpoint and the
 // caller unchanged through a peer.
 func TestCutOff_AnyBytesPassThroughPeer(t *testing.T) {
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -221,7 +221,15 @@
 			break
 		}
 		tried = append(tried, relay.Host)
-		err := r.sendThrough(ctx, relay.Host, body, receive)
+		began := false
+		err := r.sendThrough(ctx, relay.Host, body, func(part *relayedPart) error {
+			began = true
+			return receive(part)
+		})
+		if began && errors.Is(err, errDeclined) {
+			// Another peer must not go on with an answer that has begun.
+			err = errors.Join(backend.ErrIncompleteAnswer, backend.ErrPathLost, errors.New(err.Error()))
+		}
 		if !errors.Is(err, errDeclined) {
 			r.requests.WithLabelValues(outcomeOf(err)).Inc()
 			return err
