Take no stream up again at a host that is out of step

Reported by operators of a similar system: streams that began at servers of a new version were taken up at a host that had been cut off, and went on at another version.

Cause: a host that knows a stream's version picks an endpoint by its list. While it is cut off or has just stood still the list is old, and an endpoint may have restarted under its former ID with another version.

Change: coordination/origins.View decides whether other hosts may know a newer list. A take-up waits for one, and is refused as not run if none comes. An outage of the store for all hosts does not count.

--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -103,6 +103,8 @@
 	endpointsReadAt time.Duration
 	configReadAt    time.Duration
 	endpointsDigest uint64
+	// newestReadAt is the boot time of the newest read of the endpoints that any host has reported.
+	newestReadAt time.Duration
 	// endpointsRevision is the highest store revision of a known listing of the endpoints.
 	endpointsRevision uint64
 	// startedAt is the boot time at which this host started.
@@ -322,6 +324,13 @@
 	return f.endpointsReadAt
 }
 
+// listAge returns the age of the list of endpoints in use, and whether a peer has reported a newer one.
+func (f *Feed) listAge() (age time.Duration, newerKnown bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return sinceBoot() - f.endpointsReadAt, f.newestReadAt > f.endpointsReadAt+minFetchGain
+}
+
 // digestOf returns a hash by which hosts compare their lists of endpoints.
 func digestOf(endpoints []catalog.Endpoint) uint64 {
 	b, err := canonicalEncoding.Marshal(endpoints)
@@ -363,6 +372,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordAnswer(endpointsAt)
+	f.newestReadAt = max(f.newestReadAt, endpointsAt)
 	if h.Generation == generation {
 		f.configReadAt = max(f.configReadAt, configAt)
 	}
--- a/internal/transport/front/rejoin_test.go
+++ b/internal/transport/front/rejoin_test.go
@@ -292,3 +292,58 @@
 		t.Errorf("%d streams of the only version are not known", unknown.Load())
 	}
 }
+
+// A host is cut off from the store and the other hosts, or stands still, while servers of a new software version join. A stream
+// that began there through another host is taken up at it. It must go on at the new version or be refused, also once the host
+// is back and before it has learned anything new.
+func TestRejoin_HostOutOfStep(t *testing.T) {
+	for name, sameID := range map[string]bool{"endpoints with new IDs": false, "endpoints with the former IDs": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, hosts := newStreamCluster(t, "v1")
+			out, others := hosts[0], hosts[1:]
+			beginStream(t, out, "old", "v1")
+			out.store.refusing.Store(true)
+			_ = out.membership.conn.Close() // its heartbeats and those to it are lost from now on
+			w.waitUntil("the host hears from no other", func() bool { return out.peers.Count() == 0 })
+			if sameID {
+				w.put("endpoints/p-v1", catalog.Endpoint{ID: "p-v1", Service: "plain", Address: "p-v1:1", Zone: "a", Slots: 8, Software: "v2", Incarnation: 2})
+			} else {
+				w.runSoftware("v2")
+			}
+			w.waitUntil("the other hosts list the new version", listed(others, "v2"))
+			want := beginStream(t, others[0], "new", "v2")
+			takeUps := func(when string) {
+				for _, id := range []string{"old", "new"} {
+					origin := origins.Origin{Service: "plain", Software: "v1"}
+					if id == "new" {
+						origin = want
+					}
+					c := &call{f: out.Forwarder, route: &catalog.Route{Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
+						in: &Inbound{ResumeAfter: 1, Resumes: id}, service: "plain", deadline: time.Now().Add(5 * time.Second)}
+					if err := c.findOrigin(background); err != nil {
+						continue // refused
+					}
+					e, err := c.pickForStream(background, placement.Query{Service: c.service, Software: c.software})
+					if err != nil {
+						continue
+					}
+					out.Forwarder.fleet.End(e, placement.Cancelled, 0)
+					// No endpoint of v1 is left: they have new IDs or were replaced under theirs.
+					if e.ID == "p-v1" && !sameID {
+						continue // nobody answers there
+					}
+					if origin.Software != "v2" {
+						t.Errorf("%s: stream %q of %s is taken up at %s, which runs v2", when, id, origin.Software, e.ID)
+					}
+				}
+			}
+			time.Sleep(2100 * time.Millisecond)
+			takeUps("out of step")
+			out.store.refusing.Store(false)
+			takeUps("reaches the store again")
+			w.waitUntil("the host lists the new version", listed([]*testNode{out}, "v2"))
+			takeUps("in step")
+		})
+	}
+}
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -48,6 +48,8 @@
 		return c.refuseFor(c.f.origins.unknownFor(), resultcode.NoEndpoint, "the software version that began the stream is not known")
 	case !c.route.Serves(origin.Service):
 		return c.refuse(resultcode.NoEndpoint, "the route no longer leads to the service that began the stream")
+	case !c.f.origins.awaitCurrentList(ctx):
+		return c.refuse(resultcode.NoEndpoint, "this host is out of step with the others and may not know which software its endpoints run")
 	}
 	c.service, c.software = origin.Service, origin.Software
 	return nil
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -158,6 +158,31 @@
 	return o.onlyOrigin(ctx, service, arrivedAt)
 }
 
+// awaitCurrentList waits while this host is out of step with the others; see origins.View. It reports false if it is so for
+// longer than a take-up can wait.
+func (o *StreamOrigins) awaitCurrentList(ctx context.Context) bool {
+	if !o.view().OutOfStep() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshListTimeout)
+	defer cancel()
+	for o.view().OutOfStep() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(freshListPollInterval):
+		}
+	}
+	return true
+}
+
+func (o *StreamOrigins) view() origins.View {
+	v := origins.View{}
+	v.ListAge, v.NewerKnown = o.feed.listAge()
+	v.KnownHosts, v.AliveHosts = o.peers.Known()
+	return v
+}
+
 // askPeers asks other hosts for the origin of a stream at the same time.
 func (o *StreamOrigins) askPeers(ctx context.Context, id string) (origins.Origin, bool) {
 	n := originLookups
