--- a/internal/transport/front/lapses_test.go
+++ b/internal/transport/front/lapses_test.go
@@ -132,13 +132,13 @@
 	hosts := w.start("h1", "h2", "h3")
 	w.waitUntilListed(time.Now(), []string{"p0", "p1"}, hosts...)
 	// What a host does that was cut off is played with its feed: it knows of no answer for 4 s and reads first.
-	reader, others := hosts[0], hosts[1:]
+	reader := hosts[0]
 	for _, n := range hosts {
 		if n.rank(feedTask) == 0 {
 			reader = n
 		}
 	}
-	others = slices.DeleteFunc(slices.Clone(hosts), func(n *testNode) bool { return n == reader })
+	others := slices.DeleteFunc(slices.Clone(hosts), func(n *testNode) bool { return n == reader })
 	w.remove("p1")
 	w.waitUntilListed(time.Now(), []string{"p0"}, others...)
 	stale := reader.feed.State(0)
