Extend the time of lapsed entries only for those missing before

Cause: an interruption of over a second soon after an outage extended the time for every endpoint. A host that stood still for that long shortly before the store counts as stable took an endpoint that left then for lapsed.

Change: the extension holds for endpoints that were missing before the interruption. Entries that were listed cannot have expired in so short a time.

Result: TestTracker_ShortStallKeepsNoRemovedEndpoint; TestTracker_TwoOutagesCloseTogether and TestLapses_NeverBack pass as before.

--- a/internal/coordination/lapses/lapses.go
+++ b/internal/coordination/lapses/lapses.go
@@ -40,8 +40,10 @@
 	// firstReturn is when the store was first known to answer after an outage, whether or not it was
 	// interrupted again since. It is zero before the first outage.
 	firstReturn time.Duration
-	// registeredBy is when live endpoints have registered again.
-	registeredBy time.Duration
+	// registeredBy is when live endpoints have registered again. extendedBy is the same for those that
+	// were missing already when the store was interrupted: the entries of others cannot have expired in so
+	// short a time.
+	registeredBy, extendedBy time.Duration
 }
 
 // NewTracker returns a tracker for endpoints that refresh their entries at an interval. Entries expire after
@@ -61,29 +63,38 @@
 	case t.answeredAt == 0: // nothing was known before, so nothing can be missing
 	case silent > t.expiry:
 		t.firstReturn, returned = at, true
-	case silent > interruption && t.answeredAt < t.registeredBy && at-t.firstReturn < maxInterrupted:
-		returned = true
-	}
-	if returned {
-		t.registeredBy = at + registerTime
-		if t.failedAt > t.answeredAt {
-			t.registeredBy = max(at+minRegisterTime, min(t.registeredBy, t.failedAt+maxReturnLag))
-		}
+		t.registeredBy = t.registrationEnd(at)
+		t.extendedBy = t.registeredBy
+	case silent > interruption && t.answeredAt < t.extendedBy && at-t.firstReturn < maxInterrupted:
+		t.extendedBy = t.registrationEnd(at)
 	}
 	t.answeredAt = at
 	return returned
 }
 
-// RegisteredBy returns the time by which live endpoints have registered again after the last outage.
-func (t *Tracker) RegisteredBy() time.Duration { return t.registeredBy }
+// registrationEnd returns when live endpoints have registered again if the store is first known to answer at a time.
+func (t *Tracker) registrationEnd(at time.Duration) time.Duration {
+	end := at + registerTime
+	if t.failedAt > t.answeredAt {
+		end = max(at+minRegisterTime, min(end, t.failedAt+maxReturnLag))
+	}
+	return end
+}
+
+// RegisteredBy returns the time by which missing endpoints have registered again if they are alive.
+func (t *Tracker) RegisteredBy() time.Duration { return t.extendedBy }
 
 // Join sets RegisteredBy to that of another host. It is for a host that has seen no outage since it
 // has just started.
-func (t *Tracker) Join(registeredBy time.Duration) { t.registeredBy = registeredBy }
+func (t *Tracker) Join(registeredBy time.Duration) {
+	t.registeredBy, t.extendedBy = registeredBy, registeredBy
+}
 
 // Failed records that the store did not answer a call that was made at a time.
 func (t *Tracker) Failed(madeAt time.Duration) { t.failedAt = max(t.failedAt, madeAt) }
 
 // MayReturn reports whether an endpoint that is missing from a listing may still register again. The
-// listing was requested at the given time.
-func (t *Tracker) MayReturn(requestedAt time.Duration) bool { return requestedAt < t.registeredBy }
+// listing was requested at the given time. wasMissing is set if the listing before lacked it as well.
+func (t *Tracker) MayReturn(requestedAt time.Duration, wasMissing bool) bool {
+	return requestedAt < t.registeredBy || wasMissing && requestedAt < t.extendedBy
+}
--- a/internal/transport/front/feed.go
+++ b/internal/transport/front/feed.go
@@ -191,13 +191,14 @@
 func (f *Feed) applyListing(endpoints []catalog.Endpoint, requestedAt time.Duration) {
 	f.mu.Lock()
 	f.recordAnswer(requestedAt)
-	mayReturn := f.lapses.MayReturn(requestedAt)
+	mayReturn, missingMayReturn := f.lapses.MayReturn(requestedAt, false), f.lapses.MayReturn(requestedAt, true)
+	wasMissing := f.missing
 	f.mu.Unlock()
 	missing := map[string]bool{}
-	if mayReturn {
+	if missingMayReturn {
 		listed := idsOf(endpoints)
 		for _, e := range f.fleet.Endpoints() {
-			if !listed[e.ID] {
+			if !listed[e.ID] && (mayReturn || wasMissing[e.ID]) {
 				endpoints = append(endpoints, e)
 				missing[e.ID] = true
 			}
@@ -235,14 +236,15 @@
 	if started && len(state.Missing) > 0 {
 		f.lapses.Join(now + time.Duration(state.RegisterMs)*time.Millisecond)
 	}
-	mayReturn := f.lapses.MayReturn(now)
+	mayReturn, missingMayReturn := f.lapses.MayReturn(now, false), f.lapses.MayReturn(now, true)
+	wasMissing := f.missing
 	f.mu.Unlock()
 	missing := map[string]bool{}
 	endpoints := slices.DeleteFunc(state.Endpoints, func(e catalog.Endpoint) bool {
 		if !slices.Contains(state.Missing, e.ID) {
 			return false
 		}
-		missing[e.ID] = mayReturn && (started || known[e.ID])
+		missing[e.ID] = (mayReturn || missingMayReturn && wasMissing[e.ID]) && (started || known[e.ID])
 		return !missing[e.ID]
 	})
 	maps.DeleteFunc(missing, func(_ string, kept bool) bool { return !kept })
@@ -313,7 +315,7 @@
 func (f *Feed) mayBeMissing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lapses.MayReturn(sinceBoot() - endpointReadInterval)
+	return f.lapses.MayReturn(sinceBoot()-endpointReadInterval, true)
 }
 
 // EndpointsReadAt returns the boot time at which the list of endpoints in use was read from the
