Begin the postmortem of ended batches that cannot be read

The same commit logs each read of results that fails, takes half a second longer than the caller asked to wait, or whose caller leaves: the batch, the position, the time, and each source that was tried with its outcome. No decision changes.

--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -20,20 +20,33 @@
 // Results returns the results of a batch from position after on. If there are none, it
 // waits up to the given time for one. Its errors have a result code.
 func (t TeamBatches) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+	trace := newReadTrace()
+	page, err := t.results(ctx, trace, id, after, wait)
+	if elapsed := trace.elapsed(); err != nil || ctx.Err() != nil || elapsed > wait+slowReadThreshold {
+		t.batches.log.Warn("Read of results failed or was slow", "batch", id, "after", after, "results", len(page.Results),
+			"took_ms", elapsed.Milliseconds(), "wait_ms", wait.Milliseconds(), "caller_left", ctx.Err() != nil, "steps", trace.String(), "err", err)
+	}
+	return page, err
+}
+
+func (t TeamBatches) results(ctx context.Context, trace *readTrace, id string, after int, wait time.Duration) (Page, error) {
 	s := t.batches
-	if page, err := s.localResults(ctx, t.team, id, after, wait); err == nil {
-		return page, nil
+	done := trace.begin("local")
+	local, err := s.localResults(ctx, t.team, id, after, wait)
+	if done(err); err == nil {
+		return local, nil
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+storeWaitTimeout)
 	defer cancel()
-	m, page, err := s.askOwner(ctx, t.team, id, after, wait)
+	m, page, err := s.askOwner(ctx, trace, t.team, id, after, wait)
 	if err != nil || page != nil {
 		return valueOrEmpty(page), err
 	}
 	for {
+		done := trace.begin("log in the store")
 		results, err := s.store.read(ctx, id, after, maxPageBytes)
-		if err != nil {
+		if done(err); err != nil {
 			return Page{}, codedError(resultcode.StorageOutage, err.Error())
 		}
 		if len(results) > 0 || m.Ended || time.Since(began)+storePollInterval > wait {
@@ -57,7 +70,13 @@
 // askOwner requests results from the batch's owner: first from the owner in the cached
 // manifest and from the hosts that run the batches of the models now, which cache the logs of
 // ended ones, then from the owner in the store. The page is nil if no owner answered.
-func (s *Batches) askOwner(ctx context.Context, team, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
+func (s *Batches) askOwner(ctx context.Context, trace *readTrace, team, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
+	askHost := func(host string) (Page, error) {
+		done := trace.begin("host " + host)
+		page, err := s.peerClient.Results(ctx, host, team, id, after, wait)
+		done(err)
+		return page, err
+	}
 	m, known := s.store.cached(id)
 	asked := s.currentOwners()
 	if known && !slices.Contains(asked, m.Owner) {
@@ -67,7 +86,7 @@
 		if owner == s.settings.Host {
 			continue
 		}
-		if page, err := s.peerClient.Results(ctx, owner, team, id, after, wait); err == nil {
+		if page, err := askHost(owner); err == nil {
 			if !known {
 				m = storedManifest{Manifest: batches.Manifest{ID: id, Owner: owner}}
 				s.store.cacheManifest(m)
@@ -77,18 +96,19 @@
 	}
 	// A stale manifest may name the owner as well, since owners change rarely.
 	if m, err := s.store.staleManifest(ctx, id); err == nil && m.Owner != s.settings.Host && !slices.Contains(asked, m.Owner) {
-		if page, err := s.peerClient.Results(ctx, m.Owner, team, id, after, wait); err == nil {
+		if page, err := askHost(m.Owner); err == nil {
 			return m, &page, nil
 		}
 		asked = append(asked, m.Owner)
 	}
+	done := trace.begin("manifest in the store")
 	m, err := s.readManifestFor(ctx, team, id)
+	done(err)
 	if err != nil || m.Owner == s.settings.Host || slices.Contains(asked, m.Owner) {
 		return m, nil, err
 	}
-	page, err := s.peerClient.Results(ctx, m.Owner, team, id, after, wait)
+	page, err := askHost(m.Owner)
 	if err != nil {
-		s.log.Debug("Batch owner did not answer", "batch", id, "owner", m.Owner, "err", err)
 		return m, nil, nil
 	}
 	return m, &page, nil
