Show that ended batches without an owner cannot be read

A host that owned most batches is gone, and 24 ended batches are read at eight hosts whose links carry 2 MB/s, by callers that leave after 1.5 s.

--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
@@ -306,6 +307,21 @@
 	softwareReads, softwareReadDelay atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
+	// logBandwidth, when set, limits the bytes a second of all reads of batches' logs, one after another.
+	logBandwidth atomic.Pointer[rate.Limiter]
+}
+
+// transferLog waits until objects have crossed the host's link, if they are entries of batches' logs.
+func (s *hostStore) transferLog(ctx context.Context, objects ...objectapi.Object) error {
+	link := s.logBandwidth.Load()
+	for _, o := range objects {
+		for left := len(o.Value); link != nil && left > 0 && strings.HasPrefix(o.Key, batches.LogPrefix); left -= link.Burst() {
+			if err := link.WaitN(ctx, min(left, link.Burst())); err != nil {
+				return errors.Join(objectapi.ErrUnavailable, err)
+			}
+		}
+	}
+	return nil
 }
 
 func (s *hostStore) Delete(ctx context.Context, key string, expect uint64) error {
@@ -343,7 +359,29 @@
 	if key == streamSoftwareKey {
 		time.Sleep(time.Duration(s.softwareReadDelay.Load()))
 	}
-	return s.ObjectStore.Get(ctx, key)
+	o, err := s.ObjectStore.Get(ctx, key)
+	if err != nil {
+		return o, err
+	}
+	return o, s.transferLog(ctx, o)
+}
+
+// maxListedBytes bounds the values of a page of a listing.
+const maxListedBytes = 1 << 20
+
+func (s *hostStore) list(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
+	page, err := s.ObjectStore.List(ctx, prefix, after, limit)
+	size := 0
+	for i, o := range page.Objects {
+		if size += len(o.Value); size > maxListedBytes && i > 0 {
+			page.Objects, page.More = page.Objects[:i], true
+			break
+		}
+	}
+	if err != nil {
+		return page, err
+	}
+	return page, s.transferLog(ctx, page.Objects...)
 }
 
 func (s *hostStore) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
@@ -363,7 +401,7 @@
 		return objectapi.Page{}, objectapi.ErrRefused
 	}
 	s.count(prefix)
-	return s.ObjectStore.List(ctx, prefix, after, limit)
+	return s.list(ctx, prefix, after, limit)
 }
 
 // staleReads answers a host's stale reads with the current objects, or with those of old.
@@ -389,7 +427,7 @@
 	if s.refusing.Load() {
 		return objectapi.Page{}, objectapi.ErrRefused
 	}
-	return s.ObjectStore.List(ctx, prefix, after, limit)
+	return s.list(ctx, prefix, after, limit)
 }
 
 func (s *hostStore) Watch(ctx context.Context, prefix string, from uint64) (objectapi.Watcher, error) {
