Keep what a host has read of a log when its readers leave

Cause: the steps of a read that failed, which the log now has, are the same each time. The host asked the only host that ran batches, for 0.8 s in vain, and began to read the log from the store, for which 0.6 to 0.7 s of a second were left. The host that was asked loaded logs one after another under a lock, in the time of the call: each load was cancelled when its first reader gave up, nothing of it was kept, and the next one in the queue, whose reader had often left by then, began again. The second read was cancelled in the same way. No later attempt was better off than the first.

A load now belongs to the host, not to a caller. It adds entry after entry to the cached log, with stale reads, since entries never change, and a reader gets what is there by the end of its time. A load whose readers have left stops after an entry and is continued by the next reader; that of the holder runs to its end. A host that gets no answer from its peers in 0.6 s reads the store as well, and answers within 1.1 s.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -67,8 +67,9 @@
 	endedLogs *logCache
 	// ownershipRead is the last read that was started to confirm the ownership of batches.
 	ownershipRead *ownershipRead
-	// loadMu serializes loadEndedLog.
-	loadMu sync.Mutex
+	// loads are the running loads of logs by batch, loadSlots limits how many read from the store.
+	loads     map[string]*logLoad
+	loadSlots chan struct{}
 	// takingOver has the ids of batches whose takeover is in progress.
 	takingOver map[string]bool
 	// stopping is true once the host drains and starts no more batches.
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -32,9 +32,6 @@
 	// which host to ask first, but a missing one does not mean that no batch exists.
 	mu    sync.Mutex
 	cache map[string]storedManifest
-	// entryStarts has the first result position of each log entry by batch. Entries are
-	// immutable, so these never change.
-	entryStarts map[string][]int
 }
 
 // storedManifest is a manifest with its version in the store. Version zero means that it is
@@ -47,7 +44,7 @@
 }
 
 func newBatchStore(api *objectapi.Client, stale objectapi.API) *batchStore {
-	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}, entryStarts: map[string][]int{}}
+	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}}
 }
 
 // canonicalEncoding encodes equal content to equal bytes, so that digests can be compared.
@@ -102,7 +99,11 @@
 // entry reads the nth entry of a batch's log, from zero. It returns
 // objectapi.ErrNotFound past the end.
 func (s *batchStore) entry(ctx context.Context, id string, n int) (batches.LogEntry, error) {
-	o, err := s.api.Get(ctx, batches.LogKey(id, n))
+	return s.entryFrom(ctx, s.api, id, n)
+}
+
+func (s *batchStore) entryFrom(ctx context.Context, store reader, id string, n int) (batches.LogEntry, error) {
+	o, err := store.Get(ctx, batches.LogKey(id, n))
 	if err != nil {
 		return batches.LogEntry{}, err
 	}
@@ -110,11 +111,6 @@
 	if err := decoding.Unmarshal(o.Value, &e); err != nil {
 		return batches.LogEntry{}, batches.Error.Wrap(err)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.entryStarts[id]) == n {
-		s.entryStarts[id] = append(s.entryStarts[id], e.First)
-	}
 	return e, nil
 }
 
@@ -122,20 +118,9 @@
 // many bytes as a whole log, so this takes one or two calls instead of one for each entry. The
 // result is not nil, which says that the batch has run before.
 func (s *batchStore) entries(ctx context.Context, id string) ([]batches.LogEntry, error) {
-	return s.entriesFrom(ctx, s.api, id)
-}
-
-// staleEntries is entries, but the last ones may be missing.
-func (s *batchStore) staleEntries(ctx context.Context, id string) ([]batches.LogEntry, error) {
-	ctx, cancel := context.WithTimeout(ctx, staleReadTimeout)
-	defer cancel()
-	return s.entriesFrom(ctx, s.stale, id)
-}
-
-func (s *batchStore) entriesFrom(ctx context.Context, store reader, id string) ([]batches.LogEntry, error) {
 	found := map[int]batches.LogEntry{}
 	for after, more := batches.BatchLogPrefix(id), true; more; {
-		page, err := store.List(ctx, batches.LogPrefix, after, 0)
+		page, err := s.api.List(ctx, batches.LogPrefix, after, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -162,15 +147,6 @@
 	for e, ok := found[0]; ok; e, ok = found[len(out)] {
 		out = append(out, e)
 	}
-	starts := make([]int, len(out))
-	for n := range out {
-		starts[n] = out[n].First
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.entryStarts[id]) < len(starts) {
-		s.entryStarts[id] = starts
-	}
 	return out, nil
 }
 
@@ -185,64 +161,6 @@
 	return err
 }
 
-// read returns the results from position after on, at most maxBytes of them but at least
-// one if any exists.
-func (s *batchStore) read(ctx context.Context, id string, after, maxBytes int) ([]batches.Result, error) {
-	s.mu.Lock()
-	starts := s.entryStarts[id]
-	s.mu.Unlock()
-	var out []batches.Result
-	if len(starts) == 0 {
-		entries, err := s.entries(ctx, id)
-		if err != nil {
-			return nil, err
-		}
-		for _, e := range entries {
-			var full bool
-			if out, full = appendResults(out, e, after, maxBytes); full {
-				break
-			}
-		}
-		return out, nil
-	}
-	n := 0
-	for n+1 < len(starts) && starts[n+1] <= after {
-		n++
-	}
-	for ; ; n++ {
-		e, err := s.entry(ctx, id, n)
-		if errors.Is(err, objectapi.ErrNotFound) {
-			return out, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		var full bool
-		if out, full = appendResults(out, e, after, maxBytes); full {
-			return out, nil
-		}
-	}
-}
-
-// appendResults appends the results of a log entry from position after on. It reports whether
-// it left out results because the total would exceed maxBytes; the first one always fits.
-func appendResults(out []batches.Result, e batches.LogEntry, after, maxBytes int) ([]batches.Result, bool) {
-	size := 0
-	for i := range out {
-		size += out[i].Size()
-	}
-	for i := range e.Results {
-		if e.First+i < after {
-			continue
-		}
-		if size += e.Results[i].Size(); size > maxBytes && len(out) > 0 {
-			return out, true
-		}
-		out = append(out, e.Results[i])
-	}
-	return out, false
-}
-
 // savedSample is the stored text of a sample whose result is not in the batch's log.
 type savedSample struct {
 	ID      string           `json:"id"`
@@ -338,7 +256,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.cache, id)
-	delete(s.entryStarts, id)
 }
 
 // forgetOld drops what is cached about batches that were first seen before a time. What is
@@ -349,7 +266,6 @@
 	for id, m := range s.cache {
 		if m.cachedAt.Before(before) {
 			delete(s.cache, id)
-			delete(s.entryStarts, id)
 		}
 	}
 }
--- a/internal/transport/front/logcache.go
+++ b/internal/transport/front/logcache.go
@@ -46,13 +46,19 @@
 	return l.resultLog
 }
 
-// add caches the log of a batch unless one is cached, and evicts others beyond the total size.
+// add caches the log of a batch, unless one with more results is cached, and evicts others beyond the total
+// size. It is called again for a cached log that has grown.
 func (c *logCache) add(id string, l *resultLog) {
-	if c.get(id) != nil {
-		return
-	}
 	added := cachedLog{l, l.size()}
-	c.logs[id], c.order = added, append(c.order, id)
+	if old := c.get(id); old != nil {
+		if old != l && old.size() >= added.bytes {
+			return
+		}
+		c.bytes -= c.logs[id].bytes
+	} else {
+		c.order = append(c.order, id)
+	}
+	c.logs[id] = added
 	c.bytes += added.bytes
 	for c.bytes > c.maxBytes && len(c.order) > 1 {
 		evicted := c.order[0]
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -190,8 +190,14 @@
 	if store.gets > 0 || store.lists > 13 { // 24 entries with the prefix, two a page, and the page after them
 		t.Errorf("%d reads and %d listings of pages", store.gets, store.lists)
 	}
-	if results, err := s.read(background, "b1", 30, 1<<20); err != nil || len(results) != 2 || results[0].ID != "b1/10" {
-		t.Errorf("results from position 30: %+v, %v", results, err)
+	store.lists, store.gets = 0, 0
+	log := newResultLog(36, nil)
+	err = s.loadEntries(background, &batches.Manifest{ID: "b1"}, log, func() bool { return true })
+	if page := log.page(background, 10, 0); err != nil || len(page.Results) != 2 || page.Results[0].ID != "b1/10" || page.Results[1].ID != "b1/11" {
+		t.Errorf("last results: %+v, %v", page, err)
+	}
+	if store.gets != 1 || store.lists > 13 { // one read finds the end of the log
+		t.Errorf("%d reads and %d listings of pages to load the log", store.gets, store.lists)
 	}
 }
 
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -221,7 +221,7 @@
 			http.Error(w, "wait_ms is no number", http.StatusBadRequest)
 			return
 		}
-		page, err := b.localResults(r.Context(), r.URL.Query().Get(teamParameter), mux.Vars(r)["id"], after, time.Duration(waitMs)*time.Millisecond)
+		page, err := b.resultsForPeer(r.Context(), r.URL.Query().Get(teamParameter), mux.Vars(r)["id"], after, time.Duration(waitMs)*time.Millisecond)
 		if err != nil {
 			peerError(w, err)
 			return
--- a/internal/transport/front/readtrace.go
+++ b/internal/transport/front/readtrace.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -11,9 +12,10 @@
 const slowReadThreshold = 500 * time.Millisecond
 
 // readTrace records which sources a read of results tried, for the log line of a read that failed or
-// was slow. It is not safe for concurrent use.
+// was slow. It is safe for concurrent use.
 type readTrace struct {
 	began time.Time
+	mu    sync.Mutex
 	steps []string
 }
 
@@ -27,10 +29,16 @@
 		if err != nil {
 			outcome = err.Error()
 		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.steps = append(t.steps, fmt.Sprintf("%s: %s after %d ms", source, outcome, time.Since(began).Milliseconds()))
 	}
 }
 
 func (t *readTrace) elapsed() time.Duration { return time.Since(t.began) }
 
-func (t *readTrace) String() string { return strings.Join(t.steps, "; ") }
+func (t *readTrace) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.Join(t.steps, "; ")
+}
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"errors"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
@@ -15,6 +15,11 @@
 	// storePollInterval is the time between reads of the store for a waiting caller while
 	// the owner of the batch does not answer.
 	storePollInterval = 500 * time.Millisecond
+	// readTimeout bounds a read of results, in addition to the wait that the caller asks for. Callers leave 1.5 s
+	// after the wait, and a page takes a while to reach them.
+	readTimeout = 1100 * time.Millisecond
+	// hedgeDelay is how long a read relies on other hosts, in addition to the wait, before it reads the store as well.
+	hedgeDelay = 600 * time.Millisecond
 )
 
 // Results returns the results of a batch from position after on. If there are none, it
@@ -36,97 +41,126 @@
 	if done(err); err == nil {
 		return local, nil
 	}
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, wait+storeWaitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	m, page, err := s.askOwner(ctx, trace, t.team, id, after, wait)
-	if err != nil || page != nil {
-		return valueOrEmpty(page), err
+	answers := make(chan readAnswer, 2)
+	start := func(read func(context.Context, *readTrace, string, string, int, time.Duration) (Page, error)) {
+		go func() {
+			page, err := read(ctx, trace, t.team, id, after, wait)
+			answers <- readAnswer{page, err}
+		}()
 	}
-	for {
-		done := trace.begin("log in the store")
-		results, err := s.store.read(ctx, id, after, maxPageBytes)
-		if done(err); err != nil {
-			return Page{}, codedError(resultcode.StorageOutage, err.Error())
-		}
-		if len(results) > 0 || m.Ended || time.Since(began)+storePollInterval > wait {
-			return Page{Total: m.Total, Results: results, Next: after + len(results)}, nil
-		}
-		select {
-		case <-ctx.Done():
-			return Page{}, codedError(resultcode.StorageOutage, "the caller left")
-		case <-time.After(storePollInterval):
+	start(s.askHosts)
+	hedge := time.NewTimer(wait + hedgeDelay)
+	defer hedge.Stop()
+	select {
+	case a := <-answers:
+		if a.err == nil {
+			return a.page, nil
 		}
+		return s.readStored(ctx, trace, t.team, id, after, wait)
+	case <-hedge.C:
+	}
+	start(s.readStored)
+	first := <-answers
+	if first.err == nil || isCode(first.err, resultcode.NotFound) {
+		return first.page, first.err
 	}
+	second := <-answers
+	return second.page, second.err
 }
 
-func valueOrEmpty(p *Page) Page {
-	if p == nil {
-		return Page{}
-	}
-	return *p
+// readAnswer is the outcome of one way to read results.
+type readAnswer struct {
+	page Page
+	err  error
 }
 
-// askOwner requests results from the batch's owner: first from the owner in the cached
-// manifest and from the hosts that run the batches of the models now, which cache the logs of
-// ended ones, then from the owner in the store. The page is nil if no owner answered.
-func (s *Batches) askOwner(ctx context.Context, trace *readTrace, team, id string, after int, wait time.Duration) (storedManifest, *Page, error) {
-	askHost := func(host string) (Page, error) {
+// askHosts requests results from the hosts that have them in memory: the owner, the holder of the log if the
+// batch has ended, and, while nothing is known of the batch, the hosts that run batches now. It returns
+// errBatchNotActive if none has answered.
+func (s *Batches) askHosts(ctx context.Context, trace *readTrace, team, id string, after int, wait time.Duration) (Page, error) {
+	asked := map[string]bool{s.settings.Host: true, "": true}
+	ask := func(host string) (Page, bool) {
+		if asked[host] {
+			return Page{}, false
+		}
+		asked[host] = true
 		done := trace.begin("host " + host)
 		page, err := s.peerClient.Results(ctx, host, team, id, after, wait)
 		done(err)
-		return page, err
+		return page, err == nil
 	}
 	m, known := s.store.cached(id)
-	asked := s.currentOwners()
-	if known && !slices.Contains(asked, m.Owner) {
-		asked = slices.Insert(asked, 0, m.Owner)
+	if page, ok := ask(m.Owner); ok {
+		return page, nil
 	}
-	for _, owner := range asked {
-		if owner == s.settings.Host {
-			continue
-		}
-		if page, err := askHost(owner); err == nil {
-			if !known {
-				m = storedManifest{Manifest: batches.Manifest{ID: id, Owner: owner}}
-				s.store.cacheManifest(m)
+	if !known || !m.Ended {
+		// Owners change rarely, so that a stale manifest usually names the right one.
+		done := trace.begin("stale manifest")
+		stale, err := s.store.staleManifest(ctx, id)
+		if done(err); err == nil {
+			m, known = stale, true
+			if page, ok := ask(m.Owner); ok {
+				return page, nil
 			}
-			return m, &page, nil
 		}
 	}
-	// A stale manifest may name the owner as well, since owners change rarely.
-	if m, err := s.store.staleManifest(ctx, id); err == nil && m.Owner != s.settings.Host && !slices.Contains(asked, m.Owner) {
-		if page, err := askHost(m.Owner); err == nil {
-			return m, &page, nil
+	hosts := []string{s.logHolder(id)}
+	if !m.Ended {
+		hosts = s.currentOwners()
+	}
+	for _, host := range hosts {
+		if page, ok := ask(host); ok {
+			if !known {
+				s.store.cacheManifest(storedManifest{Manifest: batches.Manifest{ID: id, Owner: host}})
+			}
+			return page, nil
 		}
-		asked = append(asked, m.Owner)
 	}
+	return Page{}, errBatchNotActive
+}
+
+// readStored returns results from the store. While an open batch has none, it reads its log again until the
+// wait is over.
+func (s *Batches) readStored(ctx context.Context, trace *readTrace, team, id string, after int, wait time.Duration) (Page, error) {
+	began := time.Now()
 	done := trace.begin("manifest in the store")
-	m, err := s.readManifestFor(ctx, team, id)
-	done(err)
-	if err != nil || m.Owner == s.settings.Host || slices.Contains(asked, m.Owner) {
-		return m, nil, err
+	m, err := s.manifestForRead(ctx, team, id)
+	if done(err); err != nil {
+		return Page{}, err
 	}
-	page, err := askHost(m.Owner)
-	if err != nil {
-		return m, nil, nil
+	for {
+		done := trace.begin("log in the store")
+		page, err := s.storedResults(ctx, &m.Manifest, after)
+		done(err)
+		if err != nil || len(page.Results) > 0 || m.Ended || time.Since(began)+storePollInterval > wait {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return Page{}, codedError(resultcode.StorageOutage, "the caller left")
+		case <-time.After(storePollInterval):
+		}
 	}
-	return m, &page, nil
+}
+
+// manifestForRead returns the manifest of a batch that the team may access. A stale manifest is enough if it
+// shows the end of the batch, which is final.
+func (s *Batches) manifestForRead(ctx context.Context, team, id string) (storedManifest, error) {
+	if batches.ValidID(id) {
+		if m, err := s.store.staleManifest(ctx, id); err == nil && m.Ended && !m.Removed && mayAccess(team, m.Team) {
+			return m, nil
+		}
+	}
+	return s.readManifestFor(ctx, team, id)
 }
 
 // localResults returns results of a batch that this host runs or whose log it has cached, else
-// errBatchNotActive. For a team that may not see the batch it is not active. A host that runs the batches of a model now also caches the logs of ended
-// batches on demand.
+// errBatchNotActive. For a team that may not see the batch it is not active.
 func (s *Batches) localResults(ctx context.Context, team, id string, after int, wait time.Duration) (Page, error) {
 	b := s.activeByID(id)
 	if b == nil {
-		page, err := s.cachedResults(team, id, after)
-		if err == nil || !slices.Contains(s.currentOwners(), s.settings.Host) {
-			return page, err
-		}
-		if err := s.loadEndedLog(ctx, id); err != nil {
-			return Page{}, err
-		}
 		return s.cachedResults(team, id, after)
 	}
 	if !mayAccess(team, b.batch.Team) {
@@ -139,47 +173,18 @@
 	return s.confirmedPage(ctx, b, after)
 }
 
-// loadEndedLog caches the log of an ended batch from the store, unless it is cached. After a
-// restart of the whole fleet, this takes one read of each entry instead of one for each host
-// and reader. It returns errBatchNotActive if the batch has not ended.
-func (s *Batches) loadEndedLog(ctx context.Context, id string) error {
-	s.loadMu.Lock() // readers of the same batch arrive together; the first one loads it
-	defer s.loadMu.Unlock()
-	s.mu.Lock()
-	cached := s.endedLogs.get(id) != nil
-	s.mu.Unlock()
-	if cached {
-		return errBatchNotActive // cachedResults has found it too short
-	}
-	m, entries, err := s.endedBatch(ctx, id)
-	if err != nil {
-		return err
+// resultsForPeer is localResults for another host. If this host holds the log of the batch, which has ended, it
+// loads it.
+func (s *Batches) resultsForPeer(ctx context.Context, team, id string, after int, wait time.Duration) (Page, error) {
+	page, err := s.localResults(ctx, team, id, after, wait)
+	if !errors.Is(err, errBatchNotActive) || s.logHolder(id) != s.settings.Host {
+		return page, err
 	}
-	log := newResultLog(m.Total, entries)
-	log.team = m.Team
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endedLogs.add(id, log)
-	return nil
-}
-
-// endedBatch reads the manifest and the log of an ended batch. It returns errBatchNotActive if
-// the batch has not ended. Stale answers are enough if they show the end of the batch and the
-// last entry of its log, since neither changes afterwards.
-func (s *Batches) endedBatch(ctx context.Context, id string) (storedManifest, []batches.LogEntry, error) {
 	m, err := s.store.staleManifest(ctx, id)
-	if err == nil && m.Ended && !m.Removed {
-		if entries, err := s.store.staleEntries(ctx, id); err == nil && newResultLog(m.Total, entries).final() {
-			return m, entries, nil
-		}
-	} else if m, err = s.readManifest(ctx, id); err != nil {
-		return m, nil, err
-	}
-	if !m.Ended {
-		return m, nil, errBatchNotActive
+	if err != nil || !m.Ended || m.Removed || !mayAccess(team, m.Team) {
+		return Page{}, errBatchNotActive
 	}
-	entries, err := s.store.entries(ctx, id)
-	return m, entries, err
+	return s.storedResults(ctx, &m.Manifest, after)
 }
 
 // Body returns the request body of a sample. Its errors have a result code.
