Keep what a host has read of a batch's content when its readers leave

A caller that asked for the body of a sample of a batch without an owner got no answer if the content took longer to read than it waits: the read was cancelled with the caller, and the next one began again.

The content is now loaded by the host, for all its readers, by the same host for the others, and kept for 5 s; at most four are kept.

--- a/internal/state/batches/batches.go
+++ b/internal/state/batches/batches.go
@@ -146,6 +146,9 @@
 // LogKey returns the key of entry n of a batch's log.
 func LogKey(id string, n int) string { return fmt.Sprintf("%s%s-%d", logPrefix, id, n) }
 
+// PartPrefix is the key prefix of the parts of all batches' contents.
+const PartPrefix = partPrefix
+
 // LogPrefix is the key prefix of all entries of all batches' logs.
 const LogPrefix = logPrefix
 
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -70,6 +70,8 @@
 	// loads are the running loads of logs by batch, loadSlots limits how many read from the store.
 	loads     map[string]*logLoad
 	loadSlots chan struct{}
+	// contents are the running and the latest loads of batches' contents.
+	contents contentLoads
 	// takingOver has the ids of batches whose takeover is in progress.
 	takingOver map[string]bool
 	// stopping is true once the host drains and starts no more batches.
--- /dev/null
+++ b/internal/transport/front/contentload.go
@@ -0,0 +1,92 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+)
+
+const (
+	// contentKeepTime is how long the content of a batch is kept after its load, for readers whose attempt ended
+	// before.
+	contentKeepTime = 5 * time.Second
+	// maxKeptContents bounds the contents that are kept, which may take several megabytes each.
+	maxKeptContents = 4
+)
+
+// contentLoads are reads of batches' contents from the store. A load goes on when its readers have left, and the
+// next ones get what it has read. The zero value is ready for use.
+type contentLoads struct {
+	mu   sync.Mutex
+	byID map[string]*contentLoad
+	// kept counts the loads in byID that have ended.
+	kept int
+}
+
+type contentLoad struct {
+	// done is closed at the end of the load, which sets the other fields.
+	done  chan struct{}
+	batch *batches.Batch
+	err   error
+}
+
+// loadContent returns the content of a batch from a load that is running or has ended recently, or from a new one.
+func (s *Batches) loadContent(ctx context.Context, m *batches.Manifest) (*batches.Batch, error) {
+	c := &s.contents
+	c.mu.Lock()
+	l, ok := c.byID[m.ID]
+	if !ok {
+		l = &contentLoad{done: make(chan struct{})}
+		if c.byID == nil {
+			c.byID = map[string]*contentLoad{}
+		}
+		c.byID[m.ID] = l
+		go s.runContentLoad(l, *m)
+	}
+	c.mu.Unlock()
+	select {
+	case <-l.done:
+		return l.batch, l.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *Batches) runContentLoad(l *contentLoad, m batches.Manifest) {
+	ctx, cancel := context.WithTimeout(s.base, logLoadTimeout)
+	defer cancel()
+	select {
+	case s.loadSlots <- struct{}{}:
+		l.batch, l.err = s.store.content(ctx, &m)
+		<-s.loadSlots
+	case <-ctx.Done():
+		l.err = ctx.Err()
+	}
+	if s.contents.keep(m.ID, l.err == nil) {
+		time.AfterFunc(contentKeepTime, func() { s.contents.remove(m.ID) })
+	}
+	close(l.done)
+}
+
+// keep keeps the content of a load that has ended if the load was successful and few others are kept. It reports
+// whether it did.
+func (c *contentLoads) keep(id string, loaded bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !loaded || c.kept >= maxKeptContents {
+		delete(c.byID, id)
+		return false
+	}
+	c.kept++
+	return true
+}
+
+// remove drops a content that was kept.
+func (c *contentLoads) remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byID, id)
+	c.kept--
+}
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -307,15 +307,18 @@
 	softwareReads, softwareReadDelay atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
-	// logBandwidth, when set, limits the bytes a second of all reads of batches' logs, one after another.
-	logBandwidth atomic.Pointer[rate.Limiter]
+	// batchBandwidth, when set, limits the bytes a second of all reads of batches' logs and contents, one after
+	// another.
+	batchBandwidth atomic.Pointer[rate.Limiter]
 }
 
-// transferLog waits until objects have crossed the host's link, if they are entries of batches' logs.
-func (s *hostStore) transferLog(ctx context.Context, objects ...objectapi.Object) error {
-	link := s.logBandwidth.Load()
+// transfer waits until objects have crossed the host's link, if they are entries of batches' logs or parts of
+// their contents.
+func (s *hostStore) transfer(ctx context.Context, objects ...objectapi.Object) error {
+	link := s.batchBandwidth.Load()
 	for _, o := range objects {
-		for left := len(o.Value); link != nil && left > 0 && strings.HasPrefix(o.Key, batches.LogPrefix); left -= link.Burst() {
+		limited := strings.HasPrefix(o.Key, batches.LogPrefix) || strings.HasPrefix(o.Key, batches.PartPrefix)
+		for left := len(o.Value); link != nil && left > 0 && limited; left -= link.Burst() {
 			if err := link.WaitN(ctx, min(left, link.Burst())); err != nil {
 				return errors.Join(objectapi.ErrUnavailable, err)
 			}
@@ -363,7 +366,7 @@
 	if err != nil {
 		return o, err
 	}
-	return o, s.transferLog(ctx, o)
+	return o, s.transfer(ctx, o)
 }
 
 // maxListedBytes bounds the values of a page of a listing.
@@ -381,7 +384,7 @@
 	if err != nil {
 		return page, err
 	}
-	return page, s.transferLog(ctx, page.Objects...)
+	return page, s.transfer(ctx, page.Objects...)
 }
 
 func (s *hostStore) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
--- a/internal/transport/front/logload.go
+++ b/internal/transport/front/logload.go
@@ -38,8 +38,8 @@
 	err  error
 }
 
-// logHolder returns the host that caches the log of an ended batch whose owner does not. Batches are
-// spread over all hosts, because the logs that a few owners wrote may be read at the same time.
+// logHolder returns the host that reads a batch from the store for the others, if its owner does not have it in
+// memory. Batches are spread over all hosts, because those of a few owners may be read at the same time.
 func (s *Batches) logHolder(id string) string {
 	return presence.Spread(id, append(s.peers.Candidates(), s.candidate()))
 }
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -229,7 +229,7 @@
 		writeAnswer(w, r, page)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches/{id}/samples/{sample}", func(w http.ResponseWriter, r *http.Request) {
-		body, err := b.localBody(r.URL.Query().Get(teamParameter), mux.Vars(r)["id"], mux.Vars(r)["sample"])
+		body, err := b.bodyForPeer(r.Context(), r.URL.Query().Get(teamParameter), mux.Vars(r)["id"], mux.Vars(r)["sample"])
 		if err != nil {
 			peerError(w, err)
 			return
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -43,57 +43,82 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	answers := make(chan readAnswer, 2)
-	start := func(read func(context.Context, *readTrace, string, string, int, time.Duration) (Page, error)) {
-		go func() {
-			page, err := read(ctx, trace, t.team, id, after, wait)
-			answers <- readAnswer{page, err}
-		}()
+	return hedged(ctx, wait+hedgeDelay, func(ctx context.Context) (page Page, err error) {
+		err = s.askHosts(ctx, trace, id, func(host string) error {
+			page, err = s.peerClient.Results(ctx, host, t.team, id, after, wait)
+			return err
+		})
+		return page, err
+	}, func(ctx context.Context) (Page, error) {
+		return s.readStored(ctx, trace, t.team, id, after, wait)
+	})
+}
+
+// hedged returns the result of primary. If that fails or takes longer than delay, it runs secondary, and returns
+// the first result without an error, else the error of secondary.
+func hedged[T any](ctx context.Context, delay time.Duration, primary, secondary func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type outcome struct {
+		value T
+		err   error
 	}
-	start(s.askHosts)
-	hedge := time.NewTimer(wait + hedgeDelay)
-	defer hedge.Stop()
+	first := make(chan outcome, 1)
+	go func() {
+		v, err := primary(ctx)
+		first <- outcome{v, err}
+	}()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
 	select {
-	case a := <-answers:
-		if a.err == nil {
-			return a.page, nil
+	case o := <-first:
+		if o.err == nil {
+			return o.value, nil
 		}
-		return s.readStored(ctx, trace, t.team, id, after, wait)
-	case <-hedge.C:
+		return secondary(ctx)
+	case <-timer.C:
 	}
-	start(s.readStored)
-	first := <-answers
-	if first.err == nil || isCode(first.err, resultcode.NotFound) {
-		return first.page, first.err
+	second := make(chan outcome, 1)
+	go func() {
+		v, err := secondary(ctx)
+		second <- outcome{v, err}
+	}()
+	select {
+	case o := <-first:
+		if o.err == nil {
+			return o.value, nil
+		}
+		last := <-second
+		return last.value, last.err
+	case o := <-second:
+		if o.err == nil || isCode(o.err, resultcode.NotFound) {
+			return o.value, o.err
+		}
+		if last := <-first; last.err == nil {
+			return last.value, nil
+		}
+		return o.value, o.err
 	}
-	second := <-answers
-	return second.page, second.err
-}
-
-// readAnswer is the outcome of one way to read results.
-type readAnswer struct {
-	page Page
-	err  error
 }
 
-// askHosts requests results from the hosts that have them in memory: the owner, the holder of the log if the
-// batch has ended, and, while nothing is known of the batch, the hosts that run batches now. It returns
-// errBatchNotActive if none has answered.
-func (s *Batches) askHosts(ctx context.Context, trace *readTrace, team, id string, after int, wait time.Duration) (Page, error) {
+// askHosts calls ask with the hosts that may have a batch in memory, until it returns nil: the owner, the hosts that
+// run batches now unless the batch has ended, and the one that reads it from the store for the others. It returns errBatchNotActive if no call has
+// succeeded.
+func (s *Batches) askHosts(ctx context.Context, trace *readTrace, id string, ask func(host string) error) error {
 	asked := map[string]bool{s.settings.Host: true, "": true}
-	ask := func(host string) (Page, bool) {
+	askOnce := func(host string) bool {
 		if asked[host] {
-			return Page{}, false
+			return false
 		}
 		asked[host] = true
 		done := trace.begin("host " + host)
-		page, err := s.peerClient.Results(ctx, host, team, id, after, wait)
+		err := ask(host)
 		done(err)
-		return page, err == nil
+		return err == nil
 	}
 	m, known := s.store.cached(id)
-	if page, ok := ask(m.Owner); ok {
-		return page, nil
+	if askOnce(m.Owner) {
+		return nil
 	}
 	if !known || !m.Ended {
 		// Owners change rarely, so that a stale manifest usually names the right one.
@@ -101,24 +126,24 @@
 		stale, err := s.store.staleManifest(ctx, id)
 		if done(err); err == nil {
 			m, known = stale, true
-			if page, ok := ask(m.Owner); ok {
-				return page, nil
+			if askOnce(m.Owner) {
+				return nil
 			}
 		}
 	}
-	hosts := []string{s.logHolder(id)}
+	var hosts []string
 	if !m.Ended {
 		hosts = s.currentOwners()
 	}
-	for _, host := range hosts {
-		if page, ok := ask(host); ok {
+	for _, host := range append(hosts, s.logHolder(id)) {
+		if askOnce(host) {
 			if !known {
 				s.store.cacheManifest(storedManifest{Manifest: batches.Manifest{ID: id, Owner: host}})
 			}
-			return page, nil
+			return nil
 		}
 	}
-	return Page{}, errBatchNotActive
+	return errBatchNotActive
 }
 
 // readStored returns results from the store. While an open batch has none, it reads its log again until the
@@ -189,41 +214,65 @@
 
 // Body returns the request body of a sample. Its errors have a result code.
 func (t TeamBatches) Body(ctx context.Context, id, sample string) ([]byte, error) {
+	trace := newReadTrace()
+	body, err := t.body(ctx, trace, id, sample)
+	if elapsed := trace.elapsed(); err != nil || ctx.Err() != nil || elapsed > slowReadThreshold {
+		t.batches.log.Warn("Read of a sample's body failed or was slow", "batch", id, "sample", sample, "took_ms", elapsed.Milliseconds(),
+			"caller_left", ctx.Err() != nil, "steps", trace.String(), "err", err)
+	}
+	return body, err
+}
+
+func (t TeamBatches) body(ctx context.Context, trace *readTrace, id, sample string) ([]byte, error) {
 	s := t.batches
 	if body, err := s.localBody(t.team, id, sample); err == nil {
 		return body, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	return hedged(ctx, hedgeDelay, func(ctx context.Context) (body []byte, err error) {
+		err = s.askHosts(ctx, trace, id, func(host string) error {
+			body, err = s.peerClient.Body(ctx, host, t.team, id, sample)
+			return err
+		})
+		return body, err
+	}, func(ctx context.Context) ([]byte, error) {
+		return s.storedBody(ctx, trace, t.team, id, sample)
+	})
+}
+
+// storedBody returns the request body of a sample from the batch's content in the store.
+func (s *Batches) storedBody(ctx context.Context, trace *readTrace, team, id, sample string) ([]byte, error) {
 	m, ok := s.store.cached(id)
-	asked := s.currentOwners()
-	if ok {
-		asked = []string{m.Owner}
-	}
-	for _, owner := range asked {
-		if owner == s.settings.Host || m.Ended {
-			continue
-		}
-		if body, err := s.peerClient.Body(ctx, owner, t.team, id, sample); err == nil {
-			return body, nil
-		}
-	}
 	if !ok || m.Parts == 0 {
+		done := trace.begin("manifest in the store")
 		var err error
-		if m, err = s.readManifest(ctx, id); err != nil {
+		m, err = s.readManifest(ctx, id)
+		if done(err); err != nil {
 			return nil, err
 		}
 	}
-	if !mayAccess(t.team, m.Team) {
+	if !mayAccess(team, m.Team) {
 		return nil, errNoSuchBatch()
 	}
-	b, err := s.store.content(ctx, &m.Manifest)
-	if err != nil {
+	done := trace.begin("content in the store")
+	b, err := s.loadContent(ctx, &m.Manifest)
+	if done(err); err != nil {
 		return nil, codedError(resultcode.StorageOutage, err.Error())
 	}
 	return bodyOf(b, sample)
 }
 
+// bodyForPeer is localBody for another host. If the batch has no owner and this host reads it from the store for
+// the others, it does so.
+func (s *Batches) bodyForPeer(ctx context.Context, team, id, sample string) ([]byte, error) {
+	body, err := s.localBody(team, id, sample)
+	if !errors.Is(err, errBatchNotActive) || s.logHolder(id) != s.settings.Host {
+		return body, err
+	}
+	return s.storedBody(ctx, newReadTrace(), team, id, sample)
+}
+
 func (s *Batches) localBody(team, id, sample string) ([]byte, error) {
 	b := s.activeByID(id)
 	if b == nil || !mayAccess(team, b.batch.Team) {
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -72,7 +73,7 @@
 		w.putEndedBatch(fmt.Sprintf("ended%d", i), entries, entryBytes)
 	}
 	for _, n := range hosts {
-		n.store.logBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+		n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
 	}
 	deadline := time.Now().Add(recoveryTime)
 	var readers sync.WaitGroup
@@ -87,3 +88,42 @@
 	readers.Wait()
 	t.Logf("all read after %v", time.Until(deadline.Add(-recoveryTime)).Abs())
 }
+
+// The content of a batch that no host runs takes longer to read from the store than a caller waits. The body of a
+// sample must become readable nevertheless.
+func TestBody_ReadableWhileContentIsLoaded(t *testing.T) {
+	const bytesPerSecond = 1 << 20
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2", "h3", "h4")
+	b := batch("b1", 1, 1)
+	b.Samples[0].Body = bytes.Repeat([]byte("x"), 2<<20)
+	content, digest, err := encodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := newBatchStore(objectapi.NewClient(w.store, objectapi.ClientOptions{}), nil)
+	parts, err := store.putContent(background, b.ID, digest, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// No host takes over a batch that has ended.
+	m := batches.Manifest{ID: b.ID, Digest: digest, Parts: parts, Total: 2, AcceptedUnixMs: time.Now().UnixMilli(), Owner: "h1", Epoch: 1, Ended: true}
+	if _, err := store.putManifest(background, m, 0); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range hosts {
+		n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	}
+	for attempt := 0; ; attempt++ {
+		ctx, cancel := context.WithTimeout(background, callerPatience)
+		body, err := hosts[attempt%len(hosts)].Batches.Body(ctx, b.ID, b.Samples[1].ID)
+		late := ctx.Err() != nil
+		cancel()
+		if err == nil && !late && bytes.Equal(body, b.Samples[1].Body) {
+			return
+		}
+		if attempt > int(recoveryTime/callerPatience) {
+			t.Fatalf("not readable after %d attempts: %v", attempt, err)
+		}
+	}
+}
