Count the wait of a read from its start

Callers of an open batch whose owner is silent got 503 instead of the page that says there is no result yet: the read of the store, which begins when the wait is nearly over, waited for as long again until its time was up.

TestHedged_AnswersFromEitherWay covers the two ways of a read.

--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -149,7 +149,6 @@
 // readStored returns results from the store. While an open batch has none, it reads its log again until the
 // wait is over.
 func (s *Batches) readStored(ctx context.Context, trace *readTrace, team, id string, after int, wait time.Duration) (Page, error) {
-	began := time.Now()
 	done := trace.begin("manifest in the store")
 	m, err := s.manifestForRead(ctx, team, id)
 	if done(err); err != nil {
@@ -159,7 +158,7 @@
 		done := trace.begin("log in the store")
 		page, err := s.storedResults(ctx, &m.Manifest, after)
 		done(err)
-		if err != nil || len(page.Results) > 0 || m.Ended || time.Since(began)+storePollInterval > wait {
+		if err != nil || len(page.Results) > 0 || m.Ended || trace.elapsed()+storePollInterval > wait {
 			return page, err
 		}
 		select {
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -127,3 +127,59 @@
 		}
 	}
 }
+
+// A read whose owner stays silent reads the store when the wait is nearly over. It must not wait again: its caller
+// would get an error instead of the answer that there is no result yet.
+func TestResults_SilentOwnerUsesUpTheWait(t *testing.T) {
+	const wait = time.Second
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	w.put(batches.ManifestKey("open"), batches.Manifest{ID: "open", Digest: "d", Parts: 1, Total: 4, Owner: "silent", Epoch: 1})
+	ctx, cancel := context.WithTimeout(background, readTimeout-hedgeDelay)
+	defer cancel()
+	page, err := n.Batches.readStored(ctx, &readTrace{began: time.Now().Add(-wait - hedgeDelay)}, "", "open", 0, wait)
+	if err != nil || page.Total != 4 || len(page.Results) > 0 {
+		t.Errorf("got %+v and error %v, want an empty page", page, err)
+	}
+}
+
+// A slow or failed first way must not keep the second from answering, nor the other way round.
+func TestHedged_AnswersFromEitherWay(t *testing.T) {
+	type way = func(context.Context) (string, error)
+	answer := func(s string) way { return func(context.Context) (string, error) { return s, nil } }
+	fail := func(context.Context) (string, error) { return "", errBatchNotActive }
+	slowly := func(f way) way {
+		return func(ctx context.Context) (string, error) {
+			select {
+			case <-time.After(50 * time.Millisecond):
+				return f(ctx)
+			case <-ctx.Done():
+				return "", ctx.Err()
+			}
+		}
+	}
+	silent := func(ctx context.Context) (string, error) { <-ctx.Done(); return "", ctx.Err() }
+	for name, c := range map[string]struct {
+		primary, secondary way
+		want               string
+	}{
+		"first answers":                   {answer("a"), silent, "a"},
+		"first fails":                     {fail, answer("b"), "b"},
+		"first is silent":                 {silent, answer("b"), "b"},
+		"second fails, first is slow":     {slowly(answer("a")), fail, "a"},
+		"second is silent, first is slow": {slowly(answer("a")), silent, "a"},
+		"first fails slowly":              {slowly(fail), slowly(answer("b")), "b"},
+		"both fail":                       {fail, fail, ""},
+		"both fail slowly":                {slowly(fail), slowly(fail), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(background, waitTimeout)
+			defer cancel()
+			got, err := hedged(ctx, 10*time.Millisecond, c.primary, c.secondary)
+			if got != c.want || (err == nil) != (c.want != "") {
+				t.Errorf("got %q and error %v, want %q", got, err, c.want)
+			}
+		})
+	}
+}
