Give the hosts of a test process a second block of addresses

The tests of front start more than 254 hosts, and a process had 254 loopback addresses: the last three tests failed in a run of the whole package (TestDuties_OffWithoutAPI, TestLimit_OrdersCount, TestRejoin_UnrecordedVersionBeginsNoStream). The two tests with eight and four hosts that read batches without their owners went past the limit.

--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -77,12 +77,13 @@
 // loopback returns a loopback address that no other host of this process uses. It includes
 // bits of the process id, so that test processes running in parallel use other ones.
 func loopback(t *testing.T) string {
-	n := hostCount.Add(1)
-	if n > 254 {
-		t.Fatal("more than 254 hosts in one test process: no loopback address left")
+	n := int(hostCount.Add(1)) - 1
+	const perBlock, blocks = 254, 2
+	if n >= blocks*perBlock {
+		t.Fatalf("more than %d hosts in one test process: no loopback address left", blocks*perBlock)
 	}
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, n)
+	return fmt.Sprintf("127.%d.%d.%d", 128+n/perBlock*64+pid&63, pid>>6&255, n%perBlock+1)
 }
 
 func (w *testCluster) settings(host string) Settings {
