Bound the memory of large request bodies at a host

Cause: each body was read into a growing buffer, and nothing bounded all of them together; nor those of requests and batches that peers pass on.

Bodies over 64 KiB now reserve memory, before they are read if their length is known, up to a quarter of the host's together; what does not fit is refused at once as not run, with Retry-After. A body that is alone is always read.

--- a/internal/transport/front/cutoff_test.go
+++ b/internal/transport/front/cutoff_test.go
@@ -406,7 +406,7 @@
 
 // sendForPeer has a host send a request for a peer, and returns the error that the peer gets.
 func (n *testNode) sendForPeer(kind relayedKind, e catalog.Endpoint, id string) error {
-	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay}
+	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay, bodies: n.Bodies}
 	return relay.serve(background, &relayedRequest{Kind: kind, Endpoint: e, ID: id, RemainingMs: 1000},
 		&partWriter{parts: cbor.NewEncoder(io.Discard), flush: func() error { return nil }})
 }
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -26,20 +26,35 @@
 	mayFinish func(*relayedRequest) bool
 	// track counts a request as in flight until the returned function is called.
 	track   func() func()
+	bodies  *Bodies
 	log     *slog.Logger
 	running atomic.Int64
 }
 
+// relayedBodyCopies is the number of copies of a relayed request: as received and decoded.
+const relayedBodyCopies = 2
+
 var (
-	errRelayUnavailable = errors.New("the host is stopping before the request would end, has no links itself or sends too many requests for others")
+	errRelayUnavailable = errors.New("the host is stopping before the request would end, has no links itself, or has no room for another request of a peer")
 	errEndpointNotInUse = errors.New("the endpoint is leaving or not known")
 )
 
 // ServeHTTP serves the calls of endpointRelays.
 func (s *relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardedBatch))
+	out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+	raw, release, err := s.bodies.ReadBody(http.MaxBytesReader(w, r.Body, maxForwardedBatch), r.ContentLength, relayedBodyCopies)
 	var request relayedRequest
-	if err == nil {
+	switch {
+	case isCode(err, resultcode.Overloaded):
+		s.log.Info("Request of a peer declined", "peer", r.RemoteAddr, "bytes", r.ContentLength, "err", err)
+		end := newRelayedEnd(errors.Join(errRelayUnavailable, backend.ErrNotRun))
+		end.Declined = true
+		if err := out.write(&relayedPart{End: end}); err != nil && r.Context().Err() == nil {
+			s.log.Info("Failed to decline a request of a peer", "peer", r.RemoteAddr, "err", err)
+		}
+		return
+	case err == nil:
+		defer release()
 		err = decoding.Unmarshal(raw, &request)
 	}
 	if err != nil {
@@ -47,7 +62,6 @@
 		return
 	}
 	defer s.track()()
-	out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
 	began := time.Now()
 	err = s.serve(r.Context(), &request, out)
 	if request.Kind != relayedCheck {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -84,6 +84,8 @@
 	Catalog   *Catalog
 	// Keys admits the requests of callers and trainers.
 	Keys *teamkeys.Checker
+	// Bodies bounds the memory that large request bodies take.
+	Bodies *Bodies
 
 	log        *slog.Logger
 	peers      *Peers
@@ -120,6 +122,7 @@
 func NewNode(p Params) *Node {
 	n := &Node{Settings: p.Settings, Metrics: NewMetrics(p.Registry), Catalog: &Catalog{}, params: p, stop: newHostStop(),
 		log: logging.Component(p.Log, "front")}
+	n.Bodies = NewBodies(p.Settings.MemoryBytes)
 	n.peers = NewPeers(presence.Member{Host: p.Settings.Host, Zone: p.Settings.Zone, Capacity: float32(p.Settings.Capacity)},
 		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
@@ -140,7 +143,7 @@
 		stop:  n.stop, keys: n.Keys, quarantine: NewQuarantine(), cutOff: n.endpoints.CutOff, announce: func() { n.membership.Announce() }}
 	n.Batches = &Batches{
 		settings: p.Settings, stop: n.stop, store: newBatchStore(store, stale), outage: store.OutageFor, peers: n.peers, peerClient: calls,
-		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, endedLogs: newLogCache(p.Settings.MemoryBytes), loads: map[string]*logLoad{}, loadSlots: make(chan struct{}, maxLogLoads), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
+		catalog: n.Catalog, log: component("batches"), active: map[string]*activeBatch{}, bodies: n.Bodies, endedLogs: newLogCache(p.Settings.MemoryBytes), loads: map[string]*logLoad{}, loadSlots: make(chan struct{}, maxLogLoads), groups: newRecentGroups(), announce: func() { n.membership.Announce() }, takingOver: map[string]bool{},
 		runner:    &runnerDeps{fleet: fleet, client: n.endpoints, forwarder: n.Forwarder, cutOff: n.endpoints.CutOff, promptPrefixes: p.Decoder.PromptPrefixes},
 		candidate: n.candidate,
 	}
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -181,7 +181,7 @@
 
 // peerHandler serves the calls of the other hosts.
 func (n *Node) peerHandler() http.Handler {
-	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay, track: n.TrackRequest, log: logging.Component(n.params.Log, "endpoints")}
+	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay, track: n.TrackRequest, bodies: n.Bodies, log: logging.Component(n.params.Log, "endpoints")}
 	r := newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay)
 	if n.proofs != nil {
 		r.Handle(configProofPath, n.proofs).Methods(http.MethodGet)
@@ -237,11 +237,16 @@
 		_, _ = w.Write(body)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches", func(w http.ResponseWriter, r *http.Request) {
-		content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardedBatch))
+		content, release, err := b.bodies.ReadBody(http.MaxBytesReader(w, r.Body, maxForwardedBatch), r.ContentLength, BatchBodyCopies)
+		if isCode(err, resultcode.Overloaded) {
+			peerError(w, err)
+			return
+		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		defer release()
 		switch err := b.submitEncoded(r.Context(), content); {
 		case isCode(err, resultcode.StepConflict):
 			_, _ = io.WriteString(w, submitConflict)
