Return no part of a sample's body as the whole

Cause: PeerClient reads at most maxPeerBody, 4 MiB, of a peer's answer and took that part for the whole. A trainer that asked a host other than the batch's owner for the body of a sample of 5 MiB got its first 4 MiB with status 200 and a matching length.

Change: an answer over the limit is an error, for all calls to peers. The limit for the body of a sample is that of a batch that is forwarded.

Result: TestBody_OfAnySizeWholeAtEveryHost (5 MiB, three hosts) got 4194304 of 5242880 bytes at two of three hosts before, and all of them now.

--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -36,8 +36,8 @@
 	// maxPeerBody bounds the body of a call between hosts, which is at most a page of results
 	// or one object.
 	maxPeerBody = 4 << 20
-	// maxForwardedBatch bounds the content of a batch that a peer forwards, and exceeds what
-	// callers may submit.
+	// maxForwardedBatch bounds the content of a batch that a peer forwards, and the body of a sample in it. It
+	// exceeds what callers may submit.
 	maxForwardedBatch = 64 << 20
 )
 
@@ -63,7 +63,14 @@
 	}}}
 }
 
+// call sends a call to a host and returns the body of its answer, which has at most maxPeerBody bytes. wait is
+// added to the time that a call has.
 func (c *PeerClient) call(ctx context.Context, host, method, path string, body []byte, wait time.Duration) ([]byte, error) {
+	return c.callWithin(ctx, maxPeerBody, host, method, path, body, wait)
+}
+
+// callWithin is call for an answer of at most maxBytes. A larger one is an error.
+func (c *PeerClient) callWithin(ctx context.Context, maxBytes int64, host, method, path string, body []byte, wait time.Duration) ([]byte, error) {
 	p, ok := c.peers.Get(host)
 	if !ok {
 		return nil, errors.Join(errPeerUnreachable, fmt.Errorf("peer %q is not alive", host))
@@ -83,10 +90,12 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBody))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	switch {
 	case err != nil:
 		return nil, err
+	case int64(len(raw)) > maxBytes:
+		return nil, fmt.Errorf("peer %q answered with more than %d bytes", host, maxBytes)
 	case resp.StatusCode == http.StatusNotFound:
 		return nil, errBatchNotActive
 	case resp.StatusCode/100 != 2:
@@ -133,7 +142,7 @@
 
 // Body reads the request body of a sample from the batch's owner.
 func (c *PeerClient) Body(ctx context.Context, host, team, id, sample string) ([]byte, error) {
-	return c.call(ctx, host, http.MethodGet, "/batches/"+id+"/samples/"+url.PathEscape(sample)+teamQuery(team), nil, 0)
+	return c.callWithin(ctx, maxForwardedBatch, host, http.MethodGet, "/batches/"+id+"/samples/"+url.PathEscape(sample)+teamQuery(team), nil, 0)
 }
 
 // RecordEnd asks the batch's owner to record in its manifest that the trainer has ended it.
