Hold the head of a stream until its first bytes

Cause: the head of an endpoint's stream was written to the caller when it arrived, though it left this host only with the first bytes of the body. If the endpoint stopped between the two, the stream counted as begun: the caller's connection was closed without any answer, which looks as if the request had not been read, and a stream that can be taken up again was not sent to another endpoint.

Change: the head is passed on with the first bytes of the body, or at the end of an empty one. Until then a failure is answered with 502, or sent to another endpoint if the route is resumable.

Result: TestCutAnswer_CallersGetNoPartAsTheWhole sends requests of each kind to endpoints that cut the first answer at each byte, directly and through a peer.

--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -15,7 +15,7 @@
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
-// Stream serves a streaming request. Until the response header arrives, the request may be
+// Stream serves a streaming request. Until the first bytes of the response body arrive, the request may be
 // sent to another endpoint. After that, the stream ends when the endpoint's stream ends. Its
 // errors have a result code.
 func (f *Forwarder) Stream(ctx context.Context, route *catalog.Route, in *Inbound, out StreamWriter) error {
@@ -103,6 +103,26 @@
 	}
 }
 
+// heldHead is the head of an endpoint's stream. It is passed on with the first bytes of the body, or at the end of an empty one: an
+// endpoint may stop between the two, and the caller could get no other answer then.
+type heldHead struct {
+	out   StreamWriter
+	head  *backend.Answer
+	begun bool
+}
+
+// begin passes the head on, once.
+func (h *heldHead) begin() error {
+	if h.begun {
+		return nil
+	}
+	if h.head == nil {
+		return errors.Join(backend.ErrIncompleteAnswer, errors.New("the stream has no head"))
+	}
+	h.begun = true
+	return h.out.WriteHead(h.head)
+}
+
 func (c *call) stream(ctx context.Context, out StreamWriter) error {
 	measure := !servesAnswers(c.f.catalog.Config(), c.service)
 	unrecorded := 0
@@ -124,12 +144,12 @@
 		}
 		c.sent++
 		c.lastEndpoint = e.ID
-		started, sentAt, lost := false, time.Now(), c.usage.Opened()
+		answer, sentAt, lost := heldHead{out: out}, time.Now(), c.usage.Opened()
 		reading := c.f.fleet.BeginReading(e, c.prompt())
 		head := func(a *backend.Answer) error {
-			started = true
+			answer.head = a
 			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
-			return out.WriteHead(a)
+			return nil
 		}
 		passedOn, pace := false, eventPace{}
 		chunk := func(b []byte) error {
@@ -143,7 +163,10 @@
 				c.recordOrigin(e)
 				c.promptRead(reading, e)
 			}
-			err := out.WriteChunk(b)
+			err := answer.begin()
+			if err == nil {
+				err = out.WriteChunk(b)
+			}
 			pace.writing += time.Since(now)
 			return err
 		}
@@ -151,6 +174,9 @@
 			Endpoint: e, ID: c.in.ID, Host: c.in.Host, Method: c.in.Method, URI: c.in.URI,
 			Header: c.in.Header, Body: c.in.Body, Deadline: c.deadline, Repeatable: c.route.Resumable, Team: c.in.Team,
 		}, ResumeAfter: c.in.ResumeAfter, Urgency: min(c.route.Urgency, lowestUrgency)}, head, chunk)
+		if err == nil {
+			err = answer.begin()
+		}
 		c.f.fleet.EndReading(reading)
 		c.f.recordOutcome(e, err, ctx.Err() != nil, 0)
 		if err == nil {
@@ -163,7 +189,7 @@
 			c.f.checkForCrash(c.fingerprint, e, sentAt, err)
 		}
 		c.err = err
-		if started {
+		if answer.begun {
 			return codedError(resultcode.StreamBroken, err.Error())
 		}
 		if !errors.Is(err, backend.ErrNotRun) {
