Return no empty answer of a service that its connection ended

Cause: as in the platform's adapter, an answer without a length ends with its connection. A service that stopped right after the head left a 200 with an empty body.

Change: Call returns an error for a 2xx without a length and without a body; the call may have run.

Result: TestCall_CutAnswerIsAnError cuts the answer at each byte, with a length, in chunks and to the end of the connection. Before, it failed for the last, after the last byte of the head. Now it passes; the tests of transport/entry pass too.

--- a/internal/protocol/engineapi/client.go
+++ b/internal/protocol/engineapi/client.go
@@ -162,6 +162,10 @@
 	if err != nil {
 		return Answer{}, Error.Wrap(err)
 	}
+	if len(body) == 0 && resp.StatusCode/100 == 2 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		// The end of the connection ends such an answer, as it does when the service stops after the head.
+		return Answer{}, Error.New("request may have run: the connection ended before the first byte of the body")
+	}
 	if len(body) > maxAnswerBytes {
 		return Answer{Incarnation: incarnationOf(resp)}, Error.Wrap(ErrAnswerTooLarge)
 	}
