--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -103,6 +103,7 @@
 	draining atomic.Bool
 	inflight atomic.Int64
 	stop     *hostStop
+	stopOnce sync.Once
 	servers  []*http.Server
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
--- a/internal/transport/front/stopping.go
+++ b/internal/transport/front/stopping.go
@@ -114,8 +114,14 @@
 
 // Stop drains the host. It removes the host from the directory immediately, keeps serving
 // callers that have cached its address, hands its batches over, and returns before the end
-// of the grace period. Requests that would outlast the host are refused when they arrive.
+// of the grace period. Requests that would outlast the host are refused when they arrive. A second call
+// waits until the first has returned.
 func (n *Node) Stop(context.Context) error {
+	n.stopOnce.Do(n.stopWithinGrace)
+	return nil
+}
+
+func (n *Node) stopWithinGrace() {
 	began := time.Now()
 	schedule := n.stop.begin(began, n.Settings.GracePeriod)
 	n.log.Info("Host stopping", "in_flight", n.inflight.Load(), "batches", len(n.Batches.UnfinishedIDs()))
@@ -135,7 +141,6 @@
 	n.duties.flush()
 	n.close()
 	n.log.Info("Host stopped", "in_flight", inflight, "took_ms", time.Since(began).Milliseconds())
-	return nil
 }
 
 // shutDownServers closes the listeners and waits for requests that arrived after the last check
