Check for the stop right before a request is sent

Cause: a request was checked against the end of its host and then waited for an endpoint or a permit, or for the record of a software version, before it was sent. Requests that waited 0.6 s for a permit were passed on although they could no longer end before the host, and answered 504.

Change: the check follows all that may take time, at the first sending and the next.

--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -310,11 +311,7 @@
 			if c.sent >= c.route.MaxAttempts || c.sent > 0 && c.quarantined() {
 				return c.finalFailure(failure)
 			}
-			err := c.checkStop()
-			if err == nil {
-				err = c.sendWhenAvailable(ctx, results)
-			}
-			if err != nil {
+			if err := c.sendWhenAvailable(ctx, results); err != nil {
 				if failure != nil {
 					return failure, nil
 				}
@@ -375,9 +372,14 @@
 }
 
 // sendWhenAvailable sends the request to an endpoint and waits for a short time if none is
-// usable.
+// usable. It returns an error if this host can no longer finish the request.
 func (c *call) sendWhenAvailable(ctx context.Context, results chan<- attemptResult) error {
-	return c.awaitEndpoint(ctx, func() bool { return c.trySend(ctx, results, false) })
+	var stopErr error
+	err := c.awaitEndpoint(ctx, func() bool {
+		stopErr = c.checkStop()
+		return stopErr != nil || c.trySend(ctx, results, false)
+	})
+	return cmp.Or(stopErr, err)
 }
 
 // trySend sends the request to an endpoint if one is usable, and reports whether it did.
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -111,10 +111,6 @@
 		if err != nil {
 			return err
 		}
-		if err := c.checkStop(); err != nil {
-			c.f.fleet.End(e, placement.Cancelled, 0)
-			return err
-		}
 		c.tried = append(c.tried, e.ID)
 		if c.route.Resumable && c.in.ResumeAfter <= 0 && !c.f.origins.mayBegin(ctx, origins.Origin{Service: e.Service, Software: e.Software}) {
 			c.f.fleet.End(e, placement.Cancelled, 0)
@@ -122,6 +118,10 @@
 			c.err = errUnrecordedSoftware
 			continue
 		}
+		if err := c.checkStop(); err != nil { // after all that may take time
+			c.f.fleet.End(e, placement.Cancelled, 0)
+			return err
+		}
 		c.sent++
 		c.lastEndpoint = e.ID
 		started, sentAt, lost := false, time.Now(), c.usage.Opened()
