Answer requests on open connections until a stopping host exits

Cause: 0.4 s before its exit a stopping host shut its servers down, while long requests still ran. A server that is shut down still reads requests on new connections, and on idle ones closes them; it then closes the connection without an answer. None of these requests was passed on, but their callers cannot know that.

Change: the host closes only its listeners then, and its servers once no request runs, or at its exit.

The close of idle connections crosses requests as before; TestStop_CloseCrossesRequests (400 callers) found none passed on, before or after, nor did TestStop_PipelinedRequests.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -105,8 +105,10 @@
 	stop     *hostStop
 	stopOnce sync.Once
 	servers  []*http.Server
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
+	// listeners are those of the servers.
+	listeners []net.Listener
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 }
 
 // Module runs a Node from the start to the stop of the application.
@@ -357,9 +359,9 @@
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		BaseContext: func(net.Listener) context.Context { return requests },
 		ErrorLog:    slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
-	n.servers = append(n.servers, server)
+	n.servers, n.listeners = append(n.servers, server), append(n.listeners, l)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.Error("Listener failed", "address", address, "err", err)
 		}
 	}()
--- a/internal/transport/front/stopping.go
+++ b/internal/transport/front/stopping.go
@@ -137,13 +137,23 @@
 		return n.inflight.Load() == 0 && time.Since(began) > maxAddressCacheTime
 	})
 	inflight := n.inflight.Load()
+	n.closeListeners()
+	waitUntil(schedule.Exit, func() bool { return n.inflight.Load() == 0 })
 	n.shutDownServers(schedule.Exit)
 	n.duties.flush()
 	n.close()
 	n.log.Info("Host stopped", "in_flight", inflight, "took_ms", time.Since(began).Milliseconds())
 }
 
-// shutDownServers closes the listeners and waits for requests that arrived after the last check
+// closeListeners refuses new connections. Requests on open ones are still answered: a server that is being shut
+// down would read them and close the connection without an answer.
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.Close() // the process is shutting down, so errors do not matter
+	}
+}
+
+// shutDownServers closes idle connections and waits for requests that arrived after the last check
 // for requests in flight, until a time.
 func (n *Node) shutDownServers(until time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
