Answer a request whose body has not arrived when its host stops

Cause: a host reads a body for as long as its caller takes, and did not end that when it abandoned its requests. The connection was closed with the process, without an answer, though the request had certainly not run.

Change: the reading ends when the host abandons requests. The caller is answered that the request has not run (503), and not that its body is faulty (400).

--- a/internal/transport/front/stopping.go
+++ b/internal/transport/front/stopping.go
@@ -82,6 +82,15 @@
 	return codedError(resultcode.Stopping, "this host is stopping and would end before the request")
 }
 
+// AbandonedByStop returns an error if the context of a caller's request was cancelled since this host abandons what
+// still runs before it exits. It is the error of a request that has not been sent to an endpoint.
+func AbandonedByStop(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), errHostStopped) {
+		return errCannotFinish()
+	}
+	return nil
+}
+
 // checkStop returns an error if this host is stopping and cannot finish the request, which is about
 // to be sent. Requests of this host's batches end with the batch.
 func (c *call) checkStop() error {
