Expect the longest recent length of requests that may run once

Cause: during a stop, a request that may run once was taken if it fitted the 0.95 quantile of the last 64 lengths of its route. One of twenty could outlast its host by design, and requests that still ran did not count at all: while endpoints turned slow during the stop, the host went on to take requests as quick ones. Those are answered 504, and streams that have begun are cut.

Change: the expected length of such a request is the longest of the last 64 and of those that still run. Requests that may be repeated keep the 0.75 quantile.

--- a/internal/coordination/hoststop/hoststop.go
+++ b/internal/coordination/hoststop/hoststop.go
@@ -76,19 +76,37 @@
 	// classes.
 	recentLengths = 64
 	maxClasses    = 512
-	// onceQuantile and repeatableQuantile are the shares of recent requests that are at most as long as
-	// the expected length. A request that may run only once is worse off if the host ends before it
-	// than if it is refused, since its caller cannot send it again.
-	onceQuantile       = 0.95
+	// repeatableQuantile is the share of recent requests that are at most as long as the expected length
+	// of one that may be repeated.
 	repeatableQuantile = 0.75
 )
 
-// Lengths remembers how long the recent requests of each class took. The zero value is empty. It is
-// not safe for concurrent use.
+// Lengths remembers how long the recent requests of each class took, and which ones run. The zero value is
+// empty. It is not safe for concurrent use.
 type Lengths struct {
 	classes map[string]*lengths
+	running map[*Running]struct{}
 }
 
+// Running is a request that runs.
+type Running struct {
+	class string
+	began time.Time
+}
+
+// Begin records that a request of a class, which arrived at a time, runs. The caller must call End.
+func (l *Lengths) Begin(class string, arrived time.Time) *Running {
+	if l.running == nil {
+		l.running = map[*Running]struct{}{}
+	}
+	r := &Running{class: class, began: arrived}
+	l.running[r] = struct{}{}
+	return r
+}
+
+// End records that a request runs no more.
+func (l *Lengths) End(r *Running) { delete(l.running, r) }
+
 // lengths are the most recent lengths of one class.
 type lengths struct {
 	ms   [recentLengths]uint32
@@ -112,8 +130,10 @@
 }
 
 // Expected returns the expected length of a request of a class; known is false if no request of the
-// class has ended. repeatable requests may run more than once.
-func (l *Lengths) Expected(class string, repeatable bool) (length time.Duration, known bool) {
+// class has ended. A request that may run only once is expected to take as long as the longest of the recent
+// ones, also of those that still run: it is worse off if the host ends before it than if it is refused, since
+// its caller cannot send it again.
+func (l *Lengths) Expected(now time.Time, class string, repeatable bool) (length time.Duration, known bool) {
 	c := l.classes[class]
 	if c == nil {
 		return 0, false
@@ -123,9 +143,14 @@
 		sorted = slices.Clone(c.ms[:])
 	}
 	slices.Sort(sorted)
-	quantile := onceQuantile
 	if repeatable {
-		quantile = repeatableQuantile
+		return time.Duration(sorted[int(repeatableQuantile*float64(len(sorted)))]) * time.Millisecond, true
+	}
+	longest := time.Duration(sorted[len(sorted)-1]) * time.Millisecond
+	for r := range l.running {
+		if r.class == class {
+			longest = max(longest, now.Sub(r.began))
+		}
 	}
-	return time.Duration(sorted[int(quantile*float64(len(sorted)))]) * time.Millisecond, true
+	return longest, true
 }
--- a/internal/coordination/hoststop/hoststop_test.go
+++ b/internal/coordination/hoststop/hoststop_test.go
@@ -52,7 +52,7 @@
 // Rare long requests count for requests that may run once, and old lengths do not count for ever.
 func TestLengths_Expected(t *testing.T) {
 	var l Lengths
-	if _, known := l.Expected("a", false); known {
+	if _, known := l.Expected(began, "a", false); known {
 		t.Error("a length is known before the first request")
 	}
 	for i := range recentLengths {
@@ -61,18 +61,26 @@
 			l.Record("a", 4*time.Second)
 		}
 	}
-	if once, _ := l.Expected("a", false); once < 4*time.Second {
+	if once, _ := l.Expected(began, "a", false); once < 4*time.Second {
 		t.Errorf("one of ten requests takes 4 s, expected length %v", once)
 	}
-	if repeatable, _ := l.Expected("a", true); repeatable > 50*time.Millisecond {
+	if repeatable, _ := l.Expected(began, "a", true); repeatable > 50*time.Millisecond {
 		t.Errorf("nine of ten requests take 20 ms, expected length %v", repeatable)
 	}
 	for range recentLengths {
 		l.Record("a", 30*time.Millisecond)
 	}
-	if once, _ := l.Expected("a", false); once > 50*time.Millisecond {
+	if once, _ := l.Expected(began, "a", false); once > 50*time.Millisecond {
 		t.Errorf("all recent requests take 30 ms, expected length %v", once)
 	}
+	l.Record("a", 4*time.Second)
+	for range recentLengths - 1 {
+		l.Record("a", 30*time.Millisecond)
+	}
+	if once, _ := l.Expected(began, "a", false); once < 4*time.Second {
+		t.Errorf("one of the recent requests took 4 s, expected length %v", once)
+	}
+	l.Record("a", 30*time.Millisecond)
 	for i := range 3 * maxClasses {
 		l.Record(string(rune(i)), time.Second)
 	}
@@ -80,3 +88,27 @@
 		t.Errorf("%d classes, want at most %d", len(l.classes), maxClasses)
 	}
 }
+
+// Requests that run for longer than the recent ones took count for those that may run only once, until they
+// end and in their class only.
+func TestLengths_RunningRequests(t *testing.T) {
+	var l Lengths
+	expected := func(class string, repeatable bool) time.Duration {
+		length, _ := l.Expected(began.Add(2*time.Second), class, repeatable)
+		return length
+	}
+	for _, class := range []string{"a", "b"} {
+		l.Record(class, 20*time.Millisecond)
+	}
+	r := l.Begin("a", began)
+	if got := expected("a", false); got != 2*time.Second {
+		t.Errorf("a request has run for 2 s, expected length %v", got)
+	}
+	if a, b := expected("a", true), expected("b", false); max(a, b) > 50*time.Millisecond {
+		t.Errorf("expected lengths of a request that may be repeated %v, of another class %v", a, b)
+	}
+	l.End(r)
+	if got := expected("a", false); got > 50*time.Millisecond || len(l.running) > 0 {
+		t.Errorf("after the end: expected length %v, %d requests run", got, len(l.running))
+	}
+}
--- a/internal/transport/front/admit.go
+++ b/internal/transport/front/admit.go
@@ -142,6 +142,9 @@
 	if err != nil {
 		return err
 	}
+	if !c.in.Scoring {
+		defer c.f.stop.requestBegan(c.route.Name, c.began)()
+	}
 	sample, err := run()
 	c.gate.Leave(request, sample)
 	return err
--- a/internal/transport/front/stopping.go
+++ b/internal/transport/front/stopping.go
@@ -54,6 +54,19 @@
 	return schedule
 }
 
+// requestBegan records that a request of a route, which arrived at a time, is sent. The caller must call the returned
+// function at its end.
+func (s *hostStop) requestBegan(route string, arrived time.Time) (ended func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.lengths.Begin(route, arrived)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lengths.End(r)
+	}
+}
+
 // record records how long a request of a route took.
 func (s *hostStop) record(route string, took time.Duration) {
 	s.mu.Lock()
@@ -69,7 +82,7 @@
 		return true
 	}
 	s.mu.Lock()
-	length, known := s.lengths.Expected(route.Name, repeatable)
+	length, known := s.lengths.Expected(now, route.Name, repeatable)
 	s.mu.Unlock()
 	if !known && repeatable {
 		length, known = route.Objective, true
