Tell a relayed request that cannot have run from one that may have

Cause: a host without links sends requests through a peer on kept connections. When that peer ends, its close of those crosses requests. They did not run, but were answered 502, which promises nothing, so that those that may run once could not be sent again.

Change: a call to a peer that stops sends its body only after the peer has asked for it (Expect: 100-continue), and a call that fails before its body was sent counts as declined, with or without a stop.

A request that was sent and outlasts the peer is still answered 502 (TestStop_RelayEndsBeforeTheRequest).

--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -159,6 +159,7 @@
 	r := &endpointRelays{settings: s, peers: peers, running: map[string]int{},
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleRelayConns, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+			ExpectContinueTimeout: peerDialTimeout,
 		}},
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleander_front_relayed_requests_total", Help: "Requests to endpoints that this host sent through peers, by outcome.",
@@ -289,15 +290,19 @@
 	if !ok {
 		return nil, errors.Join(errDeclined, fmt.Errorf("peer %q is not alive", host))
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.PeerAddress+relayPath, onceBody{bytes.NewReader(body)})
+	once := &onceBody{body: bytes.NewReader(body)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.PeerAddress+relayPath, once)
 	if err != nil {
 		return nil, errors.Join(errDeclined, err)
 	}
 	req.ContentLength = int64(len(body))
+	if p.Draining {
+		// The peer closes its connections soon. It then cannot have run a call whose body it has not asked for.
+		req.Header.Set("Expect", "100-continue")
+	}
 	resp, err := r.http.Do(req)
-	var op *net.OpError
 	switch {
-	case err != nil && errors.As(err, &op) && op.Op == "dial":
+	case err != nil && once.bar():
 		return nil, errors.Join(errDeclined, err)
 	case err != nil:
 		return nil, errors.Join(backend.ErrIncompleteAnswer, backend.ErrPathLost, err)
@@ -308,12 +313,38 @@
 	return resp, nil
 }
 
-// onceBody hides the type of a body's reader from net/http, which therefore cannot send the request a
-// second time by itself.
-type onceBody struct{ io.Reader }
+// errBodyBarred is returned to net/http instead of a body that must not be sent any more.
+var errBodyBarred = errors.New("the call has failed")
+
+// onceBody is a body that net/http cannot send a second time by itself, since it does not know the type of its
+// reader. It knows whether any part of it was taken to be sent.
+type onceBody struct {
+	mu            sync.Mutex
+	body          *bytes.Reader
+	taken, barred bool
+}
+
+// Read implements io.Reader.
+func (b *onceBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.barred {
+		return 0, errBodyBarred
+	}
+	b.taken = true
+	return b.body.Read(p)
+}
 
 // Close implements io.Closer.
-func (onceBody) Close() error { return nil }
+func (b *onceBody) Close() error { return nil }
+
+// bar keeps the body from being sent, and reports whether no part of it was.
+func (b *onceBody) bar() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.barred = true
+	return !b.taken
+}
 
 func newRelayedRequest(kind relayedKind, r *backend.Request) *relayedRequest {
 	return &relayedRequest{Kind: kind, Endpoint: r.Endpoint, ID: r.ID, Host: r.Host, Method: r.Method, URI: r.URI,
