Answer a stream without a head whose time is up with 504

Cause: when a host abandoned a stream whose endpoint had sent no head, or when the caller's time was up, the caller got 502 (endpoint failed), and the length was not recorded. Other requests get 504 and are recorded.

Change: the same for streams.

--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -168,6 +168,9 @@
 		}
 		if !errors.Is(err, backend.ErrNotRun) {
 			c.mayHaveRun = true
+			if ctx.Err() != nil {
+				return c.deadlineError(ctx)
+			}
 			if !c.route.Resumable {
 				return codedError(resultcode.EndpointFailed, err.Error())
 			}
