Handle a stop signal that arrives while a host starts

Cause: the signals were handled once the start had returned, and SIGHUP by a task that was only started. A SIGTERM after the ports were open ended the process at once, with all that it had taken, in place of a planned stop.

Change: SIGTERM is handled from before the start, SIGHUP from the first line of the program. The programs of our own hosts have the same change.

--- a/cmd/oleanderfall/main.go
+++ b/cmd/oleanderfall/main.go
@@ -50,13 +50,15 @@
 type storeCmd struct{}
 
 func main() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first, since the signal ends a process that does not handle it
 	var c cli
 	k := kong.Parse(&c, kong.Name("oleanderfall"), kong.Description("Rollout service for reinforcement learning."))
 	output := logging.NewBoundedWriter(os.Stdout)
 	log := newLogger(output, c.LogLevel)
 	slog.SetDefault(log)
 	code := 0
-	if err := k.Run(&c, log); err != nil {
+	if err := k.Run(&c, log, hangups); err != nil {
 		log.Error("Command failed", "err", err.Error())
 		code = exitFailure
 	}
@@ -74,7 +76,7 @@
 
 // Run runs a front host until SIGINT or SIGTERM. It returns an error if the settings are
 // invalid, or if the start or the stop fails.
-func (frontCmd) Run(c *cli, log *slog.Logger) error {
+func (frontCmd) Run(c *cli, log *slog.Logger, hangups chan os.Signal) error {
 	s, unused, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -86,7 +88,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
-	go validateSettingsOnHangup(c.Settings, log)
+	go validateSettingsOnHangup(hangups, c.Settings, log)
 	store := platform.NewStore(s.StoreAddress)
 	app := fx.New(
 		fx.NopLogger,
@@ -103,12 +105,13 @@
 		),
 		front.Module,
 	)
+	stopped := app.Wait() // before the start, so that a signal during it does not end the process
 	startCtx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return err
 	}
-	<-app.Wait()
+	<-stopped
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), s.GracePeriod+stopTimeoutMargin)
 	defer cancelStop()
 	return app.Stop(stopCtx)
@@ -116,9 +119,7 @@
 
 // validateSettingsOnHangup checks the settings file on each SIGHUP and logs the result. The
 // settings of a running process do not change.
-func validateSettingsOnHangup(path string, log *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func validateSettingsOnHangup(hangups <-chan os.Signal, path string, log *slog.Logger) {
 	for range hangups {
 		_, _, err := platform.LoadSettings(path)
 		log.Info("Settings file checked; settings in force unchanged", "err", err)
@@ -128,7 +129,6 @@
 // Run runs on a store host until SIGINT or SIGTERM. It only checks that the settings file
 // exists.
 func (storeCmd) Run(c *cli, log *slog.Logger) error {
-	signal.Ignore(syscall.SIGHUP)
 	if _, err := os.Stat(c.Settings); err != nil {
 		return fmt.Errorf("settings file: %w", err)
 	}
--- a/internal/transport/process/process.go
+++ b/internal/transport/process/process.go
@@ -62,13 +62,14 @@
 }
 
 func runApp(app *fx.App, log *slog.Logger) int {
+	stopped := app.Wait() // before the start, so that a signal during it does not end the process
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
 		log.Error("Start failed", "err", err)
 		return 1
 	}
-	signal := <-app.Wait()
+	signal := <-stopped
 	log.Info("Stop signal received", "signal", signal.Signal)
 	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
