--- a/internal/transport/front/stopping.go
+++ b/internal/transport/front/stopping.go
@@ -54,6 +54,19 @@
 	return schedule
 }
 
+// requestBegan records that a request of a route, which arrived at a time, is sent. The caller must call the returned
+// function at its end.
+func (s *hostStop) requestBegan(route string, arrived time.Time) (ended func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.lengths.Begin(route, arrived)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lengths.End(r)
+	}
+}
+
 // record records how long a request of a route took.
 func (s *hostStop) record(route string, took time.Duration) {
 	s.mu.Lock()
@@ -69,7 +82,7 @@
 		return true
 	}
 	s.mu.Lock()
-	length, known := s.lengths.Expected(route.Name, repeatable)
+	length, known := s.lengths.Expected(now, route.Name, repeatable)
 	s.mu.Unlock()
 	if !known && repeatable {
 		length, known = route.Objective, true
@@ -82,6 +95,15 @@
 	return codedError(resultcode.Stopping, "this host is stopping and would end before the request")
 }
 
+// AbandonedByStop returns an error if the context of a caller's request was cancelled since this host abandons what
+// still runs before it exits. It is the error of a request that has not been sent to an endpoint.
+func AbandonedByStop(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), errHostStopped) {
+		return errCannotFinish()
+	}
+	return nil
+}
+
 // checkStop returns an error if this host is stopping and cannot finish the request, which is about
 // to be sent. Requests of this host's batches end with the batch.
 func (c *call) checkStop() error {
@@ -114,8 +136,14 @@
 
 // Stop drains the host. It removes the host from the directory immediately, keeps serving
 // callers that have cached its address, hands its batches over, and returns before the end
-// of the grace period. Requests that would outlast the host are refused when they arrive.
+// of the grace period. Requests that would outlast the host are refused when they arrive. A second call
+// waits until the first has returned.
 func (n *Node) Stop(context.Context) error {
+	n.stopOnce.Do(n.stopWithinGrace)
+	return nil
+}
+
+func (n *Node) stopWithinGrace() {
 	began := time.Now()
 	schedule := n.stop.begin(began, n.Settings.GracePeriod)
 	n.log.Info("Host stopping", "in_flight", n.inflight.Load(), "batches", len(n.Batches.UnfinishedIDs()))
@@ -131,14 +159,23 @@
 		return n.inflight.Load() == 0 && time.Since(began) > maxAddressCacheTime
 	})
 	inflight := n.inflight.Load()
+	n.closeListeners()
+	waitUntil(schedule.Exit, func() bool { return n.inflight.Load() == 0 })
 	n.shutDownServers(schedule.Exit)
 	n.duties.flush()
 	n.close()
 	n.log.Info("Host stopped", "in_flight", inflight, "took_ms", time.Since(began).Milliseconds())
-	return nil
 }
 
-// shutDownServers closes the listeners and waits for requests that arrived after the last check
+// closeListeners refuses new connections. Requests on open ones are still answered: a server that is being shut
+// down would read them and close the connection without an answer.
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.Close() // the process is shutting down, so errors do not matter
+	}
+}
+
+// shutDownServers closes idle connections and waits for requests that arrived after the last check
 // for requests in flight, until a time.
 func (n *Node) shutDownServers(until time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -131,10 +131,6 @@
 		if err != nil {
 			return err
 		}
-		if err := c.checkStop(); err != nil {
-			c.f.fleet.End(e, placement.Cancelled, 0)
-			return err
-		}
 		c.tried = append(c.tried, e.ID)
 		if c.route.Resumable && c.in.ResumeAfter <= 0 && !c.f.origins.mayBegin(ctx, origins.Origin{Service: e.Service, Software: e.Software}) {
 			c.f.fleet.End(e, placement.Cancelled, 0)
@@ -142,6 +138,10 @@
 			c.err = errUnrecordedSoftware
 			continue
 		}
+		if err := c.checkStop(); err != nil { // after all that may take time
+			c.f.fleet.End(e, placement.Cancelled, 0)
+			return err
+		}
 		c.sent++
 		c.lastEndpoint = e.ID
 		answer, sentAt, lost := heldHead{out: out}, time.Now(), c.usage.Opened()
@@ -194,6 +194,9 @@
 		}
 		if !errors.Is(err, backend.ErrNotRun) {
 			c.mayHaveRun = true
+			if ctx.Err() != nil {
+				return c.deadlineError(ctx)
+			}
 			if !c.route.Resumable {
 				return codedError(resultcode.EndpointFailed, err.Error())
 			}
