Confirm the end of a batch's log before answering that it has no more

Cause: an append takes effect in the store before the owner has the answer. If the owner is slow, other hosts read the entry from the store meanwhile. The owner went on to answer from its memory: it confirmed only that the manifest still names it, which says nothing about its own append.

Change: the owner's copy of the log knows as of when it had all entries. An append without an answer holds that time at its beginning, whatever the manifest says; one that was refused does not. If the time is too old, the owner reads the next entry from the store, exactly, and adds what it finds. A page, the time and whether the log is final are taken together, since a result may be added in between. An entry that both an append and a read find is added once, and the next entry is made under the same lock.

Result: TestResults_ReadWhileAppendAwaitsAnswer failed before at both hosts, and passes. Empty pages of a host whose appends were answered or refused read no log (TestResults_EmptyPagesReadNoLog); with an answer lost, four trainers that poll for 2 s cause at most six reads (TestResults_ReadsOfLogEndAreShared). The tests of results and ownership pass with the race detector.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -293,6 +293,7 @@
 		return
 	}
 	active := newActiveBatch(m, b, carried, entries, s)
+	active.results.setOwnershipConfirmed(m.writtenAt)
 	s.active[m.ID] = active
 	s.work.Add(time.Now(), b.Model, batchrun.ExpectedTokens(b))
 	s.running.Add(1)
--- a/internal/transport/front/batchlog.go
+++ b/internal/transport/front/batchlog.go
@@ -93,21 +93,24 @@
 
 // seal appends an entry that closes the log of an ended batch to further results.
 func (a *activeBatch) seal(ctx context.Context) {
-	for !a.results.final() && ctx.Err() == nil {
-		number, first := a.results.next()
-		entry := batches.LogEntry{First: first, Sealed: true}
-		err := a.parent.store.append(ctx, a.manifest.ID, number, entry)
+	for ctx.Err() == nil {
+		number, entry := a.results.beginSeal(time.Now())
+		if entry == nil {
+			return
+		}
+		err := a.parent.store.append(ctx, a.manifest.ID, number, *entry)
+		if err == nil {
+			a.results.add(number, *entry)
+			return
+		}
+		a.results.endAppend(number, err)
 		if errors.Is(err, objectapi.ErrConflict) {
-			if entry, err = a.parent.store.entry(ctx, a.manifest.ID, number); err == nil {
-				a.results.add(entry)
+			if _, err = a.addStored(ctx, number); err == nil {
 				continue
 			}
 		}
-		if err != nil {
-			a.log.Warn("Failed to seal batch log; later reads use the store", "entry", number, "err", err)
-			return
-		}
-		a.results.add(entry)
+		a.log.Warn("Failed to seal batch log; later reads use the store", "entry", number, "err", err)
+		return
 	}
 }
 
@@ -115,31 +118,22 @@
 // the append fails or another host has written the entry, it returns all results that the
 // log does not contain.
 func (a *activeBatch) appendEntry(ctx context.Context, queue []batches.Result) []batches.Result {
-	queue = slices.DeleteFunc(queue, func(r batches.Result) bool { return a.results.has(r.ID) })
-	if len(queue) == 0 || a.results.final() {
+	startTime := time.Now()
+	number, entry, rest := a.results.beginAppend(startTime, queue)
+	if entry == nil {
 		return nil
 	}
-	n, size := 0, 0
-	for n < len(queue) && (n == 0 || size+queue[n].Size() <= maxPartBytes) {
-		size += queue[n].Size()
-		n++
+	queue = slices.Concat(entry.Results, rest)
+	err := a.parent.store.append(ctx, a.manifest.ID, number, *entry)
+	if err == nil {
+		a.results.add(number, *entry)
+		a.results.setAppended(startTime)
+		a.log.Info("Appended results to batch log", "entry", number, "first", entry.First, "count", len(entry.Results), "took_ms", time.Since(startTime).Milliseconds())
+		return rest
 	}
-	number, first := a.results.next()
-	entry := batches.LogEntry{First: first, Results: queue[:n:n]}
-	startTime := time.Now()
-	err := a.parent.store.append(ctx, a.manifest.ID, number, entry)
-	switch {
-	case err == nil:
-		a.results.add(entry)
-		a.results.setOwnershipConfirmed(startTime)
-		a.log.Info("Appended results to batch log", "entry", number, "first", first, "count", n, "took_ms", time.Since(startTime).Milliseconds())
-		return queue[n:]
-	case errors.Is(err, objectapi.ErrConflict):
-		other, err := a.parent.store.entry(ctx, a.manifest.ID, number)
-		if err == nil {
-			a.log.Warn("Another host appended to the batch log", "entry", number, "count", len(other.Results))
-			a.results.add(other)
-			go a.checkOwnership()
+	a.results.endAppend(number, err)
+	if errors.Is(err, objectapi.ErrConflict) {
+		if _, err = a.addStored(ctx, number); err == nil {
 			return queue
 		}
 	}
@@ -150,3 +144,14 @@
 	}
 	return queue
 }
+
+// addStored adds an entry of the log in the store to the copy. The entry is one of another host, or one
+// that this host appended without getting the answer.
+func (a *activeBatch) addStored(ctx context.Context, number int) (batches.LogEntry, error) {
+	e, err := a.parent.store.entry(ctx, a.manifest.ID, number)
+	if err == nil && a.results.add(number, e) {
+		a.log.Warn("Found entry in batch log that this host has not confirmed", "entry", number, "first", e.First, "count", len(e.Results))
+		go a.checkOwnership()
+	}
+	return e, err
+}
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -42,6 +42,8 @@
 type storedManifest struct {
 	batches.Manifest
 	version uint64
+	// writtenAt is when the write of this version began, if this host wrote it.
+	writtenAt time.Time
 	// cachedAt is when the batch was first cached.
 	cachedAt time.Time
 }
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -292,6 +292,9 @@
 	// lostWriteAnswers, when set, applies writes of keys with this prefix but returns
 	// ErrUnavailable.
 	lostWriteAnswers atomic.Pointer[string]
+	// lateWriteAnswers, when set, applies writes of keys with this prefix but answers them only
+	// once it is reset.
+	lateWriteAnswers atomic.Pointer[string]
 	// refusedWrites, when set, refuses writes of keys with this prefix.
 	refusedWrites atomic.Pointer[string]
 	// While deletesRefused is set, deletes fail after deletesAllowed ones.
@@ -355,6 +358,9 @@
 	if prefix := s.lostWriteAnswers.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
 		return 0, objectapi.ErrUnavailable
 	}
+	for prefix := s.lateWriteAnswers.Load(); prefix != nil && strings.HasPrefix(key, *prefix); prefix = s.lateWriteAnswers.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
 	return version, err
 }
 
--- /dev/null
+++ b/internal/transport/front/logend_test.go
@@ -0,0 +1,149 @@
+package front
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/state/batches"
+)
+
+// The tests of this file guard against a host that answers that a position has no result after the
+// result has been read somewhere.
+
+// settleTime is the time after which a position that was read once may not be answered as empty.
+const settleTime = time.Second
+
+// checkFirstPosition fails the test if a host answers that a batch has no result.
+func checkFirstPosition(t *testing.T, n *testNode, id string) {
+	t.Helper()
+	page, err := n.Batches.Results(background, id, 0, 0)
+	if err != nil {
+		t.Errorf("%s: %v", n.Settings.Host, err)
+	} else if len(page.Results) == 0 {
+		t.Errorf("%s answers that the first position has no result after it was read", n.Settings.Host)
+	}
+}
+
+// waitUntilStored waits until the store has the first result of a batch, from where any host reads it
+// while the owner does not answer.
+func (w *testCluster) waitUntilStored(n *testNode, id string) {
+	w.t.Helper()
+	w.waitUntil("the store has a result", func() bool {
+		results, err := n.Batches.store.read(background, id, 0, maxPageBytes)
+		return err == nil && len(results) > 0
+	})
+}
+
+// The append of a slow owner has taken effect, but the owner does not have the answer yet.
+func TestResults_ReadWhileAppendAwaitsAnswer(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2")
+	prefix := batches.LogPrefix
+	for _, n := range hosts {
+		n.store.lateWriteAnswers.Store(&prefix)
+		defer n.store.lateWriteAnswers.Store(nil)
+	}
+	id := submit(t, hosts[0], 1, 3)
+	w.waitUntilStored(hosts[0], id)
+	time.Sleep(settleTime)
+	for _, n := range hosts {
+		checkFirstPosition(t, n, id)
+	}
+}
+
+// Trainers that poll for results that do not exist yet cause no read of the log, also if an append was
+// refused.
+func TestResults_EmptyPagesReadNoLog(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	n := w.runBatches(1)
+	b := n.Batches.activeByID("b0")
+	number, _, _ := b.results.beginAppend(time.Now(), []batches.Result{{ID: "b0-0-0"}})
+	b.results.endAppend(number, objectapi.ErrRefused)
+	n.store.logReads.Store(0)
+	w.pollFirstPosition(n, "b0")
+	if got := n.store.logReads.Load(); got != 0 {
+		t.Errorf("%d reads of the log", got)
+	}
+}
+
+// pollFirstPosition has four trainers poll for the first result of a batch for two seconds.
+func (w *testCluster) pollFirstPosition(n *testNode, id string) {
+	var all sync.WaitGroup
+	for range 4 {
+		all.Go(func() {
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				if _, err := n.Batches.Results(background, id, 0, 0); err != nil {
+					w.t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Trainers that poll at the same time share the reads of the log's end.
+func TestResults_ReadsOfLogEndAreShared(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	n := w.runBatches(1)
+	b := n.Batches.activeByID("b0")
+	number, _, _ := b.results.beginAppend(time.Now(), []batches.Result{{ID: "b0-0-0"}})
+	b.results.endAppend(number, objectapi.ErrUnavailable)
+	n.store.logReads.Store(0)
+	w.pollFirstPosition(n, "b0")
+	if got := n.store.logReads.Load(); got == 0 || got > 6 {
+		t.Errorf("%d reads of the log in two seconds, want a few", got)
+	}
+}
+
+// An entry that a read of the log finds before the answer of its append arrives is added once, and its
+// results are not appended again.
+func TestResultLog_EntryFoundTwice(t *testing.T) {
+	l := newResultLog(3, nil)
+	queue := []batches.Result{{ID: "a"}, {ID: "b"}}
+	number, e, _ := l.beginAppend(time.Now(), slices.Clone(queue))
+	if !l.add(number, *e) || l.add(number, *e) {
+		t.Error("the entry was not added exactly once")
+	}
+	if _, again, _ := l.beginAppend(time.Now(), slices.Clone(queue)); again != nil {
+		t.Errorf("the results are appended again: %+v", again)
+	}
+	if page := l.page(background, 0, 0); len(page.Results) != len(queue) {
+		t.Errorf("%d results, want %d", len(page.Results), len(queue))
+	}
+}
+
+// An append whose outcome is unknown may still take effect after a later one was refused, and a
+// confirmed ownership says nothing about it.
+func TestResultLog_UnknownAppendKeepsEndUnconfirmed(t *testing.T) {
+	began := time.Now()
+	for name, c := range map[string]struct {
+		outcomes []error
+		want     time.Time
+	}{
+		"refused":               {[]error{objectapi.ErrRefused}, began.Add(time.Hour)},
+		"answer lost":           {[]error{objectapi.ErrUnavailable}, began},
+		"conflict":              {[]error{objectapi.ErrConflict}, began},
+		"answer lost, refused":  {[]error{objectapi.ErrUnavailable, objectapi.ErrRefused}, began},
+		"refused, then no word": {[]error{objectapi.ErrRefused, nil}, began},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newResultLog(3, nil)
+			for _, err := range c.outcomes {
+				number, _, _ := l.beginAppend(began, []batches.Result{{ID: "a"}})
+				if err != nil {
+					l.endAppend(number, err)
+				}
+			}
+			l.setOwnershipConfirmed(began.Add(time.Hour))
+			if got := l.page(background, 0, 0).asOf; !got.Equal(c.want) {
+				t.Errorf("the log's end is confirmed as of %v, want %v", got.Sub(began), c.want.Sub(began))
+			}
+		})
+	}
+}
--- a/internal/transport/front/manifests.go
+++ b/internal/transport/front/manifests.go
@@ -76,11 +76,12 @@
 	if err != nil {
 		return storedManifest{}, err
 	}
+	began := time.Now()
 	version, err := s.api.Put(ctx, batches.ManifestKey(m.ID), value, expect)
 	if err != nil {
 		return storedManifest{}, err
 	}
-	stored := storedManifest{Manifest: m, version: version}
+	stored := storedManifest{Manifest: m, version: version, writtenAt: began}
 	s.cacheManifest(stored)
 	return stored, nil
 }
--- a/internal/transport/front/ownership.go
+++ b/internal/transport/front/ownership.go
@@ -18,8 +18,8 @@
 	// checksPerExactOne is the number of these checks of which one allows no stale answers. A
 	// new owner and an end are visible in stale answers too, only later.
 	checksPerExactOne = 4
-	// maxOwnershipCheckAge is the maximum age of the last confirmation when an owner answers
-	// that a position has no result yet. It is shorter than the time within which all hosts
+	// maxOwnershipCheckAge is the maximum age of the last confirmation of the log's end when an owner
+	// answers that a position has no result yet. It is shorter than the time within which all hosts
 	// must agree.
 	maxOwnershipCheckAge = 700 * time.Millisecond
 	// sharedReadAge is how long before a caller asks for a confirmation the read may have begun
@@ -182,22 +182,3 @@
 		a.log.Warn("Failed to check batch ownership", "err", err)
 	}
 }
-
-// confirmedPage checks the ownership of the batch. It returns the results that arrive during
-// the check, or an empty page once the ownership is confirmed.
-func (s *Batches) confirmedPage(ctx context.Context, b *activeBatch, after int) (Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	confirmed := make(chan error, 1)
-	go func() {
-		confirmed <- s.confirmOwnership(ctx, b)
-		cancel()
-	}()
-	if page := b.results.page(ctx, after, storeWaitTimeout); len(page.Results) > 0 {
-		return page, nil
-	}
-	if err := <-confirmed; err != nil {
-		return Page{}, err
-	}
-	return b.results.page(ctx, after, 0), nil
-}
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -2,42 +2,61 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
 // resultLog is the owner's in-memory copy of a batch's result log. It is safe for concurrent
 // use.
+//
+// The log in the store may be longer: an append takes effect before its answer arrives. All that the
+// store had at endConfirmed is in the copy, so a position that the copy lacks had no result at that time.
 type resultLog struct {
 	total int
 	// team is the team of the batch, empty for none.
 	team string
 
-	mu          sync.Mutex
-	results     []batches.Result
-	entries     int
-	sampleIDs   map[string]bool
-	confirmedAt time.Time
-	changed     chan struct{}
-	closed      bool
-	sealed      bool
+	mu             sync.Mutex
+	results        []batches.Result
+	entries        int
+	sampleIDs      map[string]bool
+	ownerConfirmed time.Time
+	endConfirmed   time.Time
+	// appendBegan is when the first append of the next entry began that may have taken effect, zero
+	// if there is none. appendLost is true once the outcome of one remained unknown.
+	appendBegan time.Time
+	appendLost  bool
+	// endRead is the last read of the log's end.
+	endRead *logEndRead
+	changed chan struct{}
+	closed  bool
+	sealed  bool
 }
 
+// newResultLog returns the copy of a log with the given entries.
 func newResultLog(total int, entries []batches.LogEntry) *resultLog {
-	l := &resultLog{total: total, sampleIDs: map[string]bool{}, changed: make(chan struct{}), confirmedAt: time.Now()}
-	for _, e := range entries {
-		l.add(e)
+	l := &resultLog{total: total, sampleIDs: map[string]bool{}, changed: make(chan struct{})}
+	for n, e := range entries {
+		l.add(n, e)
 	}
 	return l
 }
 
-// add appends the next log entry and wakes waiting calls of page.
-func (l *resultLog) add(e batches.LogEntry) {
+// add adds an entry of the log in the store, unless the copy has it, and wakes waiting calls of page. It
+// reports whether it added the entry.
+func (l *resultLog) add(number int, e batches.LogEntry) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if number != l.entries {
+		return false
+	}
 	l.entries++
+	l.appendBegan, l.appendLost = time.Time{}, false
 	l.sealed = l.sealed || e.Sealed
 	for _, r := range e.Results {
 		l.results = append(l.results, r)
@@ -45,6 +64,7 @@
 	}
 	close(l.changed)
 	l.changed = make(chan struct{})
+	return true
 }
 
 // close ends all waiting calls of page.
@@ -56,11 +76,59 @@
 	l.changed = make(chan struct{})
 }
 
-// next returns the number of the next log entry and the position of its first result.
-func (l *resultLog) next() (entry, first int) {
+// nextNumber returns the number of the first entry that the copy lacks.
+func (l *resultLog) nextNumber() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.entries, len(l.results)
+	return l.entries
+}
+
+// beginAppend returns the number of the next entry, and the entry with the results of a queue that the
+// log lacks, as many as fit, and the rest of them. The entry is nil if there is nothing to append. The
+// caller must append it, and then call endAppend or add.
+func (l *resultLog) beginAppend(now time.Time, queue []batches.Result) (number int, e *batches.LogEntry, rest []batches.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	queue = slices.DeleteFunc(queue, func(r batches.Result) bool { return l.sampleIDs[r.ID] })
+	if len(queue) == 0 || l.isFinal() {
+		return 0, nil, nil
+	}
+	n, size := 0, 0
+	for n < len(queue) && (n == 0 || size+queue[n].Size() <= maxPartBytes) {
+		size += queue[n].Size()
+		n++
+	}
+	if l.appendBegan.IsZero() {
+		l.appendBegan = now
+	}
+	return l.entries, &batches.LogEntry{First: len(l.results), Results: queue[:n:n]}, queue[n:]
+}
+
+// beginSeal is beginAppend for the entry that seals the log. The entry is nil if the log is final.
+func (l *resultLog) beginSeal(now time.Time) (number int, e *batches.LogEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isFinal() {
+		return 0, nil
+	}
+	if l.appendBegan.IsZero() {
+		l.appendBegan = now
+	}
+	return l.entries, &batches.LogEntry{First: len(l.results), Sealed: true}
+}
+
+// endAppend records that an append of an entry has failed. The entry may exist nevertheless if the
+// outcome of the append or of an earlier one is unknown, or if it is a conflict.
+func (l *resultLog) endAppend(number int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case number != l.entries: // the copy has the entry
+	case objectapi.Unresolved(err) || errors.Is(err, objectapi.ErrConflict):
+		l.appendLost = true
+	case !l.appendLost:
+		l.appendBegan = time.Time{}
+	}
 }
 
 // has reports whether the log contains a sample's result.
@@ -86,20 +154,73 @@
 func (l *resultLog) ownershipConfirmedAt() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.confirmedAt
+	return l.ownerConfirmed
 }
 
+// setOwnershipConfirmed records that this host owned the batch at a time. All entries of that time are
+// then in the copy, but for the one of an append that had begun.
 func (l *resultLog) setOwnershipConfirmed(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at.After(l.confirmedAt) {
-		l.confirmedAt = at
+	if at.After(l.ownerConfirmed) {
+		l.ownerConfirmed = at
 	}
+	if !l.appendBegan.IsZero() && l.appendBegan.Before(at) {
+		at = l.appendBegan
+	}
+	l.confirmEnd(at)
+}
+
+// setAppended records that an append that began at a time has taken effect: before that, the copy was
+// complete.
+func (l *resultLog) setAppended(began time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if began.After(l.ownerConfirmed) {
+		l.ownerConfirmed = began
+	}
+	l.confirmEnd(began)
+}
+
+// setEndConfirmed records that the copy lacked no entry at a time.
+func (l *resultLog) setEndConfirmed(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirmEnd(at)
+}
+
+func (l *resultLog) confirmEnd(at time.Time) {
+	if at.After(l.endConfirmed) {
+		l.endConfirmed = at
+	}
+}
+
+// appendsKnown reports whether the ownership of the batch shows that the copy is complete: no append has
+// been without an answer for long.
+func (l *resultLog) appendsKnown(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.appendLost && (l.appendBegan.IsZero() || now.Sub(l.appendBegan) <= sharedReadAge)
+}
+
+// logPage is a page of a log with what was known about the rest of the log at the same time.
+type logPage struct {
+	Page
+	// final is true if no more results can be added to the log.
+	final bool
+	// asOf is a time at which the copy lacked no entry.
+	asOf time.Time
+}
+
+// certain reports whether the page may be answered: it has results, or there were none for it at most
+// maxAge ago.
+func (p *logPage) certain(now time.Time, maxAge time.Duration) bool {
+	return len(p.Results) > 0 || p.final || now.Sub(p.asOf) <= maxAge
 }
 
 // page returns the results from position after on. If there are none, it waits up to the
 // given time for one.
-func (l *resultLog) page(ctx context.Context, after int, wait time.Duration) Page {
+func (l *resultLog) page(ctx context.Context, after int, wait time.Duration) logPage {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -120,8 +241,8 @@
 	}
 }
 
-func (l *resultLog) pageFrom(after int) Page {
-	page := Page{Total: l.total, Next: after}
+func (l *resultLog) pageFrom(after int) logPage {
+	page := logPage{Page: Page{Total: l.total, Next: after}, final: l.isFinal(), asOf: l.endConfirmed}
 	size := 0
 	for i := after; i < len(l.results); i++ {
 		size += l.results[i].Size()
@@ -145,9 +266,11 @@
 func (l *resultLog) final() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.sealed || len(l.results) >= l.total
+	return l.isFinal()
 }
 
+func (l *resultLog) isFinal() bool { return l.sealed || len(l.results) >= l.total }
+
 // size returns the approximate memory use of the results in bytes.
 func (l *resultLog) size() int {
 	l.mu.Lock()
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -113,8 +113,8 @@
 		return Page{}, errBatchNotActive
 	}
 	page := b.results.page(ctx, after, wait)
-	if len(page.Results) > 0 || b.results.final() || time.Since(b.results.ownershipConfirmedAt()) < maxOwnershipCheckAge {
-		return page, nil
+	if page.certain(time.Now(), maxOwnershipCheckAge) {
+		return page.Page, nil
 	}
 	return s.confirmedPage(ctx, b, after)
 }
@@ -226,9 +226,8 @@
 	if l == nil || !mayAccess(team, l.team) {
 		return Page{}, errBatchNotActive
 	}
-	final := l.final()
-	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 || final {
-		return page, nil
+	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 || page.final {
+		return page.Page, nil
 	}
 	return Page{}, errBatchNotActive
 }
