Read the end of the log in the store if others have run the batch

Callers can see a position of a batch answered as empty after its result had been read, when the batch has changed hosts.

Cause: ownership by the manifest does not show that the log has grown. The append of a previous owner, or of this host's previous process, may take effect after the next owner has read the log. And a manifest that names this host may have a later epoch: another host has run the batch since and handed it back, while this one had not noticed.

Change: a batch that another process has run, by the log that its owner found or by the epoch of the manifest, confirms empty pages by a read of the next entry; such a read takes the place of that of the manifest. Batches that have run at one host only still share one read of the manifests.

Result: TestResults_PreviousOwnerAppendsAfterTakeover and TestResults_BatchReturnsToUnawareOwner failed before at both hosts, and pass. TestResults_EmptyPagesReadNoLog and the tests of ownership pass.

--- a/internal/transport/front/logend.go
+++ b/internal/transport/front/logend.go
@@ -41,10 +41,10 @@
 }
 
 // confirmLogEnd confirms that this host has all entries of a batch's log, as of at most sharedReadAge
-// before the call, and adds those that it lacks. The manifests suffice while no append lacks its answer:
-// then one read serves all batches.
+// before the call, and adds those that it lacks. The manifests suffice while no other process can have
+// appended an entry and no append of this one lacks its answer: then one read serves all batches.
 func (s *Batches) confirmLogEnd(ctx context.Context, b *activeBatch) error {
-	if b.results.appendsKnown(time.Now()) {
+	if b.results.ownedAlone(time.Now()) {
 		return s.confirmOwnership(ctx, b)
 	}
 	r, perform := b.results.joinEndRead(time.Now())
--- a/internal/transport/front/logend_test.go
+++ b/internal/transport/front/logend_test.go
@@ -55,8 +55,59 @@
 	}
 }
 
+// appendAs appends the result of a sample to the log as another process does.
+func (w *testCluster) appendAs(n *testNode, id string, sample batches.Sample) {
+	w.t.Helper()
+	e := batches.LogEntry{Results: []batches.Result{{ID: sample.ID, Outcome: batches.Completed, Text: generatedText(sample.ID, 400),
+		Versions: []int{1}, Score: "signed-score-" + sample.ID}}}
+	if err := n.Batches.store.append(background, id, 0, e); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// The append of the previous owner takes effect after the next one has read the log.
+func TestResults_PreviousOwnerAppendsAfterTakeover(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2", "h3")
+	w.engines.eventInterval = 100 * time.Millisecond
+	id := submit(t, hosts[0], 1, 400)
+	previous, _ := w.owner(id)
+	w.kill(previous)
+	w.waitUntil("another host runs the batch", func() bool {
+		for _, n := range w.nodes {
+			if n.Batches.activeByID(id) != nil {
+				return true
+			}
+		}
+		return false
+	})
+	owner, others := w.owner(id)
+	w.appendAs(others[0], id, batch(id, 1, 400).Samples[0])
+	time.Sleep(settleTime)
+	for _, n := range append(others, owner) {
+		checkFirstPosition(t, n, id)
+	}
+}
+
+// Another host has run the batch for a while and handed it back to this one, which had not noticed.
+func TestResults_BatchReturnsToUnawareOwner(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2")
+	w.engines.eventInterval = 100 * time.Millisecond
+	id := submit(t, hosts[0], 1, 400)
+	owner, others := w.owner(id)
+	w.changeManifest(others[0], id, func(m *batches.Manifest) { m.Epoch += 2 })
+	w.appendAs(others[0], id, batch(id, 1, 400).Samples[0])
+	time.Sleep(settleTime)
+	for _, n := range append(others, owner) {
+		checkFirstPosition(t, n, id)
+	}
+}
+
 // Trainers that poll for results that do not exist yet cause no read of the log, also if an append was
-// refused.
+// refused, as long as no other process has run the batch.
 func TestResults_EmptyPagesReadNoLog(t *testing.T) {
 	t.Parallel()
 	w := newTestCluster(t)
--- a/internal/transport/front/ownership.go
+++ b/internal/transport/front/ownership.go
@@ -148,7 +148,10 @@
 			r.outcomes[id] = errBatchNotActive
 			b.stop("another host owns the batch")
 			continue
-		case m.Ended:
+		case m.Epoch != b.manifest.Epoch:
+			b.results.setShared() // others have run the batch since, and it has returned
+		}
+		if m.Ended {
 			s.stopEnded(id)
 		}
 		b.results.setOwnershipConfirmed(r.began)
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -14,8 +14,9 @@
 // resultLog is the owner's in-memory copy of a batch's result log. It is safe for concurrent
 // use.
 //
-// The log in the store may be longer: an append takes effect before its answer arrives. All that the
-// store had at endConfirmed is in the copy, so a position that the copy lacks had no result at that time.
+// The log in the store may be longer: an append takes effect before its answer arrives, and other
+// processes that have run the batch may append too. All that the store had at endConfirmed is in
+// the copy, so a position that the copy lacks had no result at that time.
 type resultLog struct {
 	total int
 	// team is the team of the batch, empty for none.
@@ -27,6 +28,8 @@
 	sampleIDs      map[string]bool
 	ownerConfirmed time.Time
 	endConfirmed   time.Time
+	// shared is true if another process has run the batch, which may still append entries.
+	shared bool
 	// appendBegan is when the first append of the next entry began that may have taken effect, zero
 	// if there is none. appendLost is true once the outcome of one remained unknown.
 	appendBegan time.Time
@@ -38,9 +41,10 @@
 	sealed  bool
 }
 
-// newResultLog returns the copy of a log with the given entries.
+// newResultLog returns the copy of a log with the given entries; nil means that the batch has not run
+// before.
 func newResultLog(total int, entries []batches.LogEntry) *resultLog {
-	l := &resultLog{total: total, sampleIDs: map[string]bool{}, changed: make(chan struct{})}
+	l := &resultLog{total: total, sampleIDs: map[string]bool{}, changed: make(chan struct{}), shared: entries != nil}
 	for n, e := range entries {
 		l.add(n, e)
 	}
@@ -157,18 +161,22 @@
 	return l.ownerConfirmed
 }
 
-// setOwnershipConfirmed records that this host owned the batch at a time. All entries of that time are
-// then in the copy, but for the one of an append that had begun.
+// setOwnershipConfirmed records that this host owned the batch at a time, and that no other had owned it
+// since this one began to run it. Unless another process has run the batch before, all entries of that
+// time are then this host's own.
 func (l *resultLog) setOwnershipConfirmed(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at.After(l.ownerConfirmed) {
 		l.ownerConfirmed = at
 	}
-	if !l.appendBegan.IsZero() && l.appendBegan.Before(at) {
-		at = l.appendBegan
+	switch {
+	case l.shared:
+	case !l.appendBegan.IsZero() && l.appendBegan.Before(at):
+		l.confirmEnd(l.appendBegan)
+	default:
+		l.confirmEnd(at)
 	}
-	l.confirmEnd(at)
 }
 
 // setAppended records that an append that began at a time has taken effect: before that, the copy was
@@ -182,6 +190,13 @@
 	l.confirmEnd(began)
 }
 
+// setShared records that another process has run the batch.
+func (l *resultLog) setShared() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shared = true
+}
+
 // setEndConfirmed records that the copy lacked no entry at a time.
 func (l *resultLog) setEndConfirmed(at time.Time) {
 	l.mu.Lock()
@@ -195,12 +210,12 @@
 	}
 }
 
-// appendsKnown reports whether the ownership of the batch shows that the copy is complete: no append has
-// been without an answer for long.
-func (l *resultLog) appendsKnown(now time.Time) bool {
+// ownedAlone reports whether the ownership of the batch shows that the copy is complete: no other process
+// may have appended an entry, and no append of this one has been without an answer for long.
+func (l *resultLog) ownedAlone(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.appendLost && (l.appendBegan.IsZero() || now.Sub(l.appendBegan) <= sharedReadAge)
+	return !l.shared && !l.appendLost && (l.appendBegan.IsZero() || now.Sub(l.appendBegan) <= sharedReadAge)
 }
 
 // logPage is a page of a log with what was known about the rest of the log at the same time.
