--- a/internal/transport/front/logend.go
+++ b/internal/transport/front/logend.go
@@ -68,7 +68,8 @@
 func (a *activeBatch) readLogEnd(ctx context.Context) error {
 	for !a.results.final() {
 		began := time.Now()
-		_, err := a.addStored(ctx, a.results.nextNumber())
+		number, _ := a.results.next()
+		_, err := a.addStored(ctx, number)
 		if errors.Is(err, objectapi.ErrNotFound) {
 			a.results.setEndConfirmed(began)
 			return nil
--- a/internal/transport/front/logend_test.go
+++ b/internal/transport/front/logend_test.go
@@ -32,8 +32,8 @@
 func (w *testCluster) waitUntilStored(n *testNode, id string) {
 	w.t.Helper()
 	w.waitUntil("the store has a result", func() bool {
-		results, err := n.Batches.store.read(background, id, 0, maxPageBytes)
-		return err == nil && len(results) > 0
+		e, err := n.Batches.store.entry(background, id, 0)
+		return err == nil && len(e.Results) > 0
 	})
 }
 
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -80,11 +80,11 @@
 	l.changed = make(chan struct{})
 }
 
-// nextNumber returns the number of the first entry that the copy lacks.
-func (l *resultLog) nextNumber() int {
+// next returns the number of the first entry that the copy lacks and the position of its first result.
+func (l *resultLog) next() (entry, first int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.entries
+	return l.entries, len(l.results)
 }
 
 // beginAppend returns the number of the next entry, and the entry with the results of a queue that the
