Give the hosts of a test process more addresses

Cause: the tests of the package start more than 254 hosts by now; the last tests failed with no loopback address left (three of them in a run with the nine hosts of the tests of the log's end). Change: every 254 hosts, the ports are 10 higher.

--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -74,23 +74,21 @@
 // hostCount counts the hosts of all tests in this process.
 var hostCount atomic.Int64
 
-// loopback returns a loopback address that no other host of this process uses. It includes
-// bits of the process id, so that test processes running in parallel use other ones.
-func loopback(t *testing.T) string {
-	n := hostCount.Add(1)
-	if n > 254 {
-		t.Fatal("more than 254 hosts in one test process: no loopback address left")
-	}
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, n)
+// loopback returns a loopback address and an offset of ports that no other host of this process uses
+// together. The address includes bits of the process id, so that test processes running in parallel use
+// other ones.
+func loopback() (ip string, portOffset int) {
+	const addresses, portsPerHost = 254, 10
+	n, pid := int(hostCount.Add(1)-1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, 1+n%addresses), n / addresses * portsPerHost
 }
 
 func (w *testCluster) settings(host string) Settings {
-	ip := loopback(w.t)
-	at := func(port string) string { return net.JoinHostPort(ip, port) }
+	ip, offset := loopback()
+	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port+offset)) }
 	s := Settings{
-		Host: host, Zone: "a", CallerAddress: at("18161"), ReadyAddress: at("18167"), DirectoryAddress: at("18164"),
-		PeerAddress: at("18166"), MetricsAddress: at("18168"), StoreAddress: "store:1", StoreReads: 2000, StoreWrites: 400,
+		Host: host, Zone: "a", CallerAddress: at(18161), ReadyAddress: at(18167), DirectoryAddress: at(18164),
+		PeerAddress: at(18166), MetricsAddress: at(18168), StoreAddress: "store:1", StoreReads: 2000, StoreWrites: 400,
 		GracePeriod: 4 * time.Second, Lease: 300 * time.Millisecond, Retention: time.Minute,
 	}
 	for _, n := range w.nodes {
