Take no empty page from a peer that arrives too late

Callers can see a position answered as empty after it had been read if the owner is slow.

Cause: the owner answers that a position is empty up to 700 ms after it has confirmed that, and the asking host took the answer however long it was on its way, up to 800 ms. Meanwhile another host may have taken the batch over.

Change: an empty page of the owner says for how long after the call it may be used (valid_ms), so that it is at most 950 ms old when it arrives. If it comes later, the asking host asks others or reads the store. The limit counts from when the call was sent, by the clock of the host that sent it, and the owner counts from when it received it, so no clocks are compared. A page without the field, from the build in production, is used as before; the field is recorded in testdata/newmessages.

--- a/internal/transport/front/logend.go
+++ b/internal/transport/front/logend.go
@@ -13,6 +13,8 @@
 	// maxEmptyPageAge is the maximum age of an empty page once its confirmation has been waited for. The
 	// rest of the second within which all hosts must agree is left for the way of the answer.
 	maxEmptyPageAge = 850 * time.Millisecond
+	// emptyPageLifetime is the age at which an empty page may still arrive at the host that asked for it.
+	emptyPageLifetime = 950 * time.Millisecond
 	// maxEndConfirmations bounds the reads that a call waits for to confirm that a page is empty.
 	maxEndConfirmations = 2
 )
@@ -83,16 +85,16 @@
 
 // confirmedPage confirms that this host has the whole log of the batch. It returns the results that
 // arrive meanwhile, or an empty page once that is confirmed.
-func (s *Batches) confirmedPage(ctx context.Context, b *activeBatch, after int) (Page, error) {
+func (s *Batches) confirmedPage(ctx context.Context, b *activeBatch, after int) (logPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
 	defer cancel()
 	for range maxEndConfirmations {
 		page, err := s.pageOnceConfirmed(ctx, b, after)
 		if err != nil || page.certain(time.Now(), maxEmptyPageAge) {
-			return page.Page, err
+			return page, err
 		}
 	}
-	return Page{}, errLogEndUnknown
+	return logPage{}, errLogEndUnknown
 }
 
 // pageOnceConfirmed returns results that arrive while the end of the log is confirmed, else the page after
--- a/internal/transport/front/logend_test.go
+++ b/internal/transport/front/logend_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -106,6 +108,41 @@
 	}
 }
 
+// lateAnswers delays the answers to calls about results.
+type lateAnswers struct {
+	http.RoundTripper
+	delay time.Duration
+}
+
+func (l lateAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := l.RoundTripper.RoundTrip(r)
+	if strings.HasSuffix(r.URL.Path, "/results") {
+		time.Sleep(l.delay)
+	}
+	return resp, err
+}
+
+// The answer of a slow owner that a batch has no result arrives late: the batch has been taken over, and
+// its first result read, since the owner confirmed that there was none.
+func TestResults_LateAnswerOfFormerOwner(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2", "h3")
+	w.engines.eventInterval = 100 * time.Millisecond
+	id := submit(t, hosts[0], 1, 400)
+	owner, others := w.owner(id)
+	client := others[0].Batches.peerClient.http
+	client.Transport = lateAnswers{client.Transport, hedgeDelay - 50*time.Millisecond}
+	if err := owner.Batches.confirmLogEnd(background, owner.Batches.activeByID(id)); err != nil {
+		t.Fatal(err)
+	}
+	confirmed := time.Now()
+	w.changeManifest(others[1], id, func(m *batches.Manifest) { m.Owner, m.Epoch = "h9", m.Epoch+1 })
+	w.appendAs(others[1], id, batch(id, 1, 400).Samples[0])
+	time.Sleep(time.Until(confirmed.Add(maxOwnershipCheckAge - 100*time.Millisecond)))
+	checkFirstPosition(t, others[0], id)
+}
+
 // Trainers that poll for results that do not exist yet cause no read of the log, also if an append was
 // refused, as long as no other process has run the batch.
 func TestResults_EmptyPagesReadNoLog(t *testing.T) {
--- a/internal/transport/front/newmessages_test.go
+++ b/internal/transport/front/newmessages_test.go
@@ -40,7 +40,7 @@
 }
 
 // extendedMessages has the messages of the production build that have new fields.
-var extendedMessages = map[string]message{"heartbeat": {presence.Heartbeat{}, "cbor"}}
+var extendedMessages = map[string]message{"heartbeat": {presence.Heartbeat{}, "cbor"}, "results": {Page{}, "cbor"}}
 
 func init() { maps.Copy(messages, newMessages) }
 
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -116,6 +116,9 @@
 	return roster, decoding.Unmarshal(raw, &roster)
 }
 
+// errPageOutdated means that an empty page arrived so late that the position may have been read since.
+var errPageOutdated = errors.New("the empty page of the peer is outdated")
+
 // Results reads results from the batch's owner. It waits up to the given time if there are
 // none from position after on.
 func (c *PeerClient) Results(ctx context.Context, host, team, id string, after int, wait time.Duration) (Page, error) {
@@ -123,12 +126,19 @@
 	if team != "" {
 		q.Set(teamParameter, team)
 	}
+	began := time.Now()
 	raw, err := c.call(ctx, host, http.MethodGet, "/batches/"+id+"/results?"+q.Encode(), nil, wait)
 	if err != nil {
 		return Page{}, err
 	}
 	var page Page
-	return page, decoding.Unmarshal(raw, &page)
+	if err := decoding.Unmarshal(raw, &page); err != nil {
+		return Page{}, err
+	}
+	if took := time.Since(began); page.ValidMs > 0 && took > time.Duration(page.ValidMs)*time.Millisecond {
+		return Page{}, fmt.Errorf("%w: valid for %d ms, arrived after %v", errPageOutdated, page.ValidMs, took)
+	}
+	return page, nil
 }
 
 // Body reads the request body of a sample from the batch's owner.
@@ -301,4 +311,7 @@
 	Results []batches.Result `json:"results"`
 	// Next is the position after the last of Results.
 	Next int `json:"next"`
+	// ValidMs is the number of milliseconds after the call within which a page without results may be
+	// used, in the answer of a host that runs the batch. Zero means that it does not matter.
+	ValidMs int64 `json:"valid_ms,omitempty"`
 }
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -233,6 +233,15 @@
 	return len(p.Results) > 0 || p.final || now.Sub(p.asOf) <= maxAge
 }
 
+// answer returns the page as the answer to a call that this host received at a time.
+func (p *logPage) answer(received time.Time) Page {
+	out := p.Page
+	if len(p.Results) == 0 && !p.final {
+		out.ValidMs = max(p.asOf.Add(emptyPageLifetime).Sub(received).Milliseconds(), 1)
+	}
+	return out
+}
+
 // page returns the results from position after on. If there are none, it waits up to the
 // given time for one.
 func (l *resultLog) page(ctx context.Context, after int, wait time.Duration) logPage {
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -166,11 +166,15 @@
 	if !mayAccess(team, b.batch.Team) {
 		return Page{}, errBatchNotActive
 	}
+	received := time.Now()
 	page := b.results.page(ctx, after, wait)
-	if page.certain(time.Now(), maxOwnershipCheckAge) {
-		return page.Page, nil
+	if !page.certain(time.Now(), maxOwnershipCheckAge) {
+		var err error
+		if page, err = s.confirmedPage(ctx, b, after); err != nil {
+			return Page{}, err
+		}
 	}
-	return s.confirmedPage(ctx, b, after)
+	return page.answer(received), nil
 }
 
 // resultsForPeer is localResults for another host. If this host holds the log of the batch, which has ended, it
