Test appends that outlast a restart, and the lifetime of empty pages

Cause: two ways to an empty position after a read had no test of their own: the append of a host's previous process, and the age of a page. Change: tests only.

--- a/internal/transport/front/logend_test.go
+++ b/internal/transport/front/logend_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// The append of this host's previous process takes effect after the next one has read the log.
+func TestResults_PreviousProcessAppendsAfterRestart(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	w.engines.eventInterval = 100 * time.Millisecond
+	id := submit(t, n, 1, 400)
+	w.kill(n)
+	n = w.startWith(n.Settings)
+	w.waitUntil("the batch is continued", func() bool { return n.Batches.activeByID(id) != nil })
+	w.appendAs(n, id, batch(id, 1, 400).Samples[0])
+	time.Sleep(settleTime)
+	checkFirstPosition(t, n, id)
+}
+
 // Another host has run the batch for a while and handed it back to this one, which had not noticed.
 func TestResults_BatchReturnsToUnawareOwner(t *testing.T) {
 	t.Parallel()
@@ -235,3 +250,38 @@
 		})
 	}
 }
+
+// The owner of a batch that others have run before must not take the ownership for a confirmation that
+// it has all of their entries.
+func TestResultLog_OwnershipConfirmsNothingOfOthers(t *testing.T) {
+	now := time.Now()
+	l := newResultLog(3, []batches.LogEntry{})
+	l.setOwnershipConfirmed(now)
+	if page := l.page(background, 0, 0); page.certain(now, time.Hour) || l.ownedAlone(now) {
+		t.Error("the ownership confirms the end of a log that others have written")
+	}
+	l.setEndConfirmed(now)
+	if page := l.page(background, 0, 0); !page.certain(now, 0) {
+		t.Error("a read of the log does not confirm its end")
+	}
+}
+
+// A page must not be used any longer than its confirmation allows, however old that is when it is sent;
+// results and final pages keep for ever.
+func TestLogPage_Lifetime(t *testing.T) {
+	received := time.Now()
+	for name, c := range map[string]struct {
+		page logPage
+		want int64
+	}{
+		"confirmed before the call": {logPage{asOf: received.Add(-maxOwnershipCheckAge)}, 250},
+		"confirmed at its end":      {logPage{asOf: received.Add(time.Second)}, 1950},
+		"too old":                   {logPage{asOf: received.Add(-time.Minute)}, 1},
+		"final":                     {logPage{final: true}, 0},
+		"with results":              {logPage{Page: Page{Results: make([]batches.Result, 1)}}, 0},
+	} {
+		if got := c.page.answer(received).ValidMs; got != c.want {
+			t.Errorf("%s: valid for %d ms, want %d", name, got, c.want)
+		}
+	}
+}
