--- a/internal/transport/front/logload.go
+++ b/internal/transport/front/logload.go
@@ -108,14 +108,14 @@
 		changed := load.log.changes()
 		page := load.log.page(ctx, after, 0)
 		if _, loaded := load.log.next(); len(page.Results) > 0 && (!filling || page.Next < loaded) {
-			return page, nil
+			return page.Page, nil
 		}
 		select {
 		case <-load.done:
 			page := load.log.page(ctx, after, 0)
 			switch {
 			case len(page.Results) > 0 || load.err == nil:
-				return page, nil
+				return page.Page, nil
 			case errors.Is(load.err, errLoadAbandoned):
 				return Page{}, load.err
 			}
@@ -125,7 +125,7 @@
 			filling = false
 		case <-ctx.Done():
 			if len(page.Results) > 0 {
-				return page, nil
+				return page.Page, nil
 			}
 			return Page{}, codedError(resultcode.StorageOutage, fmt.Sprintf("the log is being loaded: %v", ctx.Err()))
 		}
@@ -147,8 +147,8 @@
 		if err != nil {
 			return err
 		}
-		for _, e := range entries {
-			log.add(e)
+		for number, e := range entries {
+			log.add(number, e)
 		}
 	}
 	for !log.final() {
@@ -163,7 +163,7 @@
 		if err != nil {
 			return err
 		}
-		log.add(e)
+		log.add(n, e)
 	}
 	return nil
 }
--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -190,11 +190,15 @@
 	if !mayAccess(team, b.batch.Team) {
 		return Page{}, errBatchNotActive
 	}
+	received := time.Now()
 	page := b.results.page(ctx, after, wait)
-	if len(page.Results) > 0 || b.results.final() || time.Since(b.results.ownershipConfirmedAt()) < maxOwnershipCheckAge {
-		return page, nil
+	if !page.certain(time.Now(), maxOwnershipCheckAge) {
+		var err error
+		if page, err = s.confirmedPage(ctx, b, after); err != nil {
+			return Page{}, err
+		}
 	}
-	return s.confirmedPage(ctx, b, after)
+	return page.answer(received), nil
 }
 
 // resultsForPeer is localResults for another host. If this host holds the log of the batch, which has ended, it
@@ -299,9 +303,8 @@
 	if l == nil || !mayAccess(team, l.team) {
 		return Page{}, errBatchNotActive
 	}
-	final := l.final()
-	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 || final {
-		return page, nil
+	if page := l.page(context.Background(), after, 0); len(page.Results) > 0 || page.final {
+		return page.Page, nil
 	}
 	return Page{}, errBatchNotActive
 }
