Await the configuration before a batch's limits are set

A host that has just started may take a batch over, or continue its own, before it has read the configuration. It then ran the batch for good with the defaults: samples abandoned 40 s after the acceptance, three failures, several weight versions allowed. A route with a longer time or a single version has them broken.

The batch now waits for the first configuration; reads of its results are answered meanwhile.

TestTakeover_BeforeConfiguration, without the change: all 4 samples abandoned 41 s after the acceptance on a route that allows 10 minutes.

--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -13,11 +13,14 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 const (
 	// attemptCheckInterval is the interval of the check for stalled and slow samples.
 	attemptCheckInterval = 100 * time.Millisecond
+	// configurationCheckInterval is the interval at which a batch checks for the first configuration.
+	configurationCheckInterval = 20 * time.Millisecond
 )
 
 // runnerDeps are the host's services that running batches depends on.
@@ -148,6 +151,7 @@
 // writes continue until base ends. A complete batch then stays in memory; see awaitEnd.
 func (a *activeBatch) runUntilDone(base context.Context) {
 	defer a.cancel()
+	a.awaitConfiguration()
 	opt := a.options()
 	a.abandonAt = opt.AbandonAt
 	a.run = batchrun.New(a.batch, opt, a.results.ids())
@@ -196,6 +200,14 @@
 	}
 }
 
+// awaitConfiguration waits until a configuration is in force or the batch is stopped. A host that has
+// just started would take the defaults for the limits of the batch's route.
+func (a *activeBatch) awaitConfiguration() {
+	for a.ctx.Err() == nil && a.parent.catalog.Config() == nil {
+		clock.Sleep(a.ctx, configurationCheckInterval)
+	}
+}
+
 // awaitEnd keeps the results in memory until the batch is stopped, usually because the trainer
 // has ended it, or until its retention period is over.
 func (a *activeBatch) awaitEnd() {
