Abandon samples by the age of their batch on boot clocks

A sample may be abandoned once its route's time has passed since the batch was submitted. The owner compared its time of day with that of the host that accepted the batch. The deadline that engines were given was the same wall time.

Every host now keeps for each batch the boot time by which it had been accepted: when the host accepted it, received a heartbeat that lists it or read its manifest, whichever is first. The age by that clock never exceeds the true one. The owner stores the age that it knows in the manifest whenever that is written (new owner, handover, end) and with the saved samples, every 5 s also if there is nothing else to save; the next owner or the restarted host goes on from there. The time for which nobody ran the batch may be missing, so samples are abandoned later, never sooner. batchrun takes the age in place of a time.

Stored forms: the manifest has a new field, and the saved samples begin with an entry that has no ID. Builds that do not know these ignore both, and what they write reads as age zero. accepted_unix_ms is still written for them.

batchrun's tests have the same bounds as durations since the submission.

--- a/internal/coordination/batchrun/batchrun.go
+++ b/internal/coordination/batchrun/batchrun.go
@@ -35,8 +35,8 @@
 
 // Options are the rules of a run that are not part of the batch.
 type Options struct {
-	// AbandonAt is the time from which unfinished samples may be abandoned.
-	AbandonAt time.Time
+	// SampleTTL is the age of the batch from which unfinished samples may be abandoned.
+	SampleTTL time.Duration
 	// MaxFailures is the number of failures after which a sample is abandoned,
 	// MaxScoreFailures the number of failures of its scoring request.
 	MaxFailures      int
@@ -442,10 +442,10 @@
 	return true
 }
 
-// Expire abandons all samples that are waiting or being scored if AbandonAt is reached.
-// Running samples may still end.
-func (r *Run) Expire(now time.Time) {
-	if now.Before(r.opt.AbandonAt) {
+// Expire abandons all samples that are waiting or being scored if SampleTTL is reached. age is the
+// time since the batch was submitted, or less. Running samples may still end.
+func (r *Run) Expire(age time.Duration) {
+	if age < r.opt.SampleTTL {
 		return
 	}
 	for i, s := range r.samples {
--- a/internal/coordination/batchrun/batchrun_test.go
+++ b/internal/coordination/batchrun/batchrun_test.go
@@ -94,7 +94,7 @@
 		software, began := s.run.Software(i)
 		return fmt.Sprintf("software %q, began %v, wait %v\n", software, began, s.run.AwaitSoftware(s.now, i, 40*time.Millisecond))
 	case "expire":
-		s.run.Expire(s.now)
+		s.run.Expire(s.now.Sub(testStart))
 		return s.results()
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
@@ -104,7 +104,7 @@
 // batch starts a run. The input has one sample per line: ID, group and expected tokens.
 func (s *traceRunner) batch(t *testing.T, d *datadriven.TestData) string {
 	b := &batches.Batch{ID: "b", MinVersion: 1}
-	opt := Options{AbandonAt: testStart.Add(40 * time.Second), MaxFailures: 3, MaxScoreFailures: 4, Carried: map[string]bool{}}
+	opt := Options{SampleTTL: 40 * time.Second, MaxFailures: 3, MaxScoreFailures: 4, Carried: map[string]bool{}}
 	d.ScanArgs(t, "desired", &b.DesiredGroups)
 	d.MaybeScanArgs(t, "min", &b.MinVersion)
 	var carried string
@@ -170,15 +170,15 @@
 }
 
 // Whatever the sequence of events, no sample may end twice or be abandoned without a failure
-// before AbandonAt.
+// before SampleTTL.
 func TestRun_SamplesEndOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := &batches.Batch{ID: "b", MinVersion: 1, DesiredGroups: 2}
 		for i := range rapid.IntRange(1, 12).Draw(t, "samples") {
 			b.Samples = append(b.Samples, batches.Sample{ID: strconv.Itoa(i), Group: strconv.Itoa(i / 3), Scoring: &batches.Scoring{}})
 		}
-		abandonAt := testStart.Add(30 * time.Second)
-		r := New(b, Options{AbandonAt: abandonAt, MaxFailures: 2, MaxScoreFailures: 2}, nil)
+		const ttl = 30 * time.Second
+		r := New(b, Options{SampleTTL: ttl, MaxFailures: 2, MaxScoreFailures: 2}, nil)
 		now, ended, failures := testStart, map[string]bool{}, map[string]int{}
 		running := map[int]bool{}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -201,14 +201,14 @@
 				}
 				break
 			}
-			r.Expire(now)
+			r.Expire(now.Sub(testStart))
 			for _, res := range r.TakeResults() {
 				if ended[res.ID] {
 					t.Fatalf("sample %s ended twice", res.ID)
 				}
 				ended[res.ID] = true
-				if res.Outcome == batches.Abandoned && failures[res.ID] == 0 && now.Before(abandonAt) {
-					t.Fatalf("sample %s was abandoned without a failure before AbandonAt", res.ID)
+				if res.Outcome == batches.Abandoned && failures[res.ID] == 0 && now.Sub(testStart) < ttl {
+					t.Fatalf("sample %s was abandoned without a failure before SampleTTL", res.ID)
 				}
 			}
 		}
@@ -224,7 +224,7 @@
 	for i := range 600 {
 		batch.Samples = append(batch.Samples, batches.Sample{ID: strconv.Itoa(i), Group: strconv.Itoa(i / 4), ExpectedTokens: i * 7919 % 9000})
 	}
-	r := New(batch, Options{AbandonAt: testStart.Add(time.Hour), MaxFailures: 3}, nil)
+	r := New(batch, Options{SampleTTL: time.Hour, MaxFailures: 3}, nil)
 	for b.Loop() {
 		if _, ok := r.Next(testStart, nil); !ok {
 			b.Fatal("Next found no sample to start")
--- a/internal/state/batches/batches.go
+++ b/internal/state/batches/batches.go
@@ -72,8 +72,12 @@
 	// Total is the number of samples.
 	Total int `json:"total"`
 	// AcceptedUnixMs is the time of acceptance by the accepting host's clock, in Unix
-	// milliseconds.
+	// milliseconds. Clocks differ and step, so it is only logged. Builds that do not know AgeMs
+	// rely on it.
 	AcceptedUnixMs int64 `json:"accepted_unix_ms"`
+	// AgeMs is how long ago, in milliseconds, the batch had been accepted at least when this
+	// manifest was written.
+	AgeMs int64 `json:"age_ms,omitempty"`
 	// Owner is the host that runs the batch. Epoch increases with each change of owner.
 	Owner string `json:"owner"`
 	Epoch uint64 `json:"epoch"`
--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -55,9 +55,10 @@
 	// flushNow signals writeLog to append the pending results immediately, because the
 	// trainer waits for them.
 	flushNow chan struct{}
-	// savedAt is when unfinished samples were last saved. saveMu serializes saves and guards
+	// savedAt is when unfinished samples were last saved, ageSavedAt when the batch's age was. saveMu serializes saves and guards
 	// partialsVersion, the stored version of the saved samples.
 	savedAt         time.Time
+	ageSavedAt      time.Time
 	saveMu          sync.Mutex
 	partialsVersion uint64
 	// unlogged has the completed results that were passed to writeLog, by sample. Those that
@@ -65,8 +66,9 @@
 	unlogged map[string]batches.Result
 	// carried are the known groups carried over from earlier batches.
 	carried map[string]bool
-	// abandonAt is when samples may be abandoned because of their age.
-	abandonAt time.Time
+	// sampleTTL is the age of the batch at which samples may be abandoned, acceptedBy the boot time
+	// by which the batch had been accepted. Only the goroutine of the batch uses them.
+	sampleTTL, acceptedBy time.Duration
 	// resumed is true if another process has already run the batch.
 	resumed bool
 	stopped atomic.Bool
@@ -82,14 +84,16 @@
 	a := &activeBatch{
 		parent: parent, manifest: m, batch: b, results: newResultLog(len(b.Samples), entries),
 		log: parent.log.With("batch", m.ID), attempts: map[int]*attempt{}, unlogged: map[string]batches.Result{}, probes: map[string]*probe{},
-		ends:     make(chan attemptEnd, len(b.Samples)+1),
-		scores:   make(chan scoreResult, len(b.Samples)+1),
-		pending:  make(chan []batches.Result, len(b.Samples)+1),
-		flushNow: make(chan struct{}, 1),
-		savedAt:  time.Now(),
-		resumed:  entries != nil,
-		carried:  carried,
+		ends:       make(chan attemptEnd, len(b.Samples)+1),
+		scores:     make(chan scoreResult, len(b.Samples)+1),
+		pending:    make(chan []batches.Result, len(b.Samples)+1),
+		flushNow:   make(chan struct{}, 1),
+		resumed:    entries != nil,
+		carried:    carried,
+		acceptedBy: m.acceptedBy,
 	}
+	a.savedAt = time.Now()
+	a.ageSavedAt = a.savedAt
 	a.results.team = b.Team
 	a.ctx, a.cancel = context.WithCancel(parent.base)
 	return a
@@ -111,12 +115,12 @@
 // options returns the run's limits: those of the batch's route, else the defaults.
 func (a *activeBatch) options() batchrun.Options {
 	opt := batchrun.Options{
-		AbandonAt: a.manifest.Accepted().Add(defaultSampleTTL), MaxFailures: defaultMaxFailures, MaxScoreFailures: defaultMaxFailures,
+		SampleTTL: defaultSampleTTL, MaxFailures: defaultMaxFailures, MaxScoreFailures: defaultMaxFailures,
 		Carried: a.carried,
 	}
 	if route := a.route(a.batch.Host, a.batch.Path); route != nil {
 		if route.SampleTTL > 0 {
-			opt.AbandonAt = a.manifest.Accepted().Add(route.SampleTTL)
+			opt.SampleTTL = route.SampleTTL
 		}
 		opt.MaxFailures, opt.SingleVersion = route.MaxAttempts, route.SingleVersion
 		opt.MaxScoreFailures = max(opt.MaxScoreFailures, route.MaxAttempts)
@@ -153,7 +157,7 @@
 	defer a.cancel()
 	a.awaitConfiguration()
 	opt := a.options()
-	a.abandonAt = opt.AbandonAt
+	a.sampleTTL = opt.SampleTTL
 	a.run = batchrun.New(a.batch, opt, a.results.ids())
 	a.restore()
 	written := make(chan struct{})
@@ -194,7 +198,7 @@
 	}
 	a.results.close()
 	a.log.Info("Batch finished at this host", "listed", len(a.results.ids()), "total", a.results.total,
-		"age_ms", time.Since(a.manifest.Accepted()).Milliseconds())
+		"age_ms", a.age().Milliseconds())
 	if a.results.full() {
 		a.awaitEnd()
 	}
@@ -213,7 +217,7 @@
 func (a *activeBatch) awaitEnd() {
 	select {
 	case <-a.ctx.Done():
-	case <-time.After(time.Until(a.manifest.Accepted().Add(a.parent.settings.Retention))):
+	case <-time.After(a.parent.settings.Retention - a.age()):
 	}
 }
 
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -102,7 +102,7 @@
 	return backend.GenerateRequest{
 		Request: backend.Request{
 			Endpoint: e, ID: sample.ID, Host: a.batch.Host, Method: http.MethodPost, URI: sample.Path,
-			Header: header, Body: sample.Body, Deadline: a.abandonAt, Team: a.batch.Team,
+			Header: header, Body: sample.Body, Deadline: time.Now().Add(a.sampleTTL - a.age()), Team: a.batch.Team,
 		},
 		ResumeAfter: resumeAfter,
 	}
@@ -201,7 +201,7 @@
 // saves unfinished samples when that is due.
 func (a *activeBatch) checkAttempts() {
 	now := time.Now()
-	a.run.Expire(now)
+	a.run.Expire(a.age())
 	if now.Sub(a.savedAt) > saveInterval {
 		a.savedAt = now
 		a.saveAsync()
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -35,6 +35,8 @@
 	// entryStarts has the first result position of each log entry by batch. Entries are
 	// immutable, so these never change.
 	entryStarts map[string][]int
+	// now returns the boot time.
+	now func() time.Duration
 }
 
 // storedManifest is a manifest with its version in the store. Version zero means that it is
@@ -44,10 +46,12 @@
 	version uint64
 	// cachedAt is when the batch was first cached.
 	cachedAt time.Time
+	// acceptedBy is the boot time of this host by which the batch had been accepted.
+	acceptedBy time.Duration
 }
 
 func newBatchStore(api *objectapi.Client, stale objectapi.API) *batchStore {
-	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}, entryStarts: map[string][]int{}}
+	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}, entryStarts: map[string][]int{}, now: sinceBoot}
 }
 
 // canonicalEncoding encodes equal content to equal bytes, so that digests can be compared.
@@ -250,12 +254,14 @@
 	// Complete says that Partial is the whole output, of which only the score or the write to
 	// the log is missing.
 	Complete bool `json:"complete,omitempty"`
+	// AgeMs is the age of the batch in milliseconds, in an entry that has nothing else.
+	AgeMs int64 `json:"age_ms,omitempty"`
 }
 
-// savePartials replaces a batch's saved partial samples if their stored version is still
+// savePartials replaces a batch's saved partial samples and its age if their stored version is still
 // expect, and returns the new version.
 func (s *batchStore) savePartials(ctx context.Context, id string, samples []savedSample, expect uint64) (uint64, error) {
-	value, err := cbor.Marshal(samples)
+	value, err := cbor.Marshal(withAge(samples, s.age(id)))
 	if err != nil {
 		return 0, batches.Error.Wrap(err)
 	}
@@ -263,7 +269,7 @@
 }
 
 // partials reads a batch's saved partial samples and their version. It returns none and
-// version zero when nothing is saved.
+// version zero when nothing is saved. It also records the saved age of the batch.
 func (s *batchStore) partials(ctx context.Context, id string) ([]savedSample, uint64, error) {
 	o, err := s.api.Get(ctx, batches.PartialsKey(id))
 	if errors.Is(err, objectapi.ErrNotFound) {
@@ -276,6 +282,8 @@
 	if err := decoding.Unmarshal(o.Value, &out); err != nil {
 		return nil, 0, batches.Error.Wrap(err)
 	}
+	out, age := cutAge(out)
+	s.observeAge(id, age)
 	return out, o.Version, nil
 }
 
--- a/internal/transport/front/manifests.go
+++ b/internal/transport/front/manifests.go
@@ -10,19 +10,26 @@
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
-// cacheManifest caches a manifest unless a newer version is cached.
-func (s *batchStore) cacheManifest(m storedManifest) {
+// cacheManifest caches a manifest unless a newer version is cached. It returns the manifest with
+// what this host knows of its age.
+func (s *batchStore) cacheManifest(m storedManifest) storedManifest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	m.cachedAt = time.Now()
+	m.acceptedBy = s.now() - max(0, time.Duration(m.AgeMs)*time.Millisecond)
 	old, ok := s.cache[m.ID]
-	if ok && old.version >= m.version {
-		return
+	if ok && old.sameAcceptance(&m.Manifest) {
+		m.cachedAt, m.acceptedBy = old.cachedAt, min(old.acceptedBy, m.acceptedBy)
+		if old.version >= m.version {
+			old.acceptedBy = m.acceptedBy
+			s.cache[m.ID] = old
+			return m
+		}
 	}
-	m.cachedAt = time.Now()
-	if ok {
-		m.cachedAt = old.cachedAt
+	if !ok || old.version < m.version {
+		s.cache[m.ID] = m
 	}
-	s.cache[m.ID] = m
+	return m
 }
 
 // cached returns the newest manifest that this host has seen.
@@ -65,13 +72,15 @@
 	if err := batches.Decode(o.Value, &m.Manifest); err != nil {
 		return storedManifest{}, err
 	}
-	s.cacheManifest(m)
-	return m, nil
+	return s.cacheManifest(m), nil
 }
 
 // putManifest writes a manifest if its stored version is still expect; zero creates it.
 // It returns objectapi.ErrConflict otherwise.
 func (s *batchStore) putManifest(ctx context.Context, m batches.Manifest, expect uint64) (storedManifest, error) {
+	if expect != 0 {
+		m.AgeMs = max(m.AgeMs, s.age(m.ID).Milliseconds())
+	}
 	value, err := batches.Encode(m)
 	if err != nil {
 		return storedManifest{}, err
@@ -80,9 +89,7 @@
 	if err != nil {
 		return storedManifest{}, err
 	}
-	stored := storedManifest{Manifest: m, version: version}
-	s.cacheManifest(stored)
-	return stored, nil
+	return s.cacheManifest(storedManifest{Manifest: m, version: version}), nil
 }
 
 // staleManifest reads a manifest that may be outdated.
--- a/internal/transport/front/partials.go
+++ b/internal/transport/front/partials.go
@@ -24,13 +24,14 @@
 	minHandoverEvents = 5
 )
 
-// saveAsync saves unfinished samples in the background. It does nothing while an earlier
-// save is in progress.
+// saveAsync saves unfinished samples in the background, or only the age of the batch every
+// ageSaveInterval if there are none. It does nothing while an earlier save is in progress.
 func (a *activeBatch) saveAsync() {
 	samples := a.unfinishedSamples(minSavedEvents)
-	if len(samples) == 0 || !a.saveMu.TryLock() {
+	if len(samples) == 0 && a.savedAt.Sub(a.ageSavedAt) < ageSaveInterval || !a.saveMu.TryLock() {
 		return
 	}
+	a.ageSavedAt = a.savedAt
 	go func() {
 		defer a.saveMu.Unlock()
 		a.save(samples)
@@ -40,6 +41,9 @@
 // saveForHandover saves unfinished samples before the batch is handed over.
 func (a *activeBatch) saveForHandover() {
 	samples := a.unfinishedSamples(minHandoverEvents)
+	if len(samples) == 0 {
+		return // the manifest that names the next owner has the age
+	}
 	a.saveMu.Lock()
 	defer a.saveMu.Unlock()
 	a.save(samples)
@@ -86,9 +90,6 @@
 
 // save replaces the batch's saved samples. The caller holds saveMu.
 func (a *activeBatch) save(samples []savedSample) {
-	if len(samples) == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(a.parent.base, storeWaitTimeout)
 	defer cancel()
 	version, err := a.parent.store.savePartials(ctx, a.manifest.ID, samples, a.partialsVersion)
@@ -119,6 +120,7 @@
 		return
 	}
 	a.partialsVersion = version
+	a.acceptedBy = min(a.acceptedBy, a.parent.store.now()-a.parent.store.age(a.manifest.ID))
 	restored := 0
 	for _, s := range samples {
 		if s.Complete {
--- a/internal/transport/front/takeoverlimits_test.go
+++ b/internal/transport/front/takeoverlimits_test.go
@@ -39,7 +39,7 @@
 	n := w.startWith(w.settings("h1"))
 	b := batch("b1", 2, 3)
 	b.MinVersion = 2 // no engine has this version yet
-	w.storeBatch(n, b, batches.Manifest{AcceptedUnixMs: time.Now().Add(-age).UnixMilli()})
+	w.storeBatch(n, b, batches.Manifest{AcceptedUnixMs: time.Now().Add(-age).UnixMilli(), AgeMs: age.Milliseconds()})
 	n.Batches.tryTakeOver(background, b.ID, "test")
 	time.Sleep(3 * attemptCheckInterval)
 	w.put("conf/main", catalog.Config{Generation: 1, Routes: []catalog.Route{
