Count the time left for a batch's endpoints by its age

The number of endpoints that a batch needs by its objective came from the time of day of the accepting host, against that of the host that runs it. A difference of more than the objective made every sample count as overdue.

The age on boot clocks takes its place.

TestDemand_OfBatchAcceptedByOtherClock (under 0.01 s), without the change: 16 slots instead of 2 for a batch accepted by a clock one hour behind; with it: 2.

--- a/internal/transport/front/scaling.go
+++ b/internal/transport/front/scaling.go
@@ -112,9 +112,7 @@
 		if route.ResultsObjective > 0 {
 			objective = route.ResultsObjective
 		}
-		// The clock of the host that accepted the batch may differ.
-		remaining := min(a.manifest.Accepted().Add(objective).Sub(now), objective)
-		slots := scaling.SlotsInTime(w.lengths, remaining)
+		slots := scaling.SlotsInTime(w.lengths, objective-a.age())
 		for service, share := range targetShares(route) {
 			d := out.services[service]
 			d.Due += int(share*float64(slots) + 0.5)
