Remove ended batches by their age on boot clocks

An ended batch may be removed once its retention has passed since the submission. The host that removes compared its time of day with that of the host that accepted the batch, with a margin of 20 s for clocks that differ. A larger difference, or a step, removed results that callers could still read.

The age that the host knows takes the place of the time of day: it has observed the batch for that long itself, or another host had before it stored the age. It is never more than the true age. After a restart of all hosts the age goes on from the end of the batch, so a removal comes later by up to the retention; if all hosts restart within each retention again and again, nothing is removed meanwhile.

What is cached of a batch is kept while the store lists it, since its age would be lost; before, the host that lists dropped it after the retention.

The tests of the removal age the batch by the same time as before, on the boot clock.

--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -349,13 +349,17 @@
 	delete(s.entryStarts, id)
 }
 
-// forgetOld drops what is cached about batches that were first seen before a time. What is
-// needed again is read again.
-func (s *batchStore) forgetOld(before time.Time) {
+// forgetOld drops what is cached about batches that were first seen before a time and that a listing
+// lacks: the age of the others is still needed. What is needed again is read again.
+func (s *batchStore) forgetOld(before time.Time, listed []storedManifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	keep := make(map[string]bool, len(listed))
+	for _, m := range listed {
+		keep[m.ID] = true
+	}
 	for id, m := range s.cache {
-		if m.cachedAt.Before(before) {
+		if m.cachedAt.Before(before) && !keep[id] {
 			delete(s.cache, id)
 			delete(s.entryStarts, id)
 		}
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -528,7 +528,7 @@
 		t.Fatal(err)
 	}
 	for i := range all {
-		all[i].AcceptedUnixMs -= (n.Settings.Retention + removalClockSkew).Milliseconds()
+		all[i].acceptedBy -= n.Settings.Retention + removalMargin
 	}
 	n.Batches.removeExpired(background, all)
 	if _, err := n.Batches.Results(background, "open", 0, 0); err != nil {
@@ -565,7 +565,7 @@
 			t.Fatal(err)
 		}
 		for i := range all {
-			all[i].AcceptedUnixMs -= (n.Settings.Retention + removalClockSkew).Milliseconds()
+			all[i].acceptedBy -= n.Settings.Retention + removalMargin
 		}
 		return all
 	}
@@ -592,11 +592,15 @@
 func TestBatchStore_ForgetsOldManifests(t *testing.T) {
 	s := newBatchStore(nil, nil)
 	s.cacheManifest(storedManifest{Manifest: batches.Manifest{ID: "b1", Owner: "h2"}})
-	s.forgetOld(time.Now().Add(-time.Minute))
+	s.forgetOld(time.Now().Add(-time.Minute), nil)
 	if _, ok := s.cached("b1"); !ok {
 		t.Error("a new entry was forgotten")
 	}
-	s.forgetOld(time.Now().Add(time.Second))
+	s.forgetOld(time.Now().Add(time.Second), []storedManifest{{Manifest: batches.Manifest{ID: "b1"}}})
+	if _, ok := s.cached("b1"); !ok {
+		t.Error("an entry that the store still has was forgotten")
+	}
+	s.forgetOld(time.Now().Add(time.Second), nil)
 	if _, ok := s.cached("b1"); ok {
 		t.Error("an old entry is still cached")
 	}
--- a/internal/transport/front/otherclocks_test.go
+++ b/internal/transport/front/otherclocks_test.go
@@ -28,6 +28,35 @@
 	w.checkResults(b, w.readAll(n, b.ID))
 }
 
+// The host that removes batches has a time of day ahead of that of the accepting host: an ended batch
+// must stay readable for its retention.
+func TestRemoveExpired_KeepsBatchOfOtherClock(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	if err := n.Batches.Submit(background, batch("b1", 2, 3)); err != nil {
+		t.Fatal(err)
+	}
+	results := w.readAll(n, "b1")
+	if err := n.Batches.End(background, "b1"); err != nil {
+		t.Fatal(err)
+	}
+	all, err := n.Batches.store.listManifests(background)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range all {
+		all[i].AcceptedUnixMs -= clockDifference.Milliseconds()
+	}
+	n.Batches.removeExpired(background, all)
+	page, err := n.Batches.Results(background, "b1", 0, 0)
+	if err != nil || len(page.Results) != len(results) {
+		t.Errorf("reading the ended batch: %d results, %v, want %d", len(page.Results), err, len(results))
+	}
+	if _, err := n.Batches.readManifest(background, "b1"); err != nil {
+		t.Errorf("reading the manifest: %v", err)
+	}
+}
+
 // The accepting host's time of day differs: the endpoints that a batch needs must be counted by the time that
 // is left for it, or too many are ordered, or too few.
 func TestDemand_OfBatchAcceptedByOtherClock(t *testing.T) {
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -17,9 +17,9 @@
 	// relistInterval is the interval at which all manifests are read, to find batches whose
 	// owner died before any peer received a heartbeat that reports them.
 	relistInterval = 8 * time.Second
-	// removalClockSkew is added to the retention before a batch is removed, since the hosts'
-	// clocks differ.
-	removalClockSkew = 20 * time.Second
+	// removalMargin is added to the retention before a batch is removed, for reads that have begun
+	// and for clocks that run fast.
+	removalMargin = 20 * time.Second
 	// manifestListingTask is the task name for the succession order of the hosts that list all
 	// manifests.
 	manifestListingTask = "batches"
@@ -68,7 +68,7 @@
 			if all, err := s.store.listManifests(ctx); err == nil {
 				lastListed = time.Now()
 				s.removeExpired(ctx, all)
-				s.store.forgetOld(time.Now().Add(-s.settings.Retention - removalClockSkew))
+				s.store.forgetOld(time.Now().Add(-s.settings.Retention-removalMargin), all)
 			} else {
 				s.log.Warn("Failed to list batches", "err", err)
 				lastListed = time.Now().Add(relistRetryDelay - relistInterval)
@@ -88,18 +88,18 @@
 	}
 }
 
-// removeExpired deletes ended batches whose retention period is over. Only the host that
-// lists the manifests does so.
+// removeExpired deletes ended batches whose retention period is over by what this host knows of their
+// age. Only the host that lists the manifests does so.
 func (s *Batches) removeExpired(ctx context.Context, all []storedManifest) {
 	for _, m := range all {
-		if !m.Removed && (!m.Ended || time.Since(m.Accepted()) < s.settings.Retention+removalClockSkew) || !s.listsManifests() {
+		if !m.Removed && (!m.Ended || s.store.ageOf(m) < s.settings.Retention+removalMargin) || !s.listsManifests() {
 			continue
 		}
 		if err := s.store.remove(ctx, m); err != nil {
 			s.log.Warn("Failed to remove expired batch completely", "batch", m.ID, "err", err)
 			continue
 		}
-		s.log.Info("Removed expired batch", "batch", m.ID, "accepted", m.Accepted())
+		s.log.Info("Removed expired batch", "batch", m.ID, "accepted", m.Accepted(), "age_ms", s.store.ageOf(m).Milliseconds())
 	}
 }
 
