Measure the silence of streams and calls on the monotonic clock

The time of the last event of a sample's stream, and of the last progress of a call, was kept as a Unix time. A step of the wall clock by more than the stall limit made every running sample count as stalled: all attempts were cancelled and all their endpoints ejected at once. A step back delayed the detection of real stalls by its length, and hid the result of a probe that was sent after it. A suspension of the machine counted as silence of the endpoints too.

Both are kept as a duration on the monotonic clock since the start of the process.

--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -43,8 +43,8 @@
 	endpoint catalog.Endpoint
 	began    time.Time
 	events   atomic.Int64
-	// lastEvent is the Unix time of the last event in nanoseconds.
-	lastEvent atomic.Int64
+	// lastEvent is when the last event was received.
+	lastEvent instant
 	// longestGapMs is the longest time between two events in milliseconds.
 	longestGapMs atomic.Int64
 	cancel       context.CancelFunc
@@ -74,7 +74,7 @@
 func (a *activeBatch) startAttempt(i int, e catalog.Endpoint, route *catalog.Route, partial batchrun.Partial) {
 	ctx, cancel := context.WithCancel(a.ctx)
 	at := &attempt{endpoint: e, began: time.Now(), cancel: cancel, partial: partial}
-	at.lastEvent.Store(at.began.UnixNano())
+	at.lastEvent.set(at.began)
 	at.reading = a.parent.runner.fleet.BeginReading(e, a.samplePrompt(a.run.Sample(i), partial.Events))
 	a.attempts[i] = at
 	a.run.Started(i, e.ID)
@@ -124,7 +124,7 @@
 		at.mu.Unlock()
 		now := time.Now()
 		at.events.Add(1)
-		at.lastEvent.Store(now.UnixNano())
+		at.lastEvent.set(now)
 		received++
 		if gap := now.Sub(last).Milliseconds(); received > 1 && gap > at.longestGapMs.Load() {
 			at.longestGapMs.Store(gap)
@@ -232,7 +232,7 @@
 
 // silence returns the time since the last event.
 func (at *attempt) silence(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, at.lastEvent.Load()))
+	return now.Sub(at.lastEvent.time())
 }
 
 // stallTimeouts returns how long an attempt's stream may be silent; see batchrun.StallTimeouts.
@@ -255,7 +255,7 @@
 // one probe for each period of silence.
 func (a *activeBatch) unreachable(now time.Time, at *attempt) bool {
 	p := a.probes[at.endpoint.ID]
-	if p != nil && p.began.UnixNano() > at.lastEvent.Load() {
+	if p != nil && p.began.After(at.lastEvent.time()) {
 		return p.failed.Load()
 	}
 	p = &probe{began: now}
--- a/internal/transport/front/directcall.go
+++ b/internal/transport/front/directcall.go
@@ -16,9 +16,9 @@
 	began  time.Time
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// progressAt is the Unix time of the last progress, maxSilence how long the call may be without
-	// progress while the host is cut off; zero is unlimited. Both are in nanoseconds.
-	progressAt atomic.Int64
+	// progressAt is the time of the last progress, maxSilence how long the call may be without
+	// progress while the host is cut off, in nanoseconds; zero is unlimited.
+	progressAt instant
 	maxSilence atomic.Int64
 	// unwatch keeps the call from being cancelled when the host becomes cut off; path.mu guards it.
 	unwatch func() bool
@@ -34,7 +34,7 @@
 		return nil, false
 	}
 	c = &directCall{path: p, began: time.Now(), unwatch: func() bool { return true }}
-	c.progressAt.Store(c.began.UnixNano())
+	c.progressAt.set(c.began)
 	c.maxSilence.Store(int64(maxSilence))
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if maxSilence > 0 {
@@ -52,7 +52,7 @@
 // its links again before.
 func (c *directCall) cancelWhenSilent() {
 	for c.ctx.Err() == nil {
-		left := time.Duration(c.maxSilence.Load()) - time.Since(time.Unix(0, c.progressAt.Load()))
+		left := c.silenceLeft(time.Now())
 		if left <= 0 {
 			c.cancel(errLinksLost)
 			return
@@ -70,10 +70,15 @@
 	}
 }
 
+// silenceLeft returns how much longer the call may be without progress.
+func (c *directCall) silenceLeft(now time.Time) time.Duration {
+	return time.Duration(c.maxSilence.Load()) - now.Sub(c.progressAt.time())
+}
+
 // progress records an answer or an event of the call.
 func (c *directCall) progress() {
 	now := time.Now()
-	c.progressAt.Store(now.UnixNano())
+	c.progressAt.set(now)
 	c.path.mu.Lock()
 	c.path.monitor.Progress(now)
 	c.path.mu.Unlock()
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -242,10 +242,10 @@
 	a := &activeBatch{parent: n.Batches, probes: map[string]*probe{}, ctx: background, log: slog.New(slog.DiscardHandler)}
 	at := &attempt{endpoint: catalog.Endpoint{ID: "e0"}}
 	now := time.Now()
-	at.lastEvent.Store(now.Add(-probeDelay).UnixNano())
+	at.lastEvent.set(now.Add(-probeDelay))
 	w.engines.makeSilent("e0")
 	w.waitUntil("the endpoint is found unreachable", func() bool { return a.unreachable(now, at) })
-	at.lastEvent.Store(now.Add(time.Second).UnixNano()) // a later event ends the silence
+	at.lastEvent.set(now.Add(time.Second)) // a later event ends the silence
 	if a.unreachable(now.Add(2*time.Second), at) {
 		t.Error("the probe result of an earlier silence is used for a new one")
 	}
