Let a restarted host learn that its peers take it for an older process

The incarnation of a host is the wall time at the start of its process, and peers ignore heartbeats of a lower incarnation than the last. If the wall clock steps back by seconds before a process restarts within that time, its heartbeats are ignored until the peers forget the record, two minutes after its last heartbeat: the host takes requests, but its peers do not list it, take its batches over and leave out its loads.

A host that ignores a heartbeat for that reason now replies with the record that it has. The restarted host takes a higher incarnation than that, and also than one in a roster that it fetches.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -53,7 +53,8 @@
 type Member struct {
 	Host string `cbor:"1,keyasint"`
 	Zone string `cbor:"2,keyasint"`
-	// Incarnation is higher for every start of the host's process. Revision is higher for
+	// Incarnation is higher for every start of the host's process: the wall time, or more if another
+	// host has a record of a higher one. Revision is higher for
 	// every change of the other fields within an incarnation.
 	Incarnation int64  `cbor:"3,keyasint"`
 	Revision    uint64 `cbor:"23,keyasint,omitempty"`
@@ -168,7 +169,8 @@
 	// Relayed lists the hosts from which the sender, a hub, receives heartbeats.
 	Relayed []RelayedHost `cbor:"30,keyasint,omitempty"`
 	// Changed lists the records that changed within changeRetention: in a heartbeat between
-	// hubs those of the sender's hosts, in a summary those of all hosts. Left lists the keys
+	// hubs those of the sender's hosts, in a summary those of all hosts. In a direct heartbeat it has
+	// the receiver's own record if that is of a higher incarnation than the receiver's. Left lists the keys
 	// of hosts that are no longer alive; it is set in summaries only.
 	Changed []Member `cbor:"31,keyasint,omitempty"`
 	Left    []uint64 `cbor:"32,keyasint,omitempty"`
--- a/internal/coordination/presence/presence_test.go
+++ b/internal/coordination/presence/presence_test.go
@@ -45,6 +45,42 @@
 	}
 }
 
+// The wall clock steps back before a host restarts, so that its new process has a lower incarnation. It must
+// learn of that from the hosts that ignore it, or from their roster, or it stays lost for silentRetention.
+func TestReceive_RestartAfterClockStepBack(t *testing.T) {
+	for name, inform := range map[string]func(peer, restarted *Table){
+		"by a reply": func(peer, restarted *Table) {
+			ignored := Heartbeat{Member: restarted.Self(), Sequence: 1}
+			if accepted, _ := peer.Receive(testStart, ignored); accepted {
+				t.Fatal("a heartbeat of a lower incarnation was accepted")
+			}
+			m, ok := peer.Superseding(ignored)
+			if !ok {
+				t.Fatal("no record supersedes the ignored heartbeat")
+			}
+			reply := heartbeat("h1", 1, 1)
+			reply.Changed = []Member{m}
+			restarted.Receive(testStart, reply)
+		},
+		"by the roster": func(peer, restarted *Table) { restarted.MergeRoster(testStart, "h1", peer.Roster(testStart)) },
+	} {
+		peer := NewTable(Member{Host: "h1", Incarnation: 1}, FullMeshHosts)
+		peer.Receive(testStart, heartbeat("h2", 1000, 7))
+		restarted := NewTable(Member{Host: "h2"}, FullMeshHosts)
+		self := heartbeat("h2", 900, 0).Member
+		restarted.SetSelf(self)
+		inform(peer, restarted)
+		restarted.SetSelf(self) // as for every heartbeat
+		next := Heartbeat{Member: restarted.Self(), Sequence: 2}
+		if accepted, appeared := peer.Receive(testStart, next); !accepted || !appeared {
+			t.Errorf("%s: the heartbeat of incarnation %d is ignored", name, next.Incarnation)
+		}
+		if _, ok := peer.Superseding(next); ok {
+			t.Errorf("%s: the new incarnation is superseded", name)
+		}
+	}
+}
+
 // A silent host must receive heartbeats until silentRetention has passed, so that the sides of
 // a network partition find each other.
 func TestSends_SilentHostRetention(t *testing.T) {
--- a/internal/coordination/presence/relay.go
+++ b/internal/coordination/presence/relay.go
@@ -237,6 +237,7 @@
 		}
 	}
 	for _, e := range roster {
+		t.supersede(e.Member)
 		if e.Member.Host == "" || e.Member.Host == t.self.Host {
 			continue
 		}
--- a/internal/coordination/presence/table.go
+++ b/internal/coordination/presence/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -79,9 +80,10 @@
 }
 
 // SetSelf updates the record of this host. The caller sets all fields but Revision, which
-// increases if another field changed, and Protocol.
+// increases if another field changed, and Protocol. The incarnation never decreases.
 func (t *Table) SetSelf(m Member) {
 	m.Revision, m.Protocol = t.self.Revision, protocolHubs
+	m.Incarnation = max(m.Incarnation, t.self.Incarnation)
 	if m != t.self {
 		m.Revision++
 		t.self, t.changed = m, true
@@ -91,12 +93,33 @@
 // Self returns the record of this host.
 func (t *Table) Self() Member { return t.self }
 
+// supersede gives this host a higher incarnation if the record m that another host has of it is of a
+// higher one: the wall clock was ahead when the previous process started, and the others ignore this one.
+func (t *Table) supersede(m Member) {
+	if m.Host == t.self.Host && m.Incarnation > t.self.Incarnation && m.Incarnation < math.MaxInt64 {
+		t.self.Incarnation, t.changed = m.Incarnation+1, true
+	}
+}
+
+// Superseding returns the record that makes this host ignore a heartbeat because it is of a higher
+// incarnation. The sender must learn of it, unless it is a former process.
+func (t *Table) Superseding(h Heartbeat) (m Member, ok bool) {
+	p, ok := t.peers[h.Host]
+	if !ok || h.Incarnation >= p.Incarnation {
+		return Member{}, false
+	}
+	return p.Member, true
+}
+
 // Receive processes a heartbeat. accepted is false for heartbeats of this host and for stale
 // ones. appeared is true if the host was unknown, silent, or of another incarnation before.
 func (t *Table) Receive(now time.Time, h Heartbeat) (accepted, appeared bool) {
 	if h.Host == "" || h.Host == t.self.Host {
 		return false, false
 	}
+	for _, m := range h.Changed {
+		t.supersede(m)
+	}
 	p, known := t.peers[h.Host]
 	if known && (h.Incarnation < p.Incarnation || h.Incarnation == p.Incarnation && h.Sequence <= p.sequence) {
 		return false, false
--- a/internal/transport/front/clockstep_test.go
+++ b/internal/transport/front/clockstep_test.go
@@ -5,6 +5,7 @@
 	"time"
 	"unsafe"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -57,3 +58,25 @@
 		t.Error("the endpoint is not found unreachable")
 	}
 }
+
+// The wall clock of a host steps back before its process restarts: its peers must not ignore the new process as
+// an older one. It would be lost to them for minutes, while it takes requests.
+func TestPeers_RestartAfterClockStepBack(t *testing.T) {
+	w := newTestCluster(t)
+	hosts := w.start("h1", "h2")
+	peer, restarting := hosts[0], hosts[1]
+	ahead := restarting.membership.heartbeat()
+	w.kill(restarting)
+	ahead.Incarnation += int64(time.Minute) // of a process that started before the step
+	peer.peers.mu.Lock()
+	accepted, _ := peer.peers.table.Receive(time.Now(), presence.Heartbeat{Member: ahead.Member, Sequence: 1})
+	peer.peers.mu.Unlock()
+	if !accepted {
+		t.Fatal("the heartbeat of the former process was ignored")
+	}
+	w.startWith(restarting.Settings)
+	w.waitUntil("the peer has the record of the new process", func() bool {
+		m, alive := peer.peers.Get("h2")
+		return alive && m.Incarnation > ahead.Incarnation
+	})
+}
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -377,9 +377,21 @@
 	m.peers.mu.Lock()
 	table := m.peers.table
 	before, _ := table.Get(now, h.Host)
+	incarnation := table.Self().Incarnation
 	accepted, appeared := table.Receive(now, h)
+	superseding, superseded := table.Superseding(h)
+	raised := table.Self().Incarnation
 	hub, primary := table.IsHub(), table.IsPrimaryHub(h.Host)
 	m.peers.mu.Unlock()
+	if raised != incarnation {
+		m.log.Warn("Own incarnation raised above that of a record of this host", "from", incarnation, "to", raised, "host", h.Host)
+		m.Announce()
+	}
+	if superseded {
+		own := m.direct(now, m.heartbeat())
+		own.Changed = []presence.Member{superseding}
+		m.sendTo([]string{h.PeerAddress}, own)
+	}
 	if !accepted {
 		return
 	}
