Tell a host's former process by the order of its messages

The collector of usage took the process of a host with the lower incarnation, a wall time, for the former one. After a step back of the wall clock and a restart that was the new process: it counted as dead until its next message whenever another host appeared, with an estimate of lost requests on top, and windows waited for the former one up to the latest time, since its host is alive.

The process whose first message came later is the newer one; of those known from a saved state only, the one that was heard later.

--- a/internal/coordination/usage/collector.go
+++ b/internal/coordination/usage/collector.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -62,6 +63,8 @@
 	// known, zero if it sent the message to this host.
 	heard   time.Duration
 	savedAt time.Duration
+	// order is higher for a source whose first message to this host came later, zero if none did.
+	order int
 	// dead is set once it is no longer alive. lost is the estimated time after its last message for
 	// which it counted before it died, zero if it had ceased to count before.
 	dead bool
@@ -81,6 +84,8 @@
 	decided int64
 	reports map[int64]map[Source]Report
 	sources map[Source]*sourceState
+	// order is that of the last source that sent its first message.
+	order int
 }
 
 // NewCollector returns a collector for windows whose reports are due at the given time after their
@@ -102,26 +107,36 @@
 func (c *Collector) Heard(source Source, now time.Duration) {
 	s := c.sources[source]
 	if s == nil {
-		s = &sourceState{}
+		c.order++
+		s = &sourceState{heard: now, order: c.order}
 		c.sources[source] = s
 		c.endFormer(now)
 	}
 	s.heard, s.savedAt, s.dead, s.lost = now, 0, false, 0
 }
 
-// endFormer records that the former processes of hosts are dead of which a newer one is known.
+// endFormer records that the former processes of hosts are dead of which a newer one is known. Their
+// incarnations do not tell which one is newer, since the wall clock of a host may step back.
 func (c *Collector) endFormer(now time.Duration) {
-	newest := map[string]int64{}
-	for source := range c.sources {
-		newest[source.Host] = max(newest[source.Host], source.Incarnation)
+	newest := map[string]*sourceState{}
+	for source, s := range c.sources {
+		if n := newest[source.Host]; n == nil || s.newer(n) {
+			newest[source.Host] = s
+		}
 	}
 	for source, s := range c.sources {
-		if source.Incarnation < newest[source.Host] && !s.dead {
+		if newest[source.Host].newer(s) && !s.dead {
 			s.died(now, -1)
 		}
 	}
 }
 
+// newer reports whether the source is of a newer process of the same host than o. A message to this host is
+// newer than a saved state.
+func (s *sourceState) newer(o *sourceState) bool {
+	return cmp.Or(cmp.Compare(s.order, o.order), cmp.Compare(s.heard, o.heard)) > 0
+}
+
 // died records that the source is dead, after a silence of its host until Unix time now, and estimates
 // what it lost. Messages of a source that is known from a saved state may have reached the former
 // holder after the save. If the silence is unknown, an average is used: half the time between two
--- a/internal/coordination/usage/usage_test.go
+++ b/internal/coordination/usage/usage_test.go
@@ -177,6 +177,31 @@
 	}
 }
 
+// The wall clock of a host steps back before its process restarts, so that the new one has a lower incarnation. The
+// window must not wait for the former process, nor the new one be taken for dead.
+func TestCollector_RestartAfterClockStepBack(t *testing.T) {
+	end := testWindows.End(10)
+	former, restarted := Source{"n1", 9}, Source{"n1", 5}
+	for name, learn := range map[string]func(c *Collector){
+		"heard": func(c *Collector) { c.Heard(former, end-300*time.Millisecond) },
+		"saved": func(c *Collector) {
+			c.Restore(State{Unix: int64(end), Heard: []LastMessage{{former, int64(end - 300*time.Millisecond)}}})
+		},
+	} {
+		c := NewCollector(testWindows, due)
+		c.SetDecided(9)
+		learn(c)
+		c.Heard(restarted, end+500*time.Millisecond)
+		c.Heard(Source{"n2", 1}, end+600*time.Millisecond)
+		if !c.sources[former].dead || c.sources[restarted].dead {
+			t.Errorf("%s: former process dead %v, restarted one %v", name, c.sources[former].dead, c.sources[restarted].dead)
+		}
+		if _, ok := c.Due(end+2500*time.Millisecond, everyHost); !ok {
+			t.Errorf("%s: the window waits for the former process", name)
+		}
+	}
+}
+
 // Half of the hosts are killed at the same moment. What they counted since their last messages is lost;
 // the report must still be within the operator's tolerance of 0.05, whatever that moment is.
 func TestCollector_HalfOfTheHostsKilled(t *testing.T) {
