Plan the polls of endpoints on the monotonic clock

The time of the first poll of an endpoint was truncated to the poll interval, which drops its monotonic reading; those of all later polls follow from it. After a step back of the wall clock the control program polled no endpoint until the clock had caught up, and after a step forward all at once.

The truncated time only sets the phase now.

--- a/internal/transport/observe/assignments.go
+++ b/internal/transport/observe/assignments.go
@@ -94,7 +94,8 @@
 func firstPoll(now time.Time, a assignment) time.Time {
 	phase := time.Duration(xxhash.Sum64String(string(a.endpoint)) % uint64(pollInterval))
 	phase += time.Duration(a.rank) * pollInterval / pollersPerEndpoint
-	at := now.Truncate(pollInterval).Add(phase % pollInterval)
+	// The time that Truncate returns steps with the wall clock, so it only sets the phase.
+	at := now.Add(now.Truncate(pollInterval).Sub(now) + phase%pollInterval)
 	if at.Before(now) {
 		at = at.Add(pollInterval)
 	}
--- a/internal/transport/observe/observe_test.go
+++ b/internal/transport/observe/observe_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,6 +123,21 @@
 	}
 }
 
+// The wall clock steps back after the first poll of an endpoint was planned: the endpoint must not go without polls
+// until it has caught up.
+func TestFirstPoll_DoesNotStepWithWallClock(t *testing.T) {
+	now := time.Now()
+	for rank := range pollersPerEndpoint {
+		at := firstPoll(now, assignment{endpoint: "e", rank: rank})
+		if wait := at.Sub(now); wait < 0 || wait >= pollInterval {
+			t.Errorf("rank %d: first poll after %v", rank, wait)
+		}
+		if !strings.Contains(at.String(), " m=") {
+			t.Errorf("rank %d: the time of the first poll has no monotonic reading: %v", rank, at)
+		}
+	}
+}
+
 // The second poller must not repeat loads that the first one reports, else every load would
 // be gossiped twice. It must report them once the first poller stops.
 func TestLoadFilter_SecondPollerDefersToFirst(t *testing.T) {
