Report loads above every version that is known

The version of a load item was the wall time of the poller in seconds, and items of a version that is not higher are ignored. With two pollers whose clocks differ only the one ahead was listened to; when it stopped, or a clock stepped back, the loads, software versions and unreachability that the other reported were ignored by all hosts until its clock had caught up.

The version now exceeds that of every item for the endpoint that the poller has sent or received.

--- a/internal/transport/observe/loadfilter.go
+++ b/internal/transport/observe/loadfilter.go
@@ -31,10 +31,13 @@
 	rank      int
 	last      items.LoadFact
 	updatedAt time.Time
+	// version is the highest version of an item for the endpoint that this host has sent or received.
+	version uint64
 }
 
 // receive records a load reported by another poller if it is newer than the last one.
 func (f *loadFilter) receive(now time.Time, known items.Item) {
+	f.version = max(f.version, known.Version)
 	at := now.Add(-time.Duration(known.AgeMillis) * time.Millisecond)
 	if at.After(f.updatedAt) && known.Load != nil {
 		f.last, f.updatedAt = *known.Load, at
@@ -55,10 +58,12 @@
 		return nil
 	}
 	f.last, f.updatedAt = fact, now
+	// An item with a version that is not higher is ignored. The wall clocks of the pollers differ and step.
+	f.version = max(f.version+1, uint64(max(now.Unix(), 0)))
 	return []items.Item{{
 		Kind:      items.Load,
 		Key:       string(id),
-		Version:   uint64(now.Unix()),
+		Version:   f.version,
 		AgeMillis: age.Milliseconds(),
 		Load:      &fact,
 	}}
--- a/internal/transport/observe/observe_test.go
+++ b/internal/transport/observe/observe_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// The wall clock of the other poller is ahead, or that of this one steps back: what this one reports must replace
+// the former report, or all hosts ignore it until the clock has caught up.
+func TestLoadFilter_ReplacesReportOfClockAhead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := &loadFilter{}
+	known := items.Item{Kind: items.Load, Key: "e", Version: 1060, Load: &items.LoadFact{Version: 1, Incarnation: 1}}
+	f.receive(now, known)
+	last := known.Version
+	for version, step := range []time.Duration{0, 0, -30 * time.Second} {
+		now = now.Add(step)
+		list := f.report(now, "e", items.LoadFact{Version: model.WeightVersion(version + 2), Incarnation: 1}, 0)
+		if len(list) != 1 || list[0].Version <= last {
+			t.Fatalf("report %d: %+v, want a version above %d", version, list, last)
+		}
+		last = list[0].Version
+	}
+}
+
 // The second poller must not repeat loads that the first one reports, else every load would
 // be gossiped twice. It must report them once the first poller stops.
 func TestLoadFilter_SecondPollerDefersToFirst(t *testing.T) {
