Take a shard again from a former process with a higher incarnation

A process takes over the shards that a former process of its host owned: those whose record has no higher incarnation, a wall time. If the wall clock stepped back before the restart, the record counted as that of a newer process. No other host takes the shard either while this one is alive and answers, so the shard had no owner.

A record that was in effect when the process first read it is from before its start, whatever the incarnation. Records that appear later are still left to the process that wrote them.

--- a/internal/coordination/shards/plan.go
+++ b/internal/coordination/shards/plan.go
@@ -56,7 +56,9 @@
 		return true
 	}
 	if r.Host == t.self.Host {
-		return r.Incarnation <= t.self.Incarnation
+		// A record from before this process started is that of a former one, also if the wall clock
+		// stepped back in between and made its incarnation the higher one.
+		return r.Incarnation <= t.self.Incarnation || s.epochSince.IsZero()
 	}
 	return t.ownerUnreachable(now, s) || t.ownerLost(now, s)
 }
--- a/internal/coordination/shards/table_test.go
+++ b/internal/coordination/shards/table_test.go
@@ -96,6 +96,31 @@
 	}
 }
 
+// The wall clock of a host steps back before its process restarts: the record of the former process has a higher
+// incarnation, and the shard would stay without an owner while the host is alive. A record that a newer process of the
+// host wrote later must still be left to it.
+func TestPlan_RestartAfterClockStepBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		before bool
+		want   int
+	}{"former process": {true, 1}, "newer process": {false, 0}} {
+		s, table := newStore(), NewTable(Record{Host: "h0", Incarnation: 5, Address: "h0"}, DefaultTiming)
+		table.SetFleet(start, ids(1), hosts(1))
+		other := Acquisition{ID: "claims/0", Record: Record{Host: "h0", Incarnation: 9, Address: "h0", Epoch: 2}}
+		if !c.before {
+			released := Acquisition{ID: "claims/0", Record: Record{Host: "h0", Incarnation: 4, Address: "h0", Epoch: 1}}
+			other.Expect, _ = s.put(released)
+			table.SetRecord(start, "claims/0", released.Record, other.Expect)
+		}
+		if _, ok := s.put(other); !ok {
+			t.Fatal("cannot write the record")
+		}
+		if acquired := run(s, []*Table{table}, start, 5*time.Second); acquired != c.want {
+			t.Errorf("record of a %s: %d acquisitions, want %d", name, acquired, c.want)
+		}
+	}
+}
+
 // When half of the hosts die at the same time, the remaining hosts acquire each of their
 // shards once.
 func TestPlan_ShardsOfDeadHosts(t *testing.T) {
