Number demands above the last one that was sent

The version of a demand item was the wall time in seconds. After a step back of the wall clock all hosts ignored the demands of the host until its clock had caught up.

The version now exceeds that of the last demand that the process sent for the program. After a restart the wall time decides again.

TestDemandFilter_ReplacesAfterClockStepBack (under 0.01 s), without the change: the second report has a lower version than the first; with it each has a higher one.

--- a/internal/transport/control/demands.go
+++ b/internal/transport/control/demands.go
@@ -27,8 +27,9 @@
 }
 
 type sentDemands struct {
-	sentAt time.Time
-	facts  []items.DemandFact
+	sentAt  time.Time
+	version uint64
+	facts   []items.DemandFact
 }
 
 // takeDueItems returns the demand item to gossip for a report, or nil if none is due, and
@@ -45,8 +46,10 @@
 	if elapsed < minDemandInterval || elapsed < maxDemandInterval && similarDemands(facts, old.facts) {
 		return nil
 	}
-	d.last[r.Program] = sentDemands{now, facts}
-	return []items.Item{{Kind: items.Demand, Key: string(r.Host) + "/" + r.Program, Version: uint64(now.Unix()), Demand: facts}}
+	// The wall clock may step back, and an item with a version that is not higher is ignored.
+	version := max(old.version+1, uint64(max(now.Unix(), 0)))
+	d.last[r.Program] = sentDemands{now, version, facts}
+	return []items.Item{{Kind: items.Demand, Key: string(r.Host) + "/" + r.Program, Version: version, Demand: facts}}
 }
 
 // largestDemands returns the items.MaxDemandsPerHost largest demands, largest first.
--- a/internal/transport/control/view_test.go
+++ b/internal/transport/control/view_test.go
@@ -118,6 +118,24 @@
 	}
 }
 
+// The wall clock steps back: the demand sent after that must replace the one before, or all hosts ignore it until the
+// clock has caught up.
+func TestDemandFilter_ReplacesAfterClockStepBack(t *testing.T) {
+	d := demandFilter{last: map[string]sentDemands{}}
+	sentAt, last := time.Now().Add(-time.Hour), uint64(0)
+	for i := range 3 {
+		now := time.Now().Round(0).Add(-time.Duration(i) * time.Minute) // each is earlier by the wall clock
+		list := d.takeDueItems(now, wire.Report{Host: "h1", Program: "entry", Demands: []model.CallerDemand{{Caller: "shop", PerSecond: 3}}})
+		if len(list) != 1 || list[0].Version <= last {
+			t.Fatalf("report %d: %+v, want a version above %d", i, list, last)
+		}
+		last = list[0].Version
+		sent := d.last["entry"]
+		sent.sentAt = sentAt // long ago by the monotonic clock
+		d.last["entry"] = sent
+	}
+}
+
 // Demands are sent when they change by more than a quarter, but not before
 // minDemandInterval, and again after maxDemandInterval.
 func TestDemandFilter_SendsChangedOrOld(t *testing.T) {
