--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -13,11 +13,14 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 const (
 	// attemptCheckInterval is the interval of the check for stalled and slow samples.
 	attemptCheckInterval = 100 * time.Millisecond
+	// configurationCheckInterval is the interval at which a batch checks for the first configuration.
+	configurationCheckInterval = 20 * time.Millisecond
 )
 
 // runnerDeps are the host's services that running batches depends on.
@@ -52,9 +55,10 @@
 	// flushNow signals writeLog to append the pending results immediately, because the
 	// trainer waits for them.
 	flushNow chan struct{}
-	// savedAt is when unfinished samples were last saved. saveMu serializes saves and guards
+	// savedAt is when unfinished samples were last saved, ageSavedAt when the batch's age was. saveMu serializes saves and guards
 	// partialsVersion, the stored version of the saved samples.
 	savedAt         time.Time
+	ageSavedAt      time.Time
 	saveMu          sync.Mutex
 	partialsVersion uint64
 	// unlogged has the completed results that were passed to writeLog, by sample. Those that
@@ -62,8 +66,9 @@
 	unlogged map[string]batches.Result
 	// carried are the known groups carried over from earlier batches.
 	carried map[string]bool
-	// abandonAt is when samples may be abandoned because of their age.
-	abandonAt time.Time
+	// sampleTTL is the age of the batch at which samples may be abandoned, acceptedBy the boot time
+	// by which the batch had been accepted. Only the goroutine of the batch uses them.
+	sampleTTL, acceptedBy time.Duration
 	// resumed is true if another process has already run the batch.
 	resumed bool
 	stopped atomic.Bool
@@ -79,14 +84,16 @@
 	a := &activeBatch{
 		parent: parent, manifest: m, batch: b, results: newResultLog(len(b.Samples), entries),
 		log: parent.log.With("batch", m.ID), attempts: map[int]*attempt{}, unlogged: map[string]batches.Result{}, probes: map[string]*probe{},
-		ends:     make(chan attemptEnd, len(b.Samples)+1),
-		scores:   make(chan scoreResult, len(b.Samples)+1),
-		pending:  make(chan []batches.Result, len(b.Samples)+1),
-		flushNow: make(chan struct{}, 1),
-		savedAt:  time.Now(),
-		resumed:  entries != nil,
-		carried:  carried,
+		ends:       make(chan attemptEnd, len(b.Samples)+1),
+		scores:     make(chan scoreResult, len(b.Samples)+1),
+		pending:    make(chan []batches.Result, len(b.Samples)+1),
+		flushNow:   make(chan struct{}, 1),
+		resumed:    entries != nil,
+		carried:    carried,
+		acceptedBy: m.acceptedBy,
 	}
+	a.savedAt = time.Now()
+	a.ageSavedAt = a.savedAt
 	a.results.team = b.Team
 	a.ctx, a.cancel = context.WithCancel(parent.base)
 	return a
@@ -108,12 +115,12 @@
 // options returns the run's limits: those of the batch's route, else the defaults.
 func (a *activeBatch) options() batchrun.Options {
 	opt := batchrun.Options{
-		AbandonAt: a.manifest.Accepted().Add(defaultSampleTTL), MaxFailures: defaultMaxFailures, MaxScoreFailures: defaultMaxFailures,
+		SampleTTL: defaultSampleTTL, MaxFailures: defaultMaxFailures, MaxScoreFailures: defaultMaxFailures,
 		Carried: a.carried,
 	}
 	if route := a.route(a.batch.Host, a.batch.Path); route != nil {
 		if route.SampleTTL > 0 {
-			opt.AbandonAt = a.manifest.Accepted().Add(route.SampleTTL)
+			opt.SampleTTL = route.SampleTTL
 		}
 		opt.MaxFailures, opt.SingleVersion = route.MaxAttempts, route.SingleVersion
 		opt.MaxScoreFailures = max(opt.MaxScoreFailures, route.MaxAttempts)
@@ -148,8 +155,9 @@
 // writes continue until base ends. A complete batch then stays in memory; see awaitEnd.
 func (a *activeBatch) runUntilDone(base context.Context) {
 	defer a.cancel()
+	a.awaitConfiguration()
 	opt := a.options()
-	a.abandonAt = opt.AbandonAt
+	a.sampleTTL = opt.SampleTTL
 	a.run = batchrun.New(a.batch, opt, a.results.ids())
 	a.restore()
 	written := make(chan struct{})
@@ -190,18 +198,26 @@
 	}
 	a.results.close()
 	a.log.Info("Batch finished at this host", "listed", len(a.results.ids()), "total", a.results.total,
-		"age_ms", time.Since(a.manifest.Accepted()).Milliseconds())
+		"age_ms", a.age().Milliseconds())
 	if a.results.full() {
 		a.awaitEnd()
 	}
 }
 
+// awaitConfiguration waits until a configuration is in force or the batch is stopped. A host that has
+// just started would take the defaults for the limits of the batch's route.
+func (a *activeBatch) awaitConfiguration() {
+	for a.ctx.Err() == nil && a.parent.catalog.Config() == nil {
+		clock.Sleep(a.ctx, configurationCheckInterval)
+	}
+}
+
 // awaitEnd keeps the results in memory until the batch is stopped, usually because the trainer
 // has ended it, or until its retention period is over.
 func (a *activeBatch) awaitEnd() {
 	select {
 	case <-a.ctx.Done():
-	case <-time.After(time.Until(a.manifest.Accepted().Add(a.parent.settings.Retention))):
+	case <-time.After(a.parent.settings.Retention - a.age()):
 	}
 }
 
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -32,6 +32,8 @@
 	// which host to ask first, but a missing one does not mean that no batch exists.
 	mu    sync.Mutex
 	cache map[string]storedManifest
+	// now returns the boot time.
+	now func() time.Duration
 }
 
 // storedManifest is a manifest with its version in the store. Version zero means that it is
@@ -43,10 +45,12 @@
 	writtenAt time.Time
 	// cachedAt is when the batch was first cached.
 	cachedAt time.Time
+	// acceptedBy is the boot time of this host by which the batch had been accepted.
+	acceptedBy time.Duration
 }
 
 func newBatchStore(api *objectapi.Client, stale objectapi.API) *batchStore {
-	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}}
+	return &batchStore{api: api, stale: stale, cache: map[string]storedManifest{}, now: sinceBoot}
 }
 
 // canonicalEncoding encodes equal content to equal bytes, so that digests can be compared.
@@ -170,12 +174,14 @@
 	// Complete says that Partial is the whole output, of which only the score or the write to
 	// the log is missing.
 	Complete bool `json:"complete,omitempty"`
+	// AgeMs is the age of the batch in milliseconds, in an entry that has nothing else.
+	AgeMs int64 `json:"age_ms,omitempty"`
 }
 
-// savePartials replaces a batch's saved partial samples if their stored version is still
+// savePartials replaces a batch's saved partial samples and its age if their stored version is still
 // expect, and returns the new version.
 func (s *batchStore) savePartials(ctx context.Context, id string, samples []savedSample, expect uint64) (uint64, error) {
-	value, err := cbor.Marshal(samples)
+	value, err := cbor.Marshal(withAge(samples, s.age(id)))
 	if err != nil {
 		return 0, batches.Error.Wrap(err)
 	}
@@ -183,7 +189,7 @@
 }
 
 // partials reads a batch's saved partial samples and their version. It returns none and
-// version zero when nothing is saved.
+// version zero when nothing is saved. It also records the saved age of the batch.
 func (s *batchStore) partials(ctx context.Context, id string) ([]savedSample, uint64, error) {
 	o, err := s.api.Get(ctx, batches.PartialsKey(id))
 	if errors.Is(err, objectapi.ErrNotFound) {
@@ -196,6 +202,8 @@
 	if err := decoding.Unmarshal(o.Value, &out); err != nil {
 		return nil, 0, batches.Error.Wrap(err)
 	}
+	out, age := cutAge(out)
+	s.observeAge(id, age)
 	return out, o.Version, nil
 }
 
@@ -260,13 +268,17 @@
 	delete(s.cache, id)
 }
 
-// forgetOld drops what is cached about batches that were first seen before a time. What is
-// needed again is read again.
-func (s *batchStore) forgetOld(before time.Time) {
+// forgetOld drops what is cached about batches that were first seen before a time and that a listing
+// lacks: the age of the others is still needed. What is needed again is read again.
+func (s *batchStore) forgetOld(before time.Time, listed []storedManifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	keep := make(map[string]bool, len(listed))
+	for _, m := range listed {
+		keep[m.ID] = true
+	}
 	for id, m := range s.cache {
-		if m.cachedAt.Before(before) {
+		if m.cachedAt.Before(before) && !keep[id] {
 			delete(s.cache, id)
 		}
 	}
