Return no part of a value that is over the limit

Cause: HTTPClient.Get reads at most a byte more than MaxValueBytes and returned that part. Objects of other writers are read in this way by hosts that call the store through a peer.

Change: Get returns ErrTooLarge for such a value.

--- a/internal/protocol/objectapi/http.go
+++ b/internal/protocol/objectapi/http.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		return Object{}, unavailable(err)
 	}
+	if len(value) > MaxValueBytes {
+		return Object{}, Error.Wrap(ErrTooLarge)
+	}
 	version, err := strconv.ParseUint(resp.Header.Get(VersionHeader), 10, 64)
 	if err != nil {
 		return Object{}, unavailable(err)
