Give the hosts of the signal tests addresses of their own

Cause: their range overlapped that of the tests of internal/transport/front, though no two processes were seen to meet. Change: the range 127.224.0.0 to 127.239.255.255, which no other test uses but those of internal/transport/control, which use all.

--- a/cmd/oleanderfall/main_test.go
+++ b/cmd/oleanderfall/main_test.go
@@ -48,7 +48,7 @@
 	store := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(store.Close)
 	pid := os.Getpid()
-	p := &frontProcess{t: t, ip: fmt.Sprintf("127.%d.%d.%d", 128+pid&31, pid>>5&255, i), ended: make(chan struct{})}
+	p := &frontProcess{t: t, ip: fmt.Sprintf("127.%d.%d.%d", 224+pid&15, pid>>4&255, i), ended: make(chan struct{})}
 	settings := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf("node_name = \"h%d\"\nzone = \"a\"\nip = %q\nfirst_start = true\n"+
 		"[listen]\nfront = \"%[2]s:18161\"\nready_address = \"%[2]s:18167\"\ncontrol = \"%[2]s:18166\"\ndirectory = \"%[2]s:18164\"\n"+
