Use a second loopback network for the hosts of the tests

A run of the package front starts more than the 254 hosts for which one network has addresses, with the tests of clocks added: TestUsage_CountsRequestsOnce failed for lack of one.

Hosts beyond the 254th get addresses in a second network that no other process uses.

--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -76,12 +76,13 @@
 // loopback returns a loopback address that no other host of this process uses. It includes
 // bits of the process id, so that test processes running in parallel use other ones.
 func loopback(t *testing.T) string {
-	n := hostCount.Add(1)
-	if n > 254 {
-		t.Fatal("more than 254 hosts in one test process: no loopback address left")
+	const hostsPerNetwork, networks = 254, 2
+	n := int(hostCount.Add(1)) - 1
+	if n >= networks*hostsPerNetwork {
+		t.Fatalf("more than %d hosts in one test process: no loopback address left", networks*hostsPerNetwork)
 	}
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, n)
+	return fmt.Sprintf("127.%d.%d.%d", 128+64*(n/hostsPerNetwork)+pid&63, pid>>6&255, n%hostsPerNetwork+1)
 }
 
 func (w *testCluster) settings(host string) Settings {
