--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -55,8 +55,8 @@
 	// flushNow signals writeLog to append the pending results immediately, because the
 	// trainer waits for them.
 	flushNow chan struct{}
-	// savedAt is when unfinished samples were last saved, ageSavedAt when the batch's age was. saveMu serializes saves and guards
-	// partialsVersion, the stored version of the saved samples.
+	// savedAt is when unfinished samples were last saved, ageSavedAt when the batch's age was.
+	// saveMu serializes saves and guards partialsVersion, the stored version of the saved samples.
 	savedAt         time.Time
 	ageSavedAt      time.Time
 	saveMu          sync.Mutex
