--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -50,9 +50,10 @@
 // testNode is a host under test with its own access to the store.
 type testNode struct {
 	*Node
-	store *hostStore
-	stale *staleReads
-	links *hostLinks
+	store     *hostStore
+	stale     *staleReads
+	links     *hostLinks
+	peerCalls *latePeers
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -134,6 +135,8 @@
 	links := &hostLinks{fakeEngines: w.engines}
 	n := NewNode(Params{Settings: s, Store: path, Stale: stale, Endpoints: links, Decoder: testDecoder{},
 		Handlers: testHandlers{}, Log: log, Registry: prometheus.NewRegistry(), Operator: w.operator})
+	peerCalls := &latePeers{RoundTripper: n.Batches.peerClient.http.Transport}
+	n.Batches.peerClient.http.Transport = peerCalls
 	if w.duties != nil {
 		api, lease := w.duties(s.Host)
 		n.scaler = n.newScaler(lease, api, NewPeerClient(n.peers))
@@ -141,11 +144,26 @@
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
-	tn := &testNode{Node: n, store: path, stale: stale, links: links}
+	tn := &testNode{Node: n, store: path, stale: stale, links: links, peerCalls: peerCalls}
 	w.nodes[s.Host] = tn
 	return tn
 }
 
+// latePeers delays the answers of peers to the calls about batches of a host.
+type latePeers struct {
+	http.RoundTripper
+	// delay, when set, returns how late an answer arrives.
+	delay atomic.Pointer[func() time.Duration]
+}
+
+func (l *latePeers) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := l.RoundTripper.RoundTrip(r)
+	if delay := l.delay.Load(); delay != nil && strings.HasPrefix(r.URL.Path, "/batches") {
+		time.Sleep((*delay)())
+	}
+	return resp, err
+}
+
 // kill stops a host without draining it.
 func (w *testCluster) kill(n *testNode) {
 	delete(w.nodes, n.Settings.Host)
@@ -297,6 +315,9 @@
 	// lateWriteAnswers, when set, applies writes of keys with this prefix but answers them only
 	// once it is reset.
 	lateWriteAnswers atomic.Pointer[string]
+	// answerDelay, when set, returns how late the answer to a call about batches arrives. The call is
+	// executed at once.
+	answerDelay atomic.Pointer[func() time.Duration]
 	// refusedWrites, when set, refuses writes of keys with this prefix.
 	refusedWrites atomic.Pointer[string]
 	// While deletesRefused is set, deletes fail after deletesAllowed ones.
@@ -378,6 +399,9 @@
 
 func (s *hostStore) list(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
 	page, err := s.ObjectStore.List(ctx, prefix, after, limit)
+	if late := s.delayAnswer(ctx, prefix); late != nil {
+		return objectapi.Page{}, late
+	}
 	size := 0
 	for i, o := range page.Objects {
 		if size += len(o.Value); size > maxListedBytes && i > 0 {
@@ -397,6 +421,9 @@
 	}
 	time.Sleep(time.Duration(s.writeDelay.Load()))
 	version, err := s.ObjectStore.Put(ctx, key, value, expect)
+	if late := s.delayAnswer(ctx, key); late != nil {
+		return 0, late
+	}
 	if prefix := s.lostWriteAnswers.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
 		return 0, objectapi.ErrUnavailable
 	}
--- a/internal/transport/front/logend_test.go
+++ b/internal/transport/front/logend_test.go
@@ -1,9 +1,7 @@
 package front
 
 import (
-	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -123,20 +121,6 @@
 	}
 }
 
-// lateAnswers delays the answers to calls about results.
-type lateAnswers struct {
-	http.RoundTripper
-	delay time.Duration
-}
-
-func (l lateAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := l.RoundTripper.RoundTrip(r)
-	if strings.HasSuffix(r.URL.Path, "/results") {
-		time.Sleep(l.delay)
-	}
-	return resp, err
-}
-
 // The answer of a slow owner that a batch has no result arrives late: the batch has been taken over, and
 // its first result read, since the owner confirmed that there was none.
 func TestResults_LateAnswerOfFormerOwner(t *testing.T) {
@@ -146,8 +130,8 @@
 	w.engines.eventInterval = 100 * time.Millisecond
 	id := submit(t, hosts[0], 1, 400)
 	owner, others := w.owner(id)
-	client := others[0].Batches.peerClient.http
-	client.Transport = lateAnswers{client.Transport, hedgeDelay - 50*time.Millisecond}
+	delay := func() time.Duration { return hedgeDelay - 50*time.Millisecond }
+	others[0].peerCalls.delay.Store(&delay)
 	if err := owner.Batches.confirmLogEnd(background, owner.Batches.activeByID(id)); err != nil {
 		t.Fatal(err)
 	}
