--- a/internal/transport/front/history_test.go
+++ b/internal/transport/front/history_test.go
@@ -145,6 +145,14 @@
 				})
 			}
 			moves := 0
+			if seed == plays-1 {
+				all.Go(func() { // the trainer ends the batch before it is complete
+					time.Sleep(playTime / 2)
+					for ctx.Err() == nil && hosts[random(len(hosts))].Batches.End(background, b.ID) != nil {
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
+			}
 			for ctx.Err() == nil {
 				time.Sleep(time.Duration(300+random(1500)) * time.Millisecond)
 				if hosts[random(len(hosts))].moveOwnership(b.ID) {
