--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -248,10 +248,10 @@
 	a := &activeBatch{parent: n.Batches, probes: map[string]*probe{}, ctx: background, log: slog.New(slog.DiscardHandler)}
 	at := &attempt{endpoint: catalog.Endpoint{ID: "e0"}}
 	now := time.Now()
-	at.lastEvent.Store(now.Add(-probeDelay).UnixNano())
+	at.lastEvent.set(now.Add(-probeDelay))
 	w.engines.makeSilent("e0")
 	w.waitUntil("the endpoint is found unreachable", func() bool { return a.unreachable(now, at) })
-	at.lastEvent.Store(now.Add(time.Second).UnixNano()) // a later event ends the silence
+	at.lastEvent.set(now.Add(time.Second)) // a later event ends the silence
 	if a.unreachable(now.Add(2*time.Second), at) {
 		t.Error("the probe result of an earlier silence is used for a new one")
 	}
@@ -534,7 +534,7 @@
 		t.Fatal(err)
 	}
 	for i := range all {
-		all[i].AcceptedUnixMs -= (n.Settings.Retention + removalClockSkew).Milliseconds()
+		all[i].acceptedBy -= n.Settings.Retention + removalMargin
 	}
 	n.Batches.removeExpired(background, all)
 	if _, err := n.Batches.Results(background, "open", 0, 0); err != nil {
@@ -571,7 +571,7 @@
 			t.Fatal(err)
 		}
 		for i := range all {
-			all[i].AcceptedUnixMs -= (n.Settings.Retention + removalClockSkew).Milliseconds()
+			all[i].acceptedBy -= n.Settings.Retention + removalMargin
 		}
 		return all
 	}
@@ -598,11 +598,15 @@
 func TestBatchStore_ForgetsOldManifests(t *testing.T) {
 	s := newBatchStore(nil, nil)
 	s.cacheManifest(storedManifest{Manifest: batches.Manifest{ID: "b1", Owner: "h2"}})
-	s.forgetOld(time.Now().Add(-time.Minute))
+	s.forgetOld(time.Now().Add(-time.Minute), nil)
 	if _, ok := s.cached("b1"); !ok {
 		t.Error("a new entry was forgotten")
 	}
-	s.forgetOld(time.Now().Add(time.Second))
+	s.forgetOld(time.Now().Add(time.Second), []storedManifest{{Manifest: batches.Manifest{ID: "b1"}}})
+	if _, ok := s.cached("b1"); !ok {
+		t.Error("an entry that the store still has was forgotten")
+	}
+	s.forgetOld(time.Now().Add(time.Second), nil)
 	if _, ok := s.cached("b1"); ok {
 		t.Error("an old entry is still cached")
 	}
