Grow a limit of which all complete requests are in use

A service's limit grows while at least 75 % of it are in use. The limit is a fraction and the requests in use are complete ones: at a limit of 1.34 to 1.99 one request runs, at 2.67 to 2.99 two, which is less than 75 %. So a limit that a refusal took from 2 to 1.7 neither grew nor fell while 8 requests waited and hundreds were refused, until the process ended. The share is now one of the limit rounded down.

TestLimit_RecoversFromEveryFraction fails before the change for the limits above.

--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// adjustInterval is the minimum time between two adjustments of a limit. It is also the
@@ -27,8 +30,8 @@
 	// more than one because some hosts have less work than others and endpoints can queue a
 	// few requests.
 	contendedShares = 2
-	// growthUtilization is the share of the limit that must have been in use for the limit
-	// to grow.
+	// growthUtilization is the share of the limit, rounded down to complete requests, that must
+	// have been in use for the limit to grow.
 	growthUtilization = 0.75
 	// refusalShare is the share of refusals in a window above which the window counts as
 	// overload.
@@ -169,7 +172,8 @@
 		// The decrease starts from the peak, since a limit above it has no effect, but
 		// from no less than half the limit.
 		l.limit = max(min(l.lowerBound, l.upperBound), min(l.limit, max(float64(l.peak), l.limit/2))*decreaseFactor)
-	case float64(l.peak) >= growthUtilization*l.limit:
+	case float64(l.peak) >= growthUtilization*math.Floor(l.limit):
+		// Only complete requests can be in use: at a limit of 1.7 one runs, less than 75 % of 1.7.
 		l.limit = min(l.upperBound, l.limit+max(1, l.limit/16))
 	}
 	l.windowStart, l.samples, l.refusals, l.peak = now, 0, 0, 0
--- a/internal/coordination/admission/load_test.go
+++ b/internal/coordination/admission/load_test.go
@@ -250,3 +250,21 @@
 		t.Errorf("limit = %d, want 16", g.Limit())
 	}
 }
+
+// A limit that refusals reduced to a fraction, such as 1.7, grows again while the gate is full: of
+// such a limit only the integer part can be in use.
+func TestLimit_RecoversFromEveryFraction(t *testing.T) {
+	const slots = 24
+	for hundredths := 100; hundredths <= slots*100; hundredths++ {
+		g := NewGate(slots, 0)
+		g.limit = float64(hundredths) / 100
+		reduced, now := g.limit, testStart
+		for range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			g.observe(now, Observation{Kind: ObservationAnswered, Latency: 30 * time.Millisecond}, g.Limit())
+		}
+		if g.Limit() != slots {
+			t.Fatalf("a full gate has a limit of %.2f after 10 s of good answers, from %.2f", g.limit, reduced)
+		}
+	}
+}
