Send refused scoring requests again when the gate says

The scoring requests that the gate of their service refuses came back after 60 ms each, whatever the gate said: thousands a second from one host, each with two lines of its log. They now wait for the time that the gate returns with the refusal, as callers do. The gate spreads them.

--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"oleanderfall.example/oleanderfall/internal/coordination/admission"
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
@@ -672,6 +674,37 @@
 	}
 }
 
+// The scoring requests of many samples, refused because the gate of their service is full, came back
+// every 60 ms, thousands of them a second.
+func TestScoring_FullGateIsNotFlooded(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	release := make(chan struct{})
+	w.engines.setDo(func(r backend.Request) (*backend.Answer, error) {
+		<-release
+		return &backend.Answer{Status: http.StatusOK, Signature: "signed-" + r.ID, Body: []byte("ok")}, nil
+	})
+	b := batch("b1", 100, 1)
+	if err := n.Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	refused := func() float64 {
+		var m dto.Metric
+		if err := n.Forwarder.metrics.requests.WithLabelValues("plain", strconv.Itoa(int(resultcode.Overloaded))).Write(&m); err != nil {
+			t.Fatal(err)
+		}
+		return m.GetCounter().GetValue()
+	}
+	w.waitUntil("scoring requests are refused", func() bool { return refused() > 0 })
+	time.Sleep(time.Second)
+	got := refused()
+	close(release)
+	w.checkResults(b, w.readAll(n, b.ID))
+	if got > float64(4*len(b.Samples)) {
+		t.Errorf("%v scoring requests of %d samples were refused in a second", got, len(b.Samples))
+	}
+}
+
 // A planned stop hands an unfinished batch to a peer, which resumes the saved samples.
 func TestStop_HandsOverBatch(t *testing.T) {
 	w := newTestCluster(t)
--- a/internal/transport/front/scoring.go
+++ b/internal/transport/front/scoring.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -16,8 +17,9 @@
 	minScoreTimeout        = 2 * time.Second
 	scoreTimeoutObjectives = 8
 	maxScoreTimeout        = 30 * time.Second
-	// scoreRetryDelay is the pause before a scoring request that did not run is sent again. It
-	// doubles up to maxScoreRetryDelay after each further answer that refuses the request.
+	// scoreRetryDelay is the pause before a scoring request that did not run is sent again, or
+	// longer if the gate of its service is full: see scoreRetryPause. It doubles up to
+	// maxScoreRetryDelay after each further answer that refuses the request.
 	scoreRetryDelay    = 60 * time.Millisecond
 	maxScoreRetryDelay = 2 * time.Second
 )
@@ -48,7 +50,7 @@
 		}
 		select {
 		case <-a.ctx.Done():
-		case <-time.After(delay):
+		case <-time.After(scoreRetryPause(delay, err)):
 		}
 		if isCode(err, resultcode.DeadlineExceeded) {
 			timeouts++
@@ -59,6 +61,18 @@
 	}
 }
 
+// scoreRetryPause returns the pause before a scoring request that failed with err is sent again.
+// The gate spreads the requests that it refused over the time in which it can admit them. With
+// the same short pause for all of them, the samples of a batch would come back thousands of times
+// a second.
+func scoreRetryPause(delay time.Duration, err error) time.Duration {
+	var coded *resultcode.Error
+	if errors.As(err, &coded) && (coded.Code == resultcode.Overloaded || coded.Code == resultcode.DeadlineTooShort) {
+		return max(delay, time.Duration(coded.RetryAfterMillis)*time.Millisecond)
+	}
+	return delay
+}
+
 // scoreTimeout returns the time for a scoring request after a number of timeouts.
 func scoreTimeout(objective time.Duration, timeouts int) time.Duration {
 	first := max(minScoreTimeout, scoreTimeoutObjectives*objective)
