Leave one endpoint's refusals out of a service's limit

An endpoint that refuses requests while the others answer and have free slots lowered the limit of the whole service. A window's refusals now count without the endpoint that refused most, if there are others. Refusals of several endpoints and of the only one in use count as before.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -135,6 +135,8 @@
 	Kind ObservationKind
 	// Class names a set of requests of similar latency, such as those of one route.
 	Class string
+	// Endpoint is the ID of the endpoint that answered or refused, empty if unknown.
+	Endpoint string
 	// Latency is the time to the answer, or to the first event of a stream.
 	Latency time.Duration
 	// TotalTime is the total time of the request.
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -63,8 +63,13 @@
 	samples     int
 	refusals    int
 	peak        int
+	// byEndpoint holds the answers and refusals of each endpoint since windowStart.
+	byEndpoint map[string]endpointWindow
 }
 
+// endpointWindow counts the answers and refusals of an endpoint in the current window.
+type endpointWindow struct{ samples, refusals int }
+
 // class holds the latency baseline of a request class and the sums of the current
 // window.
 type class struct {
@@ -74,7 +79,8 @@
 }
 
 func newLimiter(upperBound int) limiter {
-	l := limiter{upperBound: float64(max(1, upperBound)), lowerBound: minLimit, othersIdle: true, classes: map[string]*class{}}
+	l := limiter{upperBound: float64(max(1, upperBound)), lowerBound: minLimit, othersIdle: true, classes: map[string]*class{},
+		byEndpoint: map[string]endpointWindow{}}
 	l.limit = l.upperBound
 	return l
 }
@@ -106,12 +112,18 @@
 
 func (l *limiter) observe(now time.Time, s Observation, running int) {
 	l.peak = max(l.peak, running)
+	e := l.byEndpoint[s.Endpoint]
 	switch s.Kind {
 	case ObservationAnswered:
 		l.class(s.Class).add(s.Latency)
 		l.samples++
+		e.samples++
 	case ObservationRefused:
 		l.refusals++
+		e.refusals++
+	}
+	if e != (endpointWindow{}) {
+		l.byEndpoint[s.Endpoint] = e
 	}
 	if l.windowStart.IsZero() {
 		l.windowStart = now
@@ -165,7 +177,7 @@
 		classTotal, classTolerated := c.closeWindow()
 		total, tolerated = total+classTotal, tolerated+classTolerated
 	}
-	refused := float64(l.refusals) > refusalShare*float64(l.samples+l.refusals)
+	refused := l.overloadRefusals()
 	slow := total > tolerated && !l.hasFreeSlots
 	switch {
 	case refused || slow:
@@ -177,4 +189,22 @@
 		l.limit = min(l.upperBound, l.limit+max(1, l.limit/16))
 	}
 	l.windowStart, l.samples, l.refusals, l.peak = now, 0, 0, 0
+	clear(l.byEndpoint)
+}
+
+// overloadRefusals reports whether the endpoints refused so many requests of the window that the
+// service is overloaded. The endpoint with most refusals is left out if there are others: one that
+// refuses while they answer is impaired, and fewer requests would not help it.
+func (l *limiter) overloadRefusals() bool {
+	samples, refusals := l.samples, l.refusals
+	var most endpointWindow
+	for _, e := range l.byEndpoint {
+		if e.refusals > most.refusals {
+			most = e
+		}
+	}
+	if len(l.byEndpoint) > 1 {
+		samples, refusals = samples-most.samples, refusals-most.refusals
+	}
+	return float64(refusals) > refusalShare*float64(samples+refusals)
 }
--- a/internal/coordination/admission/load_test.go
+++ b/internal/coordination/admission/load_test.go
@@ -268,3 +268,30 @@
 		}
 	}
 }
+
+// One endpoint of a service refuses requests while the others answer and have free slots. Its
+// refusals took the limit of a host that scored batches from 22 to 1. Refusals of several endpoints
+// are overload, and so are those of the only one that is in use.
+func TestLimit_OneEndpointRefuses(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		endpoints, refusing int
+		lowered             bool
+	}{{"one of four", 4, 1, false}, {"one of two", 2, 1, false}, {"all of four", 4, 4, true}, {"two of four", 4, 2, true},
+		{"the only one", 1, 1, true}} {
+		g, now := NewGate(24, 0), testStart
+		g.SetShare(Share{EvenShare: 1, OthersIdle: true, HasFreeSlots: true})
+		for i := range 400 {
+			now = now.Add(5 * time.Millisecond)
+			n := i % c.endpoints
+			o := Observation{Kind: ObservationAnswered, Latency: 30 * time.Millisecond, Endpoint: fmt.Sprint(n)}
+			if n < c.refusing && i/c.endpoints%2 == 0 {
+				o.Kind = ObservationRefused
+			}
+			g.Observe(now, o)
+		}
+		if lowered := g.Limit() < 24; lowered != c.lowered {
+			t.Errorf("%s refuses: the limit is %d of 24", c.name, g.Limit())
+		}
+	}
+}
--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -189,7 +189,8 @@
 		if answer, err = c.run(ctx); err != nil {
 			return admission.Observation{Kind: admission.ObservationNone}, err
 		}
-		return admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: c.took, TotalTime: time.Since(began)}, nil
+		return admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Endpoint: c.answeredBy, Latency: c.took,
+			TotalTime: time.Since(began)}, nil
 	})
 	if err == nil && answer.Status/100 == 2 && c.mayBeQuarantined() {
 		c.f.quarantine.recordAnswer(c.fingerprint)
@@ -262,8 +263,9 @@
 	tried        []string
 	sent         int
 	lastEndpoint string
-	// took is the duration of the attempt that was answered.
-	took time.Duration
+	// took is the duration of the attempt that was answered, answeredBy the ID of its endpoint.
+	took       time.Duration
+	answeredBy string
 	// fingerprint identifies the request in the quarantine.
 	fingerprint uint64
 	// failures counts the attempts that an endpoint answered with an internal server error.
@@ -443,10 +445,10 @@
 func (c *call) evaluate(r attemptResult, idempotent bool) (answer *backend.Answer, retry bool) {
 	switch {
 	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
-		c.took = r.took
+		c.took, c.answeredBy = r.took, r.endpoint.ID
 		return r.answer, false
 	case r.err == nil:
-		c.mayHaveRun = true
+		c.mayHaveRun, c.answeredBy = true, r.endpoint.ID
 		if r.answer.Status == http.StatusInternalServerError {
 			c.failures++
 		}
@@ -459,7 +461,7 @@
 	case errors.Is(r.err, backend.ErrUnreachable), errors.Is(r.err, backend.ErrReplaced):
 		return nil, true
 	case errors.Is(r.err, backend.ErrNotRun):
-		return nil, c.mayRetry()
+		return nil, c.mayRetry(r.endpoint.ID)
 	}
 	c.mayHaveRun = true
 	return nil, idempotent
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -128,7 +128,7 @@
 		reading := c.f.fleet.BeginReading(e, c.prompt())
 		head := func(a *backend.Answer) error {
 			started = true
-			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Latency: time.Since(sentAt)})
+			c.gate.Observe(admission.Observation{Kind: admission.ObservationAnswered, Class: c.route.Name, Endpoint: e.ID, Latency: time.Since(sentAt)})
 			return out.WriteHead(a)
 		}
 		passedOn, pace := false, eventPace{}
