Give the hosts of front's tests a second block of addresses

The next 254 hosts get addresses from 127.224.0.0/11, where no other package's tests have theirs but those of the control program, which spread over 127.1 to 127.250.

--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -74,15 +74,21 @@
 // hostCount counts the hosts of all tests in this process.
 var hostCount atomic.Int64
 
+// hostsPerBlock is the number of addresses in each of the two blocks of loopback addresses of a
+// process, in 127.128.0.0/10 and in 127.224.0.0/11.
+const hostsPerBlock = 254
+
 // loopback returns a loopback address that no other host of this process uses. It includes
 // bits of the process id, so that test processes running in parallel use other ones.
 func loopback(t *testing.T) string {
-	n := hostCount.Add(1)
-	if n > 254 {
-		t.Fatal("more than 254 hosts in one test process: no loopback address left")
+	pid, n := os.Getpid(), hostCount.Add(1)
+	switch {
+	case n <= hostsPerBlock:
+		return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, n)
+	case n > 2*hostsPerBlock:
+		t.Fatalf("more than %d hosts in one test process: no loopback address left", 2*hostsPerBlock)
 	}
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 128+pid&63, pid>>6&255, n)
+	return fmt.Sprintf("127.%d.%d.%d", 224+pid&31, pid>>5&255, n-hostsPerBlock)
 }
 
 func (w *testCluster) settings(host string) Settings {
