--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// adjustInterval is the minimum time between two adjustments of a limit. It is also the
@@ -27,8 +30,8 @@
 	// more than one because some hosts have less work than others and endpoints can queue a
 	// few requests.
 	contendedShares = 2
-	// growthUtilization is the share of the limit that must have been in use for the limit
-	// to grow.
+	// growthUtilization is the share of the limit, rounded down to complete requests, that must
+	// have been in use for the limit to grow.
 	growthUtilization = 0.75
 	// refusalShare is the share of refusals in a window above which the window counts as
 	// overload.
@@ -60,8 +63,13 @@
 	samples     int
 	refusals    int
 	peak        int
+	// byEndpoint holds the answers and refusals of each endpoint since windowStart.
+	byEndpoint map[string]endpointWindow
 }
 
+// endpointWindow counts the answers and refusals of an endpoint in the current window.
+type endpointWindow struct{ samples, refusals int }
+
 // class holds the latency baseline of a request class and the sums of the current
 // window.
 type class struct {
@@ -71,7 +79,8 @@
 }
 
 func newLimiter(upperBound int) limiter {
-	l := limiter{upperBound: float64(max(1, upperBound)), lowerBound: minLimit, othersIdle: true, classes: map[string]*class{}}
+	l := limiter{upperBound: float64(max(1, upperBound)), lowerBound: minLimit, othersIdle: true, classes: map[string]*class{},
+		byEndpoint: map[string]endpointWindow{}}
 	l.limit = l.upperBound
 	return l
 }
@@ -103,12 +112,18 @@
 
 func (l *limiter) observe(now time.Time, s Observation, running int) {
 	l.peak = max(l.peak, running)
+	e := l.byEndpoint[s.Endpoint]
 	switch s.Kind {
 	case ObservationAnswered:
 		l.class(s.Class).add(s.Latency)
 		l.samples++
+		e.samples++
 	case ObservationRefused:
 		l.refusals++
+		e.refusals++
+	}
+	if e != (endpointWindow{}) {
+		l.byEndpoint[s.Endpoint] = e
 	}
 	if l.windowStart.IsZero() {
 		l.windowStart = now
@@ -162,15 +177,34 @@
 		classTotal, classTolerated := c.closeWindow()
 		total, tolerated = total+classTotal, tolerated+classTolerated
 	}
-	refused := float64(l.refusals) > refusalShare*float64(l.samples+l.refusals)
+	refused := l.overloadRefusals()
 	slow := total > tolerated && !l.hasFreeSlots
 	switch {
 	case refused || slow:
 		// The decrease starts from the peak, since a limit above it has no effect, but
 		// from no less than half the limit.
 		l.limit = max(min(l.lowerBound, l.upperBound), min(l.limit, max(float64(l.peak), l.limit/2))*decreaseFactor)
-	case float64(l.peak) >= growthUtilization*l.limit:
+	case float64(l.peak) >= growthUtilization*math.Floor(l.limit):
+		// Only complete requests can be in use: at a limit of 1.7 one runs, less than 75 % of 1.7.
 		l.limit = min(l.upperBound, l.limit+max(1, l.limit/16))
 	}
 	l.windowStart, l.samples, l.refusals, l.peak = now, 0, 0, 0
+	clear(l.byEndpoint)
+}
+
+// overloadRefusals reports whether the endpoints refused so many requests of the window that the
+// service is overloaded. The endpoint with most refusals is left out if there are others: one that
+// refuses while they answer is impaired, and fewer requests would not help it.
+func (l *limiter) overloadRefusals() bool {
+	samples, refusals := l.samples, l.refusals
+	var most endpointWindow
+	for _, e := range l.byEndpoint {
+		if e.refusals > most.refusals {
+			most = e
+		}
+	}
+	if len(l.byEndpoint) > 1 {
+		samples, refusals = samples-most.samples, refusals-most.refusals
+	}
+	return float64(refusals) > refusalShare*float64(samples+refusals)
 }
