Give the entries of a log more time if reads of them are slow

Callers could not read ended batches with large entries: 0 of 2 results of each of four batches in 15 s, through one host with a link of 2 MB/s.

Cause: a read of an entry was cut after 0.6 s (stale) and 0.7 s (each attempt of the store's client), and began again from its first byte. Four loads share the host's link, so an entry of 600 KiB takes each of them longer than that, and all of them failed again and again. A listing of an open batch's log, whose pages have a megabyte, failed the load in the same way.

A load whose read of an entry has failed without an answer reads the others with 3 s. Its reads are stale, as entries never change; the end of the log is still confirmed by an exact read, whose attempts keep their time.

TestResults_LargeEntriesReadableWithoutOwner failed before, and passes after 4.7 s. The other tests of results, bodies and takeovers pass.

--- a/internal/transport/front/logload.go
+++ b/internal/transport/front/logload.go
@@ -20,6 +20,9 @@
 	maxLogLoads = 4
 	// staleEntryTimeout bounds a stale read of a log entry, which may be maxPartBytes long.
 	staleEntryTimeout = 600 * time.Millisecond
+	// slowEntryTimeout is staleEntryTimeout once a read has failed: the loads of a host with a slow link take it from
+	// each other.
+	slowEntryTimeout = 3 * time.Second
 	// pageFillTime is how long a read waits for a load to fill its page once it has a result.
 	pageFillTime = 300 * time.Millisecond
 )
@@ -143,37 +146,46 @@
 // wanted.
 func (s *batchStore) loadEntries(ctx context.Context, m *batches.Manifest, log *resultLog, wanted func() bool) error {
 	if n, _ := log.next(); n == 0 && !m.Ended {
+		// If the listing fails, its entries may still be small enough to be read one by one.
 		entries, err := s.entries(ctx, m.ID)
-		if err != nil {
+		if err != nil && !objectapi.Unresolved(err) {
 			return err
 		}
 		for number, e := range entries {
 			log.add(number, e)
 		}
 	}
+	slow := false
 	for !log.final() {
 		if !wanted() {
 			return errLoadAbandoned
 		}
 		n, _ := log.next()
-		e, err := s.loadEntry(ctx, m, n)
-		if errors.Is(err, objectapi.ErrNotFound) {
+		e, err := s.loadEntry(ctx, m, n, slow)
+		switch {
+		case errors.Is(err, objectapi.ErrNotFound):
 			return nil
-		}
-		if err != nil {
+		case objectapi.Unresolved(err) && !slow && ctx.Err() == nil:
+			slow = true
+		case err != nil:
 			return err
+		default:
+			log.add(n, e)
 		}
-		log.add(n, e)
 	}
 	return nil
 }
 
 // loadEntry reads the nth entry of a log. Entries never change, so a stale answer that has the entry is as
 // good as any; only the end of a log needs another one. An open batch's last entries may be newer than stale
-// answers.
-func (s *batchStore) loadEntry(ctx context.Context, m *batches.Manifest, n int) (batches.LogEntry, error) {
-	if m.Ended {
-		staleCtx, cancel := context.WithTimeout(ctx, staleEntryTimeout)
+// answers. If reads are slow, a stale one has more time than the attempts of others, of which nothing is kept.
+func (s *batchStore) loadEntry(ctx context.Context, m *batches.Manifest, n int, slow bool) (batches.LogEntry, error) {
+	if m.Ended || slow {
+		timeout := staleEntryTimeout
+		if slow {
+			timeout = slowEntryTimeout
+		}
+		staleCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		if e, err := s.entryFrom(staleCtx, s.stale, m.ID, n); err == nil {
 			return e, nil
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -183,3 +183,27 @@
 		})
 	}
 }
+
+// Four loads at a time share a host's slow link. An entry of the largest size takes each of them longer than one
+// attempt of a store call.
+func TestResults_LargeEntriesReadableWithoutOwner(t *testing.T) {
+	const count, entries, entryBytes, bytesPerSecond = 4, 2, 600 << 10, 2 << 20
+	w := newTestCluster(t)
+	hosts := w.start("h1")
+	for i := range count {
+		w.putEndedBatch(fmt.Sprintf("ended%d", i), entries, entryBytes)
+	}
+	hosts[0].store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	deadline := time.Now().Add(recoveryTime)
+	var readers sync.WaitGroup
+	for i := range count {
+		readers.Go(func() {
+			id := fmt.Sprintf("ended%d", i)
+			if read, total := readImpatiently(hosts, id, uint64(i), deadline); total != entries || read != total {
+				t.Errorf("%s: %d of %d results read", id, read, entries)
+			}
+		})
+	}
+	readers.Wait()
+	t.Logf("all read after %v", time.Until(deadline.Add(-recoveryTime)).Abs())
+}
