Bound a read of results at the owner as at other hosts

An owner that could not confirm that a position has no result yet answered 2.5 s after the wait that its caller asked for, and callers leave after 1.5 s: they got no answer at all, instead of 503.

Cause: the bound of 1.1 s and the wait began anew after the owner had asked itself. Now they begin with the read, and other hosts are asked to wait for what is left.

TestResults_OwnerAnswersInTimeDuringOutage failed before (2.5 and 2.8 s), and passes. The other tests of results, ownership and takeovers pass.

--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -36,16 +36,17 @@
 
 func (t TeamBatches) results(ctx context.Context, trace *readTrace, id string, after int, wait time.Duration) (Page, error) {
 	s := t.batches
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
 	done := trace.begin("local")
 	local, err := s.localResults(ctx, t.team, id, after, wait)
 	if done(err); err == nil {
 		return local, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-	defer cancel()
-	return hedged(ctx, wait+hedgeDelay, func(ctx context.Context) (page Page, err error) {
+	left := max(wait-trace.elapsed(), 0)
+	return hedged(ctx, left+hedgeDelay, func(ctx context.Context) (page Page, err error) {
 		err = s.askHosts(ctx, trace, id, func(host string) error {
-			page, err = s.peerClient.Results(ctx, host, t.team, id, after, wait)
+			page, err = s.peerClient.Results(ctx, host, t.team, id, after, left)
 			return err
 		})
 		return page, err
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -207,3 +207,27 @@
 	readers.Wait()
 	t.Logf("all read after %v", time.Until(deadline.Add(-recoveryTime)).Abs())
 }
+
+// An owner that cannot confirm an empty page must answer while its caller is there, with an error at least.
+func TestResults_OwnerAnswersInTimeDuringOutage(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t)
+			w.engines.eventInterval = time.Second
+			n := w.start("h1")[0]
+			b := batch("b1", 1, 60)
+			if err := n.Batches.Submit(background, b); err != nil {
+				t.Fatal(err)
+			}
+			all := ""
+			n.store.stalledReads.Store(&all)
+			time.Sleep(maxEmptyPageAge)
+			began := time.Now()
+			page, err := n.Batches.Results(background, b.ID, 0, wait)
+			if took := time.Since(began); took > wait+callerPatience {
+				t.Errorf("answered after %v with %d results and error %v", took, len(page.Results), err)
+			}
+		})
+	}
+}
