Read the parts of a batch's content with more time if they are slow

A batch whose owner had gone did not run again (15 s, until the test gave up) if a part of its content took longer to read than 0.7 s, as over a link that other loads use. The bodies of its samples could not be read either.

Cause: each attempt to read a part was cut after 0.7 s and began again from its first byte, and a takeover that had not read all parts in 5 s kept none.

A read of a content goes on with stale reads of 3 s once one has failed without an answer; parts never change. A takeover uses the loads that readers use, which outlast it, so the next attempt continues. Contents have load slots of their own: takeovers do not wait for the loads of logs.

--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -70,7 +70,9 @@
 	// loads are the running loads of logs by batch, loadSlots limits how many read from the store.
 	loads     map[string]*logLoad
 	loadSlots chan struct{}
-	bodies    *Bodies
+	// contentSlots limits the loads of contents that read from the store.
+	contentSlots chan struct{}
+	bodies       *Bodies
 	// contents are the running and the latest loads of batches' contents.
 	contents contentLoads
 	// takingOver has the ids of batches whose takeover is in progress.
--- a/internal/transport/front/batchstore.go
+++ b/internal/transport/front/batchstore.go
@@ -88,12 +88,18 @@
 // content reads and decodes a batch's content.
 func (s *batchStore) content(ctx context.Context, m *batches.Manifest) (*batches.Batch, error) {
 	var content []byte
-	for n := range m.Parts {
-		o, err := s.api.Get(ctx, batches.PartKey(m.ID, m.Digest, n))
-		if err != nil {
+	slow := false
+	for n := 0; n < m.Parts; {
+		o, err := s.part(ctx, batches.PartKey(m.ID, m.Digest, n), slow)
+		switch {
+		case objectapi.Unresolved(err) && !slow && ctx.Err() == nil:
+			slow = true
+		case err != nil:
 			return nil, fmt.Errorf("part %d: %w", n, err)
+		default:
+			content = append(content, o.Value...)
+			n++
 		}
-		content = append(content, o.Value...)
 	}
 	var b batches.Batch
 	if err := decoding.Unmarshal(content, &b); err != nil {
@@ -102,6 +108,19 @@
 	return &b, nil
 }
 
+// part reads a part of a batch's content. Parts never change, so if reads are slow, a stale one that has more time
+// than the attempts of others comes first.
+func (s *batchStore) part(ctx context.Context, key string, slow bool) (objectapi.Object, error) {
+	if slow {
+		staleCtx, cancel := context.WithTimeout(ctx, slowReadTimeout)
+		defer cancel()
+		if o, err := s.stale.Get(staleCtx, key); err == nil {
+			return o, nil
+		}
+	}
+	return s.api.Get(ctx, key)
+}
+
 // entry reads the nth entry of a batch's log, from zero. It returns
 // objectapi.ErrNotFound past the end.
 func (s *batchStore) entry(ctx context.Context, id string, n int) (batches.LogEntry, error) {
--- a/internal/transport/front/contentload.go
+++ b/internal/transport/front/contentload.go
@@ -14,10 +14,12 @@
 	contentKeepTime = 5 * time.Second
 	// maxKeptContents bounds the contents that are kept, which may take several megabytes each.
 	maxKeptContents = 4
+	// maxContentLoads is the number of contents that a host loads at the same time, for readers and takeovers.
+	maxContentLoads = 4
 )
 
-// contentLoads are reads of batches' contents from the store. A load goes on when its readers have left, and the
-// next ones get what it has read. The zero value is ready for use.
+// contentLoads are reads of batches' contents from the store. A load goes on when its readers have left or the
+// takeover that needs it has timed out, and the next ones get what it has read. The zero value is ready for use.
 type contentLoads struct {
 	mu   sync.Mutex
 	byID map[string]*contentLoad
@@ -58,9 +60,9 @@
 	ctx, cancel := context.WithTimeout(s.base, logLoadTimeout)
 	defer cancel()
 	select {
-	case s.loadSlots <- struct{}{}:
+	case s.contentSlots <- struct{}{}:
 		l.batch, l.err = s.store.content(ctx, &m)
-		<-s.loadSlots
+		<-s.contentSlots
 	case <-ctx.Done():
 		l.err = ctx.Err()
 	}
--- a/internal/transport/front/logload.go
+++ b/internal/transport/front/logload.go
@@ -20,9 +20,9 @@
 	maxLogLoads = 4
 	// staleEntryTimeout bounds a stale read of a log entry, which may be maxPartBytes long.
 	staleEntryTimeout = 600 * time.Millisecond
-	// slowEntryTimeout is staleEntryTimeout once a read has failed: the loads of a host with a slow link take it from
-	// each other.
-	slowEntryTimeout = 3 * time.Second
+	// slowReadTimeout bounds a stale read of a log entry or a part of a content after one has failed: the loads of a
+	// host with a slow link take it from each other.
+	slowReadTimeout = 3 * time.Second
 	// pageFillTime is how long a read waits for a load to fill its page once it has a result.
 	pageFillTime = 300 * time.Millisecond
 )
@@ -183,7 +183,7 @@
 	if m.Ended || slow {
 		timeout := staleEntryTimeout
 		if slow {
-			timeout = slowEntryTimeout
+			timeout = slowReadTimeout
 		}
 		staleCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -231,3 +231,36 @@
 		})
 	}
 }
+
+// A part of a batch's content takes longer to read than one attempt of a store call. The batch must run again
+// nevertheless.
+func TestTakeover_ContentOverSlowLink(t *testing.T) {
+	const bodyBytes, bytesPerSecond = 1200 << 10, 600 << 10
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	store := newBatchStore(objectapi.NewClient(w.store, objectapi.ClientOptions{}), nil)
+	b := batch("open", 1, 100000)
+	b.Samples[0].Body = bytes.Repeat([]byte("x"), bodyBytes)
+	content, digest, err := encodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts, err := store.putContent(background, b.ID, digest, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := batches.Manifest{ID: b.ID, Digest: digest, Parts: parts, Total: 2, AcceptedUnixMs: time.Now().UnixMilli(), Owner: "h1", Epoch: 2}
+	if _, err := store.putManifest(background, m, 0); err != nil {
+		t.Fatal(err)
+	}
+	go n.Batches.tryTakeOver(background, b.ID, "handed over")
+	began := time.Now()
+	for n.Batches.activeByID(b.ID) == nil {
+		if time.Since(began) > recoveryTime {
+			t.Fatalf("the batch does not run after %v", time.Since(began))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("the batch runs after %v", time.Since(began))
+}
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -164,7 +164,7 @@
 			return err
 		}
 	}
-	b, err := s.store.content(ctx, &m.Manifest)
+	b, err := s.loadContent(ctx, &m.Manifest)
 	if err != nil {
 		return err
 	}
