Take over a batch whose log is slow to list

A batch whose owner had gone did not run again (15 s, until the test gave up) if a page of the listing of logs, of a megabyte, took longer than 0.7 s to read.

Cause: each attempt of the listing was cut after 0.7 s, and a takeover that had not listed the log in 5 s kept nothing. A page is as large if the batch's own log is small: the entries of the batches after it fill it.

A takeover that cannot list the log in 1.4 s loads it entry by entry, like a reader, and the next one continues from what was read. A load for readers of an open batch lists the log only once, for 0.7 s.

TestTakeover_LogOverSlowLink failed before, and passes after 3.5 s. The other tests of takeovers, results, bodies, ownership and drains pass.

--- a/internal/transport/front/logload.go
+++ b/internal/transport/front/logload.go
@@ -147,7 +147,9 @@
 func (s *batchStore) loadEntries(ctx context.Context, m *batches.Manifest, log *resultLog, wanted func() bool) error {
 	if n, _ := log.next(); n == 0 && !m.Ended {
 		// If the listing fails, its entries may still be small enough to be read one by one.
-		entries, err := s.entries(ctx, m.ID)
+		listCtx, cancel := context.WithTimeout(ctx, storeAttemptTimeout)
+		entries, err := s.entries(listCtx, m.ID)
+		cancel()
 		if err != nil && !objectapi.Unresolved(err) {
 			return err
 		}
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -286,6 +286,17 @@
 	return len(l.results) >= l.total
 }
 
+// merged returns the entries of the log, with all results in the first one. The result is not nil.
+func (l *resultLog) merged() []batches.LogEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]batches.LogEntry, l.entries)
+	if len(out) > 0 {
+		out[0] = batches.LogEntry{Results: slices.Clone(l.results), Sealed: l.sealed}
+	}
+	return out
+}
+
 // final reports whether no more results can be added, because the log is full or sealed.
 func (l *resultLog) final() bool {
 	l.mu.Lock()
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -264,3 +264,50 @@
 	}
 	t.Logf("the batch runs after %v", time.Since(began))
 }
+
+// A page of the listing of logs takes longer to read than one attempt of a store call. A batch must run again
+// nevertheless, with all results of its log.
+func TestTakeover_LogOverSlowLink(t *testing.T) {
+	const results, resultBytes, bytesPerSecond = 10, 150 << 10, 1 << 20
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	store := newBatchStore(objectapi.NewClient(w.store, objectapi.ClientOptions{}), nil)
+	b := batch("open", results, 100000)
+	content, digest, err := encodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts, err := store.putContent(background, b.ID, digest, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range results {
+		r := batches.Result{ID: b.Samples[i].ID, Outcome: batches.Completed, Text: strings.Repeat("x", resultBytes)}
+		if err := store.append(background, b.ID, i, batches.LogEntry{First: i, Results: []batches.Result{r}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	m := batches.Manifest{ID: b.ID, Digest: digest, Parts: parts, Total: len(b.Samples), AcceptedUnixMs: time.Now().UnixMilli(), Owner: "h1", Epoch: 2}
+	if _, err := store.putManifest(background, m, 0); err != nil {
+		t.Fatal(err)
+	}
+	go n.Batches.tryTakeOver(background, b.ID, "handed over")
+	began := time.Now()
+	for n.Batches.activeByID(b.ID) == nil {
+		if time.Since(began) > recoveryTime {
+			t.Fatalf("the batch does not run after %v", time.Since(began))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("the batch runs after %v", time.Since(began))
+	active := n.Batches.activeByID(b.ID)
+	if entry, first := active.results.next(); entry != results || first != results {
+		t.Errorf("the next entry is %d and its first position %d, want %d", entry, first, results)
+	}
+	for i := range results {
+		if !active.results.has(b.Samples[i].ID) {
+			t.Errorf("sample %s has no result", b.Samples[i].ID)
+		}
+	}
+}
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
@@ -26,6 +27,8 @@
 	// lateHandoverTimeout bounds the handovers of batches that did not stop within the time
 	// for draining.
 	lateHandoverTimeout = 300 * time.Millisecond
+	// takeoverListTimeout bounds the listing of the log of a batch that is taken over.
+	takeoverListTimeout = 2 * storeAttemptTimeout
 	// relistRetryDelay is the delay until the next listing after one that failed.
 	relistRetryDelay = 500 * time.Millisecond
 )
@@ -168,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	entries, err := s.store.entries(ctx, id)
+	entries, err := s.takenOverLog(ctx, &m.Manifest)
 	if err != nil {
 		return err
 	}
@@ -177,6 +180,25 @@
 	return nil
 }
 
+// takenOverLog returns the entries of the log of a batch that this host takes over. If a listing, whose pages are
+// large, takes too long, the log is loaded entry by entry, and a later takeover continues from what this one has read.
+func (s *Batches) takenOverLog(ctx context.Context, m *batches.Manifest) ([]batches.LogEntry, error) {
+	listCtx, cancel := context.WithTimeout(ctx, takeoverListTimeout)
+	defer cancel()
+	entries, err := s.store.entries(listCtx, m.ID)
+	if err == nil || !objectapi.Unresolved(err) {
+		return entries, err
+	}
+	load := s.loadLog(m)
+	defer load.readers.Add(-1)
+	select {
+	case <-load.done:
+		return load.log.merged(), load.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // Drain stops all batches at this host, waits until they have stopped or ctx ends, and hands
 // the unfinished ones over to other hosts. A batch that has not stopped by then may still append
 // results; the next owner meets them in the log.
