Append fewer results at a time if appends remain without an answer

No result of a batch was listed (0 of 12 in 15 s) if its results together took longer than 0.7 s to write, as at an owner of many batches with a slow link.

Cause: results that wait are collected into entries of up to 640 KiB. Each attempt to write one was cut after 0.7 s and began again from its first byte, with as many results as before or more.

The bound of an entry is halved, down to 40 KiB, when the outcome of an append remains unknown, and grows by 40 KiB with each that is answered. An earlier attempt with more results that takes effect late is found as a conflict, as before. Writes at test hosts take the bandwidth that reads of them take.

TestResults_ListedOverSlowLink failed before, and passes: 12 results after 5.2 s. The other tests of results, logs, takeovers and bodies pass.

--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -311,8 +311,8 @@
 	softwareReads, softwareReadDelay atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
-	// batchBandwidth, when set, limits the bytes a second of all reads of batches' logs and contents, one after
-	// another.
+	// batchBandwidth, when set, limits the bytes a second of all reads and writes of batches' logs and contents, one
+	// after another.
 	batchBandwidth atomic.Pointer[rate.Limiter]
 }
 
@@ -396,6 +396,9 @@
 		return 0, objectapi.ErrRefused
 	}
 	time.Sleep(time.Duration(s.writeDelay.Load()))
+	if err := s.transfer(ctx, objectapi.Object{Key: key, Value: value}); err != nil {
+		return 0, err
+	}
 	version, err := s.ObjectStore.Put(ctx, key, value, expect)
 	if prefix := s.lostWriteAnswers.Load(); prefix != nil && strings.HasPrefix(key, *prefix) {
 		return 0, objectapi.ErrUnavailable
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -11,6 +11,9 @@
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
+// minEntryBytes is the lowest bound of the results of a log entry. A single result may be longer.
+const minEntryBytes = maxPartBytes / 16
+
 // resultLog is the owner's in-memory copy of a batch's result log. It is safe for concurrent
 // use.
 //
@@ -34,6 +37,9 @@
 	// if there is none. appendLost is true once the outcome of one remained unknown.
 	appendBegan time.Time
 	appendLost  bool
+	// maxEntryBytes bounds the results of an entry. It is halved when the outcome of an append remains unknown, since
+	// each attempt to send an entry over a slow link begins anew, and grows again with those that are answered.
+	maxEntryBytes int
 	// endRead is the last read of the log's end.
 	endRead *logEndRead
 	changed chan struct{}
@@ -44,7 +50,7 @@
 // newResultLog returns the copy of a log with the given entries; nil means that the batch has not run
 // before.
 func newResultLog(total int, entries []batches.LogEntry) *resultLog {
-	l := &resultLog{total: total, sampleIDs: map[string]bool{}, changed: make(chan struct{}), shared: entries != nil}
+	l := &resultLog{total: total, maxEntryBytes: maxPartBytes, sampleIDs: map[string]bool{}, changed: make(chan struct{}), shared: entries != nil}
 	for n, e := range entries {
 		l.add(n, e)
 	}
@@ -98,7 +104,7 @@
 		return 0, nil, nil
 	}
 	n, size := 0, 0
-	for n < len(queue) && (n == 0 || size+queue[n].Size() <= maxPartBytes) {
+	for n < len(queue) && (n == 0 || size+queue[n].Size() <= l.maxEntryBytes) {
 		size += queue[n].Size()
 		n++
 	}
@@ -126,6 +132,9 @@
 func (l *resultLog) endAppend(number int, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if objectapi.Unresolved(err) {
+		l.maxEntryBytes = max(l.maxEntryBytes/2, minEntryBytes)
+	}
 	switch {
 	case number != l.entries: // the copy has the entry
 	case objectapi.Unresolved(err) || errors.Is(err, objectapi.ErrConflict):
@@ -187,6 +196,7 @@
 	if began.After(l.ownerConfirmed) {
 		l.ownerConfirmed = began
 	}
+	l.maxEntryBytes = min(l.maxEntryBytes+minEntryBytes, maxPartBytes)
 	l.confirmEnd(began)
 }
 
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -311,3 +311,28 @@
 		}
 	}
 }
+
+// Results that together take longer to write than one attempt of a store call must be listed nevertheless.
+func TestResults_ListedOverSlowLink(t *testing.T) {
+	const groups, events, idBytes, bytesPerSecond = 6, 50, 2000, 600 << 10
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	b := batch("slow", groups, events)
+	for i := range b.Samples {
+		b.Samples[i].ID += strings.Repeat("x", idBytes) // the text of each event begins with it
+	}
+	if err := n.Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	listed, began := 0, time.Now()
+	for listed < len(b.Samples) && time.Since(began) < recoveryTime {
+		if page, err := n.Batches.Results(background, b.ID, listed, time.Second); err == nil {
+			listed += len(page.Results)
+		}
+	}
+	if listed < len(b.Samples) {
+		t.Errorf("%d of %d results after %v", listed, len(b.Samples), time.Since(began))
+	}
+	t.Logf("%d results after %v", listed, time.Since(began))
+}
