--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -337,8 +337,8 @@
 	softwareReads, softwareReadDelay atomic.Int64
 	// writeDelay is the time in nanoseconds that each write takes.
 	writeDelay atomic.Int64
-	// batchBandwidth, when set, limits the bytes a second of all reads of batches' logs and contents, one after
-	// another.
+	// batchBandwidth, when set, limits the bytes a second of all reads and writes of batches' logs and contents, one
+	// after another.
 	batchBandwidth atomic.Pointer[rate.Limiter]
 }
 
@@ -425,6 +425,9 @@
 		return 0, objectapi.ErrRefused
 	}
 	time.Sleep(time.Duration(s.writeDelay.Load()))
+	if err := s.transfer(ctx, objectapi.Object{Key: key, Value: value}); err != nil {
+		return 0, err
+	}
 	version, err := s.ObjectStore.Put(ctx, key, value, expect)
 	if late := s.delayAnswer(ctx, key); late != nil {
 		return 0, late
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -183,3 +183,156 @@
 		})
 	}
 }
+
+// Four loads at a time share a host's slow link. An entry of the largest size takes each of them longer than one
+// attempt of a store call.
+func TestResults_LargeEntriesReadableWithoutOwner(t *testing.T) {
+	const count, entries, entryBytes, bytesPerSecond = 4, 2, 600 << 10, 2 << 20
+	w := newTestCluster(t)
+	hosts := w.start("h1")
+	for i := range count {
+		w.putEndedBatch(fmt.Sprintf("ended%d", i), entries, entryBytes)
+	}
+	hosts[0].store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	deadline := time.Now().Add(recoveryTime)
+	var readers sync.WaitGroup
+	for i := range count {
+		readers.Go(func() {
+			id := fmt.Sprintf("ended%d", i)
+			if read, total := readImpatiently(hosts, id, uint64(i), deadline); total != entries || read != total {
+				t.Errorf("%s: %d of %d results read", id, read, entries)
+			}
+		})
+	}
+	readers.Wait()
+	t.Logf("all read after %v", time.Until(deadline.Add(-recoveryTime)).Abs())
+}
+
+// An owner that cannot confirm an empty page must answer while its caller is there, with an error at least.
+func TestResults_OwnerAnswersInTimeDuringOutage(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t)
+			w.engines.eventInterval = time.Second
+			n := w.start("h1")[0]
+			b := batch("b1", 1, 60)
+			if err := n.Batches.Submit(background, b); err != nil {
+				t.Fatal(err)
+			}
+			all := ""
+			n.store.stalledReads.Store(&all)
+			time.Sleep(maxEmptyPageAge)
+			began := time.Now()
+			page, err := n.Batches.Results(background, b.ID, 0, wait)
+			if took := time.Since(began); took > wait+callerPatience {
+				t.Errorf("answered after %v with %d results and error %v", took, len(page.Results), err)
+			}
+		})
+	}
+}
+
+// A part of a batch's content takes longer to read than one attempt of a store call. The batch must run again
+// nevertheless.
+func TestTakeover_ContentOverSlowLink(t *testing.T) {
+	const bodyBytes, bytesPerSecond = 1200 << 10, 600 << 10
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	store := newBatchStore(objectapi.NewClient(w.store, objectapi.ClientOptions{}), nil)
+	b := batch("open", 1, 100000)
+	b.Samples[0].Body = bytes.Repeat([]byte("x"), bodyBytes)
+	content, digest, err := encodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts, err := store.putContent(background, b.ID, digest, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := batches.Manifest{ID: b.ID, Digest: digest, Parts: parts, Total: 2, AcceptedUnixMs: time.Now().UnixMilli(), Owner: "h1", Epoch: 2}
+	if _, err := store.putManifest(background, m, 0); err != nil {
+		t.Fatal(err)
+	}
+	go n.Batches.tryTakeOver(background, b.ID, "handed over")
+	began := time.Now()
+	for n.Batches.activeByID(b.ID) == nil {
+		if time.Since(began) > recoveryTime {
+			t.Fatalf("the batch does not run after %v", time.Since(began))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("the batch runs after %v", time.Since(began))
+}
+
+// A page of the listing of logs takes longer to read than one attempt of a store call. A batch must run again
+// nevertheless, with all results of its log.
+func TestTakeover_LogOverSlowLink(t *testing.T) {
+	const results, resultBytes, bytesPerSecond = 10, 150 << 10, 1 << 20
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	store := newBatchStore(objectapi.NewClient(w.store, objectapi.ClientOptions{}), nil)
+	b := batch("open", results, 100000)
+	content, digest, err := encodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts, err := store.putContent(background, b.ID, digest, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range results {
+		r := batches.Result{ID: b.Samples[i].ID, Outcome: batches.Completed, Text: strings.Repeat("x", resultBytes)}
+		if err := store.append(background, b.ID, i, batches.LogEntry{First: i, Results: []batches.Result{r}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	m := batches.Manifest{ID: b.ID, Digest: digest, Parts: parts, Total: len(b.Samples), AcceptedUnixMs: time.Now().UnixMilli(), Owner: "h1", Epoch: 2}
+	if _, err := store.putManifest(background, m, 0); err != nil {
+		t.Fatal(err)
+	}
+	go n.Batches.tryTakeOver(background, b.ID, "handed over")
+	began := time.Now()
+	for n.Batches.activeByID(b.ID) == nil {
+		if time.Since(began) > recoveryTime {
+			t.Fatalf("the batch does not run after %v", time.Since(began))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("the batch runs after %v", time.Since(began))
+	active := n.Batches.activeByID(b.ID)
+	if entry, first := active.results.next(); entry != results || first != results {
+		t.Errorf("the next entry is %d and its first position %d, want %d", entry, first, results)
+	}
+	for i := range results {
+		if !active.results.has(b.Samples[i].ID) {
+			t.Errorf("sample %s has no result", b.Samples[i].ID)
+		}
+	}
+}
+
+// Results that together take longer to write than one attempt of a store call must be listed nevertheless.
+func TestResults_ListedOverSlowLink(t *testing.T) {
+	const groups, events, idBytes, bytesPerSecond = 6, 50, 2000, 600 << 10
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	b := batch("slow", groups, events)
+	for i := range b.Samples {
+		b.Samples[i].ID += strings.Repeat("x", idBytes) // the text of each event begins with it
+	}
+	if err := n.Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
+	listed, began := 0, time.Now()
+	for listed < len(b.Samples) && time.Since(began) < recoveryTime {
+		if page, err := n.Batches.Results(background, b.ID, listed, time.Second); err == nil {
+			listed += len(page.Results)
+		}
+	}
+	if listed < len(b.Samples) {
+		t.Errorf("%d of %d results after %v", listed, len(b.Samples), time.Since(began))
+	}
+	t.Logf("%d results after %v", listed, time.Since(began))
+}
