Bound the contents that are loaded and kept by their parts

Kept contents now have at most eight parts together, about 5 MiB, or one content of any size, and two are loaded at a time.

TestContentLoads_LargeOnesAreNotKept is new; the former code had no such bound. TestBody_ReadableWhileContentIsLoaded and TestTakeover_* pass.

--- a/internal/transport/front/contentload.go
+++ b/internal/transport/front/contentload.go
@@ -12,10 +12,11 @@
 	// contentKeepTime is how long the content of a batch is kept after its load, for readers whose attempt ended
 	// before.
 	contentKeepTime = 5 * time.Second
-	// maxKeptContents bounds the contents that are kept, which may take several megabytes each.
-	maxKeptContents = 4
-	// maxContentLoads is the number of contents that a host loads at the same time, for readers and takeovers.
-	maxContentLoads = 4
+	// maxKeptParts bounds the parts of the contents that are kept, unless there is only one content.
+	maxKeptParts = 8
+	// maxContentLoads is the number of contents that a host loads at the same time, for readers and takeovers. Each
+	// may take tens of megabytes.
+	maxContentLoads = 2
 )
 
 // contentLoads are reads of batches' contents from the store. A load goes on when its readers have left or the
@@ -23,8 +24,8 @@
 type contentLoads struct {
 	mu   sync.Mutex
 	byID map[string]*contentLoad
-	// kept counts the loads in byID that have ended.
-	kept int
+	// keptParts counts the parts of the contents in byID whose loads have ended.
+	keptParts int
 }
 
 type contentLoad struct {
@@ -66,29 +67,29 @@
 	case <-ctx.Done():
 		l.err = ctx.Err()
 	}
-	if s.contents.keep(m.ID, l.err == nil) {
-		time.AfterFunc(contentKeepTime, func() { s.contents.remove(m.ID) })
+	if s.contents.keep(&m, l.err == nil) {
+		time.AfterFunc(contentKeepTime, func() { s.contents.remove(&m) })
 	}
 	close(l.done)
 }
 
-// keep keeps the content of a load that has ended if the load was successful and few others are kept. It reports
-// whether it did.
-func (c *contentLoads) keep(id string, loaded bool) bool {
+// keep keeps the content of a load that has ended if the load was successful and there is room. It reports whether
+// it did.
+func (c *contentLoads) keep(m *batches.Manifest, loaded bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !loaded || c.kept >= maxKeptContents {
-		delete(c.byID, id)
+	if !loaded || c.keptParts > 0 && c.keptParts+m.Parts > maxKeptParts {
+		delete(c.byID, m.ID)
 		return false
 	}
-	c.kept++
+	c.keptParts += m.Parts
 	return true
 }
 
 // remove drops a content that was kept.
-func (c *contentLoads) remove(id string) {
+func (c *contentLoads) remove(m *batches.Manifest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.byID, id)
-	c.kept--
+	delete(c.byID, m.ID)
+	c.keptParts -= m.Parts
 }
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -336,3 +336,25 @@
 	}
 	t.Logf("%d results after %v", listed, time.Since(began))
 }
+
+// Contents of tens of megabytes that are read one after another must not fill the memory of the host. One is kept,
+// whatever its size, for the readers whose attempt ended before its load.
+func TestContentLoads_LargeOnesAreNotKept(t *testing.T) {
+	content := func(id string, parts int) *batches.Manifest { return &batches.Manifest{ID: id, Parts: parts} }
+	c := contentLoads{byID: map[string]*contentLoad{}}
+	if !c.keep(content("large", 10*maxKeptParts), true) {
+		t.Error("the only content is not kept")
+	}
+	if c.keep(content("second", 10*maxKeptParts), true) || c.keep(content("small", 1), true) {
+		t.Error("a content is kept beside a large one")
+	}
+	c.remove(content("large", 10*maxKeptParts))
+	for i := range 2 * maxKeptParts {
+		if got := c.keep(content(fmt.Sprint("small", i), 1), true); got != (i < maxKeptParts) {
+			t.Errorf("small content %d: kept %v", i, got)
+		}
+	}
+	if c.keptParts != maxKeptParts {
+		t.Errorf("%d parts counted, want %d", c.keptParts, maxKeptParts)
+	}
+}
