Send no empty page of an ended log that may still grow to a peer

That host now sends results and pages of final logs only; the asking host reads the end of the log itself.

TestResults_HolderDoesNotVouchForTheEnd failed before (an empty page) and passes.

--- a/internal/transport/front/results.go
+++ b/internal/transport/front/results.go
@@ -203,7 +203,8 @@
 }
 
 // resultsForPeer is localResults for another host. If this host holds the log of the batch, which has ended, it
-// loads it.
+// loads it. An empty page from a log that is not final may be outdated when it arrives, so in place of it the
+// other host reads the store.
 func (s *Batches) resultsForPeer(ctx context.Context, team, id string, after int, wait time.Duration) (Page, error) {
 	page, err := s.localResults(ctx, team, id, after, wait)
 	if !errors.Is(err, errBatchNotActive) || s.logHolder(id) != s.settings.Host {
@@ -213,7 +214,11 @@
 	if err != nil || !m.Ended || m.Removed || !mayAccess(team, m.Team) {
 		return Page{}, errBatchNotActive
 	}
-	return s.storedResults(ctx, &m.Manifest, after)
+	page, err = s.storedResults(ctx, &m.Manifest, after)
+	if err != nil || len(page.Results) > 0 {
+		return page, err
+	}
+	return s.cachedResults(team, id, after)
 }
 
 // Body returns the request body of a sample. Its errors have a result code.
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -358,3 +359,32 @@
 		t.Errorf("%d parts counted, want %d", c.keptParts, maxKeptParts)
 	}
 }
+
+// The log of an ended batch is not complete, and its former owner may still append. The holder must not vouch for its
+// end: its answer may be on its way while the next result is read elsewhere.
+func TestResults_HolderDoesNotVouchForTheEnd(t *testing.T) {
+	w := newTestCluster(t)
+	w.start("h1", "h2", "h3")
+	w.putEndedBatch("ended", 2, 100)
+	m, err := w.store.Get(background, batches.ManifestKey("ended"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	incomplete := bytes.Replace(m.Value, []byte(`"total":2`), []byte(`"total":3`), 1)
+	if _, err := w.store.Put(background, m.Key, incomplete, m.Version); err != nil || bytes.Equal(incomplete, m.Value) {
+		t.Fatalf("manifest %s: %v", incomplete, err)
+	}
+	holder := w.nodes["h1"].Batches.logHolder("ended")
+	page, err := w.nodes[holder].Batches.resultsForPeer(background, "", "ended", 1, 0)
+	if err != nil || len(page.Results) != 1 {
+		t.Errorf("last result at the holder: %+v, %v", page, err)
+	}
+	if page, err := w.nodes[holder].Batches.resultsForPeer(background, "", "ended", 2, 0); !errors.Is(err, errBatchNotActive) {
+		t.Errorf("position after it at the holder: %+v, error %v, want %v", page, err, errBatchNotActive)
+	}
+	for _, n := range w.nodes {
+		if page, err := n.Batches.Results(background, "ended", 2, 0); err != nil || len(page.Results) != 0 || page.Total != 3 {
+			t.Errorf("position after it at %s: %+v, %v", n.Settings.Host, page, err)
+		}
+	}
+}
