Watch arriving bodies in the product, not in the adapter

How long a body may be silent is a decision of the product, not a translation; it moves to front/bodies.go, unchanged. TestBodies_* pass at the adapter and in the package.

--- a/internal/transport/front/bodies.go
+++ b/internal/transport/front/bodies.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	// bodyRetryAfter is the Retry-After of a refused body. A body of a few tens of megabytes is sent and answered
 	// in about this time.
 	bodyRetryAfter = time.Second
+	// bodySilence is how long a large body may be without progress, for it takes memory from others.
+	bodySilence = 10 * time.Second
 )
 
 // Bodies bounds the memory that the bodies of large requests take at a host together. Each request may stay within
@@ -106,3 +110,39 @@
 		}
 	}
 }
+
+// WatchBody returns a reader of a request's body that fails with resultcode.Overloaded after bodySilence without
+// progress, unless the body is small. end must be called when the body is read.
+func WatchBody(body io.Reader, w http.ResponseWriter, r *http.Request) (watched io.Reader, end func()) {
+	if r.ContentLength >= 0 && r.ContentLength <= smallBodyBytes {
+		return body, func() {}
+	}
+	b := &arrivingBody{body: body, request: r, conn: http.NewResponseController(w)}
+	// Without a deadline the connection is read to notice that the caller leaves.
+	return b, func() { b.setDeadline(time.Time{}) }
+}
+
+// arrivingBody is the reader that WatchBody returns.
+type arrivingBody struct {
+	body    io.Reader
+	request *http.Request
+	conn    *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	b.setDeadline(time.Now().Add(bodySilence))
+	n, err := b.body.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && AbandonedByStop(b.request.Context()) == nil {
+		err = &resultcode.Error{Code: resultcode.Overloaded, Detail: "no more of the body has arrived"}
+	}
+	return n, err
+}
+
+// setDeadline sets the deadline of reads, unless the request has ended: then reads must end at once.
+func (b *arrivingBody) setDeadline(t time.Time) {
+	_ = b.conn.SetReadDeadline(t) // if it fails, the connection is closed already
+	if b.request.Context().Err() != nil {
+		_ = b.conn.SetReadDeadline(time.Now())
+	}
+}
