--- a/internal/transport/front/admit.go
+++ b/internal/transport/front/admit.go
@@ -150,8 +150,8 @@
 	return err
 }
 
-// mayRetry records that an endpoint refused the request, and reports whether the retry budget allows another attempt. Without the budget, the retries of a
-// burst would flood the endpoints.
+// mayRetry records that an endpoint refused the request, and reports whether the retry budget allows
+// another attempt. Without the budget, the retries of a burst would flood the endpoints.
 func (c *call) mayRetry(endpoint string) bool {
 	c.gate.Observe(admission.Observation{Kind: admission.ObservationRefused, Endpoint: endpoint})
 	return c.f.withRetryBudget(c.service, (*retries.Budget).Withdraw)
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -200,7 +200,10 @@
 
 // peerHandler serves the calls of the other hosts.
 func (n *Node) peerHandler() http.Handler {
-	relay := &relayServer{path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay, track: n.TrackRequest, bodies: n.Bodies, log: logging.Component(n.params.Log, "endpoints")}
+	relay := &relayServer{
+		path: n.endpoints, fleet: n.Forwarder.fleet, draining: n.Draining, mayFinish: n.mayRelay,
+		track: n.TrackRequest, bodies: n.Bodies, log: logging.Component(n.params.Log, "endpoints"),
+	}
 	r := newPeerHandler(n.params.Store, n.peers, n.feed, n.Batches, n.permits, n.Forwarder.origins, relay)
 	if n.proofs != nil {
 		r.Handle(configProofPath, n.proofs).Methods(http.MethodGet)
