Derive the bounds of four tests from what they state

Cause: a read-through found bounds that no target gives. The history of reads allowed 100 ms beyond the second within which hosts must agree; the others held figures without their origin: 4 refusals a sample, 6 reads, 16 MiB.

Change: the history is held to the second. The two tests that read ended batches share their readers; what they check is unchanged.

--- a/internal/transport/front/bodies_test.go
+++ b/internal/transport/front/bodies_test.go
@@ -40,7 +40,7 @@
 		t.Errorf("small body beside large ones: %v", err)
 	}
 	source := &endlessBody{}
-	if _, _, err := b.ReadBody(source, -1, 1); !isCode(err, resultcode.Overloaded) || source.read > 16<<20 {
+	if _, _, err := b.ReadBody(source, -1, 1); !isCode(err, resultcode.Overloaded) || source.read > memory/4-2*length {
 		t.Errorf("endless body without a length: %d bytes read, error %v", source.read, err)
 	}
 	for _, release := range releases {
--- a/internal/transport/front/history_test.go
+++ b/internal/transport/front/history_test.go
@@ -15,9 +15,6 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 )
 
-// schedulingSlack is how late a caller of a busy test process may note an answer.
-const schedulingSlack = 100 * time.Millisecond
-
 // readHistory checks that what has been read of a batch at one host is read at the others.
 type readHistory struct {
 	t  *testing.T
@@ -50,7 +47,7 @@
 		h.pages++
 	default:
 		h.empty++
-		if after < len(h.readAt) && now.Sub(h.readAt[after]) > settleTime+schedulingSlack {
+		if after < len(h.readAt) && now.Sub(h.readAt[after]) > settleTime {
 			h.t.Errorf("%s: position %d is empty %v after it was read", host, after, now.Sub(h.readAt[after]))
 		}
 	}
--- a/internal/transport/front/logend_test.go
+++ b/internal/transport/front/logend_test.go
@@ -158,12 +158,15 @@
 	}
 }
 
-// pollFirstPosition has four trainers poll for the first result of a batch for two seconds.
+// pollTime is how long pollFirstPosition polls.
+const pollTime = 2 * time.Second
+
+// pollFirstPosition has four trainers poll for the first result of a batch.
 func (w *testCluster) pollFirstPosition(n *testNode, id string) {
 	var all sync.WaitGroup
 	for range 4 {
 		all.Go(func() {
-			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for end := time.Now().Add(pollTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 				if _, err := n.Batches.Results(background, id, 0, 0); err != nil {
 					w.t.Error(err)
 				}
@@ -183,8 +186,8 @@
 	b.results.endAppend(number, objectapi.ErrUnavailable)
 	n.store.logReads.Store(0)
 	w.pollFirstPosition(n, "b0")
-	if got := n.store.logReads.Load(); got == 0 || got > 6 {
-		t.Errorf("%d reads of the log in two seconds, want a few", got)
+	if got, most := n.store.logReads.Load(), int64(pollTime/sharedReadAge)+1; got == 0 || got > most {
+		t.Errorf("%d reads of the log in %v, want 1 to %d", got, pollTime, most)
 	}
 }
 
--- a/internal/transport/front/node_test.go
+++ b/internal/transport/front/node_test.go
@@ -704,7 +704,8 @@
 	got := refused()
 	close(release)
 	w.checkResults(b, w.readAll(n, b.ID))
-	if got > float64(4*len(b.Samples)) {
+	// The gate spreads retries over the second half of a third of the budget, which is minScoreTimeout at least.
+	if perSample := 1 + int(time.Second/(minScoreTimeout/3/2)); got > float64(perSample*len(b.Samples)) {
 		t.Errorf("%v scoring requests of %d samples were refused in a second", got, len(b.Samples))
 	}
 }
--- a/internal/transport/front/results_test.go
+++ b/internal/transport/front/results_test.go
@@ -63,31 +63,36 @@
 	return read, total
 }
 
-// The host that owned most batches is gone, and callers who leave after a while read all of them at once
-// through hosts with slow links. Each batch must become readable, although reading a log from the
-// store takes about as long as a caller waits.
-func TestResults_EndedBatchesReadableWithoutOwner(t *testing.T) {
-	const count, entries, entryBytes, bytesPerSecond = 24, 12, 150 << 10, 2 << 20
-	w := newTestCluster(t)
-	hosts := w.start("h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8")
+// readEndedBatches reads batches whose logs have the given entries, all at the same time, at hosts whose links carry
+// 2 MiB/s. It fails the test unless all of them are read within recoveryTime.
+func (w *testCluster) readEndedBatches(hosts []*testNode, count, entries, entryBytes int) {
+	const bytesPerSecond = 2 << 20
 	for i := range count {
 		w.putEndedBatch(fmt.Sprintf("ended%d", i), entries, entryBytes)
 	}
 	for _, n := range hosts {
 		n.store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
 	}
-	deadline := time.Now().Add(recoveryTime)
+	began := time.Now()
 	var readers sync.WaitGroup
 	for i := range count {
 		readers.Go(func() {
 			id := fmt.Sprintf("ended%d", i)
-			if read, total := readImpatiently(hosts, id, uint64(i), deadline); total != entries || read != total {
-				t.Errorf("%s: %d of %d results read", id, read, entries)
+			if read, total := readImpatiently(hosts, id, uint64(i), began.Add(recoveryTime)); total != entries || read != total {
+				w.t.Errorf("%s: %d of %d results read", id, read, entries)
 			}
 		})
 	}
 	readers.Wait()
-	t.Logf("all read after %v", time.Until(deadline.Add(-recoveryTime)).Abs())
+	w.t.Logf("all read after %v", time.Since(began))
+}
+
+// The host that owned most batches is gone, and callers who leave after a while read all of them at once
+// through hosts with slow links. Each batch must become readable, although reading a log from the
+// store takes about as long as a caller waits.
+func TestResults_EndedBatchesReadableWithoutOwner(t *testing.T) {
+	w := newTestCluster(t)
+	w.readEndedBatches(w.start("h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"), 24, 12, 150<<10)
 }
 
 // The content of a batch that no host runs takes longer to read from the store than a caller waits. The body of a
@@ -188,25 +193,8 @@
 // Four loads at a time share a host's slow link. An entry of the largest size takes each of them longer than one
 // attempt of a store call.
 func TestResults_LargeEntriesReadableWithoutOwner(t *testing.T) {
-	const count, entries, entryBytes, bytesPerSecond = 4, 2, 600 << 10, 2 << 20
 	w := newTestCluster(t)
-	hosts := w.start("h1")
-	for i := range count {
-		w.putEndedBatch(fmt.Sprintf("ended%d", i), entries, entryBytes)
-	}
-	hosts[0].store.batchBandwidth.Store(rate.NewLimiter(bytesPerSecond, 64<<10))
-	deadline := time.Now().Add(recoveryTime)
-	var readers sync.WaitGroup
-	for i := range count {
-		readers.Go(func() {
-			id := fmt.Sprintf("ended%d", i)
-			if read, total := readImpatiently(hosts, id, uint64(i), deadline); total != entries || read != total {
-				t.Errorf("%s: %d of %d results read", id, read, entries)
-			}
-		})
-	}
-	readers.Wait()
-	t.Logf("all read after %v", time.Until(deadline.Add(-recoveryTime)).Abs())
+	w.readEndedBatches(w.start("h1"), 4, 2, 600<<10)
 }
 
 // An owner that cannot confirm an empty page must answer while its caller is there, with an error at least.
