review: the ended batch with the sheet's size

Cause: the first form of review/7 needed a batch of 16 MB, which no sheet has. Change: a batch of the sheet's size, and a store that is slow for 2.6 s while the batch is taken over.

--- a/review/stage2/crashloop.go
+++ b/review/stage2/crashloop.go
@@ -162,17 +162,3 @@
 	}
 	return page.Next
 }
-
-// lateRuns returns the number of runs of a batch's items that began later than cancelTime after its end was confirmed, and
-// when the last one began.
-func lateRuns(servers []*server, id string, ended time.Time) (late int, last time.Duration) {
-	for _, s := range servers {
-		for _, a := range s.runs() {
-			if after := a.At.Sub(ended); strings.HasPrefix(a.ID, id) && after > cancelTime {
-				late++
-				last = max(last, after)
-			}
-		}
-	}
-	return late, last
-}
--- a/review/stage2/ended.go
+++ b/review/stage2/ended.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -60,14 +61,20 @@
 }
 
 const (
-	endedItems  = 128
-	endedEvents = 15
-	// itemBytes is the size of the body of an item.
-	itemBytes = 96 << 10
+	// endedItems and endedEvents are the size of the batch.
+	endedItems  = 96
+	endedEvents = 16
+	itemBytes   = 600
+	// slowAnswer is the time that an answer of the store takes while it is slow, 60 times as long as usual. It is so
+	// from slowDelay after the loss of power on, for slowTime.
+	slowAnswer = 240 * time.Millisecond
+	slowDelay  = 500 * time.Millisecond
+	slowTime   = 2600 * time.Millisecond
 )
 
-// endedCase: the host that runs a batch loses power, and the trainer ends the batch while another host takes it
-// over. Items must not reach servers later than cancelTime after the answer to the end.
+// endedCase: the host that runs a batch loses power while the store is slow, and the trainer ends the batch while
+// another host takes it over. Items must not reach servers later than cancelTime after the answer to the end, from stability
+// after the store is as usual again.
 func endedCase(w *world, trouble bool) (verdict, error) {
 	w.store.put("config", "main", baseConfig(1))
 	w.addHosts(3)
@@ -102,10 +109,19 @@
 			}
 		}
 	}
-	next := owner
+	next, stable := owner, time.Now()
 	if trouble {
 		w.log.addf("%s loses power", owner.name)
 		owner.kill()
+		time.AfterFunc(slowDelay, func() {
+			w.log.addf("the store is slow")
+			w.store.delay.Store(int64(slowAnswer))
+		})
+		time.AfterFunc(slowDelay+slowTime, func() {
+			w.log.addf("the store is as usual")
+			w.store.delay.Store(int64(usualAnswer))
+		})
+		stable = time.Now().Add(slowDelay + slowTime + stability)
 		time.AfterFunc(3500*time.Millisecond, func() { _ = owner.start(false) })
 		select {
 		case next = <-taken:
@@ -132,9 +148,30 @@
 	}
 	w.log.addf("the end of the batch is confirmed")
 	time.Sleep(14 * time.Second)
-	late, last := lateRuns(w.servers, id, ended)
+	from := ended.Add(cancelTime)
+	if stable.After(from) {
+		from = stable
+	}
+	late, last := lateRuns(w.servers, id, from)
 	if late > 0 {
-		return verdict{true, fmt.Sprintf("%d items reached servers and ran later than %d ms after the confirmed end, the last one after %d ms", late, cancelTime.Milliseconds(), last.Milliseconds())}, nil
+		return verdict{true, fmt.Sprintf("%d items reached servers and ran later than %d ms after the confirmed end, %d ms after which the store was stable, the last one after %d ms",
+			late, cancelTime.Milliseconds(), stable.Sub(ended).Milliseconds(), last.Sub(ended).Milliseconds())}, nil
 	}
 	return verdict{false, "no item ran later than cancel_ms after the confirmed end"}, nil
 }
+
+// lateRuns returns the number of runs of a batch's items that began after a time, and when the last one did.
+func lateRuns(servers []*server, id string, from time.Time) (late int, last time.Time) {
+	for _, s := range servers {
+		for _, a := range s.runs() {
+			if !strings.HasPrefix(a.ID, id) || !a.At.After(from) {
+				continue
+			}
+			late++
+			if a.At.After(last) {
+				last = a.At
+			}
+		}
+	}
+	return late, last
+}
--- a/review/stage2/store.go
+++ b/review/stage2/store.go
@@ -23,6 +23,8 @@
 const (
 	pageObjects = 500
 	pageBytes   = 1 << 20
+	// usualAnswer is the time that an answer takes.
+	usualAnswer = 4 * time.Millisecond
 )
 
 // object is one version of an object of the store. It is never changed.
@@ -77,7 +79,7 @@
 		return nil, err
 	}
 	s := &store{address: l.Addr().String(), revision: 1, kinds: map[string]map[string]*object{}, changed: make(chan struct{})}
-	s.delay.Store(int64(4 * time.Millisecond))
+	s.delay.Store(int64(usualAnswer))
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
