--- a/review/stage2/poison.go
+++ b/review/stage2/poison.go
@@ -29,7 +29,7 @@
 	w.store.put("config", "main", config)
 	w.addHosts(poisonHosts)
 	var mu sync.Mutex
-	var reached []time.Time
+	var reached, crashes []time.Time
 	for i := range 4 {
 		s := &server{id: fmt.Sprintf("d-%d", i+1), service: "desk", zone: w.hosts[i].zone, slots: 6, work: 25 * time.Millisecond}
 		s.crash = func(r *http.Request, body string) bool {
@@ -39,6 +39,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			reached = append(reached, time.Now())
+			if trouble {
+				crashes = append(crashes, time.Now())
+			}
 			return trouble
 		}
 		if err := w.addServer(s); err != nil {
@@ -73,10 +76,11 @@
 	defer mu.Unlock()
 	late := 0
 	for _, at := range reached {
-		if len(reached) > 3 && at.After(reached[2].Add(stability)) {
+		if len(crashes) >= 3 && at.After(crashes[2].Add(stability)) {
 			late++
 		}
 	}
-	text := fmt.Sprintf("the request reached servers %d times, %d of them later than %d ms after the third", len(reached), late, stability.Milliseconds())
-	return verdict{trouble && late > maxRetries, text}, nil
+	text := fmt.Sprintf("the request reached servers %d times and crashed %d; %d times later than %d ms after the third crash",
+		len(reached), len(crashes), late, stability.Milliseconds())
+	return verdict{late > maxRetries, text}, nil
 }
