batches: do not start a batch that was ended while it was taken over

Cause: the next owner starts the batch by the manifest that it read before it loaded the content and the log. The notification of the end finds no active batch and is dropped, the start does not look again, and the check of the manifests is left out as long as appends to the log succeed, which they do for an ended batch too. A repeated end was not passed on to the owner.

Change: the end is kept with the cached manifest, and start looks there under the lock under which it registers the batch; confirmOpen waits for a read of the manifest that began after the registration before the first sample starts; appends no longer count as a check; a repeated end notifies the owner, and a notification without an answer is repeated in the background. An end comes before the registration and is read, or after it and finds the batch, however long the loads take.

--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -160,6 +160,7 @@
 	a.sampleTTL = opt.SampleTTL
 	a.run = batchrun.New(a.batch, opt, a.results.ids())
 	a.restore()
+	a.confirmOpen()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/internal/transport/front/batchend.go
+++ b/internal/transport/front/batchend.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
-// endNotifyAttempts is the number of attempts to notify a batch's owner that the trainer ended
-// the batch.
-const endNotifyAttempts = 2
+const (
+	// endNotifyAttempts is the number of attempts to notify a batch's owner that the trainer ended the batch,
+	// before the trainer gets its answer.
+	endNotifyAttempts = 2
+	// endNotifyInterval is the pause between later attempts.
+	endNotifyInterval = 250 * time.Millisecond
+)
 
 // End records in the manifest that the trainer wants no more results, and stops the
 // batch at its owner. It is idempotent. Its errors have a result code.
@@ -31,7 +37,8 @@
 			return err
 		}
 		if m.Ended {
-			s.stopEnded(id)
+			// The owner may have missed the first notification.
+			s.notifyEnd(ctx, m.Owner, id)
 			return nil
 		}
 		next := m.Manifest
@@ -88,7 +95,7 @@
 }
 
 // notifyEnd notifies a batch's owner, which may be this host, that the trainer has ended the
-// batch.
+// batch. If the owner does not answer, the notification is repeated in the background.
 func (s *Batches) notifyEnd(ctx context.Context, owner, id string) {
 	if owner == s.settings.Host {
 		s.stopEnded(id)
@@ -100,14 +107,26 @@
 			return
 		}
 	}
-	if err != nil {
-		// The owner sees the end at its next ownership check.
-		s.log.Warn("Failed to notify batch owner of the batch's end", "batch", id, "owner", owner, "err", err)
+	s.log.Warn("Failed to notify batch owner of the batch's end", "batch", id, "owner", owner, "err", err)
+	go s.repeatEndNotification(owner, id)
+}
+
+// repeatEndNotification notifies a batch's owner of the end until it answers or has had the time to see the end in
+// the store.
+func (s *Batches) repeatEndNotification(owner, id string) {
+	ctx, cancel := context.WithTimeout(s.base, checksPerExactOne*ownershipCheckInterval)
+	defer cancel()
+	for clock.Sleep(ctx, endNotifyInterval); ctx.Err() == nil; clock.Sleep(ctx, endNotifyInterval) {
+		if s.peerClient.NotifyEnd(ctx, owner, id) == nil {
+			return
+		}
 	}
 }
 
-// stopEnded stops a batch that the trainer has ended, if this host runs it.
+// stopEnded stops a batch that the trainer has ended, if this host runs it, and keeps a takeover in progress
+// from starting it.
 func (s *Batches) stopEnded(id string) {
+	s.store.markEnded(id)
 	if b := s.activeByID(id); b != nil {
 		b.ended.Store(true)
 		b.stop("ended by the trainer")
--- a/internal/transport/front/batches.go
+++ b/internal/transport/front/batches.go
@@ -298,6 +298,11 @@
 		s.mu.Unlock()
 		return
 	}
+	if known, ok := s.store.cached(m.ID); ok && known.Ended && known.sameAcceptance(&m.Manifest) {
+		s.mu.Unlock()
+		s.log.Info("Did not start batch that the trainer has ended", "batch", m.ID)
+		return
+	}
 	active := newActiveBatch(m, b, carried, entries, s)
 	active.results.setOwnershipConfirmed(m.writtenAt)
 	s.active[m.ID] = active
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -314,6 +314,8 @@
 	statuses sync.Map
 	// stalledReads, when set, blocks reads of keys with this prefix until they time out.
 	stalledReads atomic.Pointer[string]
+	// heldReads, when set, holds the answers to reads and listings of keys with this prefix until it is reset.
+	heldReads atomic.Pointer[string]
 	// lostWriteAnswers, when set, applies writes of keys with this prefix but returns
 	// ErrUnavailable.
 	lostWriteAnswers atomic.Pointer[string]
@@ -389,6 +391,7 @@
 		<-ctx.Done()
 		return objectapi.Object{}, errors.Join(objectapi.ErrUnavailable, ctx.Err())
 	}
+	s.hold(ctx, key)
 	if key == streamSoftwareKey {
 		time.Sleep(time.Duration(s.softwareReadDelay.Load()))
 	}
@@ -399,10 +402,17 @@
 	return o, s.transfer(ctx, o)
 }
 
+func (s *hostStore) hold(ctx context.Context, key string) {
+	for p := s.heldReads.Load(); p != nil && strings.HasPrefix(key, *p) && ctx.Err() == nil; p = s.heldReads.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // maxListedBytes bounds the values of a page of a listing.
 const maxListedBytes = 1 << 20
 
 func (s *hostStore) list(ctx context.Context, prefix, after string, limit int) (objectapi.Page, error) {
+	s.hold(ctx, prefix)
 	page, err := s.ObjectStore.List(ctx, prefix, after, limit)
 	if late := s.delayAnswer(ctx, prefix); late != nil {
 		return objectapi.Page{}, late
--- a/internal/transport/front/manifests.go
+++ b/internal/transport/front/manifests.go
@@ -19,6 +19,7 @@
 	m.acceptedBy = s.now() - max(0, time.Duration(m.AgeMs)*time.Millisecond)
 	old, ok := s.cache[m.ID]
 	if ok && old.sameAcceptance(&m.Manifest) {
+		m.Ended = m.Ended || old.Ended // an end is final, and markEnded may have recorded it earlier
 		m.cachedAt, m.acceptedBy = old.cachedAt, min(old.acceptedBy, m.acceptedBy)
 		if old.version >= m.version {
 			old.acceptedBy = m.acceptedBy
@@ -32,6 +33,18 @@
 	return m
 }
 
+// markEnded records in the cache that the store has the end of a batch, although this host has not read it.
+func (s *batchStore) markEnded(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.cache[id]
+	if !ok {
+		m = storedManifest{Manifest: batches.Manifest{ID: id}, cachedAt: time.Now(), acceptedBy: s.now()}
+	}
+	m.Ended = true
+	s.cache[id] = m
+}
+
 // cached returns the newest manifest that this host has seen.
 func (s *batchStore) cached(id string) (storedManifest, bool) {
 	s.mu.Lock()
--- a/internal/transport/front/ownership.go
+++ b/internal/transport/front/ownership.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
+	"oleanderfall.example/oleanderfall/internal/transport/clock"
 )
 
 const (
@@ -25,6 +26,8 @@
 	// sharedReadAge is how long before a caller asks for a confirmation the read may have begun
 	// that it shares with others. The confirmation must not be too old once the read has ended.
 	sharedReadAge = maxOwnershipCheckAge / 2
+	// openRetryDelay is the pause after a failed read of the manifest of a batch that is about to start.
+	openRetryDelay = 100 * time.Millisecond
 )
 
 // ownershipRead is a read of the manifests of the batches that this host runs.
@@ -108,10 +111,10 @@
 
 // joinOwnershipRead returns a read that includes the given batch: the last one if it began within
 // sharedReadAge, else a new one.
-func (s *Batches) joinOwnershipRead(id string) *ownershipRead {
+func (s *Batches) joinOwnershipRead(b *activeBatch) *ownershipRead {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.ownershipRead; r != nil && time.Since(r.began) <= sharedReadAge && r.batches[id] != nil {
+	if r := s.ownershipRead; r != nil && time.Since(r.began) <= sharedReadAge && r.batches[b.manifest.ID] == b {
 		return r
 	}
 	return s.startOwnershipRead()
@@ -164,7 +167,7 @@
 // another host owns it. It also stops an ended batch.
 func (s *Batches) confirmOwnership(ctx context.Context, b *activeBatch) error {
 	id := b.manifest.ID
-	r := s.joinOwnershipRead(id)
+	r := s.joinOwnershipRead(b)
 	select {
 	case <-r.done:
 	case <-ctx.Done():
@@ -173,12 +176,34 @@
 	switch {
 	case r.err != nil:
 		return r.err
-	case r.batches[id] == nil:
+	case r.batches[id] != b:
 		return errBatchNotActive // the batch has finished at this host
 	}
 	return r.outcomes[id]
 }
 
+// confirmOpen waits until a read of the manifest that began after the batch was registered at this host confirms
+// that the batch is open and this host's, or stops the batch. An end that was recorded while its content or its log
+// was read is in the store; the host that records a later one finds the batch registered. A batch whose manifest this
+// host has just written needs no read.
+func (a *activeBatch) confirmOpen() {
+	if !a.resumed && time.Since(a.manifest.writtenAt) <= maxOwnershipCheckAge {
+		return
+	}
+	for a.ctx.Err() == nil {
+		err := a.parent.confirmOwnership(a.ctx, a)
+		switch {
+		case err == nil || a.ctx.Err() != nil:
+			return
+		case errors.Is(err, errBatchNotActive) || errors.Is(err, objectapi.ErrNotFound):
+			a.stop("the batch has another owner or was removed")
+			return
+		}
+		a.log.Warn("Failed to confirm that the batch is open", "err", err)
+		clock.Sleep(a.ctx, openRetryDelay)
+	}
+}
+
 // checkOwnership confirms the ownership of a batch and logs a failure to do so.
 func (a *activeBatch) checkOwnership() {
 	if err := a.parent.confirmOwnership(a.ctx, a); err != nil && !errors.Is(err, errBatchNotActive) && a.ctx.Err() == nil {
--- a/internal/transport/front/resultlog.go
+++ b/internal/transport/front/resultlog.go
@@ -25,10 +25,12 @@
 	// team is the team of the batch, empty for none.
 	team string
 
-	mu             sync.Mutex
-	results        []batches.Result
-	entries        int
-	sampleIDs      map[string]bool
+	mu        sync.Mutex
+	results   []batches.Result
+	entries   int
+	sampleIDs map[string]bool
+	// ownerConfirmed is when the manifest last named this host as the owner. Appends do not count: they
+	// succeed for a batch that the trainer has ended, too.
 	ownerConfirmed time.Time
 	endConfirmed   time.Time
 	// shared is true if another process has run the batch, which may still append entries.
@@ -193,9 +195,6 @@
 func (l *resultLog) setAppended(began time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if began.After(l.ownerConfirmed) {
-		l.ownerConfirmed = began
-	}
 	l.maxEntryBytes = min(l.maxEntryBytes+minEntryBytes, maxPartBytes)
 	l.confirmEnd(began)
 }
