heartbeats: bound the size of each one, whatever the host knows

All hosts counted each other as dead for two minutes.

Cause: a heartbeat had all suspects of its host, up to 4,096, and all its batches. From about 130 suspects on it was longer than the receiver's buffer of 2,800 bytes, and no host could decode it. Of fourteen parts only three gave way to the bound of 1,400 bytes.

Change: the sender's record and the hosts that it relays always fit; tables that receivers replace are left out whole, the least useful first; lists are cut, half of the rest the most useful entries, half the others in turn. So the size no longer grows with state, and what did not fit arrives later. Receivers read datagrams of any size, for builds that do not bound theirs. A hub relays the worst suspects of all its hosts instead of its own only. A metric counts what was cut.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -8,6 +8,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/state/model"
@@ -196,7 +198,8 @@
 }
 
 // Report returns the fingerprints that crashed endpoints in attempts of this host, for
-// other hosts to merge. Crashes known only from reports are left out.
+// other hosts to merge. Crashes known only from reports are left out. The fingerprints with the most
+// crashes come first, the latest ones before others.
 func (l *List) Report(now time.Time) []model.QuarantinedRequest {
 	var out []model.QuarantinedRequest
 	for f, s := range l.entries {
@@ -204,6 +207,9 @@
 			out = append(out, model.QuarantinedRequest{Fingerprint: f, Crashes: len(s.localCrashes), Remaining: s.expiresAt.Sub(now)})
 		}
 	}
+	slices.SortFunc(out, func(a, b model.QuarantinedRequest) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.Remaining, a.Remaining))
+	})
 	return out
 }
 
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -176,7 +176,7 @@
 	n.membership = &Membership{
 		settings: p.Settings, peers: n.peers, peerClient: calls, fleet: fleet, rank: n.rank,
 		announced: make(chan struct{}, 1), quarantine: map[string]relayedQuarantine{}, store: store, stale: stale,
-		fillHeartbeat: n.fillHeartbeat, log: component("hosts"),
+		fillHeartbeat: n.fillHeartbeat, log: component("hosts"), cutEntries: n.Metrics.cutEntries,
 	}
 	return n
 }
--- a/internal/transport/front/membership.go
+++ b/internal/transport/front/membership.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/placement"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
@@ -20,8 +20,8 @@
 )
 
 const (
-	// maxHeartbeatBytes bounds a datagram. Larger ones would be fragmented.
-	maxHeartbeatBytes = 1400
+	// maxDatagramBytes is the largest datagram that can arrive: older builds do not bound their heartbeats.
+	maxDatagramBytes = 64 << 10
 	// membershipTick is the time between checks for hosts that ceased to be alive.
 	membershipTick = presence.Interval / 3
 	// minAnnounceInterval is the minimum time between two heartbeats that announce a change,
@@ -46,6 +46,8 @@
 	// not alive before or has restarted.
 	onHeartbeat func(h presence.Heartbeat, appeared bool)
 	log         *slog.Logger
+	// cutEntries counts the entries that did not fit into a heartbeat, by list.
+	cutEntries *prometheus.CounterVec
 
 	incarnation int64
 	sequence    atomic.Uint64
@@ -312,20 +314,6 @@
 	fill(m.peers.table, now, h)
 }
 
-// encodeHeartbeat returns the encoded form of a heartbeat. If that is too large, parts are left out:
-// unread prompts and loads only improve endpoint selection, and changes also arrive with the roster.
-func encodeHeartbeat(h presence.Heartbeat) ([]byte, error) {
-	b, err := cbor.Marshal(h)
-	for _, drop := range []func(){func() { h.Unread = nil }, func() { h.Changed = nil }, func() { h.Loads = nil }} {
-		if err != nil || len(b) <= maxHeartbeatBytes {
-			break
-		}
-		drop()
-		b, err = cbor.Marshal(h)
-	}
-	return b, err
-}
-
 // sendTo sends a heartbeat to the target addresses.
 func (m *Membership) sendTo(targets []string, h presence.Heartbeat) {
 	if len(targets) == 0 {
@@ -333,11 +321,14 @@
 	}
 	// Each kind has its own sequence number, since a host may receive several kinds.
 	h.Sequence = m.sequence.Add(1)
-	b, err := encodeHeartbeat(h)
+	b, cut, err := encodeHeartbeat(h)
 	if err != nil {
 		m.log.Error("Failed to encode heartbeat", "err", err)
 		return
 	}
+	for list, entries := range cut {
+		m.cutEntries.WithLabelValues(list).Add(float64(entries))
+	}
 	for _, t := range targets {
 		if t == m.settings.PeerAddress {
 			continue
@@ -354,7 +345,7 @@
 }
 
 func (m *Membership) receive() {
-	buffer := make([]byte, 2*maxHeartbeatBytes)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/transport/front/metrics.go
+++ b/internal/transport/front/metrics.go
@@ -14,6 +14,8 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	batches  *prometheus.CounterVec
+	// cutEntries counts what did not fit into heartbeats.
+	cutEntries *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with reg. It panics if they are registered already.
@@ -29,8 +31,11 @@
 		batches: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleander_front_batch_calls_total", Help: "Calls about batches by call and result code.",
 		}, []string{"call", "code"}),
+		cutEntries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleander_front_heartbeat_entries_cut_total", Help: "Entries that did not fit into a heartbeat, by list.",
+		}, []string{"list"}),
 	}
-	reg.MustRegister(m.requests, m.latency, m.batches)
+	reg.MustRegister(m.requests, m.latency, m.batches, m.cutEntries)
 	return m
 }
 
--- a/internal/transport/front/prompts_test.go
+++ b/internal/transport/front/prompts_test.go
@@ -143,7 +143,7 @@
 	for i := range uint32(16) {
 		h.Unread[1<<31+i] = prompts.Queue{Tokens: 1 << 20, Requests: 300, NanosPerToken: 5000}
 	}
-	raw, err := encodeHeartbeat(h)
+	raw, _, err := encodeHeartbeat(h)
 	var former struct {
 		Host  string            `cbor:"1,keyasint"`
 		Loads map[uint32]uint16 `cbor:"12,keyasint"`
@@ -158,7 +158,7 @@
 	for i := range uint32(190) {
 		h.Loads[1<<30+i] = 1
 	}
-	raw, err = encodeHeartbeat(h)
+	raw, _, err = encodeHeartbeat(h)
 	got = presence.Heartbeat{}
 	if err := errors.Join(err, decoding.Unmarshal(raw, &got)); err != nil || len(raw) > maxHeartbeatBytes || len(got.Loads) != 191 || got.Unread != nil {
 		t.Errorf("full heartbeat: %d bytes, %d loads, unread prompts %v, %v", len(raw), len(got.Loads), got.Unread, err)
--- a/internal/transport/front/relayedreports.go
+++ b/internal/transport/front/relayedreports.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,13 +10,9 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/prompts"
 )
 
-const (
-	// maxRelayedQuarantine bounds the quarantined requests that a hub relays.
-	maxRelayedQuarantine = 16
-	// summaryLoads stands for all other hosts in the table of loads of a host that receives
-	// the loads from its hub.
-	summaryLoads = "\x00summary"
-)
+// summaryLoads stands for all other hosts in the table of loads of a host that receives the loads from
+// its hub.
+const summaryLoads = "\x00summary"
 
 // relayedQuarantine holds the quarantined requests that a host reported. own is set if the
 // host uses this one as a hub.
@@ -32,7 +29,8 @@
 }
 
 // withRelayedQuarantine adds the entries reported by other hosts to this host's own: those of
-// the hosts that use this one as a hub or, unless ownHosts is set, of all.
+// the hosts that use this one as a hub or, unless ownHosts is set, of all. The order is that of
+// quarantine.List.Report.
 func (m *Membership) withRelayedQuarantine(own []presence.QuarantinedRequest, ownHosts bool) []presence.QuarantinedRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -42,7 +40,10 @@
 			out = append(out, q.requests...)
 		}
 	}
-	return out[:min(len(out), max(maxRelayedQuarantine, len(own)))]
+	slices.SortFunc(out, func(a, b presence.QuarantinedRequest) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.RemainingMs, a.RemainingMs))
+	})
+	return out
 }
 
 // recordLoads applies the loads of a heartbeat. A hub keeps those of each host that sends it
--- a/internal/transport/front/takeover.go
+++ b/internal/transport/front/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
@@ -33,7 +34,7 @@
 	relistRetryDelay = 500 * time.Millisecond
 )
 
-// UnfinishedIDs returns the ids of the unfinished batches that this host runs.
+// UnfinishedIDs returns the ids of the unfinished batches that this host runs, sorted.
 func (s *Batches) UnfinishedIDs() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,6 +44,7 @@
 			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
