stop: promise no end of a stream that nobody knows

Cause: a stream was taken if the longest recent one of its route fitted into the time left. Lengths have a long tail, so the next stream is longer than all that the host has seen now and then, and once events have been passed on, no truthful answer is left.

Change: from 3 s after the begin of the stop (3/8 of a short grace period), a stream is taken only if its caller stops waiting before the host stops serving, which is a bound. Others are refused at once as not run, so that another host serves them whole.

--- a/internal/coordination/hoststop/hoststop.go
+++ b/internal/coordination/hoststop/hoststop.go
@@ -2,7 +2,8 @@
 // them it still takes, and when those that run have to end.
 //
 // Invariant: a request is taken only if it is expected to end before the host stops serving, or if its
-// caller stops waiting before that.
+// caller stops waiting before that. A stream cannot be answered otherwise once it has begun, and nobody
+// knows its length before it ends, so only the second reason counts for streams from Schedule.BoundStreams on.
 package hoststop
 
 import (
@@ -29,10 +30,17 @@
 	// duties.
 	maxHandoverReserve = 3 * time.Second
 	handoverShare      = 0.75
+	// maxStreamTime is the time after the begin of the stop for which streams are taken by their expected
+	// length: callers that come so early may not know of the stop yet, and most of the grace period is left.
+	maxStreamTime   = 3 * time.Second
+	streamTimeShare = 0.375
 )
 
-// Schedule is the timetable of a planned stop. The times are in the order of the fields.
+// Schedule is the timetable of a planned stop. The times are in the order of the fields, apart from
+// BoundStreams, which may come after HandOver.
 type Schedule struct {
+	// BoundStreams is when the host begins to refuse streams whose callers may wait for longer than it serves.
+	BoundStreams time.Time
 	// HandOver is when the duties of the host are handed over to others.
 	HandOver time.Time
 	// Close is when the host stops listening, even if requests still run.
@@ -49,7 +57,11 @@
 	before := func(t time.Time, longest time.Duration, share float64) time.Time {
 		return t.Add(-min(longest, time.Duration(share*float64(grace))))
 	}
-	s := Schedule{Exit: before(began.Add(grace), maxExitMargin, exitShare), HandOver: before(began.Add(grace), maxHandoverReserve, handoverShare)}
+	s := Schedule{
+		BoundStreams: began.Add(min(maxStreamTime, time.Duration(streamTimeShare*float64(grace)))),
+		HandOver:     before(began.Add(grace), maxHandoverReserve, handoverShare),
+		Exit:         before(began.Add(grace), maxExitMargin, exitShare),
+	}
 	s.Abandon = before(s.Exit, maxAnswerMargin, answerShare)
 	s.Close = before(s.Abandon, maxCloseMargin, closeShare)
 	return s
@@ -62,11 +74,17 @@
 	// Length is how long the request is expected to take; Known is false if there is no expectation.
 	Length time.Duration
 	Known  bool
+	// Streamed is set if the answer is passed on before its end.
+	Streamed bool
 }
 
 // MayFinish reports whether the host may take a request. One of unknown length is taken only if its
-// caller stops waiting before the host stops serving: others can still serve it.
+// caller stops waiting before the host stops serving: others can still serve it. A streamed one has no known
+// length from BoundStreams on.
 func (s Schedule) MayFinish(now time.Time, r Request) bool {
+	if r.Streamed && !now.Before(s.BoundStreams) {
+		r.Known = false
+	}
 	margin := min(time.Duration(lengthMarginShare*float64(r.Length)), maxLengthMargin)
 	return !r.Deadline.After(s.Abandon) || r.Known && !now.Add(r.Length+margin).After(s.Abandon)
 }
--- a/internal/coordination/hoststop/hoststop_test.go
+++ b/internal/coordination/hoststop/hoststop_test.go
@@ -49,6 +49,32 @@
 	}
 }
 
+// Guards against streams that are taken by a guess of their length late in a stop. Until BoundStreams, and for
+// callers that leave before the host stops serving, the length counts.
+func TestMayFinish_Streams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(time.Second), int64(time.Minute)).Draw(t, "grace"))
+		s := NewSchedule(began, grace)
+		now := began.Add(time.Duration(rapid.Int64Range(0, int64(grace)).Draw(t, "now")))
+		r := Request{
+			Deadline: now.Add(time.Duration(rapid.Int64Range(0, int64(grace)).Draw(t, "wait"))),
+			Length:   time.Duration(rapid.Int64Range(0, int64(grace)).Draw(t, "length")), Known: rapid.Bool().Draw(t, "known"),
+		}
+		streamed := r
+		streamed.Streamed = true
+		got := s.MayFinish(now, streamed)
+		if want := s.MayFinish(now, r); now.Before(s.BoundStreams) && got != want {
+			t.Fatalf("before the bound: %v, want %v", got, want)
+		}
+		if !now.Before(s.BoundStreams) && got != !r.Deadline.After(s.Abandon) {
+			t.Fatalf("from the bound on: %v, deadline %v before the end", got, s.Abandon.Sub(r.Deadline))
+		}
+		if s.BoundStreams.Sub(began) > 3*time.Second || s.BoundStreams.After(s.Abandon) {
+			t.Fatalf("bound after %v of %v", s.BoundStreams.Sub(began), grace)
+		}
+	})
+}
+
 // Rare long requests count for requests that may run once, and old lengths do not count for ever.
 func TestLengths_Expected(t *testing.T) {
 	var l Lengths
--- a/internal/transport/front/stopping.go
+++ b/internal/transport/front/stopping.go
@@ -75,7 +75,8 @@
 }
 
 // mayFinish reports whether a request of a route that is sent now may end before this host does. A
-// repeatable request of unknown length is expected to meet the route's objective.
+// repeatable request of unknown length is expected to meet the route's objective. The answers of streaming
+// routes are passed on before their end.
 func (s *hostStop) mayFinish(now time.Time, route *catalog.Route, deadline time.Time, repeatable bool) bool {
 	schedule := s.schedule.Load()
 	if schedule == nil {
@@ -87,7 +88,7 @@
 	if !known && repeatable {
 		length, known = route.Objective, true
 	}
-	return schedule.MayFinish(now, hoststop.Request{Deadline: deadline, Length: length, Known: known})
+	return schedule.MayFinish(now, hoststop.Request{Deadline: deadline, Length: length, Known: known, Streamed: route.Kind == catalog.KindStreaming})
 }
 
 // errCannotFinish refuses a request that this host cannot finish before it exits.
