httpanswer: one place that says what an answer is

What callers saw: a server's answer with the status 000 closed their connection without an answer; "Content-Length : 2" gave them the body and what followed it as one 200; a name with a blank in it came as an answer without that line.

Cause: each client took what net/http lets through, and net/http reads heads leniently: a name with a blank stays as it is and has no effect, a status is any three characters that are a number.

Change: all clients use httpanswer.Transport. It checks the bytes of each head against RFC 9112 before net/http reads them, and the names of trailers. What is no answer fails the call like a broken connection. Heads that peers pass on are checked too.

--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -22,6 +22,7 @@
 	"go.uber.org/fx"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/state/members"
@@ -144,7 +145,7 @@
 
 func newService(p params) *service {
 	p.ConfigRef.manager = p.Conf
-	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}}
+	httpClient := &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10})}
 	s := &service{
 		settings: p.Settings,
 		log:      logging.Component(p.Root, "control"),
--- a/internal/transport/entry/target.go
+++ b/internal/transport/entry/target.go
@@ -12,6 +12,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/retries"
 	"oleanderfall.example/oleanderfall/internal/coordination/routing"
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/state/endpoints"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/gate"
@@ -32,7 +33,7 @@
 	id         endpoints.Target
 	name       string
 	client     *engineapi.Client
-	transport  *http.Transport
+	transport  *httpanswer.Transport
 	claimSlots chan struct{}
 	// nextPoll is the earliest time of the next round of polls. Only PollLoop uses it.
 	nextPoll time.Time
@@ -48,12 +49,12 @@
 }
 
 func newTarget(now time.Time, id endpoints.Target, zone model.ZoneID, seed uint64) *target {
-	transport := &http.Transport{
+	transport := httpanswer.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
-	}
+	})
 	return &target{
 		id:                id,
 		name:              id.String(),
--- a/internal/transport/front/endpointrelay.go
+++ b/internal/transport/front/endpointrelay.go
@@ -20,6 +20,7 @@
 	"oleanderfall.example/oleanderfall/internal/coordination/links"
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
 	"oleanderfall.example/oleanderfall/internal/protocol/backend"
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
@@ -157,10 +158,10 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	r := &endpointRelays{settings: s, peers: peers, running: map[string]int{},
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleRelayConns, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 			ExpectContinueTimeout: peerDialTimeout,
-		}},
+		})},
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleander_front_relayed_requests_total", Help: "Requests to endpoints that this host sent through peers, by outcome.",
 		}, []string{"outcome"})}
@@ -351,8 +352,12 @@
 		Header: r.Header, Body: r.Body, RemainingMs: max(time.Until(r.Deadline).Milliseconds(), 1), Repeatable: r.Repeatable, Team: r.Team}
 }
 
-func (h *relayedHead) answer() *backend.Answer {
-	return &backend.Answer{Status: h.Status, Header: h.Header, Signature: h.Signature}
+// answer returns the answer with this head. A peer of an older build may pass on heads that are none.
+func (h *relayedHead) answer() (*backend.Answer, error) {
+	if err := httpanswer.CheckHead(h.Status, h.Header); err != nil {
+		return nil, errors.Join(backend.ErrIncompleteAnswer, err)
+	}
+	return &backend.Answer{Status: h.Status, Header: h.Header, Signature: h.Signature}, nil
 }
 
 // errUnexpectedPart means that the parts of a relay's answer are not those of the request's kind.
@@ -366,8 +371,9 @@
 	err := r.send(ctx, newRelayedRequest(relayedDo, &request), func(part *relayedPart) error {
 		switch {
 		case part.Head != nil && answer == nil:
-			answer = part.Head.answer()
-			return nil
+			var err error
+			answer, err = part.Head.answer()
+			return err
 		case part.Chunk == nil || answer == nil:
 			return errors.Join(backend.ErrIncompleteAnswer, errUnexpectedPart)
 		}
@@ -399,7 +405,11 @@
 	return r.send(ctx, newRelayedGenerateRequest(relayedStream, &g), func(part *relayedPart) error {
 		switch {
 		case part.Head != nil:
-			return writeHead(part.Head.answer())
+			answer, err := part.Head.answer()
+			if err != nil {
+				return err
+			}
+			return writeHead(answer)
 		case part.Chunk != nil:
 			return writeChunk(part.Chunk)
 		}
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/mux"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/presence"
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
@@ -57,10 +58,10 @@
 
 // NewPeerClient returns a client for the hosts in peers.
 func NewPeerClient(peers *Peers) *PeerClient {
-	return &PeerClient{peers: peers, http: &http.Client{Transport: &http.Transport{
+	return &PeerClient{peers: peers, http: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 		DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		IdleConnTimeout: 10 * time.Second,
-	}}}
+	})}}
 }
 
 // call sends a call to a host and returns the body of its answer, which has at most maxPeerBody bytes. wait is
--- a/internal/transport/front/storepath.go
+++ b/internal/transport/front/storepath.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 )
 
@@ -55,9 +56,9 @@
 // NewStorePath returns a StorePath that uses direct. relays returns the addresses of the
 // peers that reach the store directly.
 func NewStorePath(direct objectapi.API, relays func() []string, log *slog.Logger) *StorePath {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-	}}
+	})}
 	relayClient := func(address string) objectapi.API { return objectapi.NewHTTPClient("http://"+address, client) }
 	return &StorePath{direct: direct, relays: relays, relayClient: relayClient, log: log}
 }
--- a/internal/transport/process/objectapi.go
+++ b/internal/transport/process/objectapi.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
@@ -22,7 +23,7 @@
 // idle connections are closed when the application stops.
 func NewObjectAPI(lc fx.Lifecycle, s *settings.LocalSettings, root *slog.Logger, reg *prometheus.Registry) *objectapi.Client {
 	log := logging.Component(root, "objectapi")
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleObjectAPIConns}
+	transport := httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleObjectAPIConns})
 	client := objectapi.NewClient(
 		objectapi.NewHTTPClient(s.Platform.ObjectAPI, &http.Client{Transport: transport}),
 		objectapi.ClientOptions{AttemptTimeout: s.Platform.Timeout, Seed: randomSeed(), Registerer: reg},
--- a/internal/transport/rollout/service.go
+++ b/internal/transport/rollout/service.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/clock"
@@ -58,7 +59,7 @@
 
 // NewService returns a service that is not started yet.
 func NewService(opt Options) *Service {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	transport := httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64})
 	s := &Service{
 		opt:     opt,
 		http:    &http.Client{Transport: transport},
--- a/internal/transport/weightupdate/module.go
+++ b/internal/transport/weightupdate/module.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/engineapi"
+	"oleanderfall.example/oleanderfall/internal/protocol/httpanswer"
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/state/model"
@@ -32,7 +33,7 @@
 }
 
 func start(p params) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}}
+	client := &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10})}
 	controller := New(Options{
 		Host:        p.Settings.Host.ID,
 		Incarnation: model.Incarnation(time.Now().UnixNano()),
