httpanswer: a reset during an upload is no end of an answer

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection.

Cause: the kernel reports a reset once. If the writer of the request gets the report, the reader sees the same end as after a regular close, and an answer without a length ends with its connection.

Change: the connection remembers a failed write, and its end is passed on as the end of an answer only if no write has failed. A write in progress is ended by its deadline first: a timeout says that nothing has failed, another error that something has. A reset of which nobody was told still reaches the reader.

--- a/internal/protocol/httpanswer/conn.go
+++ b/internal/protocol/httpanswer/conn.go
@@ -1,11 +1,19 @@
 package httpanswer
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"time"
 )
 
-// Conn is a connection of a Transport to a server. It checks the heads of answers before net/http reads them.
+// maxWriteEnd bounds the wait for a write whose deadline has passed.
+const maxWriteEnd = time.Second
+
+// Conn is a connection of a Transport to a server. It checks the heads of answers before net/http reads them,
+// and the ends of answers that end with the connection.
 type Conn struct {
 	net.Conn
 
@@ -16,6 +24,10 @@
 	// head is what has been read of the current head, headBytes the length of all heads of the answer.
 	head      []byte
 	headBytes int
+	// writing is closed at the end of the write in progress, nil if there is none.
+	writing chan struct{}
+	// writeErr is the first error of a write.
+	writeErr error
 }
 
 // NewConn returns a Conn that reads and writes conn.
@@ -53,6 +65,9 @@
 			return 0, invalid
 		}
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd()
+	}
 	return n, err
 }
 
@@ -84,3 +99,47 @@
 	}
 	return nil
 }
+
+// checkEnd returns io.EOF if the server has ended the connection, and another error if it may be broken: the
+// kernel reports a reset once, and the writer of the request may have got the report. A write in progress is
+// ended, because the server reads no more of it.
+func (c *Conn) checkEnd() error {
+	c.mu.Lock()
+	writing := c.writing
+	c.mu.Unlock()
+	if writing != nil {
+		if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+			return errors.Join(io.ErrUnexpectedEOF, Error.Wrap(err))
+		}
+		timer := time.NewTimer(maxWriteEnd)
+		defer timer.Stop()
+		select {
+		case <-writing:
+		case <-timer.C:
+			return errors.Join(io.ErrUnexpectedEOF, Error.New("the connection ended while the request was being written"))
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr != nil && !errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return errors.Join(io.ErrUnexpectedEOF, Error.New("the connection ended after a failed write: %w", c.writeErr))
+	}
+	return io.EOF
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	ended := make(chan struct{})
+	defer close(ended)
+	c.mu.Lock()
+	c.writing = ended
+	c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = nil
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
--- a/internal/protocol/httpanswer/transport_test.go
+++ b/internal/protocol/httpanswer/transport_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,37 @@
 
 const testTimeout = 20 * time.Second
 
+// writerFirst is a connection on which the reader learns of a reset only after the writer, once it has read a
+// number of bytes: the kernel reports a reset once, to either of them.
+type writerFirst struct {
+	net.Conn
+	bytes  int
+	read   int
+	failed chan struct{}
+	once   sync.Once
+}
+
+func (c *writerFirst) Read(b []byte) (int, error) {
+	if c.read >= c.bytes {
+		select {
+		case <-c.failed:
+		case <-time.After(testTimeout):
+		}
+	}
+	n, err := c.Conn.Read(b)
+	c.read += n
+	return n, err
+}
+
+func (c *writerFirst) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.once.Do(func() { close(c.failed) })
+		time.Sleep(50 * time.Millisecond) // the reader goes on before net/http hears of the error
+	}
+	return n, err
+}
+
 // serveRaw starts a server that calls serve with each connection after the head of its first request.
 func serveRaw(t *testing.T, serve func(conn *net.TCPConn, in *bufio.Reader)) string {
 	t.Helper()
@@ -70,6 +102,52 @@
 	return resp.StatusCode, string(raw), err
 }
 
+// Guards against a part of an answer without a length that counts as the whole one, because the writer of the
+// request got the kernel's report of the reset, and the reader saw an end like any other.
+func TestTransport_ResetDuringUpload(t *testing.T) {
+	const head, part = "HTTP/1.1 200 OK\r\n\r\n", "half of an answer"
+	upload := make([]byte, 8<<20)
+	for name, end := range map[string]func(conn *net.TCPConn){
+		"reset":                    func(conn *net.TCPConn) { _ = conn.SetLinger(0) },
+		"closed with unread bytes": func(*net.TCPConn) {},
+	} {
+		address := serveRaw(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+			_, _ = io.WriteString(conn, head+part)
+			time.Sleep(50 * time.Millisecond) // the upload fills the buffers
+			end(conn)
+		})
+		transport := NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &writerFirst{Conn: conn, bytes: len(head) + len(part), failed: make(chan struct{})}, err
+		}})
+		for round := range 10 {
+			if status, got, err := post(t, transport, address, upload); err == nil {
+				t.Errorf("%s, round %d: %q with status %d counts as whole", name, round, got, status)
+			}
+		}
+	}
+}
+
+// An answer whose server ends the connection regularly is whole, also while the request is being written.
+func TestTransport_RegularEnd(t *testing.T) {
+	for name, serve := range map[string]func(conn *net.TCPConn, in *bufio.Reader){
+		"never reads the upload": func(conn *net.TCPConn, _ *bufio.Reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			_ = conn.CloseWrite()
+			time.Sleep(300 * time.Millisecond)
+		},
+		"reads the upload": func(conn *net.TCPConn, in *bufio.Reader) {
+			_, _ = io.CopyN(io.Discard, in, 8<<20)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		},
+	} {
+		transport := NewTransport(&http.Transport{DisableKeepAlives: true})
+		if status, got, err := post(t, transport, serveRaw(t, serve), make([]byte, 8<<20)); err != nil || status != http.StatusOK || got != "whole" {
+			t.Errorf("%s: status %d, %q, %v", name, status, got, err)
+		}
+	}
+}
+
 // Guards against bytes that are no answer and that reach a caller as one.
 func TestTransport_NoAnswers(t *testing.T) {
 	for name, c := range map[string]struct {
