Bound what a host keeps of a sample and of an answer of the store

What other operators saw: a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of its other clients ended with it.

Valid events of a sample were kept as long as its time lasted, and an answer of the store was read whole.

Change: the output of a sample is bounded by what an entry of the log holds; a longer one is dropped, its endpoint counts as broken, and the sample starts over elsewhere.

--- a/internal/coordination/batchrun/partial.go
+++ b/internal/coordination/batchrun/partial.go
@@ -18,6 +18,12 @@
 	return Partial{Text: slices.Clone(p.Text), Events: p.Events, Versions: slices.Clone(p.Versions), Software: p.Software}
 }
 
+// Size returns the memory that the output takes, in bytes.
+func (p *Partial) Size() int {
+	const versionBytes = 8
+	return len(p.Text) + versionBytes*len(p.Versions)
+}
+
 // Add appends the data of an event that an endpoint with the given weight version and software
 // generated. Events are separated by line feeds.
 func (p *Partial) Add(data string, version int, software string) {
--- a/internal/protocol/objectapi/http.go
+++ b/internal/protocol/objectapi/http.go
@@ -25,6 +25,10 @@
 // ExpectHeader is the request header with the expected version of a conditional write.
 const ExpectHeader = "X-Expect-Version"
 
+// maxPageBytes exceeds the length of a page of a listing. The platform's store has about 1 MB in one, and values are in
+// base64.
+const maxPageBytes = 16 << 20
+
 // NewHTTPClient returns a client of the API at the URL base, such as http://127.0.0.1:7000.
 // c must have no Timeout, because that would also end watches.
 func NewHTTPClient(base string, c *http.Client) *HTTPClient {
@@ -88,7 +92,7 @@
 	}
 	defer drainAndClose(resp.Body)
 	var page Page
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page); err != nil {
 		return Page{}, unavailable(err)
 	}
 	return page, nil
--- a/internal/transport/front/attempts.go
+++ b/internal/transport/front/attempts.go
@@ -37,6 +37,13 @@
 // or differs from that of earlier events if the route requires a single version.
 var errVersionNotAllowed = errors.New("stream event has a weights version that the batch does not allow")
 
+// maxSampleBytes bounds the output of a sample: an entry of the log must hold it.
+const maxSampleBytes = maxPartBytes
+
+// errSampleTooLong ends a stream with more output than a sample can have. An endpoint in trouble may send events without
+// end, and which of them are the sample's is not known.
+var errSampleTooLong = errors.New("the output of the sample is too long")
+
 // attempt is one run of a sample at an endpoint. The goroutine of the attempt writes the
 // atomic fields and those under mu; the goroutine of the batch reads them.
 type attempt struct {
@@ -119,6 +126,9 @@
 			fleet.WithTable(func(t *placement.Table) { t.RecordVersion(g.Endpoint.ID, a.batch.Model, e.Version) })
 			return errVersionNotAllowed
 		}
+		if output.Size()+len(e.Data) >= maxSampleBytes {
+			return errors.Join(backend.ErrIncompleteAnswer, errSampleTooLong)
+		}
 		at.mu.Lock()
 		output.Add(e.Data, e.Version, g.Endpoint.Software)
 		at.mu.Unlock()
@@ -141,6 +151,11 @@
 		return nil
 	})
 	fleet.EndReading(at.reading)
+	if errors.Is(err, errSampleTooLong) {
+		at.mu.Lock()
+		*output = batchrun.Partial{}
+		at.mu.Unlock()
+	}
 	attemptOutcome, endpointOutcome := classify(ctx, err, received)
 	if attemptOutcome == batchrun.NotRun && errors.Is(err, backend.ErrUnreachable) && ctx.Err() == nil || errors.Is(err, backend.ErrReplaced) {
 		fleet.WithTable(func(t *placement.Table) { t.Eject(time.Now(), g.Endpoint.ID) })
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -569,6 +569,9 @@
 	slowdown map[string]time.Duration
 	// started lists the attempts of samples in the order in which they arrived.
 	started []startedSample
+	// flooding endpoints send long events without end, up to maxFloodBytes. flooded counts their bytes.
+	flooding map[string]bool
+	flooded  atomic.Int64
 	// silent endpoints neither send events nor accept connections.
 	silent map[string]bool
 	// openStreams counts the open streams at each endpoint, connectAttempts the calls of
@@ -625,6 +628,12 @@
 	defer e.generating.Add(-1)
 	e.count(g.Endpoint.ID, 1)
 	defer e.count(g.Endpoint.ID, -1)
+	e.mu.Lock()
+	flooding := e.flooding[g.Endpoint.ID]
+	e.mu.Unlock()
+	if flooding {
+		return e.flood(g, emit)
+	}
 	events, err := strconv.Atoi(g.Header.Get("Events"))
 	if err != nil {
 		return backend.ErrInvalidRequest
@@ -655,6 +664,21 @@
 	return nil
 }
 
+// maxFloodBytes is where flooding endpoints stop after all.
+const maxFloodBytes = 64 << 20
+
+func (e *fakeEngines) flood(g backend.GenerateRequest, emit func(backend.Event) error) error {
+	data := strings.Repeat("a", 64<<10)
+	for i, sent := g.ResumeAfter, 0; sent < maxFloodBytes; i++ {
+		sent += len(data)
+		e.flooded.Add(int64(len(data)))
+		if err := emit(backend.Event{ID: i + 1, Data: data, Version: 1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (e *fakeEngines) Stream(context.Context, backend.GenerateRequest, func(*backend.Answer) error, func([]byte) error) error {
 	return backend.ErrNotRun
 }
