batches: confirm that a batch is open before saved samples are scored

What callers would see: scoring requests of a batch that was ended while it was taken over.

Cause: restoring the saved samples of a batch sends the scoring requests of those that only lack their score, and came before the read that confirms that the batch is open.

Change: the read comes first.

--- a/internal/transport/front/activebatch.go
+++ b/internal/transport/front/activebatch.go
@@ -156,11 +156,11 @@
 func (a *activeBatch) runUntilDone(base context.Context) {
 	defer a.cancel()
 	a.awaitConfiguration()
+	a.confirmOpen()
 	opt := a.options()
 	a.sampleTTL = opt.SampleTTL
 	a.run = batchrun.New(a.batch, opt, a.results.ids())
 	a.restore()
-	a.confirmOpen()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/internal/transport/front/batchend_test.go
+++ b/internal/transport/front/batchend_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"oleanderfall.example/oleanderfall/internal/coordination/batchrun"
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
@@ -16,6 +17,16 @@
 	return len(w.engines.started)
 }
 
+// scoringRequests returns the number of scoring requests for a batch that have reached endpoints.
+func (w *testCluster) scoringRequests(b *batches.Batch) (n int) {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	for i := range b.Samples {
+		n += w.engines.runs[b.Samples[i].Scoring.ID]
+	}
+	return n
+}
+
 // Guards against a takeover that reads the content or the log for long and then starts a batch that was ended
 // meanwhile, whether the next owner was notified of the end or not.
 func TestEnd_DuringTakeover(t *testing.T) {
@@ -26,6 +37,11 @@
 				hosts := w.start("h1", "h2")
 				b := batch("b1", 4, 3)
 				w.storeBatch(hosts[1], b, batches.Manifest{AcceptedUnixMs: time.Now().UnixMilli()})
+				// A sample that only lacks its score is scored without another attempt.
+				unscored := savedSample{ID: b.Samples[0].ID, Complete: true, Partial: batchrun.Partial{Text: []byte("a"), Events: 1, Versions: []int{1}}}
+				if _, err := hosts[1].Batches.store.savePartials(background, b.ID, []savedSample{unscored}, 0); err != nil {
+					t.Fatal(err)
+				}
 				hosts[0].store.heldReads.Store(&held)
 				takenOver := make(chan struct{})
 				go func() {
@@ -49,6 +65,9 @@
 				if n := w.startedSamples(); n > 0 {
 					t.Errorf("%d samples started after the end, want none", n)
 				}
+				if n := w.scoringRequests(b); n > 0 {
+					t.Errorf("%d scoring requests were sent after the end, want none", n)
+				}
 			})
 		}
 	}
