quarantine: add up crashes that hosts see one after another

Cause: the largest number of crashes that one host saw counted, and a request that may run once is sent once by each host.

Change: a crash adds to those that were reported before its attempt began, and the number goes with the reports. From three on the fingerprint is refused everywhere. Attempts that ran at the same time add nothing, since they may have met the same crash, and an answer ends the chain at its host. The field is new and optional in heartbeats; builds without it get the refusal as two crashes.

TestCrash_AddedToThoseOfOtherHosts and TestCrash_AnswerEndsConsecutiveCrashes pass.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -207,6 +207,8 @@
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	// Crashes is the number of crashes attributed to the request.
 	Crashes int `cbor:"2,keyasint"`
+	// Consecutive is the number of crashes in attempts of any hosts that began one after another.
+	Consecutive int `cbor:"4,keyasint,omitempty"`
 	// RemainingMs is the time until the quarantine ends, in milliseconds.
 	RemainingMs int64 `cbor:"3,keyasint"`
 }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -3,8 +3,10 @@
 // same when the caller retries the request.
 //
 // Invariant: a fingerprint is refused once two distinct endpoint incarnations crashed
-// while running it and no endpoint answered it in between; every entry expires; a local
-// answer takes precedence over remote reports of a single crash.
+// while one host ran it, or three while any hosts ran it one after another, and no endpoint
+// answered it in between; every entry expires; a local answer takes precedence over remote
+// reports of a single crash. An attempt that ran already when its host learned of a crash
+// may have met the same crash, or a crash with the same cause, so it adds nothing to it.
 package quarantine
 
 import (
@@ -18,6 +20,9 @@
 const (
 	// MaxCrashes is the number of crashes after which a fingerprint is refused.
 	MaxCrashes = 2
+	// maxConsecutive is the number of crashes in attempts of any hosts, each of which began after the
+	// crash before was known at its host, after which a fingerprint is refused.
+	maxConsecutive = 3
 	// Lifetime is how long a fingerprint stays suspect after a crash, and how long
 	// after an answer reports of a single crash are ignored.
 	Lifetime = 2 * time.Minute
@@ -51,12 +56,19 @@
 	localCrashes []crashRecord
 	// reportedCrashes is the largest number of crashes that another host reported.
 	reportedCrashes int
-	expiresAt       time.Time
+	// consecutive is the number of crashes in attempts of any hosts that began one after another,
+	// consecutiveAt when this host learned of the last one.
+	consecutive   int
+	consecutiveAt time.Time
+	expiresAt     time.Time
 	// attemptRunning is set while one request with this fingerprint is in flight.
 	attemptRunning bool
 }
 
-func (s *suspicion) crashCount() int { return max(len(s.localCrashes), s.reportedCrashes) }
+// refused reports whether requests with the fingerprint are refused.
+func (s *suspicion) refused() bool {
+	return max(len(s.localCrashes), s.reportedCrashes) >= MaxCrashes || s.consecutive >= maxConsecutive
+}
 
 // List holds the suspect fingerprints. It is not safe for concurrent use.
 type List struct {
@@ -95,7 +107,7 @@
 		return Clear, 0
 	}
 	switch {
-	case s.crashCount() >= MaxCrashes:
+	case s.refused():
 		return Refuse, s.expiresAt.Sub(now)
 	case s.attemptRunning:
 		return Busy, 0
@@ -125,6 +137,10 @@
 			return false
 		}
 	}
+	if c.StartedAt.After(s.consecutiveAt) {
+		s.consecutive++
+		s.consecutiveAt = now
+	}
 	if len(s.localCrashes) < MaxCrashes {
 		s.localCrashes = append(s.localCrashes, crashRecord{endpoint: c.Endpoint, at: now})
 	}
@@ -138,7 +154,7 @@
 // ignored for Lifetime, since they may concern the crash that the answer cleared.
 func (l *List) RecordAnswer(now time.Time, fingerprint uint64) {
 	s := l.entries[fingerprint]
-	if s == nil || s.crashCount() >= MaxCrashes {
+	if s == nil || s.refused() {
 		return
 	}
 	delete(l.entries, fingerprint)
@@ -191,6 +207,9 @@
 			l.entries[r.Fingerprint] = s
 		}
 		s.reportedCrashes = max(s.reportedCrashes, r.Crashes)
+		if n := max(r.Consecutive, 1); n > s.consecutive {
+			s.consecutive, s.consecutiveAt = n, now
+		}
 		if until.After(s.expiresAt) {
 			s.expiresAt = until
 		}
@@ -203,9 +222,14 @@
 func (l *List) Report(now time.Time) []model.QuarantinedRequest {
 	var out []model.QuarantinedRequest
 	for f, s := range l.entries {
-		if len(s.localCrashes) > 0 && now.Before(s.expiresAt) {
-			out = append(out, model.QuarantinedRequest{Fingerprint: f, Crashes: len(s.localCrashes), Remaining: s.expiresAt.Sub(now)})
+		if len(s.localCrashes) == 0 || !now.Before(s.expiresAt) {
+			continue
+		}
+		r := model.QuarantinedRequest{Fingerprint: f, Crashes: len(s.localCrashes), Consecutive: s.consecutive, Remaining: s.expiresAt.Sub(now)}
+		if s.consecutive >= maxConsecutive {
+			r.Crashes = MaxCrashes // builds that do not know Consecutive refuse the fingerprint, too
 		}
+		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b model.QuarantinedRequest) int {
 		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.Remaining, a.Remaining))
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -155,3 +155,49 @@
 		t.Fatalf("%d cleared fingerprints, want maxEntries", len(l.clearedUntil))
 	}
 }
+
+// Guards against a request that crashes an endpoint at each host at which it arrives (review case 10): crashes of
+// hosts that ran it one after another add up. Those of attempts that ran at the same time do not.
+func TestCrash_AddedToThoseOfOtherHosts(t *testing.T) {
+	const hosts = 8
+	for _, after := range []bool{true, false} {
+		lists := make([]*List, hosts)
+		for i := range lists {
+			lists[i] = New()
+		}
+		crashes := 0
+		for i, l := range lists {
+			now := testStart.Add(time.Duration(i) * time.Second)
+			if verdict(l, now, crashing) == Refuse {
+				continue
+			}
+			began := testStart.Add(-time.Second)
+			if after {
+				began = now.Add(-100 * time.Millisecond)
+			}
+			l.EndAttempt(crashing)
+			l.RecordCrash(now, crashing, Crash{Endpoint: "e", StartedAt: began})
+			crashes++
+			for _, other := range lists { // the report comes back to its host, too
+				other.Merge(now.Add(time.Millisecond), l.Report(now))
+				other.Merge(now.Add(300*time.Millisecond), l.Report(now.Add(300*time.Millisecond)))
+			}
+		}
+		if want := map[bool]int{true: maxConsecutive, false: hosts}[after]; crashes != want {
+			t.Errorf("attempts one after another %v: %d crashes, want %d", after, crashes, want)
+		}
+	}
+}
+
+// An answer ends the count of crashes at its host.
+func TestCrash_AnswerEndsConsecutiveCrashes(t *testing.T) {
+	l := New()
+	reports := []model.QuarantinedRequest{{Fingerprint: harmless, Crashes: 1, Consecutive: 2, Remaining: Lifetime}}
+	l.Merge(testStart, reports)
+	l.RecordAnswer(testStart.Add(time.Second), harmless)
+	l.Merge(testStart.Add(2*time.Second), reports)
+	l.RecordCrash(testStart.Add(4*time.Second), harmless, Crash{Endpoint: "a", StartedAt: testStart.Add(3 * time.Second)})
+	if v := verdict(l, testStart.Add(4*time.Second), harmless); v != Suspect {
+		t.Errorf("verdict %v, want Suspect", v)
+	}
+}
--- a/internal/state/model/fleet.go
+++ b/internal/state/model/fleet.go
@@ -57,6 +57,9 @@
 	// Crashes is the number of distinct endpoint incarnations that crashed while running
 	// such a request.
 	Crashes int `json:"crashes"`
+	// Consecutive is the number of crashes in attempts of any hosts, each of which began after its
+	// host knew of the one before. Builds that do not know it leave it zero.
+	Consecutive int `json:"consecutive,omitempty"`
 	// Remaining is the time until the quarantine ends.
 	Remaining time.Duration `json:"remaining"`
 }
--- a/internal/transport/front/quarantine.go
+++ b/internal/transport/front/quarantine.go
@@ -70,7 +70,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range q.list.Report(time.Now()) {
-		h.Quarantine = append(h.Quarantine, presence.QuarantinedRequest{Fingerprint: r.Fingerprint, Crashes: r.Crashes, RemainingMs: r.Remaining.Milliseconds()})
+		h.Quarantine = append(h.Quarantine, presence.QuarantinedRequest{Fingerprint: r.Fingerprint, Crashes: r.Crashes, Consecutive: r.Consecutive, RemainingMs: r.Remaining.Milliseconds()})
 	}
 }
 
@@ -82,7 +82,7 @@
 	var reports []model.QuarantinedRequest
 	for _, r := range h.Quarantine {
 		reports = append(reports, model.QuarantinedRequest{
-			Fingerprint: r.Fingerprint, Crashes: r.Crashes, Remaining: time.Duration(r.RemainingMs) * time.Millisecond,
+			Fingerprint: r.Fingerprint, Crashes: r.Crashes, Consecutive: r.Consecutive, Remaining: time.Duration(r.RemainingMs) * time.Millisecond,
 		})
 	}
 	q.mu.Lock()
