streams: end the wait for a first event at the route's timeout

Cause: the timeout was applied to requests with buffered answers only.

Change: the wait for the first event ends at the timeout, with an answer; a stream that has begun may last longer, as before. A timer that the first event stops decides between the two, so that no head is passed on after the answer.

--- a/internal/transport/front/forward.go
+++ b/internal/transport/front/forward.go
@@ -37,8 +37,8 @@
 	// responseMargin is subtracted from a caller's deadline to leave time for the response
 	// to reach it.
 	responseMargin = 20 * time.Millisecond
-	// defaultDeadline applies to requests without a budget. For requests that are not
-	// streams, a shorter timeout of the route takes precedence.
+	// defaultDeadline applies to requests without a budget. A shorter timeout of the route takes
+	// precedence, for streams until their first event.
 	defaultDeadline = 30 * time.Second
 	// minRetryAfter is the minimum retry delay returned to refused callers. A random jitter
 	// of up to the same length is added to spread their retries. A new endpoint is usually
@@ -217,7 +217,7 @@
 	return func() {}, nil
 }
 
-// deadline returns the time by which the final answer must be sent.
+// deadline returns the time by which the final answer must be sent, or the first event of a stream.
 func (f *Forwarder) deadline(now time.Time, route *catalog.Route, in *Inbound) time.Time {
 	wait := in.Budget
 	if wait <= 0 {
@@ -257,10 +257,12 @@
 	in      *Inbound
 	service string
 	// software is the only software version that may run the request, empty for any.
-	software     string
-	gate         *gate.Gate
-	began        time.Time
-	deadline     time.Time
+	software string
+	gate     *gate.Gate
+	began    time.Time
+	deadline time.Time
+	// firstEvent ends the wait for the first event of a stream.
+	firstEvent   *time.Timer
 	tried        []string
 	sent         int
 	lastEndpoint string
--- a/internal/transport/front/outcome.go
+++ b/internal/transport/front/outcome.go
@@ -75,7 +75,7 @@
 func (c *call) deadlineError(ctx context.Context) error {
 	if c.mayHaveRun || c.sent > 0 {
 		detail := c.lastError()
-		if cause := context.Cause(ctx); errors.Is(cause, errHostStopped) {
+		if cause := context.Cause(ctx); errors.Is(cause, errHostStopped) || errors.Is(cause, errNoFirstEvent) {
 			detail = cause.Error()
 		}
 		return codedError(resultcode.DeadlineExceeded, detail)
--- a/internal/transport/front/stream.go
+++ b/internal/transport/front/stream.go
@@ -15,9 +15,12 @@
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
+// errNoFirstEvent ends a stream whose first event has not come by the timeout of its route.
+var errNoFirstEvent = errors.New("no event has come by the timeout of the route")
+
 // Stream serves a streaming request. Until the first bytes of the response body arrive, the request may be
-// sent to another endpoint. After that, the stream ends when the endpoint's stream ends. Its
-// errors have a result code.
+// sent to another endpoint, and it ends at the timeout of its route. After that, the stream ends when the
+// endpoint's stream ends. Its errors have a result code.
 func (f *Forwarder) Stream(ctx context.Context, route *catalog.Route, in *Inbound, out StreamWriter) error {
 	route = f.forTeam(route, in.Team)
 	began := time.Now()
@@ -28,6 +31,10 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c := &call{f: f, route: route, in: in, began: began, deadline: deadline, service: route.PickService(rand.Uint64()), usage: f.beginUsage(in)}
+	ctx, endWait := context.WithCancelCause(ctx)
+	defer endWait(nil)
+	c.firstEvent = time.AfterFunc(time.Until(f.deadline(began, route, in)), func() { endWait(errNoFirstEvent) })
+	defer c.firstEvent.Stop()
 	err := c.findOrigin(ctx)
 	if err == nil {
 		err = c.streamUnlessQuarantined(ctx, out)
@@ -106,9 +113,12 @@
 // heldHead is the head of an endpoint's stream. It is passed on with the first bytes of the body, or at the end of an empty one: an
 // endpoint may stop between the two, and the caller could get no other answer then.
 type heldHead struct {
-	out   StreamWriter
-	head  *backend.Answer
-	begun bool
+	ctx context.Context
+	out StreamWriter
+	// firstEvent ends ctx at the timeout of the route.
+	firstEvent *time.Timer
+	head       *backend.Answer
+	begun      bool
 }
 
 // begin passes the head on, once.
@@ -119,6 +129,10 @@
 	if h.head == nil {
 		return errors.Join(backend.ErrIncompleteAnswer, errors.New("the stream has no head"))
 	}
+	if !h.firstEvent.Stop() {
+		<-h.ctx.Done() // the caller gets the answer that no event has come
+		return errors.Join(backend.ErrIncompleteAnswer, context.Cause(h.ctx))
+	}
 	h.begun = true
 	return h.out.WriteHead(h.head)
 }
@@ -144,7 +158,7 @@
 		}
 		c.sent++
 		c.lastEndpoint = e.ID
-		answer, sentAt, lost := heldHead{out: out}, time.Now(), c.usage.Opened()
+		answer, sentAt, lost := heldHead{ctx: ctx, out: out, firstEvent: c.firstEvent}, time.Now(), c.usage.Opened()
 		reading := c.f.fleet.BeginReading(e, c.prompt())
 		head := func(a *backend.Answer) error {
 			answer.head = a
