streams: wait for the first list of endpoints before refusing a take-up

What callers saw: a stream that was taken up at a host which had just started was refused as not run, although the only software version was recorded.

Cause: a host is ready once it has a configuration. Until it had applied its first list of endpoints it had seen no software version of the service, which counted like several, so it refused at once instead of waiting for a current list.

Change: without any version seen, a take-up waits for a list that was read after it arrived, like one with the right version.

--- a/internal/coordination/placement/software.go
+++ b/internal/coordination/placement/software.go
@@ -30,6 +30,16 @@
 	return software, ok
 }
 
+// SeenSince reports whether endpoints of a service were seen since a time.
+func (t *Table) SeenSince(since time.Time, service string) bool {
+	for version, at := range t.softwareSeen[service] {
+		if !at.Before(since) || t.hasSoftware(service, version) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) hasSoftware(service, version string) bool {
 	for _, e := range t.services[service] {
 		if e.endpoint.Software == version {
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -222,16 +222,20 @@
 		return origins.Origin{}, false
 	}
 	since := time.Now().Add(-origins.Retention)
-	only := func() (software string, ok bool) {
-		o.fleet.WithTable(func(t *placement.Table) { software, ok = t.OnlySoftware(since, service) })
-		return software, ok
+	only := func() (software string, ok, any bool) {
+		o.fleet.WithTable(func(t *placement.Table) {
+			software, ok = t.OnlySoftware(since, service)
+			any = t.SeenSince(since, service)
+		})
+		return software, ok, any
 	}
 	for fresh := false; ; {
-		software, ok := only()
-		if !ok || software != recorded.Software {
+		software, ok, any := only()
+		switch {
+		case !any && !fresh: // a host that has just started may not have the list yet
+		case !ok || software != recorded.Software:
 			return origins.Origin{}, false
-		}
-		if fresh {
+		case fresh:
 			return recorded, true
 		}
 		// The list is applied shortly after its time is known, so it counts from the next round on.
--- a/internal/transport/front/streamorigins_test.go
+++ b/internal/transport/front/streamorigins_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/coordination/origins"
+	"oleanderfall.example/oleanderfall/internal/state/catalog"
 )
 
 // The host at which a stream began is killed, and the other hosts still know which software began
@@ -44,3 +45,22 @@
 		t.Errorf("the host that is cut off takes %+v for the origin", got)
 	}
 }
+
+// Guards against a take-up that is refused because the host does not have the list of endpoints yet, as right after its
+// start: the list arrives within the time that a take-up waits for a current one.
+func TestStreamOrigins_WaitForTheFirstList(t *testing.T) {
+	w := newTestCluster(t)
+	s := w.settings("h1")
+	s.FirstStart = true
+	n := w.startWith(s)
+	w.waitUntil("the host is ready", n.Ready)
+	want := origins.Origin{Service: "late", Software: "v1"}
+	w.waitUntil("the software of the first stream is recorded", func() bool { return n.Forwarder.origins.mayBegin(background, want) })
+	w.put("endpoints/l0", catalog.Endpoint{ID: "l0", Service: "late", Software: "v1", Address: "l0:1", Zone: "a", Slots: 8})
+	if got, ok := n.Forwarder.origins.find(background, "r1", "late", sinceBoot()); !ok || got != want {
+		t.Errorf("found %+v, known %v, want %+v", got, ok, want)
+	}
+	if got, ok := n.Forwarder.origins.find(background, "r1", "other", sinceBoot()); ok {
+		t.Errorf("a service without endpoints has the origin %+v", got)
+	}
+}
