batches: forget the end of a batch of which nothing else is known

What callers would see: a batch that is accepted and never run, since an earlier batch with its ID was ended and removed.

Cause: a notification of an end for a batch that the host has not cached leaves a mark, which counted for any later batch with the ID.

Change: such a mark counts for four times as long as an acceptance may take.

--- a/internal/transport/front/batchend_test.go
+++ b/internal/transport/front/batchend_test.go
@@ -140,3 +140,21 @@
 		t.Error("the batch runs on at its owner after a repeated end")
 	}
 }
+
+// Guards against a batch that is accepted and never run, because an earlier one with its ID was ended and removed.
+func TestEnd_OfAnEarlierBatchWithTheID(t *testing.T) {
+	w := newTestCluster(t)
+	n := w.start("h1")[0]
+	store := n.Batches.store
+	n.Batches.stopEnded("b1") // as a peer that recorded the end asks this host to
+	store.mu.Lock()
+	mark := store.cache["b1"]
+	mark.cachedAt = mark.cachedAt.Add(-endMarkLifetime - time.Second)
+	store.cache["b1"] = mark
+	store.mu.Unlock()
+	b := batch("b1", 2, 3)
+	if err := n.Batches.Submit(background, b); err != nil {
+		t.Fatal(err)
+	}
+	w.checkResults(b, w.readAll(n, b.ID))
+}
--- a/internal/transport/front/manifests.go
+++ b/internal/transport/front/manifests.go
@@ -10,6 +10,10 @@
 	"oleanderfall.example/oleanderfall/internal/state/batches"
 )
 
+// endMarkLifetime is how long the end of a batch is remembered of which this host knows nothing else. It exceeds the
+// time in which the acceptance of the batch is confirmed.
+const endMarkLifetime = 4 * storeWaitTimeout
+
 // cacheManifest caches a manifest unless a newer version is cached. It returns the manifest with
 // what this host knows of its age.
 func (s *batchStore) cacheManifest(m storedManifest) storedManifest {
@@ -19,7 +23,8 @@
 	m.acceptedBy = s.now() - max(0, time.Duration(m.AgeMs)*time.Millisecond)
 	old, ok := s.cache[m.ID]
 	if ok && old.sameAcceptance(&m.Manifest) {
-		m.Ended = m.Ended || old.Ended // an end is final, and markEnded may have recorded it earlier
+		// An end is final. A mark without a manifest may be that of an earlier batch with this ID, which was removed.
+		m.Ended = m.Ended || old.Ended && (old.version > 0 || time.Since(old.cachedAt) <= endMarkLifetime)
 		m.cachedAt, m.acceptedBy = old.cachedAt, min(old.acceptedBy, m.acceptedBy)
 		if old.version >= m.version {
 			old.acceptedBy = m.acceptedBy
