heartbeats: split the encoding into its steps

Change: dropTables and shortenLists take the two rules for what gives way out of encodeHeartbeat. No change in behavior.

--- a/internal/transport/front/heartbeatsize.go
+++ b/internal/transport/front/heartbeatsize.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"math/bits"
-	"reflect"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,12 +35,11 @@
 // heartbeatList is a list in a heartbeat.
 type heartbeatList struct {
 	name string
-	// value is a pointer to the list, and entries is its length.
-	value   any
-	entries int
+	// value is a pointer to the list, entries is its length, and bytes its encoded length.
+	value          any
+	entries, bytes int
 	// shorten keeps the first n entries in the order of selection, which starts with the first call.
 	shorten func(n int)
-	bytes   int
 }
 
 // newSliceList returns the list in a field of the heartbeat with a sequence number.
@@ -103,7 +101,7 @@
 }
 
 // encodeHeartbeat returns the encoded form of a heartbeat, which has at most maxHeartbeatBytes, and the
-// number of entries that were left out by the name of their list.
+// number of entries that were left out by the name of their list or table.
 func encodeHeartbeat(h presence.Heartbeat) (b []byte, cut map[string]int, err error) {
 	lists := []*heartbeatList{
 		newSliceList("quarantine", &h.Quarantine, h.Sequence), newSliceList("batches", &h.Batches, h.Sequence),
@@ -122,51 +120,72 @@
 	if b, err = cbor.Marshal(h); err != nil || len(b) <= maxHeartbeatBytes {
 		return b, cut, err
 	}
-	total := len(b)
-	excess := 0 // the bytes of the lists above their minimums
 	for _, l := range lists {
 		if l.bytes, err = encodedBytes(l.value); err != nil {
 			return nil, nil, err
 		}
+	}
+	total, err := dropTables(&h, len(b), lists, cut)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := shortenLists(total, lists, cut); err != nil {
+		return nil, nil, err
+	}
+	b, err = cbor.Marshal(h)
+	return b, cut, err
+}
+
+// dropTables leaves tables out of a heartbeat of total bytes, the least useful first, until the others fit beside a
+// minimum of each list. It returns the bytes that are left.
+func dropTables(h *presence.Heartbeat, total int, lists []*heartbeatList, cut map[string]int) (int, error) {
+	excess := 0 // the bytes of the lists above their minimums
+	for _, l := range lists {
 		excess += max(0, l.bytes-minListBytes)
 	}
 	for _, table := range []struct {
-		name  string
-		value any
-		drop  func()
+		name    string
+		entries int
+		value   any
+		drop    func()
 	}{
-		{"unread", h.Unread, func() { h.Unread = nil }},
-		{"work", h.Work, func() { h.Work = nil }},
-		{"loads", h.Loads, func() { h.Loads = nil }},
+		{"unread", len(h.Unread), h.Unread, func() { h.Unread = nil }},
+		{"work", len(h.Work), h.Work, func() { h.Work = nil }},
+		{"loads", len(h.Loads), h.Loads, func() { h.Loads = nil }},
 	} {
 		if total-excess <= maxHeartbeatBytes {
 			break
 		}
 		bytes, err := encodedBytes(table.value)
 		if err != nil {
-			return nil, nil, err
+			return 0, err
 		}
-		if n := reflect.ValueOf(table.value).Len(); n > 0 {
+		if table.entries > 0 {
 			table.drop()
 			total -= bytes
-			cut[table.name] = n
+			cut[table.name] = table.entries
 		}
 	}
+	return total, nil
+}
+
+// shortenLists cuts the longest list of a heartbeat of total bytes until all fit.
+func shortenLists(total int, lists []*heartbeatList, cut map[string]int) error {
 	for total > maxHeartbeatBytes {
 		longest := slices.MaxFunc(lists, func(a, b *heartbeatList) int { return cmp.Compare(a.bytes, b.bytes) })
 		if longest.entries == 0 {
-			return nil, nil, fmt.Errorf("heartbeat of %d bytes without its lists, at most %d fit", total, maxHeartbeatBytes)
+			return fmt.Errorf("heartbeat of %d bytes without its lists, at most %d fit", total, maxHeartbeatBytes)
 		}
-		n, before := longest.entries, longest.bytes
-		longest.shorten(n * 3 / 4)
-		cut[longest.name] += n - longest.entries
+		entries, bytes := longest.entries, longest.bytes
+		longest.shorten(entries * 3 / 4)
+		cut[longest.name] += entries - longest.entries
+		var err error
 		if longest.bytes, err = encodedBytes(longest.value); err != nil {
-			return nil, nil, err
+			return err
 		}
-		total -= before - longest.bytes
+		total -= bytes - longest.bytes
 	}
-	b, err = cbor.Marshal(h)
-	return b, cut, err
+	return nil
 }
 
 func encodedBytes(v any) (int, error) {
