--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -222,17 +222,17 @@
 		return origins.Origin{}, false
 	}
 	since := time.Now().Add(-origins.Retention)
-	only := func() (software string, ok, any bool) {
+	only := func() (software string, ok, seen bool) {
 		o.fleet.WithTable(func(t *placement.Table) {
 			software, ok = t.OnlySoftware(since, service)
-			any = t.SeenSince(since, service)
+			seen = t.SeenSince(since, service)
 		})
-		return software, ok, any
+		return software, ok, seen
 	}
 	for fresh := false; ; {
-		software, ok, any := only()
+		software, ok, seen := only()
 		switch {
-		case !any && !fresh: // a host that has just started may not have the list yet
+		case !seen && !fresh: // a host that has just started may not have the list yet
 		case !ok || software != recorded.Software:
 			return origins.Origin{}, false
 		case fresh:
