--- a/cmd/oleanderfall/main.go
+++ b/cmd/oleanderfall/main.go
@@ -20,6 +20,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/transport/front"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	"oleanderfall.example/oleanderfall/platform"
 )
@@ -45,7 +46,17 @@
 	Store    storeCmd `cmd:"" help:"Stand on a store host. It holds nothing: all that lasts is on the platform."`
 }
 
-type frontCmd struct{}
+type frontCmd struct {
+	MaxConnections  int   `help:"Open connections of clients; 0 follows from the descriptors and the memory." default:"0"`
+	HeadMemoryMiB   int64 `name:"head-memory-mib" help:"Memory for heads and small bodies of requests; 0 follows from the memory." default:"0"`
+	BodyMemoryMiB   int64 `name:"body-memory-mib" help:"Memory for large bodies of requests; 0 follows from the memory." default:"0"`
+	AnswerMemoryMiB int64 `name:"answer-memory-mib" help:"Memory for large answers; 0 follows from the memory." default:"0"`
+}
+
+// limits returns the limits on what clients hold that the flags set.
+func (f *frontCmd) limits() ingress.Limits {
+	return ingress.Limits{Connections: f.MaxConnections, HeadMemory: f.HeadMemoryMiB << 20, BodyMemory: f.BodyMemoryMiB << 20, AnswerMemory: f.AnswerMemoryMiB << 20}
+}
 
 type storeCmd struct{}
 
@@ -76,7 +87,7 @@
 
 // Run runs a front host until SIGINT or SIGTERM. It returns an error if the settings are
 // invalid, or if the start or the stop fails.
-func (frontCmd) Run(c *cli, log *slog.Logger, hangups chan os.Signal) error {
+func (f *frontCmd) Run(c *cli, log *slog.Logger, hangups chan os.Signal) error {
 	s, unused, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -84,6 +95,7 @@
 	if len(unused) > 0 {
 		log.Info("Settings fields not used", "fields", unused)
 	}
+	s.Ingress = f.limits()
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
--- a/internal/protocol/httpanswer/conn.go
+++ b/internal/protocol/httpanswer/conn.go
@@ -78,7 +78,7 @@
 	for c.awaited {
 		searched := max(0, len(c.head)-len("\n\r"))
 		c.head = append(c.head, b...)
-		end := headLength(c.head, searched)
+		end := HeadLength(c.head, searched)
 		if end == 0 {
 			if c.headBytes+len(c.head) > maxHeadBytes {
 				return Error.New("head of more than %d bytes", maxHeadBytes)
--- a/internal/protocol/httpanswer/head.go
+++ b/internal/protocol/httpanswer/head.go
@@ -38,9 +38,9 @@
 	return nil
 }
 
-// headLength returns the length of the head with which b begins, including its blank line, or zero if b has only a
+// HeadLength returns the length of the head with which b begins, including its blank line, or zero if b has only a
 // part of it. A line may end without a carriage return. The first from bytes have no blank line.
-func headLength(b []byte, from int) int {
+func HeadLength(b []byte, from int) int {
 	for {
 		i := bytes.IndexByte(b[from:], '\n')
 		if i < 0 {
--- a/internal/protocol/httpanswer/head_test.go
+++ b/internal/protocol/httpanswer/head_test.go
@@ -51,7 +51,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n": 0,
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                      0,
 	} {
-		if n := headLength([]byte(head), 0); n != len(head) && head != "\r\n\r\n" {
+		if n := HeadLength([]byte(head), 0); n != len(head) && head != "\r\n\r\n" {
 			t.Errorf("%q: head of %d bytes", head, n)
 		}
 		if got, err := checkHead([]byte(head)); got != want || (err == nil) != (want > 0) {
@@ -66,7 +66,7 @@
 		f.Add([]byte(head))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		n := headLength(b, 0)
+		n := HeadLength(b, 0)
 		if n == 0 {
 			return
 		}
--- a/internal/transport/front/endpointrelayserver.go
+++ b/internal/transport/front/endpointrelayserver.go
@@ -42,7 +42,7 @@
 // ServeHTTP serves the calls of endpointRelays.
 func (s *relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := &partWriter{parts: cbor.NewEncoder(w), flush: http.NewResponseController(w).Flush}
-	raw, release, err := s.bodies.ReadBody(http.MaxBytesReader(w, r.Body, maxForwardedBatch), r.ContentLength, relayedBodyCopies)
+	raw, release, err := s.bodies.ReadBody(r.Context(), http.MaxBytesReader(w, r.Body, maxForwardedBatch), r.ContentLength, relayedBodyCopies)
 	var request relayedRequest
 	switch {
 	case isCode(err, resultcode.Overloaded):
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -23,6 +23,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/operatorapi"
 	"oleanderfall.example/oleanderfall/internal/state/catalog"
 	"oleanderfall.example/oleanderfall/internal/transport/configproof"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	scalingduty "oleanderfall.example/oleanderfall/internal/transport/scaling"
 	"oleanderfall.example/oleanderfall/internal/transport/teamkeys"
@@ -36,10 +37,6 @@
 	storeCallTimeout = 3 * time.Second
 	// AddressTTL is how long callers may cache an answer of the directory.
 	AddressTTL = 2 * time.Second
-	// headerTimeout bounds the reading of a request header, idleTimeout the life of an idle
-	// connection. Both exceed what the operator's limits allow callers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 45 * time.Second
 )
 
 // Store is the platform's object store, implemented by an adapter.
@@ -84,8 +81,9 @@
 	Catalog   *Catalog
 	// Keys admits the requests of callers and trainers.
 	Keys *teamkeys.Checker
-	// Bodies bounds the memory that large request bodies take.
-	Bodies *Bodies
+	// Ingress bounds what clients hold at all listeners, Bodies reads their requests within that.
+	Ingress *ingress.Limiter
+	Bodies  *Bodies
 
 	log        *slog.Logger
 	peers      *Peers
@@ -125,7 +123,9 @@
 func NewNode(p Params) *Node {
 	n := &Node{Settings: p.Settings, Metrics: NewMetrics(p.Registry), Catalog: &Catalog{}, params: p, stop: newHostStop(),
 		log: logging.Component(p.Log, "front")}
-	n.Bodies = NewBodies(p.Settings.MemoryBytes)
+	n.Ingress = ingress.NewLimiter(p.Settings.Ingress.Or(ingress.DefaultLimits(p.Settings.MemoryBytes, p.Settings.Descriptors)),
+		p.Registry, logging.Component(p.Log, "ingress"))
+	n.Bodies = NewBodies(n.Ingress)
 	n.peers = NewPeers(presence.Member{Host: p.Settings.Host, Zone: p.Settings.Zone, Capacity: float32(p.Settings.Capacity)},
 		cmp.Or(p.Settings.FullMeshHosts, presence.FullMeshHosts))
 	component := func(name string) *slog.Logger { return logging.Component(p.Log, name) }
@@ -330,19 +330,14 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.params.Registry, promhttp.HandlerOpts{}))
 	always := context.Background()
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-		// requests is the context of all requests of the listener.
-		requests context.Context
-	}{
-		{s.PeerAddress, n.peerHandler(), always},
-		{s.ReadyAddress, n.params.Handlers.Readiness(n), always},
-		{s.DirectoryAddress, n.params.Handlers.Directory(n), always},
-		{s.CallerAddress, n.params.Handlers.Callers(n), n.stop.serving},
-		{s.MetricsAddress, metrics, always},
+	for _, l := range []listener{
+		{name: "peers", address: s.PeerAddress, handler: n.peerHandler(), requests: always},
+		{name: "readiness", address: s.ReadyAddress, handler: n.params.Handlers.Readiness(n), requests: always},
+		{name: "directory", address: s.DirectoryAddress, handler: n.params.Handlers.Directory(n), requests: always},
+		{name: "callers", address: s.CallerAddress, handler: n.params.Handlers.Callers(n), requests: n.stop.serving, heads: n.callerHeads},
+		{name: "metrics", address: s.MetricsAddress, handler: metrics, requests: always},
 	} {
-		if err := n.serve(l.address, l.handler, l.requests); err != nil {
+		if err := n.serve(ctx, l); err != nil {
 			return err
 		}
 	}
@@ -357,18 +352,38 @@
 	return nil
 }
 
-func (n *Node) serve(address string, h http.Handler, requests context.Context) error {
-	l, err := net.Listen("tcp4", address)
+// listener is an address that this host serves.
+type listener struct {
+	name, address string
+	handler       http.Handler
+	// requests is the context of all requests of the listener.
+	requests context.Context
+	// heads returns the limits of its requests; nil stands for the defaults.
+	heads func() ingress.HeadLimits
+}
+
+// callerHeads returns the operator's limits of callers' requests.
+func (n *Node) callerHeads() ingress.HeadLimits {
+	config := n.Catalog.Config()
+	if config == nil {
+		return ingress.HeadLimits{}
+	}
+	l := config.Limits
+	return ingress.HeadLimits{MaxBytes: l.MaxHeaderBytes, Timeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+func (n *Node) serve(ctx context.Context, l listener) error {
+	open, err := n.Ingress.Listen(ctx, "tcp4", l.address, l.name, l.heads)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return requests },
-		ErrorLog:    slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
-	n.servers, n.listeners = append(n.servers, server), append(n.listeners, l)
+	server := &http.Server{Handler: l.handler, BaseContext: func(net.Listener) context.Context { return l.requests },
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	ingress.Prepare(server)
+	n.servers, n.listeners = append(n.servers, server), append(n.listeners, open)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			n.log.Error("Listener failed", "address", address, "err", err)
+		if err := server.Serve(open); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			n.log.Error("Listener failed", "address", l.address, "err", err)
 		}
 	}()
 	return nil
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -260,7 +260,7 @@
 		_, _ = w.Write(body)
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/batches", func(w http.ResponseWriter, r *http.Request) {
-		content, release, err := b.bodies.ReadBody(http.MaxBytesReader(w, r.Body, maxForwardedBatch), r.ContentLength, BatchBodyCopies)
+		content, release, err := b.bodies.ReadBody(r.Context(), http.MaxBytesReader(w, r.Body, maxForwardedBatch), r.ContentLength, BatchBodyCopies)
 		if isCode(err, resultcode.Overloaded) {
 			peerError(w, err)
 			return
--- a/internal/transport/front/settings.go
+++ b/internal/transport/front/settings.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 )
 
 // Settings configures a host's process.
@@ -29,8 +31,12 @@
 	// hosts.
 	StoreReads  float64
 	StoreWrites float64
-	// MemoryBytes is the memory of the host, or zero if it is not set.
+	// MemoryBytes is the memory of the host, Descriptors the number of file descriptors of its process. Either is
+	// zero if it is not set.
 	MemoryBytes int64
+	Descriptors int64
+	// Ingress has the limits on what clients hold, zero for those that follow from MemoryBytes and Descriptors.
+	Ingress ingress.Limits
 	// Capacity is the host's share of processor time, in cores; zero is unknown.
 	Capacity float64
 	// FirstStart is set if the fleet has never run before, so that nothing is stored.
