--- a/internal/transport/front/bodies.go
+++ b/internal/transport/front/bodies.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"time"
@@ -78,6 +79,19 @@
 	}
 }
 
+// HoldDecoded reserves memory for what a body becomes when it is decoded. release must be called once that is no longer
+// used. The error is resultcode.TooLarge if the host never has so much, else resultcode.Overloaded.
+func (b *Bodies) HoldDecoded(ctx context.Context, n int64) (release func(), err error) {
+	if limit := b.limiter.Limits().BodyMemory; n > limit {
+		return nil, &resultcode.Error{Code: resultcode.TooLarge, Detail: fmt.Sprintf("the body would take %d bytes when it is decoded, limit %d", n, limit)}
+	}
+	account := b.limiter.Account(ctx)
+	if !account.Hold(n, n > smallBodyBytes) {
+		return nil, errNoRoomForBody()
+	}
+	return account.Release, nil
+}
+
 func errNoRoomForBody() error {
 	return &resultcode.Error{Code: resultcode.Overloaded, Detail: "other bodies take this host's memory for them",
 		RetryAfterMillis: bodyRetryAfter.Milliseconds()}
