--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -281,23 +281,17 @@
 		writeAnswer(w, r, b.Demand())
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/permits", func(w http.ResponseWriter, r *http.Request) {
-		var call permitCall
-		if err := decoding.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&call); err != nil {
+		if err := decodeCall(w, r, func(call permitCall) { writeAnswer(w, r, p.answer(call)) }); err != nil {
 			http.Error(w, "no call for permits", http.StatusBadRequest)
-			return
 		}
-		writeAnswer(w, r, p.answer(call))
 	}).Methods(http.MethodPost)
 	r.Handle(relayPath, relay).Methods(http.MethodPost)
 	r.HandleFunc("/origins", o.receive).Methods(http.MethodPost)
 	r.HandleFunc("/origins", o.answer).Methods(http.MethodGet)
 	r.HandleFunc("/groups", func(w http.ResponseWriter, r *http.Request) {
-		var hashes []uint64
-		if err := decoding.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&hashes); err != nil {
+		if err := decodeCall(w, r, b.groups.add); err != nil {
 			http.Error(w, "no list of hashes", http.StatusBadRequest)
-			return
 		}
-		b.groups.add(hashes)
 	}).Methods(http.MethodPost)
 	r.HandleFunc("/batches/{id}/end", func(_ http.ResponseWriter, r *http.Request) {
 		b.stopEnded(mux.Vars(r)["id"])
--- a/internal/transport/front/streamorigins.go
+++ b/internal/transport/front/streamorigins.go
@@ -270,12 +270,9 @@
 
 // receive serves a peer's call SendOrigins.
 func (o *StreamOrigins) receive(w http.ResponseWriter, r *http.Request) {
-	var records []origins.Record
-	if err := decoding.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBody)).Decode(&records); err != nil {
+	if err := decodeCall(w, r, o.add); err != nil {
 		http.Error(w, "no list of origins", http.StatusBadRequest)
-		return
 	}
-	o.add(records)
 }
 
 // answer answers a peer's call Origin: a list with the origin, or an empty one.
