--- a/internal/transport/front/bodies.go
+++ b/internal/transport/front/bodies.go
@@ -1,12 +1,12 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
@@ -18,6 +18,8 @@
 	smallBodyBytes = 64 << 10
 	// bodyStepBytes is the step in which memory is reserved for a body of unknown length.
 	bodyStepBytes = 1 << 20
+	// firstPartBytes is room for most bodies.
+	firstPartBytes = 4 << 10
 	// BatchBodyCopies is the number of copies of a batch's body that exist while it is accepted: the body, its
 	// decoded form and the stored one.
 	BatchBodyCopies = 3
@@ -26,6 +28,9 @@
 	bodyRetryAfter = time.Second
 )
 
+// firstParts are the parts in which the small beginning of a body of unknown length is read.
+var firstParts = []int{firstPartBytes, smallBodyBytes - firstPartBytes}
+
 // Bodies reads the bodies of requests within the memory that a host has for them. It is safe for concurrent use.
 type Bodies struct{ limiter *ingress.Limiter }
 
@@ -59,24 +64,40 @@
 		}
 		return body, account.Release, nil
 	}
-	// The buffer doubles, and holds the old and the new copy while it does.
+	// The parts are joined at the end, so that two copies exist for a moment.
 	copies = max(copies, 2)
-	if err := hold(smallBodyBytes*copies, false); err != nil {
-		return nil, nil, err
-	}
-	var buffer bytes.Buffer
-	for step := int64(smallBodyBytes); ; step = bodyStepBytes {
-		_, err := io.CopyN(&buffer, r, step)
-		if errors.Is(err, io.EOF) {
-			return buffer.Bytes(), account.Release, nil
-		}
-		if err != nil {
-			return nil, nil, tooSlow(ctx, err)
+	var parts [][]byte
+	for {
+		step := bodyStepBytes
+		if len(parts) < len(firstParts) {
+			step = firstParts[len(parts)]
 		}
-		if err := hold(bodyStepBytes*copies, true); err != nil {
+		if err := hold(int64(step)*copies, len(parts) >= len(firstParts)); err != nil {
 			return nil, nil, err
 		}
+		part := make([]byte, step)
+		n, err := readPart(r, part)
+		parts = append(parts, part[:n])
+		switch {
+		case errors.Is(err, io.EOF) && len(parts) == 1:
+			return parts[0], account.Release, nil
+		case errors.Is(err, io.EOF):
+			return slices.Concat(parts...), account.Release, nil
+		case err != nil:
+			return nil, nil, tooSlow(ctx, err)
+		}
+	}
+}
+
+// readPart reads until a part is full. Unlike io.ReadFull it does not change an error: a body that is cut short ends with
+// io.ErrUnexpectedEOF.
+func readPart(r io.Reader, part []byte) (n int, err error) {
+	for n < len(part) && err == nil {
+		var m int
+		m, err = r.Read(part[n:])
+		n += m
 	}
+	return n, err
 }
 
 // HoldDecoded reserves memory for what a body becomes when it is decoded. release must be called once that is no longer
