--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -132,7 +132,7 @@
 	n.Keys = teamkeys.New(n.Catalog.Config, component("keys"), p.Registry)
 	fleet := NewFleet(p.Settings.Zone)
 	fleet.registerPromptMetrics(p.Registry)
-	calls := NewPeerClient(n.peers)
+	calls := NewPeerClient(n.peers, n.Ingress.Limits().Outbound)
 	n.storePath = NewStorePath(p.Store, n.storeRelays, component("store"))
 	store := objectapi.NewClient(n.storePath, objectapi.ClientOptions{
 		ReadsPerSecond: p.Settings.StoreReads, WritesPerSecond: p.Settings.StoreWrites,
--- a/internal/transport/front/harness_test.go
+++ b/internal/transport/front/harness_test.go
@@ -144,7 +144,7 @@
 	n.Batches.peerClient.http.Transport = peerCalls
 	if w.duties != nil {
 		api, lease := w.duties(s.Host)
-		n.scaler = n.newScaler(lease, api, NewPeerClient(n.peers))
+		n.scaler = n.newScaler(lease, api, NewPeerClient(n.peers, 1000))
 	}
 	if err := n.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
--- a/internal/transport/front/peercut_test.go
+++ b/internal/transport/front/peercut_test.go
@@ -146,7 +146,7 @@
 
 func plainCutCall(body, want string, send func(c *PeerClient) (string, error)) peerCutCall {
 	return peerCutCall{body: body, want: want, repeats: true, client: func(peers *Peers, _ string) func() (string, error) {
-		c := NewPeerClient(peers)
+		c := NewPeerClient(peers, 1000)
 		return func() (string, error) { return send(c) }
 	}}
 }
--- a/internal/transport/front/peers.go
+++ b/internal/transport/front/peers.go
@@ -54,13 +54,17 @@
 type PeerClient struct {
 	peers *Peers
 	http  *http.Client
+	// waits bounds the calls that wait for results. Each keeps a connection for up to seconds.
+	waits chan struct{}
 }
 
-// NewPeerClient returns a client for the hosts in peers.
-func NewPeerClient(peers *Peers) *PeerClient {
-	return &PeerClient{peers: peers, http: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
+// NewPeerClient returns a client for the hosts in peers. Of the given number of descriptors for connections to others, half
+// may be connections to one host, and a quarter calls that wait for results.
+func NewPeerClient(peers *Peers, descriptors int) *PeerClient {
+	return &PeerClient{peers: peers, waits: make(chan struct{}, max(1, descriptors/4)), http: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 		DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		IdleConnTimeout: 10 * time.Second,
+		MaxConnsPerHost: max(1, descriptors/2),
 	})}}
 }
 
@@ -130,8 +134,16 @@
 var errPageOutdated = errors.New("the empty page of the peer is outdated")
 
 // Results reads results from the batch's owner. It waits up to the given time if there are
-// none from position after on.
+// none from position after on, and does not wait if too many calls do.
 func (c *PeerClient) Results(ctx context.Context, host, team, id string, after int, wait time.Duration) (Page, error) {
+	if wait > 0 {
+		select {
+		case c.waits <- struct{}{}:
+			defer func() { <-c.waits }()
+		default:
+			wait = 0
+		}
+	}
 	q := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	if team != "" {
 		q.Set(teamParameter, team)
--- a/internal/transport/ingress/limits.go
+++ b/internal/transport/ingress/limits.go
@@ -7,8 +7,9 @@
 
 // Limits bounds what the clients of a process hold. Sizes are in bytes.
 type Limits struct {
-	// Connections bounds the open connections of all listeners.
-	Connections int
+	// Connections bounds the open connections of all listeners, Outbound is the number of descriptors that are left for
+	// connections to others.
+	Connections, Outbound int
 	// HeadMemory bounds heads and small bodies, BodyMemory large bodies, and AnswerMemory large answers. A large
 	// body or answer that is alone is always allowed.
 	HeadMemory, BodyMemory, AnswerMemory int64
@@ -40,6 +41,7 @@
 	sockets := float64(cmp.Or(max(descriptors, 0), defaultDescriptors) - fileDescriptors)
 	return Limits{
 		Connections:  int(max(minConnections, min(inboundShare*sockets, connMemoryShare*memory/connMemoryBytes))),
+		Outbound:     int(max(minConnections, (1-inboundShare)*sockets)),
 		HeadMemory:   int64(headMemoryShare * memory),
 		BodyMemory:   int64(bodyMemoryShare * memory),
 		AnswerMemory: int64(answerMemoryShare * memory),
@@ -50,6 +52,7 @@
 func (l Limits) Or(other Limits) Limits {
 	return Limits{
 		Connections:  cmp.Or(l.Connections, other.Connections),
+		Outbound:     cmp.Or(l.Outbound, other.Outbound),
 		HeadMemory:   cmp.Or(l.HeadMemory, other.HeadMemory),
 		BodyMemory:   cmp.Or(l.BodyMemory, other.BodyMemory),
 		AnswerMemory: cmp.Or(l.AnswerMemory, other.AnswerMemory),
