--- a/internal/protocol/settings/localsettings.go
+++ b/internal/protocol/settings/localsettings.go
@@ -16,6 +16,7 @@
 	Control  ControlSettings  `section:"control"`
 	Entry    EntrySettings    `section:"entry"`
 	Rollout  RolloutSettings  `section:"rollout"`
+	Clients  ClientSettings   `section:"clients"`
 }
 
 // HostSettings identifies the host and sets its data folder and log level.
@@ -65,6 +66,12 @@
 	Admin  string `ini:"admin" optional:"true" kind:"address" help:"HTTP address of metrics and health."`
 }
 
+// ClientSettings bound what the clients of each program hold.
+type ClientSettings struct {
+	MemoryMiB   int `ini:"memory_mib" default:"1024" range:"64..1048576" help:"Memory of a program in MiB, from which the limits on connections, heads, bodies and answers follow."`
+	Descriptors int `ini:"descriptors" default:"16384" range:"256..10000000" help:"File descriptors that a program may open. Three quarters are for clients."`
+}
+
 // LoadLocalSettings reads the settings of a host's processes from a folder. If the folder can
 // be read but its contents are invalid, the error is of type Problems.
 func LoadLocalSettings(dir string) (*LocalSettings, error) {
--- a/internal/transport/control/module.go
+++ b/internal/transport/control/module.go
@@ -29,6 +29,7 @@
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/confmanager"
 	"oleanderfall.example/oleanderfall/internal/transport/gossip"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	"oleanderfall.example/oleanderfall/internal/transport/observe"
 	"oleanderfall.example/oleanderfall/internal/transport/process"
@@ -194,7 +195,7 @@
 	})
 }
 
-func serveAdmin(lc fx.Lifecycle, s *settings.LocalSettings, reg *prometheus.Registry, h *process.Health, mesh *quicmesh.Mesh, control *service) {
+func serveAdmin(lc fx.Lifecycle, limiter *ingress.Limiter, s *settings.LocalSettings, reg *prometheus.Registry, h *process.Health, mesh *quicmesh.Mesh, control *service) {
 	registerMetrics(reg, mesh, control)
 	h.Add("configuration", func() error {
 		if control.conf.Generation() == 0 {
@@ -202,7 +203,7 @@
 		}
 		return nil
 	})
-	process.ServeAdmin(lc, s.Control.Admin, reg, h, nil)
+	process.ServeAdmin(lc, limiter, s.Control.Admin, reg, h, nil)
 }
 
 func quarantineKey(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
--- a/internal/transport/entry/child_test.go
+++ b/internal/transport/entry/child_test.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 )
 
 // childEnvVar makes the test binary run an entry server instead of the tests.
@@ -26,6 +27,11 @@
 	runChild()
 }
 
+// newTestLimiter returns a limiter that no client of a test meets.
+func newTestLimiter() *ingress.Limiter {
+	return ingress.NewLimiter(ingress.DefaultLimits(0, 0), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
+}
+
 // runChild runs an entry server with the configuration read from standard input, until
 // standard input is closed. It prints the server's address.
 func runChild() {
@@ -36,7 +42,7 @@
 	}
 	s := NewServer(Options{Host: "e1", Zone: "lj-a", Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler), Seed: 1})
 	s.Apply(&model.FleetView{Sequence: 1, Generation: 1, Config: &c})
-	httpServer := NewHTTPServer(s)
+	httpServer := NewHTTPServer(s, newTestLimiter())
 	if err := httpServer.Start("127.0.0.1:0"); err != nil {
 		panic(err)
 	}
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -63,7 +63,7 @@
 		Host: "e1", Zone: "lj-a", Claims: b.claims, Metrics: prometheus.NewRegistry(),
 		Log: slog.New(slog.DiscardHandler), Seed: 1,
 	})
-	b.httpServer = NewHTTPServer(b.server)
+	b.httpServer = NewHTTPServer(b.server, newTestLimiter())
 	if err := b.httpServer.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/entry/faults_test.go
+++ b/internal/transport/entry/faults_test.go
@@ -455,7 +455,7 @@
 	if !s.report(time.Now()).NotReady {
 		t.Error("ready without a port and a view")
 	}
-	h := NewHTTPServer(s)
+	h := NewHTTPServer(s, newTestLimiter())
 	if err := h.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/entry/firstview_test.go
+++ b/internal/transport/entry/firstview_test.go
@@ -61,7 +61,7 @@
 		Control:  settings.ControlSettings{Listen: control.Address()},
 		Entry:    settings.EntrySettings{Listen: freeAddress(t), Mesh: "127.0.0.1:0", Admin: freeAddress(t)},
 	}
-	app := fx.New(fx.NopLogger, Module, fx.Supply(s, slog.New(slog.DiscardHandler), keys), fx.Provide(prometheus.NewRegistry, process.NewHealth))
+	app := fx.New(fx.NopLogger, Module, fx.Supply(s, slog.New(slog.DiscardHandler), keys), fx.Provide(prometheus.NewRegistry, process.NewHealth, newTestLimiter))
 	if err := app.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -25,6 +25,7 @@
 	"oleanderfall.example/oleanderfall/internal/transport/claimservice"
 	"oleanderfall.example/oleanderfall/internal/transport/clock"
 	"oleanderfall.example/oleanderfall/internal/transport/httpapi"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	"oleanderfall.example/oleanderfall/internal/transport/process"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
@@ -34,7 +35,6 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
 	writeTimeout      = httpapi.MaxTimeout + time.Minute
 	clientIdleTimeout = 2 * time.Minute
 )
@@ -94,6 +94,7 @@
 	Claims     *claimservice.Service
 	Registry   *prometheus.Registry
 	Health     *process.Health
+	Limiter    *ingress.Limiter
 }
 
 // serve registers the lifecycle hooks: mesh, background loops, admin pages and the
@@ -116,13 +117,13 @@
 		},
 		OnStop: func(context.Context) error { loops.stop(); return nil },
 	})
-	process.ServeAdmin(p.Lifecycle, p.Settings.Entry.Admin, p.Registry, p.Health, func(r *mux.Router) {
+	process.ServeAdmin(p.Lifecycle, p.Limiter, p.Settings.Entry.Admin, p.Registry, p.Health, func(r *mux.Router) {
 		r.HandleFunc("/v1/explain/{id}", p.Server.ServeExplain).Methods(http.MethodGet)
 	})
 	// Runs after the last request has ended and while the mesh is still open, to record
 	// the outcomes of the claims and hand over the shards.
 	p.Lifecycle.Append(fx.StopHook(p.Claims.Stop))
-	server := NewHTTPServer(p.Server)
+	server := NewHTTPServer(p.Server, p.Limiter)
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			waitForView(ctx, p.Server.hasView)
@@ -189,25 +190,26 @@
 // HTTPServer serves callers on a port and performs the planned stop.
 type HTTPServer struct {
 	server   *Server
+	limiter  *ingress.Limiter
 	http     *http.Server
 	listener net.Listener
 }
 
-// NewHTTPServer returns an HTTP server for s. Start opens its port.
-func NewHTTPServer(s *Server) *HTTPServer {
-	return &HTTPServer{server: s, http: &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       clientIdleTimeout,
-		MaxHeaderBytes:    httpapi.MaxHeaderBytes,
-	}}
+// NewHTTPServer returns an HTTP server for s, whose clients the limiter bounds. Start opens its port.
+func NewHTTPServer(s *Server, limiter *ingress.Limiter) *HTTPServer {
+	h := &HTTPServer{server: s, limiter: limiter, http: &http.Server{Handler: s.Handler(), WriteTimeout: writeTimeout}}
+	ingress.Prepare(h.http)
+	return h
+}
+
+// callerHeads are the limits of callers' requests.
+func callerHeads() ingress.HeadLimits {
+	return ingress.HeadLimits{MaxBytes: httpapi.MaxHeaderBytes, Timeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout}
 }
 
 // Start opens the port and serves in the background.
 func (h *HTTPServer) Start(address string) error {
-	l, err := net.Listen("tcp", address)
+	l, err := h.limiter.Listen(context.Background(), "tcp", address, "callers", callerHeads)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/httpapi/request.go
+++ b/internal/transport/httpapi/request.go
@@ -10,11 +10,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/resultcode"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 )
 
 // Request headers.
@@ -86,13 +88,17 @@
 }
 
 // ReadBody reads the complete body of a request. Every error is a *resultcode.Error:
-// TooLarge if the body exceeds MaxBodyBytes, else BadRequest.
+// TooLarge if the body exceeds MaxBodyBytes, Overloaded if it arrives too slowly or there is no memory for it, else
+// BadRequest.
 func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, resultcode.New(resultcode.TooLarge, "The body is over %d bytes.", MaxBodyBytes)
 	}
+	if errors.Is(err, ingress.ErrNoRoom) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, resultcode.New(resultcode.Overloaded, "The body arrives too slowly, or other bodies take the memory for it.")
+	}
 	if err != nil {
 		return nil, resultcode.New(resultcode.BadRequest, "The body could not be read.")
 	}
--- a/internal/transport/ingress/limiter.go
+++ b/internal/transport/ingress/limiter.go
@@ -43,8 +43,8 @@
 
 var poolNames = [poolCount]string{"heads", "bodies", "answers"}
 
-// errNoRoom means that no room was left for a request and that no client could be disconnected for it.
-var errNoRoom = errors.New("other requests take the memory for them")
+// ErrNoRoom means that no memory was left for a request and that no client could be disconnected for it.
+var ErrNoRoom = errors.New("other requests take the memory for them")
 
 // cause is a reason for which a client was refused or disconnected.
 type cause string
@@ -335,11 +335,11 @@
 func (l *Limiter) holdAnswer(ctx context.Context, c *Conn, n int64) error {
 	for !l.take(c, answers, n, answerStall, causeAnswers) {
 		if c.evicted.Load() {
-			return errNoRoom
+			return ErrNoRoom
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(errNoRoom, context.Cause(ctx))
+			return errors.Join(ErrNoRoom, context.Cause(ctx))
 		case <-time.After(answerPoll):
 		}
 	}
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -135,7 +135,7 @@
 	if n > 0 && !b.conn.accounted.Load() {
 		if _, ok := b.conn.takeBody(int64(n)*uncountedCopies, b.read > smallBodyBytes); !ok {
 			_ = b.conn.Conn.SetReadDeadline(past)
-			return 0, errNoRoom
+			return 0, ErrNoRoom
 		}
 	}
 	if b.unstepped += n; b.unstepped >= bodyStepBytes || err != nil {
--- a/internal/transport/process/process.go
+++ b/internal/transport/process/process.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -24,6 +23,7 @@
 	"go.uber.org/fx"
 
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	"oleanderfall.example/oleanderfall/internal/transport/tlsconf"
 )
@@ -56,7 +56,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(s, root),
-		fx.Provide(newRegistry, newKeys, NewHealth),
+		fx.Provide(newRegistry, newKeys, NewHealth, newLimiter),
 	)...)
 	return runApp(app, logging.Component(root, "process"))
 }
@@ -86,6 +86,10 @@
 	return r
 }
 
+func newLimiter(s *settings.LocalSettings, reg *prometheus.Registry, root *slog.Logger) *ingress.Limiter {
+	return ingress.NewLimiter(ingress.DefaultLimits(int64(s.Clients.MemoryMiB)<<20, int64(s.Clients.Descriptors)), reg, logging.Component(root, "ingress"))
+}
+
 func newKeys(s *settings.LocalSettings) (*tlsconf.Keys, error) {
 	return tlsconf.Load(tlsconf.Files{
 		Authority:   s.TLS.Authority,
@@ -126,7 +130,7 @@
 
 // ServeAdmin serves /metrics, /healthz and /readyz on address from the start of the
 // application to its stop. register, if not nil, adds the program's own pages.
-func ServeAdmin(lc fx.Lifecycle, address string, reg *prometheus.Registry, h *Health, register func(*mux.Router)) {
+func ServeAdmin(lc fx.Lifecycle, limiter *ingress.Limiter, address string, reg *prometheus.Registry, h *Health, register func(*mux.Router)) {
 	r := mux.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
@@ -140,10 +144,11 @@
 	if register != nil {
 		register(r)
 	}
-	server := &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: r}
+	ingress.Prepare(server)
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", address)
+		OnStart: func(ctx context.Context) error {
+			l, err := limiter.Listen(ctx, "tcp", address, "admin", nil)
 			if err != nil {
 				return err
 			}
--- a/internal/transport/rollout/module.go
+++ b/internal/transport/rollout/module.go
@@ -23,6 +23,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/protocol/settings"
 	"oleanderfall.example/oleanderfall/internal/state/model"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/logging"
 	"oleanderfall.example/oleanderfall/internal/transport/process"
 	"oleanderfall.example/oleanderfall/internal/transport/quicmesh"
@@ -49,7 +50,7 @@
 	return viewstream.NewClient(mesh, s.Control.Listen, logging.Component(root, "feed"))
 }
 
-func newService(s *settings.LocalSettings, api *objectapi.Client, client *viewstream.Client, reg *prometheus.Registry, root *slog.Logger) *Service {
+func newService(s *settings.LocalSettings, api *objectapi.Client, client *viewstream.Client, reg *prometheus.Registry, limiter *ingress.Limiter, root *slog.Logger) *Service {
 	return NewService(Options{
 		Host:        s.Host.ID,
 		Zone:        s.Host.Zone,
@@ -58,6 +59,7 @@
 		API:         api,
 		View:        client.View,
 		Metrics:     reg,
+		Limiter:     limiter,
 		Log:         logging.Component(root, "rollout"),
 	})
 }
@@ -71,13 +73,14 @@
 	Service    *Service
 	Registry   *prometheus.Registry
 	Health     *process.Health
+	Limiter    *ingress.Limiter
 }
 
 // serve registers the start and stop hooks. Stop hooks run in reverse order of registration.
 func serve(p serveParams) {
 	p.Health.Add("view", p.ViewClient.Ready)
 	p.Lifecycle.Append(fx.StartStopHook(p.Mesh.Start, p.Mesh.Close))
-	process.ServeAdmin(p.Lifecycle, p.Settings.Rollout.Admin, p.Registry, p.Health, func(r *mux.Router) {
+	process.ServeAdmin(p.Lifecycle, p.Limiter, p.Settings.Rollout.Admin, p.Registry, p.Health, func(r *mux.Router) {
 		r.HandleFunc("/v1/explain/{sample}", p.Service.ServeExplain).Methods(http.MethodGet)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/transport/rollout/rollout_test.go
+++ b/internal/transport/rollout/rollout_test.go
@@ -19,6 +19,7 @@
 	"oleanderfall.example/oleanderfall/internal/standin"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/clock"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -201,6 +202,7 @@
 	h.service = NewService(Options{
 		Host: h.id, Incarnation: model.Incarnation(time.Now().UnixNano()), Listen: "127.0.0.1:0", API: h.api,
 		View: b.view, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler),
+		Limiter: ingress.NewLimiter(ingress.DefaultLimits(0, 0), prometheus.NewRegistry(), slog.New(slog.DiscardHandler)),
 	})
 	if err := h.service.Start(); err != nil {
 		b.t.Fatal(err)
--- a/internal/transport/rollout/service.go
+++ b/internal/transport/rollout/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"oleanderfall.example/oleanderfall/internal/protocol/objectapi"
 	"oleanderfall.example/oleanderfall/internal/state/model"
 	"oleanderfall.example/oleanderfall/internal/transport/clock"
+	"oleanderfall.example/oleanderfall/internal/transport/ingress"
 	"oleanderfall.example/oleanderfall/internal/transport/shardassignment"
 )
 
@@ -40,6 +40,8 @@
 	// View returns the fleet as this host sees it, nil before the first view.
 	View    func() *model.FleetView
 	Metrics prometheus.Registerer
+	// Limiter bounds what trainers' connections hold.
+	Limiter *ingress.Limiter
 	Log     *slog.Logger
 }
 
@@ -67,13 +69,14 @@
 		owners:  map[model.TrainerID]*owner{},
 	}
 	s.engines = engineapi.NewClient(s.http)
-	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
+	s.server = &http.Server{Handler: s.routes()}
+	ingress.Prepare(s.server)
 	return s
 }
 
 // Start listens on Options.Listen and serves the trainers' API there.
 func (s *Service) Start() error {
-	l, err := net.Listen("tcp", s.opt.Listen)
+	l, err := s.opt.Limiter.Listen(context.Background(), "tcp", s.opt.Listen, "trainers", nil)
 	if err != nil {
 		return Error.Wrap(err)
 	}
