--- a/internal/transport/front/bodies.go
+++ b/internal/transport/front/bodies.go
@@ -121,7 +121,7 @@
 // tooSlow returns the error of a body that could not be read: resultcode.Overloaded if it did not arrive in time, or
 // lost its memory to others while it did not.
 func tooSlow(ctx context.Context, err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) && AbandonedByStop(ctx) == nil {
+	if (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, ingress.ErrNoRoom)) && AbandonedByStop(ctx) == nil {
 		return &resultcode.Error{Code: resultcode.Overloaded, Detail: "no more of the body has arrived"}
 	}
 	return err
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -101,8 +101,8 @@
 	handler.ServeHTTP(w, r)
 }
 
-// Body is the body of a request. Reading fails with os.ErrDeadlineExceeded if the client is too slow, and at once if
-// the context of the request has ended.
+// Body is the body of a request. Reading fails with os.ErrDeadlineExceeded if the client is too slow, with ErrNoRoom or
+// os.ErrDeadlineExceeded if others got its memory, and at once if the context of the request has ended.
 type Body struct {
 	io.ReadCloser
 	conn     *Conn
@@ -138,6 +138,11 @@
 			return 0, ErrNoRoom
 		}
 	}
+	if b.conn.evicted.Load() && (err == nil || errors.Is(err, io.EOF)) {
+		// Its memory has gone to others, so the request must not go on.
+		_ = b.conn.Conn.SetReadDeadline(past)
+		return 0, ErrNoRoom
+	}
 	if b.unstepped += n; b.unstepped >= bodyStepBytes || err != nil {
 		b.unstepped = 0
 		b.conn.step()
