--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -43,9 +43,9 @@
 type Conn struct {
 	net.Conn
 	limiter *Limiter
-	// door is the name of the listener, heads returns its limits.
-	door  string
-	heads func() HeadLimits
+	// listener is the name of the listener, heads returns its limits.
+	listener string
+	heads    func() HeadLimits
 
 	// waiting is above zero while the process waits for the client.
 	waiting atomic.Int32
@@ -75,8 +75,8 @@
 	writeDeadline time.Time
 }
 
-func newConn(l *Limiter, conn net.Conn, door string, heads func() HeadLimits) *Conn {
-	c := &Conn{Conn: conn, limiter: l, door: door, heads: heads}
+func newConn(l *Limiter, conn net.Conn, listener string, heads func() HeadLimits) *Conn {
+	c := &Conn{Conn: conn, limiter: l, listener: listener, heads: heads}
 	c.beginHead()
 	return c
 }
@@ -169,7 +169,7 @@
 		n, err := c.readBefore(deadline, c.buf[len(c.buf):cap(c.buf)])
 		if n == 0 {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				c.limiter.count(causeHeadTime, c.door)
+				c.limiter.count(causeHeadTime, c.listener)
 			}
 			return err
 		}
@@ -216,7 +216,7 @@
 
 // refuse answers a request before it is delivered, and ends the connection.
 func (c *Conn) refuse(why cause, answer string) error {
-	c.limiter.count(why, c.door)
+	c.limiter.count(why, c.listener)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // if it fails, so does the write
 	if _, err := io.WriteString(c.Conn, answer); err == nil {
 		c.linger.Store(true)
@@ -257,7 +257,7 @@
 		n, err := c.Conn.Write(part)
 		if written += n; err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				c.limiter.count(causeAnswerTime, c.door)
+				c.limiter.count(causeAnswerTime, c.listener)
 			}
 			return written, err
 		}
--- a/internal/transport/ingress/limiter.go
+++ b/internal/transport/ingress/limiter.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"sync"
@@ -72,14 +71,14 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
-	// doors counts the connections of each listener.
-	doors map[string]int
-	used  [poolCount]int64
+	// perListener counts the connections of each listener.
+	perListener map[string]int
+	used        [poolCount]int64
 }
 
 // NewLimiter returns a limiter that registers its metrics with reg.
 func NewLimiter(limits Limits, reg prometheus.Registerer, log *slog.Logger) *Limiter {
-	l := &Limiter{limits: limits, log: log, conns: map[*Conn]struct{}{}, doors: map[string]int{}, logging: map[cause]*rate.Sometimes{},
+	l := &Limiter{limits: limits, log: log, conns: map[*Conn]struct{}{}, perListener: map[string]int{}, logging: map[cause]*rate.Sometimes{},
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleander_ingress_refused_total", Help: "Clients that were refused or disconnected, by cause.",
 		}, []string{"cause"})}
@@ -106,13 +105,13 @@
 func (l *Limiter) Limits() Limits { return l.limits }
 
 // count counts and logs a client that is refused or disconnected.
-func (l *Limiter) count(why cause, door string) {
+func (l *Limiter) count(why cause, listener string) {
 	l.refused.WithLabelValues(string(why)).Inc()
 	l.logging[why].Do(func() {
 		l.mu.Lock()
 		connections, used := len(l.conns), l.used
 		l.mu.Unlock()
-		l.log.Warn("Client refused or disconnected", "cause", string(why), "listener", door, "connections", connections,
+		l.log.Warn("Client refused or disconnected", "cause", string(why), "listener", listener, "connections", connections,
 			"head_bytes", used[heads], "body_bytes", used[bodies], "answer_bytes", used[answers])
 	})
 }
@@ -125,7 +124,7 @@
 			return true
 		}
 		if time.Now().After(end) {
-			l.count(causeConnections, c.door)
+			l.count(causeConnections, c.listener)
 			return false
 		}
 	}
@@ -136,7 +135,7 @@
 	var victim *Conn
 	if len(l.conns) >= l.limits.Connections {
 		victim = l.victim(func(v *Conn) bool {
-			return v.door == c.door || l.doors[v.door] > int(reservedShare*float64(l.limits.Connections))
+			return v.listener == c.listener || l.perListener[v.listener] > int(reservedShare*float64(l.limits.Connections))
 		})
 		if victim == nil {
 			l.mu.Unlock()
@@ -145,7 +144,7 @@
 		l.remove(victim)
 	}
 	l.conns[c] = struct{}{}
-	l.doors[c.door]++
+	l.perListener[c.listener]++
 	l.mu.Unlock()
 	l.disconnect(victim, causeConnections)
 	return true
@@ -174,14 +173,14 @@
 	if victim == nil {
 		return
 	}
-	l.count(why, victim.door)
+	l.count(why, victim.listener)
 	_ = victim.Conn.Close() // the client is gone either way
 }
 
 // evict lets a connection that lost its room end: a handler that reads a body can still refuse the request.
 func (l *Limiter) evict(victim *Conn, why cause) {
 	if victim.readingBody.Load() {
-		l.count(why, victim.door)
+		l.count(why, victim.listener)
 		_ = victim.Conn.SetReadDeadline(past) // if it fails, the connection is closed already
 		return
 	}
@@ -192,7 +191,7 @@
 func (l *Limiter) remove(c *Conn) {
 	if _, ok := l.conns[c]; ok {
 		delete(l.conns, c)
-		l.doors[c.door]--
+		l.perListener[c.listener]--
 	}
 	l.strip(c)
 }
@@ -217,7 +216,8 @@
 	return [poolCount]int64{l.limits.HeadMemory, l.limits.BodyMemory, l.limits.AnswerMemory}[p]
 }
 
-// take takes n bytes of a pool for a connection. If there is no room, other connections that hold some and have made no progress for a time lose it. It returns false if that does not suffice.
+// take takes n bytes of a pool for a connection. If there is no room, other connections that hold some and have made no
+// progress for a time lose it. It returns false if that does not suffice.
 func (l *Limiter) take(c *Conn, p pool, n int64, stall time.Duration, why cause) bool {
 	l.mu.Lock()
 	var victims []*Conn
@@ -263,54 +263,6 @@
 	c.held = [poolCount]int64{}
 }
 
-// Account is the memory that the body of one request takes. The memory of a body without one is counted as it is read. An
-// Account is not safe for concurrent use.
-type Account struct {
-	limiter *Limiter
-	conn    *Conn
-	held    [poolCount]int64
-}
-
-// Account returns an empty account for the request whose context is given.
-func (l *Limiter) Account(ctx context.Context) *Account {
-	c := connOf(ctx)
-	if c == nil {
-		c = &Conn{limiter: l} // no client waits
-	}
-	c.accounted.Store(true)
-	return &Account{limiter: l, conn: c}
-}
-
-// Hold takes n bytes more. Small bodies compete with heads, large ones with each other. It returns false if there is no
-// room, also after other clients that make no progress have lost theirs.
-func (a *Account) Hold(n int64, large bool) bool {
-	p, ok := a.conn.takeBody(n, large)
-	if ok {
-		a.held[p] += n
-	}
-	return ok
-}
-
-// takeBody takes memory for a body and returns its pool.
-func (c *Conn) takeBody(n int64, large bool) (p pool, ok bool) {
-	p, stall := heads, time.Duration(0)
-	if large {
-		p, stall = bodies, bodyStall
-	}
-	if ok = c.limiter.take(c, p, n, stall, causeBodyMemory); !ok {
-		c.limiter.count(causeBodyMemory, c.door)
-	}
-	return p, ok
-}
-
-// Release gives all bytes back. The end of the request does so too.
-func (a *Account) Release() {
-	for p, n := range a.held {
-		a.limiter.give(a.conn, pool(p), n)
-	}
-	a.held = [poolCount]int64{}
-}
-
 // Held returns the memory that all requests and answers take.
 func (l *Limiter) Held() int64 {
 	l.mu.Lock()
@@ -321,27 +273,3 @@
 	}
 	return sum
 }
-
-// HoldAnswer takes n bytes for the answer to the request whose context is given, until the end of the request. It waits
-// for room while other clients read theirs, and returns an error if the request ends before.
-func HoldAnswer(ctx context.Context, n int64) error {
-	c := connOf(ctx)
-	if c == nil {
-		return nil
-	}
-	return c.limiter.holdAnswer(ctx, c, n)
-}
-
-func (l *Limiter) holdAnswer(ctx context.Context, c *Conn, n int64) error {
-	for !l.take(c, answers, n, answerStall, causeAnswers) {
-		if c.evicted.Load() {
-			return ErrNoRoom
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Join(ErrNoRoom, context.Cause(ctx))
-		case <-time.After(answerPoll):
-		}
-	}
-	return nil
-}
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -31,13 +31,13 @@
 type Listener struct {
 	net.Listener
 	limiter *Limiter
-	door    string
+	name    string
 	heads   func() HeadLimits
 }
 
-// Listen listens at an address. door names the listener, and heads returns the limits in force there, of which zero
+// Listen listens at an address. name names the listener, and heads returns the limits in force there, of which zero
 // values stand for the defaults; heads may be nil.
-func (l *Limiter) Listen(ctx context.Context, network, address, door string, heads func() HeadLimits) (*Listener, error) {
+func (l *Limiter) Listen(ctx context.Context, network, address, name string, heads func() HeadLimits) (*Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) // the kernel's default is used if it fails
@@ -51,7 +51,7 @@
 	if heads != nil {
 		effective = func() HeadLimits { return heads().Or(DefaultHeadLimits) }
 	}
-	return &Listener{Listener: listener, limiter: l, door: door, heads: effective}, nil
+	return &Listener{Listener: listener, limiter: l, name: name, heads: effective}, nil
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room.
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := newConn(l.limiter, conn, l.door, l.heads)
+		c := newConn(l.limiter, conn, l.name, l.heads)
 		if l.limiter.admit(c) {
 			return c, nil
 		}
@@ -154,7 +154,7 @@
 		_ = b.conn.Conn.SetReadDeadline(time.Time{})
 		return n, err
 	case errors.Is(err, os.ErrDeadlineExceeded) && !stopped && !b.conn.evicted.Load():
-		b.conn.limiter.count(causeBodyTime, b.conn.door)
+		b.conn.limiter.count(causeBodyTime, b.conn.listener)
 	}
 	_ = b.conn.Conn.SetReadDeadline(past)
 	return n, err
