review: show the batches without an owner in a larger fleet

Cause: with few hosts, a read at the host that ranks first ends the state before the time of the step is up.

--- a/review/stage3/owner.go
+++ b/review/stage3/owner.go
@@ -20,10 +20,10 @@
 	// stability is stability_window_ms, maxIdle the time at no server that the rule allows in steady state.
 	stability, maxIdle = 4 * time.Second, 5 * time.Second
 	rounds             = 6
-	openBatches        = 22
+	openBatches        = 32
 	itemsPerBatch      = 2
-	hostCount          = 18
-	serverCount        = 12
+	hostCount          = 40
+	serverCount        = 18
 	slotCount          = 8
 )
 
